--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Puts the run-time libraries and the project's packages under target/deps.
+set -eu
+if [ ! target/deps/.installed -nt deploy/requirements.txt ]; then
+    rm -rf target/deps
+    python3 -m pip install --quiet --require-hashes --target target/deps --requirement deploy/requirements.txt
+    touch target/deps/.installed
+fi
+rm -rf target/deps/turmericwharf target/deps/turmericwharf_node
+cp -r packages/turmericwharf/src/turmericwharf packages/turmericwharf-node/src/turmericwharf_node target/deps/
--- a/packages/turmericwharf-node/src/turmericwharf_node/main.py
+++ b/packages/turmericwharf-node/src/turmericwharf_node/main.py
@@ -11,6 +11,7 @@
 from turmericwharf.protocol import decode_settings
 from turmericwharf.state import NodeSettings, SettingsFailure
 from turmericwharf.transport import NodeProcess
+from turmericwharf_node.sidecar import sidecar
 
 _EXIT_SETTINGS = 2
 
@@ -38,6 +39,9 @@
     click.echo(f'{settings_file} is valid for instance {settings.instance}')
 
 
+main.add_command(sidecar)
+
+
 def configure_logging(level: str) -> None:
     """Log JSON lines on standard error."""
     logger.remove()
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/__init__.py
@@ -0,0 +1,35 @@
+"""Decisions of a node that runs beside one backend server.
+
+Nodes find each other through the platform's store. Every request for a server passes the node
+beside it, which alone decides whether and when the request runs.
+"""
+
+from turmericwharf.coordination.sidecar.messages import answer_peer
+from turmericwharf.coordination.sidecar.node import (
+    SidecarNode,
+    SidecarPorts,
+    build_sidecar_node,
+)
+from turmericwharf.coordination.sidecar.ports import (
+    ConfigurationDecoder,
+    FleetLinks,
+    KeyedLog,
+    NodeEntryDecoder,
+    NodeStore,
+    ServerConnection,
+)
+from turmericwharf.coordination.sidecar.server_answers import judge_answer
+
+__all__ = (
+    'ConfigurationDecoder',
+    'FleetLinks',
+    'KeyedLog',
+    'NodeEntryDecoder',
+    'NodeStore',
+    'ServerConnection',
+    'SidecarNode',
+    'SidecarPorts',
+    'answer_peer',
+    'build_sidecar_node',
+    'judge_answer',
+)
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_holder.py
@@ -0,0 +1,63 @@
+"""The configuration that is in force at a node."""
+
+from loguru import logger
+
+from turmericwharf.coordination.sidecar.ports import ConfigurationDecoder
+from turmericwharf.coordination.sidecar.routes import RouteTable
+from turmericwharf.state import KeyDigest
+from turmericwharf.state.sidecar import FleetConfiguration, OrganisationRule
+
+
+class ConfigurationHolder:
+    """Holds the newest configuration; it never goes back to an older version.
+
+    Parameters
+    ----------
+    decode
+        Reads a configuration as it was published.
+    """
+
+    def __init__(self, decode: ConfigurationDecoder) -> None:
+        self._decode = decode
+        self._organisations_by_key: dict[KeyDigest, OrganisationRule] = {}
+        self.encoded = b''
+        self.current = FleetConfiguration()
+        self.routes = RouteTable(())
+
+    @property
+    def version(self) -> int:
+        """Version in force; negative if none is known."""
+        return self.current.version
+
+    @property
+    def is_known(self) -> bool:
+        """Whether any configuration is in force."""
+        return self.current.version >= 0
+
+    def offer(self, encoded: bytes, *, source: str) -> bool:
+        """Apply a published configuration if it is newer; return whether it was."""
+        configuration = self._decode(encoded)
+        if configuration is None:
+            logger.bind(source=source, size_bytes=len(encoded)).warning('configuration_unreadable')
+            return False
+        if configuration.version <= self.current.version:
+            return False
+        logger.bind(
+            source=source,
+            version=configuration.version,
+            replaced=self.current.version,
+            routes=len(configuration.routes),
+        ).info('configuration_applied')
+        self.encoded = encoded
+        self.current = configuration
+        self.routes = RouteTable(configuration.routes)
+        self._organisations_by_key = {
+            digest: organisation
+            for organisation in configuration.organisations_by_id.values()
+            for digest in organisation.key_digests
+        }
+        return True
+
+    def find_organisation(self, digest: KeyDigest) -> OrganisationRule | None:
+        """Return the organisation that holds a key, or None."""
+        return self._organisations_by_key.get(digest)
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/fleet_entry.py
@@ -0,0 +1,85 @@
+"""Serves a client's request: checks, rate, attempts on servers, final outcome."""
+
+import collections
+
+from loguru import logger
+
+from turmericwharf.coordination.ports import Clock
+from turmericwharf.coordination.sidecar.admission import FleetAdmission, RequestChecks
+from turmericwharf.coordination.sidecar.attempts import AttemptRunner
+from turmericwharf.coordination.sidecar.quota import QuotaKeeper
+from turmericwharf.state import Answered, NotRun, Outcome, RequestFailure
+from turmericwharf.state.sidecar import FleetRequest
+
+
+class FleetEntry:
+    """Serves requests of the clients and the backend server on the own machine.
+
+    Parameters
+    ----------
+    checks
+        Checks against the configuration.
+    quota
+        Rates of organisations.
+    attempts
+        Sends admitted requests to servers.
+    clock
+        Clock of the node.
+    """
+
+    def __init__(
+        self,
+        checks: RequestChecks,
+        quota: QuotaKeeper,
+        attempts: AttemptRunner,
+        clock: Clock,
+    ) -> None:
+        self._checks = checks
+        self._quota = quota
+        self._attempts = attempts
+        self._clock = clock
+        self.outcomes_by_name: collections.Counter[str] = collections.Counter()
+        self.in_progress = 0
+
+    async def serve(self, request: FleetRequest) -> Outcome:
+        """Return the outcome of a request."""
+        self.in_progress += 1
+        try:
+            outcome = await self._serve(request)
+        finally:
+            self.in_progress -= 1
+        self.outcomes_by_name[name_outcome(outcome)] += 1
+        return outcome
+
+    async def _serve(self, request: FleetRequest) -> Outcome:
+        admitted = self._checks.admit(request)
+        if isinstance(admitted, FleetAdmission):
+            refusal = await self._quota.take(admitted)
+        else:
+            refusal = admitted
+        if isinstance(refusal, RequestFailure):
+            logger.bind(
+                request=request.request,
+                reason=refusal.reason.value,
+                host=request.host,
+                target=request.target,
+            ).info('request_refused')
+            return NotRun(refusal.reason, refusal.detail)
+        outcome = await self._attempts.run(admitted)
+        logger.bind(
+            request=request.request,
+            route=admitted.route.route,
+            service=admitted.service,
+            version=admitted.version,
+            seconds=round(self._clock.now() - admitted.admitted_at, 3),
+            outcome=name_outcome(outcome),
+        ).info('request_ended')
+        return outcome
+
+
+def name_outcome(outcome: Outcome) -> str:
+    """Return a short name of an outcome for logs and counters."""
+    if isinstance(outcome, Answered):
+        return f'answered_{outcome.status}'
+    kind = 'not_run' if isinstance(outcome, NotRun) else 'unknown'
+    return f'{kind}_{outcome.reason.value}'
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/messages.py
@@ -0,0 +1,66 @@
+"""Answers messages of other nodes."""
+
+from functools import singledispatch
+
+from turmericwharf.coordination.sidecar.node import SidecarNode
+from turmericwharf.state.sidecar import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    DirectoryReply,
+    DirectoryRequest,
+    FleetMessage,
+    Greeting,
+    NodeEntry,
+    TokenRequest,
+    WorkCancel,
+    WorkOrder,
+)
+
+
+@singledispatch
+async def answer_peer(
+    message: object,
+    node: SidecarNode,
+    peer: NodeEntry,
+) -> FleetMessage | None:
+    """Return the answer to a message of another node, None if it has none."""
+    raise TypeError(f'{type(message).__name__} is no message that a node answers')
+
+
+@answer_peer.register
+async def _(message: WorkOrder, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
+    node.spread.note(peer.instance, message.version)
+    return await node.gate.serve(message, node.holder.version)
+
+
+@answer_peer.register
+async def _(message: WorkCancel, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
+    node.gate.cancel(message)
+    return None
+
+
+@answer_peer.register
+async def _(message: Greeting, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
+    node.spread.note(peer.instance, message.version)
+    return Greeting(node.directory.own, node.holder.version)
+
+
+@answer_peer.register
+async def _(
+    message: ConfigurationRequest,
+    node: SidecarNode,
+    peer: NodeEntry,
+) -> FleetMessage | None:
+    is_newer = node.holder.version > message.above
+    return ConfigurationReply(node.holder.encoded if is_newer else b'')
+
+
+@answer_peer.register
+async def _(message: DirectoryRequest, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
+    return DirectoryReply(node.directory.entries)
+
+
+@answer_peer.register
+async def _(message: TokenRequest, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
+    node.spread.note(peer.instance, message.version)
+    return node.quota.buckets.grant(message.organisation)
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -0,0 +1,141 @@
+"""The objects of one sidecar node, and how they are wired."""
+
+import dataclasses
+
+from turmericwharf.coordination.ports import Clock
+from turmericwharf.coordination.retries import RetryBudget
+from turmericwharf.coordination.sidecar.admission import RequestChecks
+from turmericwharf.coordination.sidecar.announcements import AnnouncementService
+from turmericwharf.coordination.sidecar.attempts import AttemptRunner
+from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.fleet_entry import FleetEntry
+from turmericwharf.coordination.sidecar.membership import FleetMembership
+from turmericwharf.coordination.sidecar.order_checks import OrderChecks
+from turmericwharf.coordination.sidecar.orders import OrderSender
+from turmericwharf.coordination.sidecar.own_entry import OwnEntryPublisher
+from turmericwharf.coordination.sidecar.ports import (
+    ConfigurationDecoder,
+    FleetLinks,
+    KeyedLog,
+    NodeEntryDecoder,
+    NodeStore,
+    ServerConnection,
+)
+from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaKeeper
+from turmericwharf.coordination.sidecar.server_choice import ServerChoice
+from turmericwharf.coordination.sidecar.server_gate import ServerGate
+from turmericwharf.coordination.sidecar.server_record import ServerRecord
+from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
+from turmericwharf.coordination.sidecar.version_spread import VersionSpread
+from turmericwharf.state.sidecar import KeyedPage, NodeEntry, SidecarSettings, StoreTopic
+
+_GATHER_SECONDS = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SidecarPorts:
+    """What other layers give to the decisions of one node."""
+
+    clock: Clock
+    log: KeyedLog
+    store: NodeStore
+    links: FleetLinks
+    server: ServerConnection
+    decode_configuration: ConfigurationDecoder
+    decode_entry: NodeEntryDecoder
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SidecarNode:
+    """The objects of one node that others use."""
+
+    settings: SidecarSettings
+    directory: NodeDirectory
+    holder: ConfigurationHolder
+    entry: FleetEntry
+    gate: ServerGate
+    quota: QuotaKeeper
+    checks: OrderChecks
+    record: ServerRecord
+    announcements: AnnouncementService
+    publisher: OwnEntryPublisher
+    spread: VersionSpread
+    configuration_follower: TopicFollower
+    membership_follower: TopicFollower
+    clock: Clock
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether clients may send requests to this node."""
+        return self.holder.is_known and not self.checks.is_stopping
+
+
+def build_sidecar_node(
+    settings: SidecarSettings,
+    own: NodeEntry,
+    ports: SidecarPorts,
+) -> SidecarNode:
+    """Wire the decisions of one node to what the other layers give."""
+    clock = ports.clock
+    directory = NodeDirectory(own, clock)
+    holder = ConfigurationHolder(ports.decode_configuration)
+    request_checks = RequestChecks(holder, clock)
+    record = ServerRecord()
+    order_checks = OrderChecks(record, holder, request_checks)
+    gate = ServerGate(server=ports.server, checks=order_checks, directory=directory, clock=clock)
+    publisher = OwnEntryPublisher(ports.store, directory)
+    announcements = AnnouncementService(record, gate, publisher)
+    membership = FleetMembership(directory, announcements, publisher, ports.decode_entry)
+    quota = QuotaKeeper(
+        QuotaBuckets(directory, holder, clock),
+        ports.links,
+        directory,
+        holder,
+    )
+    attempts = AttemptRunner(
+        directory=directory,
+        choice=ServerChoice(directory, clock),
+        sender=OrderSender(
+            gate=gate,
+            links=ports.links,
+            directory=directory,
+            holder=holder,
+            clock=clock,
+            caller_service=settings.service,
+        ),
+        budget=RetryBudget(settings.bounds.retry_ratio, clock),
+        clock=clock,
+    )
+    configuration_follower = TopicFollower(
+        ports.log,
+        StoreTopic.CONFIGURATION,
+        lambda page: _offer_configuration(holder, page),
+    )
+    return SidecarNode(
+        settings=settings,
+        directory=directory,
+        holder=holder,
+        entry=FleetEntry(request_checks, quota, attempts, clock),
+        gate=gate,
+        quota=quota,
+        checks=order_checks,
+        record=record,
+        announcements=announcements,
+        publisher=publisher,
+        spread=VersionSpread(holder, directory, ports.links, configuration_follower),
+        configuration_follower=configuration_follower,
+        membership_follower=TopicFollower(
+            ports.log,
+            StoreTopic.NODES,
+            membership.take,
+            gather_seconds=_GATHER_SECONDS,
+        ),
+        clock=clock,
+    )
+
+
+def _offer_configuration(holder: ConfigurationHolder, page: KeyedPage) -> None:
+    for encoded in page.values_by_key.values():
+        if encoded:
+            holder.offer(encoded, source='store')
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/orders.py
@@ -0,0 +1,183 @@
+"""Sends one work order to the node beside the chosen server."""
+
+import asyncio
+import dataclasses
+
+from loguru import logger
+
+from turmericwharf.coordination.ports import Clock
+from turmericwharf.coordination.sidecar.admission import FleetAdmission
+from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.ports import FleetLinks
+from turmericwharf.coordination.sidecar.server_gate import ServerGate
+from turmericwharf.state import (
+    LinkFailure,
+    LinkUncertain,
+    NotRun,
+    OutcomeUnknown,
+    Reason,
+    ServiceId,
+)
+from turmericwharf.state.sidecar import NodeEntry, WorkAnswer, WorkCancel, WorkOrder
+
+_RESEND_SECONDS = 0.1
+# Work that can be repeated goes to another server rather than wait for a lost connection.
+_MOST_IDEMPOTENT_RESENDS = 2
+
+
+class OrderSender:
+    """Sends an order, and asks for its outcome again after a lost connection.
+
+    The receiving process runs an order once however often it is sent, so asking again is safe as
+    long as the same process answers.
+
+    Parameters
+    ----------
+    gate
+        The own backend server.
+    links
+        Connections to other nodes.
+    directory
+        Known nodes.
+    holder
+        Configuration in force.
+    clock
+        Clock of the node.
+    caller_service
+        Service of the backend server on the own machine.
+    """
+
+    def __init__(
+        self,
+        *,
+        gate: ServerGate,
+        links: FleetLinks,
+        directory: NodeDirectory,
+        holder: ConfigurationHolder,
+        clock: Clock,
+        caller_service: ServiceId,
+    ) -> None:
+        self._gate = gate
+        self._links = links
+        self._directory = directory
+        self._holder = holder
+        self._clock = clock
+        self._caller_service = caller_service
+
+    async def send(
+        self,
+        admitted: FleetAdmission,
+        entry: NodeEntry,
+        *,
+        number: int,
+        allowed_seconds: float,
+    ) -> WorkAnswer:
+        """Return the answer to an order; a cancellation is passed on."""
+        expires_at = self._clock.now() + allowed_seconds
+        order = self._make_order(admitted, entry, number, expires_at)
+        try:
+            async with asyncio.timeout(allowed_seconds):
+                return await self._send(order, entry, expires_at)
+        except TimeoutError:
+            self._cancel(order, entry)
+            return unknown_answer(Reason.ANSWER_TIMEOUT, 'the server gave no answer in time')
+        except asyncio.CancelledError:
+            self._cancel(order, entry)
+            raise
+
+    async def _send(self, order: WorkOrder, entry: NodeEntry, expires_at: float) -> WorkAnswer:
+        if entry.instance == self._directory.own.instance:
+            return await self._gate.serve(order, self._holder.version)
+        sends = 0
+        is_uncertain = False
+        while True:
+            remaining = expires_at - self._clock.now()
+            current = dataclasses.replace(order, remaining_seconds=remaining)
+            answer = await self._links.ask(entry, current, timeout_seconds=remaining)
+            if isinstance(answer, WorkAnswer):
+                self._directory.trust(entry.instance)
+                return _settle(answer, is_uncertain=is_uncertain)
+            if isinstance(answer, LinkFailure) and not is_uncertain:
+                self._directory.suspect(entry.instance)
+                return refused_answer(answer.reason, answer.detail)
+            is_uncertain = True
+            sends += 1
+            logger.bind(
+                request=order.request,
+                instance=entry.instance,
+                sends=sends,
+                reason=_reason(answer),
+            ).info('order_sent_again')
+            if self._is_lost(order, entry, sends):
+                self._directory.suspect(entry.instance)
+                return unknown_answer(Reason.PEER_LINK_LOST, 'the node beside the server is gone')
+            await asyncio.sleep(_RESEND_SECONDS)
+
+    def _is_lost(self, order: WorkOrder, entry: NodeEntry, sends: int) -> bool:
+        if order.idempotent and sends > _MOST_IDEMPOTENT_RESENDS:
+            return True
+        process = self._directory.process_of(entry.instance)
+        return process is not None and process != order.process
+
+    def _cancel(self, order: WorkOrder, entry: NodeEntry) -> None:
+        message = WorkCancel(order.request, order.attempt)
+        if entry.instance == self._directory.own.instance:
+            self._gate.cancel(message)
+        else:
+            self._links.tell(entry, message)
+
+    def _make_order(
+        self,
+        admitted: FleetAdmission,
+        entry: NodeEntry,
+        number: int,
+        expires_at: float,
+    ) -> WorkOrder:
+        request = admitted.request
+        now = self._clock.now()
+        return WorkOrder(
+            request=request.request,
+            attempt=number,
+            process=entry.process,
+            server=entry.server,
+            service=admitted.service,
+            route=admitted.route.route,
+            organisation=admitted.organisation,
+            key_digest=request.key_digest,
+            rank=admitted.rank,
+            idempotent=admitted.route.idempotent,
+            remaining_seconds=expires_at - now,
+            target_seconds=max(admitted.target_at - now, 0),
+            version=admitted.version,
+            caller_service=self._caller_service,
+            method=request.method,
+            target=request.target,
+            host=request.host,
+            headers=request.headers,
+            body=request.body,
+        )
+
+
+def refused_answer(reason: Reason, detail: str) -> WorkAnswer:
+    """Return the answer to an order that was certainly not run."""
+    return WorkAnswer(None, NotRun(reason, detail), None, False, 0, 0, -1)
+
+
+def unknown_answer(reason: Reason, detail: str) -> WorkAnswer:
+    """Return the answer to an order that may have run."""
+    return WorkAnswer(None, None, OutcomeUnknown(reason, detail), True, 0, 0, -1)
+
+
+def _settle(answer: WorkAnswer, *, is_uncertain: bool) -> WorkAnswer:
+    refused = answer.refused
+    if is_uncertain and refused is not None and refused.reason is Reason.PROCESS_REPLACED:
+        # The process that may have run the order is gone.
+        return unknown_answer(refused.reason, refused.detail)
+    return answer
+
+
+def _reason(answer: object) -> str:
+    if isinstance(answer, LinkFailure | LinkUncertain):
+        return answer.reason.value
+    return type(answer).__name__
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/own_entry.py
@@ -0,0 +1,89 @@
+"""Keeps the own entry on the store in step with the backend server beside the node."""
+
+import asyncio
+import dataclasses
+
+from loguru import logger
+
+from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.ports import NodeStore
+from turmericwharf.state import LogFailure
+from turmericwharf.state.sidecar import AnnouncedServer, NodeEntry, ServerPhase
+
+_RETRY_SECONDS = 0.3
+
+
+class OwnEntryPublisher:
+    """Writes the own entry when it changes, until the store has taken it.
+
+    Parameters
+    ----------
+    store
+        Entries of all nodes.
+    directory
+        Holds the own entry.
+    """
+
+    def __init__(self, store: NodeStore, directory: NodeDirectory) -> None:
+        self._store = store
+        self._directory = directory
+        self._written: NodeEntry | None = None
+        self._changed = asyncio.Event()
+        self._wrote = asyncio.Event()
+
+    def use_server(self, server: AnnouncedServer) -> None:
+        """Publish another state of the backend server."""
+        self._change(
+            dataclasses.replace(
+                self._directory.own,
+                server=server.server,
+                service=server.service,
+                slots=server.slots,
+                phase=server.phase,
+                born=server.born,
+            ),
+        )
+
+    def use_phase(self, phase: ServerPhase) -> None:
+        """Publish that the node takes work, or no more of it."""
+        self._change(dataclasses.replace(self._directory.own, phase=phase))
+
+    def publish_again(self) -> None:
+        """Write the entry once more, as somebody else has changed or removed it."""
+        self._written = None
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Write changes until cancelled."""
+        self._changed.set()
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            entry = self._directory.own
+            if entry == self._written:
+                continue
+            failure = await self._store.publish(entry)
+            if isinstance(failure, LogFailure):
+                logger.bind(detail=failure.detail).info('own_entry_not_written')
+                self._changed.set()
+                await asyncio.sleep(_RETRY_SECONDS)
+                continue
+            self._written = entry
+            self._wrote.set()
+
+    async def wait_until_written(self, timeout_seconds: float) -> bool:
+        """Wait until the store has the newest entry; return whether it does."""
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                while self._written != self._directory.own:
+                    self._wrote.clear()
+                    await self._wrote.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _change(self, entry: NodeEntry) -> None:
+        own = self._directory.own
+        if entry != own:
+            self._directory.own = dataclasses.replace(entry, revision=own.revision + 1)
+            self._changed.set()
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -0,0 +1,163 @@
+"""Rates of organisations, divided into fixed parts that single nodes hold.
+
+Each data centre has one holder for each organisation, found by rendezvous hashing. It grants its
+fixed part of the rate, so the sum over all holders stays inside the rate without agreement,
+whatever part of the fleet is cut off.
+"""
+
+import dataclasses
+
+from loguru import logger
+
+from turmericwharf.coordination.ports import Clock
+from turmericwharf.coordination.rendezvous import rank_instances
+from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, FleetAdmission
+from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.ports import FleetLinks
+from turmericwharf.state import (
+    RATE_EXCEEDED,
+    DataCentreId,
+    InstanceId,
+    OrganisationId,
+    RequestFailure,
+)
+from turmericwharf.state.sidecar import NodeEntry, OrganisationRule, TokenReply, TokenRequest
+
+_ASK_SECONDS = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Level:
+    """Tokens of a bucket at one moment."""
+
+    tokens: float
+    at: float
+
+
+class QuotaBuckets:
+    """The parts of rates that this node holds.
+
+    A bucket is empty when the process starts, so that a restart never grants a burst twice.
+
+    Parameters
+    ----------
+    directory
+        Known nodes, which decide who holds a part.
+    holder
+        Configuration in force.
+    clock
+        Clock of the node.
+    """
+
+    def __init__(
+        self,
+        directory: NodeDirectory,
+        holder: ConfigurationHolder,
+        clock: Clock,
+    ) -> None:
+        self._directory = directory
+        self._holder = holder
+        self._clock = clock
+        self._started_at = clock.now()
+        self._levels_by_id: dict[OrganisationId, _Level] = {}
+
+    def grant(self, organisation: OrganisationId) -> TokenReply:
+        """Take one token of the own part, or tell when there will be one."""
+        rule = self._holder.current.organisations_by_id.get(organisation)
+        holders = holders_of(organisation, self._directory.entries)
+        own = self._directory.own
+        if rule is None or holders.get(own.data_centre) != own.instance:
+            return TokenReply(granted=False, wait_seconds=0)
+        part = 1 / len(holders)
+        tokens = self._fill(rule, part)
+        granted = tokens >= 1
+        self._levels_by_id[organisation] = _Level(tokens - granted, self._clock.now())
+        missing_seconds = (1 - tokens) / (rule.rate_per_second * part)
+        return TokenReply(granted=granted, wait_seconds=max(missing_seconds, 0))
+
+    def _fill(self, rule: OrganisationRule, part: float) -> float:
+        now = self._clock.now()
+        level = self._levels_by_id.get(rule.organisation, _Level(0, self._started_at))
+        gained = (now - level.at) * rule.rate_per_second * part
+        return min(level.tokens + gained, max(rule.burst * part, 1))
+
+
+class QuotaKeeper:
+    """Takes tokens for admitted requests.
+
+    Parameters
+    ----------
+    buckets
+        Parts that this node holds itself.
+    links
+        Connections to the other holders.
+    directory
+        Known nodes.
+    holder
+        Configuration in force.
+    """
+
+    def __init__(
+        self,
+        buckets: QuotaBuckets,
+        links: FleetLinks,
+        directory: NodeDirectory,
+        holder: ConfigurationHolder,
+    ) -> None:
+        self.buckets = buckets
+        self._links = links
+        self._directory = directory
+        self._holder = holder
+
+    async def take(self, admitted: FleetAdmission) -> RequestFailure | None:
+        """Return None with a token, or why the request is refused."""
+        if admitted.organisation == NO_ORGANISATION:
+            return None
+        rule = self._holder.current.organisations_by_id.get(admitted.organisation)
+        if rule is None or not rule.is_limited:
+            return None
+        for instance in self._ordered_holders(admitted.organisation):
+            reply = await self._ask(instance, admitted.organisation)
+            if reply is not None and reply.granted:
+                return None
+        return RATE_EXCEEDED
+
+    def _ordered_holders(self, organisation: OrganisationId) -> list[InstanceId]:
+        holders = holders_of(organisation, self._directory.entries)
+        own = self._directory.own.data_centre
+        # The near holder costs no bytes between data centres.
+        return [holders[place] for place in sorted(holders, key=lambda one: (one != own, one))]
+
+    async def _ask(
+        self,
+        instance: InstanceId,
+        organisation: OrganisationId,
+    ) -> TokenReply | None:
+        own = self._directory.own
+        if instance == own.instance:
+            return self.buckets.grant(organisation)
+        entry = self._directory.find(instance)
+        if entry is None or self._directory.is_suspected(instance):
+            return None
+        request = TokenRequest(organisation, own.instance, self._holder.version)
+        reply = await self._links.ask(entry, request, timeout_seconds=_ASK_SECONDS)
+        if isinstance(reply, TokenReply):
+            return reply
+        logger.bind(instance=instance, organisation=organisation).info('token_holder_silent')
+        self._directory.suspect(instance)
+        return None
+
+
+def holders_of(
+    organisation: OrganisationId,
+    entries: tuple[NodeEntry, ...],
+) -> dict[DataCentreId, InstanceId]:
+    """Return the holder of an organisation's part in each data centre."""
+    instances_by_place: dict[DataCentreId, list[InstanceId]] = {}
+    for entry in entries:
+        instances_by_place.setdefault(entry.data_centre, []).append(entry.instance)
+    return {
+        place: rank_instances(organisation, instances)[0]
+        for place, instances in instances_by_place.items()
+    }
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_answers.py
@@ -0,0 +1,22 @@
+"""Judges what a backend server sent for a request."""
+
+from turmericwharf.state import Answered, NotRun, Outcome, OutcomeUnknown, Reason, RequestId
+from turmericwharf.state.sidecar import ServerAnswer
+
+_OTHER_SERVER = 421
+_FIRST_SUCCESS = 200
+_LAST_SUCCESS = 299
+
+
+def judge_answer(request: RequestId, answer: ServerAnswer) -> Outcome:
+    """Return the outcome of a request whose answer came whole."""
+    if answer.request is not None and answer.request != request:
+        return OutcomeUnknown(Reason.ANSWER_FOREIGN, f'the answer is for {answer.request}')
+    if answer.is_not_executed or answer.status == _OTHER_SERVER:
+        return NotRun(Reason.SERVER_SHED, f'the backend server refused with {answer.status}')
+    if answer.is_encoded:
+        return OutcomeUnknown(Reason.ANSWER_FOREIGN, 'the body has an encoding')
+    is_success = _FIRST_SUCCESS <= answer.status <= _LAST_SUCCESS
+    if is_success and not answer.is_stamped:
+        return OutcomeUnknown(Reason.STAMP_MISSING, 'the answer is not signed by the server')
+    return Answered(status=answer.status, headers=answer.headers, body=answer.body)
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -0,0 +1,157 @@
+"""Runs work orders on the backend server beside the node."""
+
+import asyncio
+
+from loguru import logger
+
+from turmericwharf.coordination.fair_queue import FairQueue
+from turmericwharf.coordination.ports import Clock
+from turmericwharf.coordination.sidecar.breaker import CircuitBreaker
+from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.order_checks import OrderChecks
+from turmericwharf.coordination.sidecar.order_table import OrderTable
+from turmericwharf.coordination.sidecar.ports import ServerConnection
+from turmericwharf.coordination.sidecar.run_times import RunTimes
+from turmericwharf.state import (
+    BREAKER_OPEN,
+    CALLER_LEFT,
+    Answered,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    RequestFailure,
+)
+from turmericwharf.state.sidecar import WorkAnswer, WorkCancel, WorkOrder
+
+_QUEUE_LENGTH = 64
+_LEAST_RUN_SECONDS = 0.02
+
+
+class ServerGate:
+    """Gives the slots of the server to orders, and refuses what the server would not finish.
+
+    Parameters
+    ----------
+    server
+        The backend server.
+    checks
+        Last checks before an order runs.
+    directory
+        Holds the own entry.
+    clock
+        Clock of the node.
+    """
+
+    def __init__(
+        self,
+        *,
+        server: ServerConnection,
+        checks: OrderChecks,
+        directory: NodeDirectory,
+        clock: Clock,
+    ) -> None:
+        self._server = server
+        self._checks = checks
+        self._directory = directory
+        self._clock = clock
+        self._times = RunTimes()
+        self.orders = OrderTable(clock)
+        self.breaker = CircuitBreaker(clock)
+        self.queue = FairQueue(1, _QUEUE_LENGTH, clock)
+
+    async def serve(self, order: WorkOrder, version: int) -> WorkAnswer:
+        """Run an order, or join the run of the same order that came before."""
+        task = self.orders.find(order)
+        if task is None:
+            task = asyncio.create_task(self._run(order, version))
+            self.orders.start(order, task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                raise
+            return self._answer(NotRun(CALLER_LEFT.reason, CALLER_LEFT.detail), version)
+
+    def cancel(self, message: WorkCancel) -> None:
+        """Stop work for a caller that has left."""
+        self.orders.cancel((message.request, message.attempt))
+
+    async def _run(self, order: WorkOrder, version: int) -> WorkAnswer:
+        received_at = self._clock.now()
+        refusal = self._checks.refusal(order, self._directory.own)
+        if refusal is None and not self.breaker.allows(idempotent=order.idempotent):
+            refusal = BREAKER_OPEN
+        if refusal is not None:
+            return self._refuse(order, refusal, version)
+        refusal = await self._acquire(order)
+        if refusal is not None:
+            return self._refuse(order, refusal, version)
+        try:
+            return await self._run_in_slot(order, received_at, version)
+        finally:
+            self.queue.release(order.organisation)
+
+    async def _acquire(self, order: WorkOrder) -> RequestFailure | None:
+        run_seconds = max(self._times.usual(order.route), _LEAST_RUN_SECONDS)
+        wait_seconds = max(order.remaining_seconds - run_seconds, 0)
+        return await self.queue.acquire(order.organisation, order.rank, wait_seconds)
+
+    async def _run_in_slot(
+        self,
+        order: WorkOrder,
+        received_at: float,
+        version: int,
+    ) -> WorkAnswer:
+        # The server may have left, or the key may have been withdrawn, while the order waited.
+        refusal = self._checks.refusal(order, self._directory.own)
+        if refusal is None and self.breaker.is_open and not order.idempotent:
+            refusal = BREAKER_OPEN
+        started_at = self._clock.now()
+        remaining = order.remaining_seconds - (started_at - received_at)
+        if refusal is not None:
+            return self._refuse(order, refusal, version)
+        outcome = await self._server.run(order, remaining_seconds=remaining)
+        self.breaker.record(outcome)
+        if isinstance(outcome, Answered):
+            self._times.record(order.route, self._clock.now() - started_at)
+        logger.bind(
+            request=order.request,
+            attempt=order.attempt,
+            waited=round(started_at - received_at, 3),
+            ran=round(self._clock.now() - started_at, 3),
+            outcome=_describe(outcome),
+        ).info('order_ran')
+        return self._answer(outcome, version, reached_server=True)
+
+    def _refuse(self, order: WorkOrder, failure: RequestFailure, version: int) -> WorkAnswer:
+        logger.bind(
+            request=order.request,
+            attempt=order.attempt,
+            reason=failure.reason.value,
+            running=self.queue.in_progress,
+            waiting=self.queue.waiting,
+        ).info('order_refused')
+        return self._answer(NotRun(failure.reason, failure.detail), version)
+
+    def _answer(
+        self,
+        outcome: Outcome,
+        version: int,
+        *,
+        reached_server: bool = False,
+    ) -> WorkAnswer:
+        return WorkAnswer(
+            answered=outcome if isinstance(outcome, Answered) else None,
+            refused=outcome if isinstance(outcome, NotRun) else None,
+            unknown=outcome if isinstance(outcome, OutcomeUnknown) else None,
+            reached_server=reached_server,
+            running=self.queue.in_progress,
+            waiting=self.queue.waiting,
+            version=version,
+        )
+
+
+def _describe(outcome: Outcome) -> str:
+    if isinstance(outcome, Answered):
+        return str(outcome.status)
+    return outcome.reason.value
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/version_spread.py
@@ -0,0 +1,75 @@
+"""Gets newer configurations from other nodes, for when the store cannot be read."""
+
+import asyncio
+import random
+
+from loguru import logger
+
+from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.ports import FleetLinks
+from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
+from turmericwharf.state import InstanceId
+from turmericwharf.state.sidecar import ConfigurationReply, ConfigurationRequest, NodeEntry
+
+_ASK_SECONDS = 0.5
+_PERIOD_SECONDS = 0.4
+_PEERS = 2
+
+
+class VersionSpread:
+    """Asks a node that named a newer version for it, and random nodes while the store is lost.
+
+    Parameters
+    ----------
+    holder
+        Configuration in force.
+    directory
+        Known nodes.
+    links
+        Connections to them.
+    follower
+        Reads configurations from the store.
+    """
+
+    def __init__(
+        self,
+        holder: ConfigurationHolder,
+        directory: NodeDirectory,
+        links: FleetLinks,
+        follower: TopicFollower,
+    ) -> None:
+        self._holder = holder
+        self._directory = directory
+        self._links = links
+        self._follower = follower
+        self._asked: set[asyncio.Task[None]] = set()
+
+    def note(self, instance: InstanceId, version: int) -> None:
+        """Note the version that another node knows."""
+        entry = self._directory.find(instance)
+        if entry is None or version <= self._holder.version or self._asked:
+            return
+        task = asyncio.create_task(self._fetch(entry))
+        self._asked.add(task)
+        task.add_done_callback(self._asked.discard)
+
+    async def run(self) -> None:
+        """Ask around while the store is lost, until cancelled."""
+        while True:
+            await asyncio.sleep(_PERIOD_SECONDS * random.uniform(0.8, 1.2))
+            if not self._follower.is_connected:
+                peers = self._directory.peers
+                asked = random.sample(peers, min(_PEERS, len(peers)))
+                await asyncio.gather(*(self._fetch(peer) for peer in asked))
+
+    async def _fetch(self, peer: NodeEntry) -> None:
+        reply = await self._links.ask(
+            peer,
+            ConfigurationRequest(self._holder.version),
+            timeout_seconds=_ASK_SECONDS,
+        )
+        if not isinstance(reply, ConfigurationReply):
+            logger.bind(instance=peer.instance).debug('configuration_not_fetched')
+        elif reply.encoded:
+            self._holder.offer(reply.encoded, source=peer.instance)
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/platform/announcements.py
@@ -0,0 +1,64 @@
+"""Reads what a backend server says of itself."""
+
+import msgspec
+
+from turmericwharf.state import ServiceId
+from turmericwharf.state.sidecar import AnnouncedServer, ServerId, ServerPhase
+
+_PHASES = {'ready': ServerPhase.READY, 'draining': ServerPhase.LEAVING}
+
+
+class _Info(msgspec.Struct, frozen=True):
+    service: str
+    slots: int
+
+
+class _Status(msgspec.Struct, frozen=True, rename='camel'):
+    state: str
+    sequence: int
+    # How much longer the server is slow after its start.
+    cold_remaining_s: float = msgspec.field(default=0, name='coldRemainingS')
+
+
+class _Heartbeat(msgspec.Struct, frozen=True):
+    info: _Info
+    status: _Status
+    # Unix milliseconds of the server's start; servers that do not say it are older.
+    born: int = 0
+
+
+class _Leave(msgspec.Struct, frozen=True):
+    born: int = 0
+
+
+def read_heartbeat(server: str, body: bytes) -> AnnouncedServer | None:
+    """Return an announcement, or None if it names no server to use."""
+    try:
+        found = msgspec.json.decode(body, type=_Heartbeat)
+    except msgspec.DecodeError:
+        return None
+    phase = _PHASES.get(found.status.state)
+    if phase is None or not server or found.info.slots <= 0:
+        return None
+    return AnnouncedServer(
+        server=ServerId(server),
+        service=ServiceId(found.info.service),
+        slots=found.info.slots,
+        phase=phase,
+        born=found.born,
+        sequence=found.status.sequence,
+        cold_seconds=found.status.cold_remaining_s,
+    )
+
+
+def read_leave(server: str, body: bytes) -> AnnouncedServer | None:
+    """Return the notice of a server that leaves, or None if it cannot be read."""
+    try:
+        found = msgspec.json.decode(body, type=_Leave) if body else _Leave()
+    except msgspec.DecodeError:
+        return None
+    return AnnouncedServer(
+        server=ServerId(server),
+        phase=ServerPhase.LEAVING,
+        born=found.born,
+    )
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/platform/main.py
@@ -0,0 +1,88 @@
+"""Starts a sidecar node on the platform."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from loguru import logger
+
+from turmericwharf.coordination.sidecar import SidecarNode, SidecarPorts, build_sidecar_node
+from turmericwharf.platform.configuration import decode_configuration
+from turmericwharf.platform.dialect import PlatformDialect
+from turmericwharf.platform.names import SETTINGS_VARIABLE
+from turmericwharf.platform.pages import PlatformPages
+from turmericwharf.platform.settings import decode_platform_settings
+from turmericwharf.platform.store import PlatformStore
+from turmericwharf.protocol import decode_node_entry
+from turmericwharf.state import SettingsFailure, new_identifier
+from turmericwharf.state.sidecar import (
+    NO_SERVER,
+    NodeEntry,
+    ProcessId,
+    ServerPhase,
+    SidecarSettings,
+)
+from turmericwharf.transport.clock import BootClock
+from turmericwharf.transport.sidecar import FleetLinkTable, ServerClient, SidecarProcess
+
+
+def read_settings(path: Path) -> SidecarSettings | SettingsFailure:
+    """Read and check a settings file of the platform."""
+    return decode_platform_settings(path.read_bytes())
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file that the platform names."""
+    return Path(os.environ[SETTINGS_VARIABLE])
+
+
+async def run_node(settings: SidecarSettings) -> None:
+    """Run a node until SIGTERM or SIGINT."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    links = FleetLinkTable()
+    dialect = PlatformDialect()
+    node = build_node_on_platform(settings, links, dialect)
+    links.use_node(node)
+    await SidecarProcess(node, PlatformPages(node, dialect), links).run(stopping)
+
+
+def build_node_on_platform(
+    settings: SidecarSettings,
+    links: FleetLinkTable,
+    dialect: PlatformDialect,
+) -> SidecarNode:
+    """Wire a node to the platform."""
+    store = PlatformStore(settings.store)
+    own = NodeEntry(
+        instance=settings.instance,
+        process=ProcessId(new_identifier()),
+        host=settings.listen.peers.host,
+        peer_port=settings.listen.peers.port,
+        data_centre=settings.data_centre,
+        server=NO_SERVER,
+        service=settings.service,
+        slots=0,
+        phase=ServerPhase.ABSENT,
+    )
+    ports = SidecarPorts(
+        clock=BootClock(),
+        log=store,
+        store=store,
+        links=links,
+        server=ServerClient(settings.server, dialect),
+        decode_configuration=decode_configuration,
+        decode_entry=decode_node_entry,
+    )
+    return build_sidecar_node(settings, own, ports)
+
+
+def configure_logging() -> None:
+    """Log JSON lines on standard output."""
+    logger.remove()
+    logger.add(sys.stdout, level='INFO', serialize=True, diagnose=False, backtrace=False)
+
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/platform/pages.py
@@ -0,0 +1,60 @@
+"""The node's HTTP interfaces in the platform's words."""
+
+import re
+
+from loguru import logger
+
+from turmericwharf.coordination.sidecar import SidecarNode
+from turmericwharf.platform.announcements import read_heartbeat, read_leave
+from turmericwharf.platform.dialect import PlatformDialect
+from turmericwharf.protocol import HttpAnswer, HttpRequest
+from turmericwharf.transport.metrics import render_metrics
+
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_JSON = (('Content-Type', 'application/json'),)
+_HEARTBEAT = re.compile(r'/Instances\.Heartbeat/([^/?]+)')
+_DEREGISTER = re.compile(r'/Instances\.Deregister/([^/?]+)')
+
+
+class PlatformPages:
+    """Answers clients, readiness checks, announcements and operators."""
+
+    def __init__(self, node: SidecarNode, dialect: PlatformDialect) -> None:
+        self._node = node
+        self._dialect = dialect
+
+    async def serve_client(self, request: HttpRequest) -> HttpAnswer:
+        """Answer a request of a client or of the own backend server."""
+        read = self._dialect.read_request(request)
+        outcome = await self._node.entry.serve(read)
+        return self._dialect.write_outcome(read, outcome)
+
+    async def serve_readiness(self, request: HttpRequest) -> HttpAnswer:
+        """Answer a readiness check."""
+        return HttpAnswer(_OK if self._node.is_ready else _UNAVAILABLE, (), b'')
+
+    async def serve_announcement(self, request: HttpRequest) -> HttpAnswer:
+        """Answer an announcement of the backend server."""
+        beat = _HEARTBEAT.match(request.target)
+        leave = _DEREGISTER.match(request.target)
+        if beat is not None:
+            announced = read_heartbeat(beat.group(1), request.body)
+            if announced is not None:
+                await self._node.announcements.announce(announced)
+        elif leave is not None:
+            announced = read_leave(leave.group(1), request.body)
+            if announced is not None:
+                await self._node.announcements.leave(announced)
+        else:
+            return HttpAnswer(_NOT_FOUND, _JSON, b'{}')
+        if announced is None:
+            logger.bind(target=request.target).warning('announcement_unreadable')
+            return HttpAnswer(_BAD_REQUEST, _JSON, b'{}')
+        return HttpAnswer(_OK, _JSON, b'{}')
+
+    async def serve_operator(self, request: HttpRequest) -> HttpAnswer:
+        """Answer with metrics."""
+        return render_metrics(self._node)
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/platform/settings.py
@@ -0,0 +1,121 @@
+"""Reads the settings file that the platform writes."""
+
+import msgspec
+
+from turmericwharf.state import DataCentreId, InstanceId, Reason, ServiceId, SettingsFailure
+from turmericwharf.state.sidecar import (
+    Address,
+    SidecarBounds,
+    SidecarListen,
+    SidecarSettings,
+    StoreSettings,
+)
+
+
+class _LocalNode(msgspec.Struct, frozen=True, rename='camel'):
+    node_name: str
+    ip: str
+    zone: str
+    # Address of the backend server beside the node.
+    app_addr: str
+    # Service of the backend server beside the node.
+    service: str
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    # Where the clients on the machine and its backend server send requests.
+    outbound: str
+    ready: str
+    # Where the backend server announces itself.
+    control: str
+
+
+class _Network(msgspec.Struct, frozen=True, rename='camel'):
+    listen: _Listen
+    # First and last port for communication between nodes.
+    port_range: tuple[int, int]
+
+
+class _Store(msgspec.Struct, frozen=True):
+    address: str
+
+
+class _Platform(msgspec.Struct, frozen=True):
+    # The table has the same name as the one that it stands in, and describes the store only.
+    platform: _Store
+
+
+class _Bounds(msgspec.Struct, frozen=True, rename='camel'):
+    retry_budget_ratio: float = 0.2
+    budget_extra_retries: float = 0
+    budget_window_s: float = msgspec.field(default=10, name='budgetWindowS')
+    quota_window_s: float = msgspec.field(default=5, name='quotaWindowS')
+    config_apply_s: float = msgspec.field(default=2, name='configApplyS')
+    drain_s: float = msgspec.field(default=2, name='drainS')
+    grace_s: float = msgspec.field(default=6, name='graceS')
+
+
+class _Terms(msgspec.Struct, frozen=True):
+    bounds: _Bounds = _Bounds()
+
+
+class _SettingsFile(msgspec.Struct, frozen=True, rename='camel'):
+    local_node: _LocalNode
+    network: _Network
+    platform: _Platform
+    terms: _Terms = _Terms()
+
+
+def decode_platform_settings(encoded: bytes) -> SidecarSettings | SettingsFailure:
+    """Decode settings; a failure names the field and what is valid."""
+    try:
+        found = msgspec.json.decode(encoded, type=_SettingsFile)
+    except msgspec.DecodeError as error:
+        return SettingsFailure(Reason.SETTINGS_INVALID, str(error))
+    try:
+        return _translate(found)
+    except ValueError as error:
+        return SettingsFailure(Reason.SETTINGS_INVALID, str(error))
+
+
+def _translate(found: _SettingsFile) -> SidecarSettings:
+    listen, bounds = found.network.listen, found.terms.bounds
+    host = found.local_node.ip
+    first_port = found.network.port_range[0]
+    return SidecarSettings(
+        instance=InstanceId(found.local_node.node_name),
+        data_centre=DataCentreId(found.local_node.zone),
+        service=ServiceId(found.local_node.service),
+        server=read_address(found.local_node.app_addr),
+        listen=SidecarListen(
+            clients=read_address(listen.outbound),
+            readiness=read_address(listen.ready),
+            announcements=read_address(listen.control),
+            peers=Address(host, first_port),
+            operators=Address(host, first_port + 1),
+        ),
+        store=StoreSettings(read_address(found.platform.platform.address)),
+        bounds=SidecarBounds(
+            retry_ratio=bounds.retry_budget_ratio,
+            retry_extra=bounds.budget_extra_retries,
+            retry_window_seconds=bounds.budget_window_s,
+            quota_window_seconds=bounds.quota_window_s,
+            apply_seconds=bounds.config_apply_s,
+            drain_seconds=bounds.drain_s,
+            grace_seconds=bounds.grace_s,
+        ),
+    )
+
+
+def read_address(text: str) -> Address:
+    """Return an address from `host:port`.
+
+    Raises
+    ------
+    ValueError
+        If the text has another form.
+    """
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdigit():
+        raise ValueError(f'{text!r} is no address: valid is "IP:PORT"')
+    return Address(host, int(port))
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/platform/store.py
@@ -0,0 +1,199 @@
+"""Client of the platform's store."""
+
+import base64
+import struct
+from types import MappingProxyType
+from urllib.parse import urlencode
+
+import msgspec
+import pycurl
+from loguru import logger
+from tornado.httpclient import HTTPRequest, HTTPResponse
+
+from turmericwharf.protocol import encode_node_entry
+from turmericwharf.state import LogFailure, Reason
+from turmericwharf.state.sidecar import (
+    HISTORY_GONE,
+    KeyedPage,
+    NodeEntry,
+    StoreSettings,
+    StoreTopic,
+)
+from turmericwharf.transport.http_client import FetchFailure, fetch, make_client
+
+_TOPICS = MappingProxyType(
+    {StoreTopic.CONFIGURATION: 'keyed.op', StoreTopic.NODES: 'keyed.nodes'},
+)
+# Keys of a topic that concern the fleet; None for all.
+_KEYS = MappingProxyType({StoreTopic.CONFIGURATION: frozenset(('config',))})
+_OK = 200
+_GONE = 410
+_MILLISECONDS = 1000
+_MAX_CLIENTS = 16
+_CONNECT_SECONDS = 0.6
+_CALL_SECONDS = 1.5
+_KEEP_ALIVE_SECONDS = 1
+_OFFSETS = struct.Struct('>QQ')
+_LENGTH = struct.Struct('>I')
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str
+    value: str | None = None
+
+
+class _Newest(msgspec.Struct, frozen=True, rename='camel'):
+    items: tuple[_Item, ...]
+    end: int
+    has_more: bool = False
+
+
+class PlatformStore:
+    """Keyed topics of the store; the topic's only partition is 0.
+
+    Parameters
+    ----------
+    settings
+        Where the store is.
+    """
+
+    def __init__(self, settings: StoreSettings) -> None:
+        address = settings.address
+        self._base = f'http://{address.host}:{address.port}'
+        self._client = make_client(_MAX_CLIENTS)
+
+    async def newest(self, topic: StoreTopic) -> KeyedPage | LogFailure:
+        """Read the newest record of each key."""
+        values_by_key: dict[str, bytes] = {}
+        query: dict[str, str | int] = {'topic': _TOPICS[topic], 'part': 0}
+        end: int | None = None
+        while True:
+            response = await self._fetch('GET', '/log-newest', query, _CALL_SECONDS)
+            if isinstance(response, LogFailure):
+                return response
+            page = _read_newest(response)
+            if isinstance(page, LogFailure):
+                return page
+            # Pages are no snapshot, so changes are read from the end that the first one names.
+            end = page.end if end is None else end
+            values_by_key.update(_values(page))
+            if not page.has_more or not page.items:
+                return KeyedPage(_concerning(topic, values_by_key), end)
+            query['after'] = page.items[-1].key
+
+    async def changes(
+        self,
+        topic: StoreTopic,
+        *,
+        offset: int,
+        wait_seconds: float,
+    ) -> KeyedPage | LogFailure:
+        """Read records from an offset on; wait for one if there is none yet."""
+        query = {
+            'topic': _TOPICS[topic],
+            'part': 0,
+            'from': offset,
+            'waitMs': int(wait_seconds * _MILLISECONDS),
+        }
+        response = await self._fetch('GET', '/log-read', query, wait_seconds + _CALL_SECONDS)
+        if isinstance(response, LogFailure):
+            return response
+        try:
+            values_by_key, count = _read_records(response.body)
+        except (struct.error, IndexError, UnicodeDecodeError) as error:
+            return LogFailure(Reason.FRAME_MALFORMED, f'records: {error}')
+        return KeyedPage(_concerning(topic, values_by_key), offset + count)
+
+    async def publish(self, entry: NodeEntry) -> LogFailure | None:
+        """Write the entry of a node."""
+        key = entry.instance.encode()
+        record = bytes([len(key)]) + key + encode_node_entry(entry)
+        query = {'topic': _TOPICS[StoreTopic.NODES], 'part': 0}
+        response = await self._fetch(
+            'POST',
+            '/log-append',
+            query,
+            _CALL_SECONDS,
+            _LENGTH.pack(len(record)) + record,
+        )
+        return response if isinstance(response, LogFailure) else None
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    async def _fetch(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str | int],
+        timeout_seconds: float,
+        body: bytes | None = None,
+    ) -> HTTPResponse | LogFailure:
+        request = HTTPRequest(
+            f'{self._base}{path}?{urlencode(query)}',
+            method=method,
+            body=body,
+            connect_timeout=_CONNECT_SECONDS,
+            request_timeout=timeout_seconds,
+            decompress_response=False,
+            prepare_curl_callback=_prepare,
+        )
+        response = await fetch(self._client, request)
+        if isinstance(response, FetchFailure):
+            logger.bind(path=path, detail=response.detail).debug('store_call_failed')
+            return LogFailure(Reason.LOG_UNAVAILABLE, response.detail)
+        if response.code == _GONE:
+            return HISTORY_GONE
+        if response.code != _OK:
+            return LogFailure(Reason.LOG_UNAVAILABLE, f'{path}: status {response.code}')
+        return response
+
+
+def _prepare(curl: pycurl.Curl) -> None:
+    # A connection that went silent is found while a read waits on it.
+    curl.setopt(pycurl.TCP_KEEPALIVE, 1)
+    curl.setopt(pycurl.TCP_KEEPIDLE, _KEEP_ALIVE_SECONDS)
+    curl.setopt(pycurl.TCP_KEEPINTVL, _KEEP_ALIVE_SECONDS)
+
+
+def _read_newest(response: HTTPResponse) -> _Newest | LogFailure:
+    try:
+        return msgspec.json.decode(response.body, type=_Newest)
+    except msgspec.DecodeError as error:
+        return LogFailure(Reason.FRAME_MALFORMED, f'newest records: {error}')
+
+
+def _values(page: _Newest) -> dict[str, bytes]:
+    values_by_key = {}
+    for one in page.items:
+        try:
+            values_by_key[one.key] = base64.b64decode(one.value or '', validate=True)
+        except ValueError as error:
+            logger.bind(key=one.key, error=str(error)).warning('store_record_unreadable')
+    return values_by_key
+
+
+def _read_records(encoded: bytes) -> tuple[dict[str, bytes], int]:
+    """Return the newest value of each key, and how many records were read."""
+    place = _OFFSETS.size
+    values_by_key = {}
+    count = 0
+    while place < len(encoded):
+        (length,) = _LENGTH.unpack_from(encoded, place)
+        record = encoded[place + _LENGTH.size : place + _LENGTH.size + length]
+        place += _LENGTH.size + length
+        count += 1
+        key_end = 1 + record[0] if record else 0
+        try:
+            values_by_key[record[1:key_end].decode()] = record[key_end:]
+        except UnicodeDecodeError as error:
+            logger.bind(error=str(error)).warning('store_record_unreadable')
+    return values_by_key, count
+
+
+def _concerning(topic: StoreTopic, values_by_key: dict[str, bytes]) -> dict[str, bytes]:
+    keys = _KEYS.get(topic)
+    if keys is None:
+        return values_by_key
+    return {key: found for key, found in values_by_key.items() if key in keys}
--- a/packages/turmericwharf/src/turmericwharf/protocol/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/__init__.py
@@ -25,6 +25,15 @@
     make_proof,
     make_welcome,
 )
+from turmericwharf.protocol.http1 import (
+    HttpRequest,
+    HttpResponse,
+    RequestReader,
+    ResponseReader,
+    encode_answer,
+    forwarded_headers,
+    is_connection_over,
+)
 from turmericwharf.protocol.http_headers import (
     DEADLINE_HEADER,
     OUTCOME_HEADER,
@@ -44,6 +53,7 @@
     decode_record,
     encode_record,
 )
+from turmericwharf.protocol.node_entries import decode_node_entry, encode_node_entry
 from turmericwharf.protocol.operator_pages import (
     decode_change,
     decode_plain_change,
@@ -64,6 +74,15 @@
 )
 
 __all__ = (
+    'HttpRequest',
+    'HttpResponse',
+    'RequestReader',
+    'ResponseReader',
+    'decode_node_entry',
+    'encode_answer',
+    'encode_node_entry',
+    'forwarded_headers',
+    'is_connection_over',
     'DEADLINE_HEADER',
     'Frame',
     'HttpAnswer',
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http1.py
@@ -0,0 +1,242 @@
+"""Reads and writes HTTP/1.1 messages."""
+
+import dataclasses
+
+import h11
+
+from turmericwharf.protocol.http_headers import strip_connection_headers
+from turmericwharf.protocol.http_status import HttpAnswer
+from turmericwharf.state import BODY_TOO_LARGE, HEADERS_TOO_LARGE, Headers, ProtocolFailure, Reason
+from turmericwharf.state.sidecar import ClientLimits
+
+_HEADER_OVERHEAD_BYTES = 4
+_HEADERS_TOO_LARGE_STATUS = 431
+# Answers with these statuses have no body.
+_BODILESS = frozenset((204, 304))
+_READ_ALLOWANCE_BYTES = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request.
+
+    Parameters
+    ----------
+    exchange
+        State of the connection for writing the answer.
+    """
+
+    method: str
+    target: str
+    host: str
+    headers: Headers
+    body: bytes
+    exchange: h11.Connection
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A whole answer of a server.
+
+    Parameters
+    ----------
+    is_reusable
+        Whether the connection can carry another request.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    is_reusable: bool
+
+
+class RequestReader:
+    """Reads requests one after another; the next one may be read before an answer is written."""
+
+    def __init__(self) -> None:
+        self._limits = ClientLimits()
+        self._exchange = self._make_exchange()
+        self._head: h11.Request | None = None
+        self._chunks: list[bytes] = []
+        self._has_bytes = False
+
+    @property
+    def exchange(self) -> h11.Connection:
+        """State of the connection for the request that is being read."""
+        return self._exchange
+
+    @property
+    def is_inside(self) -> bool:
+        """Whether a part of a request was read."""
+        return self._has_bytes or self._head is not None
+
+    def use_limits(self, limits: ClientLimits) -> None:
+        """Bound the requests from now on."""
+        self._limits = limits
+
+    def receive(self, encoded: bytes) -> None:
+        """Take bytes of the connection."""
+        self._has_bytes = True
+        self._exchange.receive_data(encoded)
+
+    def next_request(self) -> HttpRequest | ProtocolFailure | None:
+        """Return the next whole request, what is wrong with it, or None without all its bytes."""
+        try:
+            return self._next_request()
+        except h11.RemoteProtocolError as error:
+            if error.error_status_hint == _HEADERS_TOO_LARGE_STATUS:
+                return ProtocolFailure(HEADERS_TOO_LARGE.reason, HEADERS_TOO_LARGE.detail)
+            return ProtocolFailure(Reason.REQUEST_MALFORMED, str(error))
+
+    def _next_request(self) -> HttpRequest | ProtocolFailure | None:
+        while True:
+            event = self._exchange.next_event()
+            if isinstance(event, h11.Request):
+                self._head = event
+                failure = self._check_head(event)
+                if failure is not None:
+                    return failure
+            elif isinstance(event, h11.Data):
+                self._chunks.append(bytes(event.data))
+                if sum(map(len, self._chunks)) > self._limits.body_bytes:
+                    return ProtocolFailure(BODY_TOO_LARGE.reason, BODY_TOO_LARGE.detail)
+            elif isinstance(event, h11.EndOfMessage):
+                return self._finish()
+            else:
+                return None
+
+    def _check_head(self, head: h11.Request) -> ProtocolFailure | None:
+        size = sum(
+            len(name) + len(text) + _HEADER_OVERHEAD_BYTES
+            for name, text in head.headers.raw_items()
+        )
+        if size + len(head.target) > self._limits.header_bytes:
+            return ProtocolFailure(HEADERS_TOO_LARGE.reason, HEADERS_TOO_LARGE.detail)
+        length = dict(head.headers).get(b'content-length', b'0')
+        if length.isdigit() and int(length) > self._limits.body_bytes:
+            return ProtocolFailure(BODY_TOO_LARGE.reason, BODY_TOO_LARGE.detail)
+        return None
+
+    def _finish(self) -> HttpRequest | None:
+        head, exchange = self._head, self._exchange
+        if head is None:
+            return None
+        trailing = exchange.trailing_data[0]
+        request = HttpRequest(
+            method=head.method.decode('ascii'),
+            target=head.target.decode('latin-1'),
+            host=dict(head.headers).get(b'host', b'').decode('latin-1'),
+            headers=_decode_headers(head.headers.raw_items()),
+            body=b''.join(self._chunks),
+            exchange=exchange,
+        )
+        self._exchange = self._make_exchange()
+        self._head = None
+        self._chunks = []
+        self._has_bytes = bool(trailing)
+        if trailing:
+            self._exchange.receive_data(trailing)
+        return request
+
+    def _make_exchange(self) -> h11.Connection:
+        allowed = self._limits.header_bytes + _READ_ALLOWANCE_BYTES
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=allowed)
+
+
+def encode_answer(exchange: h11.Connection, answer: HttpAnswer, *, is_last: bool) -> bytes:
+    """Return the bytes of an answer; with `is_last` it announces the end of the connection."""
+    headers = list(answer.headers)
+    if answer.status not in _BODILESS:
+        headers.append(('Content-Length', str(len(answer.body))))
+    if is_last:
+        headers.append(('Connection', 'close'))
+    head = exchange.send(
+        h11.Response(status_code=answer.status, headers=_encode_headers(tuple(headers))),
+    )
+    body = b''
+    if answer.body and answer.status not in _BODILESS:
+        body = exchange.send(h11.Data(data=answer.body)) or b''
+    return b''.join((head or b'', body, exchange.send(h11.EndOfMessage()) or b''))
+
+
+def is_connection_over(exchange: h11.Connection) -> bool:
+    """Whether the connection ends after the answer that was written."""
+    return exchange.our_state is not h11.DONE
+
+
+class ResponseReader:
+    """Writes one request and reads its answer."""
+
+    def __init__(self) -> None:
+        self._exchange = h11.Connection(h11.CLIENT)
+        self._head: h11.Response | None = None
+        self._chunks: list[bytes] = []
+
+    def encode_request(self, method: str, target: str, headers: Headers, body: bytes) -> bytes:
+        """Return the bytes of the request."""
+        fields = list(headers)
+        if body or method in {'POST', 'PUT', 'PATCH'}:
+            fields.append(('Content-Length', str(len(body))))
+        head = self._exchange.send(
+            h11.Request(
+                method=method,
+                target=target.encode('latin-1'),
+                headers=_encode_headers(tuple(fields)),
+            ),
+        )
+        content = self._exchange.send(h11.Data(data=body)) if body else b''
+        end = self._exchange.send(h11.EndOfMessage())
+        return b''.join((head or b'', content or b'', end or b''))
+
+    def receive(self, encoded: bytes) -> HttpResponse | ProtocolFailure | None:
+        """Take bytes, empty at the end of the connection; return the answer once it is whole."""
+        try:
+            self._exchange.receive_data(encoded)
+            return self._next_response()
+        except h11.RemoteProtocolError as error:
+            return ProtocolFailure(Reason.ANSWER_INCOMPLETE, str(error))
+
+    def _next_response(self) -> HttpResponse | ProtocolFailure | None:
+        while True:
+            event = self._exchange.next_event()
+            if isinstance(event, h11.Response):
+                self._head = event
+            elif isinstance(event, h11.Data):
+                self._chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return self._finish()
+            elif isinstance(event, h11.ConnectionClosed):
+                return ProtocolFailure(Reason.ANSWER_INCOMPLETE, 'the connection was closed')
+            elif not isinstance(event, h11.InformationalResponse):
+                return None
+
+    def _finish(self) -> HttpResponse | None:
+        if self._head is None:
+            return None
+        is_reusable = self._exchange.our_state is h11.DONE and not self._exchange.trailing_data[0]
+        return HttpResponse(
+            status=self._head.status_code,
+            headers=_decode_headers(self._head.headers.raw_items()),
+            body=b''.join(self._chunks),
+            is_reusable=is_reusable and self._exchange.their_state is h11.DONE,
+        )
+
+
+def forwarded_headers(headers: Headers) -> Headers:
+    """Return the headers that pass a proxy."""
+    listed = {
+        name.strip().lower()
+        for header, text in headers
+        if header.lower() == 'connection'
+        for name in text.split(',')
+    }
+    kept = tuple(pair for pair in headers if pair[0].lower() not in listed)
+    return strip_connection_headers(kept)
+
+
+def _decode_headers(pairs: list[tuple[bytes, bytes]]) -> Headers:
+    return tuple((name.decode('latin-1'), text.decode('latin-1')) for name, text in pairs)
+
+
+def _encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    return [(name.encode('latin-1'), text.encode('latin-1')) for name, text in headers]
--- a/packages/turmericwharf/src/turmericwharf/state/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/__init__.py
@@ -75,6 +75,11 @@
     SERVER_UNKNOWN,
     SHUTDOWN,
     SettingsFailure,
+    BREAKER_OPEN,
+    PROCESS_REPLACED,
+    CONFIGURATION_OUTDATED,
+    HEADERS_TOO_LARGE,
+    REQUEST_TIMEOUT,
 )
 from turmericwharf.state.identifiers import (
     ClaimId,
@@ -194,6 +199,11 @@
 )
 
 __all__ = (
+    'BREAKER_OPEN',
+    'PROCESS_REPLACED',
+    'CONFIGURATION_OUTDATED',
+    'HEADERS_TOO_LARGE',
+    'REQUEST_TIMEOUT',
     'ALREADY_RUN',
     'Acknowledged',
     'AdmittedRequest',
--- a/packages/turmericwharf/src/turmericwharf/state/failures.py
+++ b/packages/turmericwharf/src/turmericwharf/state/failures.py
@@ -53,6 +53,14 @@
     SETTINGS_INVALID = 'settings_invalid'
     OPERATOR_UNKNOWN = 'operator_unknown'
     SHUTDOWN = 'shutdown'
+    LOG_HISTORY_GONE = 'log_history_gone'
+    BREAKER_OPEN = 'breaker_open'
+    PROCESS_REPLACED = 'process_replaced'
+    CONFIGURATION_OUTDATED = 'configuration_outdated'
+    HEADERS_TOO_LARGE = 'headers_too_large'
+    REQUEST_TIMEOUT = 'request_timeout'
+    STAMP_MISSING = 'stamp_missing'
+    ANSWER_FOREIGN = 'answer_foreign'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,6 +157,17 @@
     'the first request with this idempotency key had another method, target or body',
 )
 SHUTDOWN = RequestFailure(Reason.SHUTDOWN, 'the node is shutting down')
+BREAKER_OPEN = RequestFailure(Reason.BREAKER_OPEN, 'the backend server fails')
+PROCESS_REPLACED = RequestFailure(
+    Reason.PROCESS_REPLACED,
+    'the process that was meant has been replaced',
+)
+CONFIGURATION_OUTDATED = RequestFailure(
+    Reason.CONFIGURATION_OUTDATED,
+    'a newer configuration does not send this request to this service',
+)
+HEADERS_TOO_LARGE = RequestFailure(Reason.HEADERS_TOO_LARGE, 'the headers are above the bound')
+REQUEST_TIMEOUT = RequestFailure(Reason.REQUEST_TIMEOUT, 'the request was not sent in time')
 PEER_UNREACHABLE = LinkFailure(Reason.PEER_UNREACHABLE, 'no connection to the peer')
 PEER_CONGESTED = LinkFailure(
     Reason.PEER_CONGESTED, 'the connection to the peer had no room in time'
--- a/packages/turmericwharf/src/turmericwharf/state/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/state/messages.py
@@ -20,6 +20,8 @@
 from turmericwharf.state.membership import Member, ServerReport
 from turmericwharf.state.outcomes import Answered, Headers, NotRun, OutcomeUnknown
 
+from turmericwharf.state.sidecar.work import FleetMessage
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Challenge:
@@ -438,4 +440,5 @@
     | InForceRequest
     | InForceAnswer
     | Acknowledged
+    | FleetMessage
 )
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -0,0 +1,77 @@
+"""Values of a fleet whose nodes each run beside one backend server."""
+
+from turmericwharf.state.sidecar.fleet_configuration import (
+    NO_FLEET_VERSION,
+    ClientLimits,
+    Destination,
+    FleetConfiguration,
+    OrganisationRule,
+    RouteRule,
+)
+from turmericwharf.state.sidecar.nodes import (
+    NO_SERVER,
+    AnnouncedServer,
+    NodeEntry,
+    ProcessId,
+    ServerId,
+    ServerPhase,
+)
+from turmericwharf.state.sidecar.settings import (
+    Address,
+    SidecarBounds,
+    SidecarListen,
+    SidecarSettings,
+    StoreSettings,
+)
+from turmericwharf.state.sidecar.store import HISTORY_GONE, KeyedPage, StoreTopic
+from turmericwharf.state.sidecar.work import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    DirectoryReply,
+    DirectoryRequest,
+    FleetMessage,
+    FleetRequest,
+    Greeting,
+    ServerAnswer,
+    TokenReply,
+    TokenRequest,
+    WorkAnswer,
+    WorkCancel,
+    WorkOrder,
+)
+
+__all__ = (
+    'HISTORY_GONE',
+    'NO_FLEET_VERSION',
+    'NO_SERVER',
+    'Address',
+    'AnnouncedServer',
+    'ClientLimits',
+    'ConfigurationReply',
+    'ConfigurationRequest',
+    'Destination',
+    'DirectoryReply',
+    'DirectoryRequest',
+    'FleetConfiguration',
+    'FleetMessage',
+    'FleetRequest',
+    'Greeting',
+    'KeyedPage',
+    'NodeEntry',
+    'OrganisationRule',
+    'ProcessId',
+    'RouteRule',
+    'ServerAnswer',
+    'ServerId',
+    'ServerPhase',
+    'SidecarBounds',
+    'SidecarListen',
+    'SidecarSettings',
+    'StoreSettings',
+    'StoreTopic',
+    'TokenReply',
+    'TokenRequest',
+    'WorkAnswer',
+    'WorkCancel',
+    'WorkOrder',
+)
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/settings.py
@@ -0,0 +1,63 @@
+"""Settings of a node that runs beside one backend server."""
+
+import dataclasses
+
+from turmericwharf.state.identifiers import DataCentreId, InstanceId, ServiceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SidecarListen:
+    """Where a node listens: for clients, readiness checks, announcements, peers and metrics."""
+
+    clients: Address
+    readiness: Address
+    announcements: Address
+    peers: Address
+    operators: Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SidecarBounds:
+    """Bounds that the operators promise for the whole fleet."""
+
+    retry_ratio: float
+    retry_extra: float
+    retry_window_seconds: float
+    quota_window_seconds: float
+    apply_seconds: float
+    drain_seconds: float
+    grace_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """Where the store is and what it takes."""
+
+    address: Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SidecarSettings:
+    """Settings of one node.
+
+    Parameters
+    ----------
+    service
+        Service of the backend server beside the node.
+    """
+
+    instance: InstanceId
+    data_centre: DataCentreId
+    service: ServiceId
+    server: Address
+    listen: SidecarListen
+    store: StoreSettings
+    bounds: SidecarBounds
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
@@ -0,0 +1,100 @@
+"""Accepts connections of other sidecar nodes, one task for each connection."""
+
+import asyncio
+
+from loguru import logger
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from turmericwharf.coordination.sidecar import SidecarNode, answer_peer
+from turmericwharf.protocol import Frame
+from turmericwharf.state import ProtocolFailure
+from turmericwharf.state.sidecar import Greeting, NodeEntry
+from turmericwharf.transport.connection import WIRE_FRAME_BYTES, FrameChannel
+from turmericwharf.transport.sidecar.links import MOST_FRAME_BYTES
+
+_OPEN_SECONDS = 2.0
+_ANSWER_SECONDS = 10.0
+# Longer than the idle time of a link, so that the connecting side closes first.
+_IDLE_SECONDS = 120.0
+
+
+class PeerListener:
+    """Serves the messages of other nodes."""
+
+    def __init__(self, node: SidecarNode) -> None:
+        self._node = node
+        self._server: Server | None = None
+
+    async def start(self) -> None:
+        """Listen on the peer address."""
+        address = self._node.settings.listen.peers
+        self._server = await serve(
+            self._serve,
+            address.host,
+            address.port,
+            open_timeout=_OPEN_SECONDS,
+            close_timeout=_OPEN_SECONDS,
+            ping_interval=None,
+            compression=None,
+            max_size=WIRE_FRAME_BYTES,
+        )
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, socket: ServerConnection) -> None:
+        channel = FrameChannel(socket, MOST_FRAME_BYTES)
+        try:
+            peer = await self._greet(channel)
+            if peer is not None:
+                await self._serve_frames(channel, peer)
+        except (TimeoutError, WebSocketException) as error:
+            logger.bind(error=str(error)).debug('peer_connection_closed')
+
+    async def _greet(self, channel: FrameChannel) -> NodeEntry | None:
+        async with asyncio.timeout(_OPEN_SECONDS):
+            frame = await channel.receive()
+        if isinstance(frame, ProtocolFailure) or not isinstance(frame.message, Greeting):
+            logger.warning('peer_greeting_unreadable')
+            return None
+        node = self._node
+        peer = frame.message.node
+        node.directory.meet(peer)
+        node.spread.note(peer.instance, frame.message.version)
+        reply = Greeting(node.directory.own, node.holder.version)
+        await channel.send(reply, frame.correlation, timeout_seconds=_OPEN_SECONDS)
+        return peer
+
+    async def _serve_frames(self, channel: FrameChannel, peer: NodeEntry) -> None:
+        # Requests of one connection run side by side, as children of the connection's task.
+        children: set[asyncio.Task[None]] = set()
+        try:
+            while True:
+                async with asyncio.timeout(_IDLE_SECONDS):
+                    frame = await channel.receive()
+                if isinstance(frame, ProtocolFailure):
+                    logger.bind(instance=peer.instance, detail=frame.detail).warning(
+                        'frame_rejected',
+                    )
+                    break
+                child = asyncio.create_task(self._answer(channel, frame, peer))
+                children.add(child)
+                child.add_done_callback(children.discard)
+        finally:
+            for unanswered in tuple(children):
+                unanswered.cancel()
+            self._node.directory.part(peer.instance)
+
+    async def _answer(self, channel: FrameChannel, frame: Frame, peer: NodeEntry) -> None:
+        try:
+            answer = await answer_peer(frame.message, self._node, peer)
+        except Exception:
+            # The peer learns from the end of the connection that the outcome is unknown.
+            logger.bind(instance=peer.instance).exception('message_failed')
+            await channel.close()
+            return
+        if answer is not None:
+            await channel.send(answer, frame.correlation, timeout_seconds=_ANSWER_SECONDS)
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -0,0 +1,120 @@
+"""Client of the backend server beside the node.
+
+Each request has a connection of its own. The curl client is not used here: when a kept connection
+dies it sends the request again by itself, and a request must run at most once.
+"""
+
+import asyncio
+from typing import Protocol
+
+from loguru import logger
+
+from turmericwharf.coordination.sidecar import judge_answer
+from turmericwharf.protocol import HttpResponse, ResponseReader
+from turmericwharf.state import (
+    Headers,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    ProtocolFailure,
+    Reason,
+)
+from turmericwharf.state.sidecar import Address, ServerAnswer, WorkOrder
+
+_READ_BYTES = 65536
+_CONNECT_SECONDS = 0.5
+
+
+class ServerDialect(Protocol):
+    """How the backend server speaks."""
+
+    def request_headers(self, order: WorkOrder, *, remaining_seconds: float) -> Headers:
+        """Return the headers for the server."""
+
+    def read_answer(self, response: HttpResponse) -> ServerAnswer:
+        """Return what an answer says."""
+
+    def read_identity(self, response: HttpResponse) -> str | None:
+        """Return the identifier in the answer of a healthy server, else None."""
+
+
+class ServerClient:
+    """Sends requests to the backend server.
+
+    Parameters
+    ----------
+    address
+        Address of the server.
+    dialect
+        How the server speaks.
+    """
+
+    def __init__(self, address: Address, dialect: ServerDialect) -> None:
+        self._address = address
+        self._dialect = dialect
+
+    async def run(self, order: WorkOrder, *, remaining_seconds: float) -> Outcome:
+        """Run one request; `NotRun` if no byte of it was written."""
+        headers = self._dialect.request_headers(order, remaining_seconds=remaining_seconds)
+        reader = ResponseReader()
+        encoded = reader.encode_request(order.method, order.target, headers, order.body)
+        try:
+            async with asyncio.timeout(remaining_seconds):
+                response = await self._exchange(reader, encoded)
+        except TimeoutError:
+            return OutcomeUnknown(Reason.ANSWER_TIMEOUT, 'the backend server did not answer')
+        if isinstance(response, NotRun | OutcomeUnknown):
+            return response
+        return judge_answer(order.request, self._dialect.read_answer(response))
+
+    async def identify(self, path: str, *, timeout_seconds: float) -> str | None:
+        """Return the identifier that a healthy server gives at its health path, else None."""
+        reader = ResponseReader()
+        host = f'{self._address.host}:{self._address.port}'
+        encoded = reader.encode_request('GET', path, (('Host', host),), b'')
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                response = await self._exchange(reader, encoded)
+        except TimeoutError:
+            return None
+        if isinstance(response, NotRun | OutcomeUnknown):
+            return None
+        return self._dialect.read_identity(response)
+
+    async def _exchange(
+        self,
+        reader: ResponseReader,
+        encoded: bytes,
+    ) -> HttpResponse | NotRun | OutcomeUnknown:
+        try:
+            async with asyncio.timeout(_CONNECT_SECONDS):
+                stream, writer = await asyncio.open_connection(
+                    self._address.host,
+                    self._address.port,
+                )
+        except (OSError, TimeoutError) as error:
+            return NotRun(Reason.SERVER_UNREACHABLE, f'no connection to the server: {error}')
+        try:
+            writer.write(encoded)
+            return await _read_response(stream, reader)
+        except OSError as error:
+            logger.bind(error=str(error)).debug('server_connection_lost')
+            return OutcomeUnknown(Reason.ANSWER_INCOMPLETE, str(error))
+        finally:
+            writer.close()
+
+
+async def _read_response(
+    stream: asyncio.StreamReader,
+    reader: ResponseReader,
+) -> HttpResponse | OutcomeUnknown:
+    while True:
+        encoded = await stream.read(_READ_BYTES)
+        response = reader.receive(encoded)
+        if isinstance(response, HttpResponse):
+            return response
+        if isinstance(response, ProtocolFailure):
+            return OutcomeUnknown(response.reason, response.detail)
+        if not encoded:
+            return OutcomeUnknown(Reason.ANSWER_INCOMPLETE, 'the server closed the connection')
+
