Try failing servers only with requests that can go elsewhere

Cause: half of the lookups that failed were trials of servers with open breakers, made on the last attempt, and time-outs of routes with a short limit opened breakers of sound servers.

--- a/packages/turmericwharf/src/turmericwharf/coordination/fair_queue.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/fair_queue.py
@@ -10,7 +10,6 @@
     DEADLINE_PASSED,
     QUEUE_DISPLACED,
     QUEUE_FULL,
-    Importance,
     OrganisationId,
     RequestFailure,
 )
@@ -29,7 +28,7 @@
     """A request that waits; its future gets None with a slot, else the refusal."""
 
     organisation: OrganisationId
-    importance: Importance
+    importance: int
     expires_at: float
     decision: asyncio.Future[RequestFailure | None]
 
@@ -74,9 +73,7 @@
         self._charges: dict[OrganisationId, float] = {}
         self._last_charge = 0.0
         self._grants_by_id: dict[OrganisationId, collections.deque[_Grant]] = {}
-        self._rings: dict[Importance, _Waiters] = {
-            importance: {} for importance in sorted(Importance, reverse=True)
-        }
+        self._rings: dict[int, _Waiters] = {}
 
     @property
     def load(self) -> float:
@@ -101,7 +98,7 @@
     async def acquire(
         self,
         organisation: OrganisationId,
-        importance: Importance,
+        importance: int,
         timeout_seconds: float,
     ) -> RequestFailure | None:
         """Wait for a slot.
@@ -163,7 +160,7 @@
     def _enqueue(
         self,
         organisation: OrganisationId,
-        importance: Importance,
+        importance: int,
         timeout_seconds: float,
     ) -> _Waiter:
         waiter = _Waiter(
@@ -172,7 +169,7 @@
             expires_at=self._clock.now() + timeout_seconds,
             decision=asyncio.get_running_loop().create_future(),
         )
-        ring = self._rings[importance]
+        ring = self._rings.setdefault(importance, {})
         if organisation not in ring and organisation not in self._grants_by_id:
             known = self._charges.get(organisation, self._last_charge)
             self._charges[organisation] = max(known, self._last_charge)
@@ -197,7 +194,7 @@
             self.release(waiter.organisation)
 
     def _remove(self, waiter: _Waiter) -> None:
-        ring = self._rings[waiter.importance]
+        ring = self._rings.get(waiter.importance, {})
         queue = ring.get(waiter.organisation)
         if queue is None or waiter not in queue:
             return
@@ -205,9 +202,11 @@
         self._waiting -= 1
         if not queue:
             ring.pop(waiter.organisation)
+        if not ring:
+            self._rings.pop(waiter.importance)
 
-    def _displace(self, organisation: OrganisationId, importance: Importance) -> bool:
-        lowest = min((level for level, ring in self._rings.items() if ring), default=None)
+    def _displace(self, organisation: OrganisationId, importance: int) -> bool:
+        lowest = min(self._rings, default=None)
         if lowest is None or lowest > importance:
             return False
         ring = self._rings[lowest]
@@ -231,7 +230,7 @@
                 waiter.decision.set_result(None)
 
     def _next_waiter(self) -> _Waiter:
-        ring = next(ring for ring in self._rings.values() if ring)
+        ring = self._rings[max(self._rings)]
         charges = {
             organisation: self._charges.get(organisation, self._last_charge)
             for organisation in ring
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -142,6 +142,7 @@
                 entry,
                 number=progress.number,
                 allowed_seconds=allowed,
+                may_try=admitted.route.idempotent and has_more,
             )
         finally:
             self._choice.end(entry.instance)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/fleet_entry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/fleet_entry.py
@@ -63,6 +63,7 @@
                 reason=refusal.reason.value,
                 host=request.host,
                 target=request.target,
+                organisation='' if isinstance(admitted, RequestFailure) else admitted.organisation,
             ).info('request_refused')
             return NotRun(refusal.reason, refusal.detail)
         outcome = await self._attempts.run(admitted)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/orders.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/orders.py
@@ -72,10 +72,14 @@
         *,
         number: int,
         allowed_seconds: float,
+        may_try: bool,
     ) -> WorkAnswer:
         """Return the answer to an order; a cancellation is passed on."""
         expires_at = self._clock.now() + allowed_seconds
-        order = self._make_order(admitted, entry, number, expires_at)
+        order = dataclasses.replace(
+            self._make_order(admitted, entry, number, expires_at),
+            may_try=may_try,
+        )
         try:
             async with asyncio.timeout(allowed_seconds):
                 return await self._send(order, entry, expires_at)
@@ -147,6 +151,7 @@
             key_digest=request.key_digest,
             rank=admitted.rank,
             idempotent=admitted.route.idempotent,
+            may_try=False,
             remaining_seconds=expires_at - now,
             target_seconds=max(admitted.target_at - now, 0),
             version=admitted.version,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
@@ -14,7 +14,7 @@
 _LOAD_SECONDS = 1.0
 # A server in another data centre is worth its bytes only if the near ones have this many
 # requests more.
-_FAR_REQUESTS = 4.0
+_FAR_REQUESTS = 8.0
 _AVOID_SECONDS = 0.3
 
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -25,6 +25,7 @@
 
 _QUEUE_LENGTH = 64
 _LEAST_RUN_SECONDS = 0.02
+_OVERDUE_FACTOR = 3.0
 
 
 class ServerGate:
@@ -79,7 +80,7 @@
     async def _run(self, order: WorkOrder, version: int) -> WorkAnswer:
         received_at = self._clock.now()
         refusal = self._checks.refusal(order, self._directory.own)
-        if refusal is None and not self.breaker.allows(idempotent=order.idempotent):
+        if refusal is None and not self.breaker.allows(may_try=order.may_try):
             refusal = BREAKER_OPEN
         if refusal is not None:
             return self._refuse(order, refusal, version)
@@ -104,25 +105,34 @@
     ) -> WorkAnswer:
         # The server may have left, or the key may have been withdrawn, while the order waited.
         refusal = self._checks.refusal(order, self._directory.own)
-        if refusal is None and self.breaker.is_open and not order.idempotent:
+        if refusal is None and self.breaker.is_open and not order.may_try:
             refusal = BREAKER_OPEN
         started_at = self._clock.now()
         remaining = order.remaining_seconds - (started_at - received_at)
         if refusal is not None:
             return self._refuse(order, refusal, version)
-        outcome = await self._server.run(order, remaining_seconds=remaining)
-        self.breaker.record(outcome)
+        outcome = await self._run_on_server(order, remaining)
+        ran_seconds = self._clock.now() - started_at
+        is_overdue = ran_seconds > _OVERDUE_FACTOR * self._times.usual(order.route)
+        self.breaker.record(outcome, is_overdue=is_overdue)
         if isinstance(outcome, Answered):
-            self._times.record(order.route, self._clock.now() - started_at)
+            self._times.record(order.route, ran_seconds)
         logger.bind(
             request=order.request,
             attempt=order.attempt,
             waited=round(started_at - received_at, 3),
-            ran=round(self._clock.now() - started_at, 3),
+            ran=round(ran_seconds, 3),
             outcome=_describe(outcome),
         ).info('order_ran')
         return self._answer(outcome, version, reached_server=True)
 
+    async def _run_on_server(self, order: WorkOrder, remaining_seconds: float) -> Outcome:
+        try:
+            return await self._server.run(order, remaining_seconds=remaining_seconds)
+        except asyncio.CancelledError:
+            # The request was sent, so the answer must not say that it has not run.
+            return OutcomeUnknown(CALLER_LEFT.reason, CALLER_LEFT.detail)
+
     def _refuse(self, order: WorkOrder, failure: RequestFailure, version: int) -> WorkAnswer:
         logger.bind(
             request=order.request,
--- a/packages/turmericwharf/src/turmericwharf/platform/main.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/main.py
@@ -25,6 +25,7 @@
     SidecarSettings,
 )
 from turmericwharf.transport.clock import BootClock
+from turmericwharf.transport.log_output import JsonLineSink
 from turmericwharf.transport.sidecar import FleetLinkTable, ServerClient, SidecarProcess
 
 
@@ -84,5 +85,5 @@
 def configure_logging() -> None:
     """Log JSON lines on standard output."""
     logger.remove()
-    logger.add(sys.stdout, level='INFO', serialize=True, diagnose=False, backtrace=False)
+    logger.add(JsonLineSink(sys.stdout), level='INFO', format='{message}', diagnose=False)
 
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/work.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/work.py
@@ -73,6 +73,8 @@
         Process that is meant; another one cannot know whether the order has run.
     rank
         Order in the queue; higher goes first.
+    may_try
+        Whether the request could go to another server if it fails on this one.
     remaining_seconds
         Time until the caller's deadline, from the moment of sending.
     target_seconds
@@ -91,6 +93,7 @@
     key_digest: KeyDigest | None
     rank: int
     idempotent: bool
+    may_try: bool
     remaining_seconds: float
     target_seconds: float
     version: int
