--- a/packages/turmericwharf/src/turmericwharf/coordination/rendezvous.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rendezvous.py
@@ -1,5 +1,6 @@
 """Rendezvous hashing: the same ranking of instances at every node, without agreement."""
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
@@ -7,6 +8,7 @@
 
 PARTITION_COUNT = 256
 _HASH_BYTES = 8
+_REMEMBERED_HASHES = 65_536
 
 
 def partition_of(name: str) -> int:
@@ -23,6 +25,7 @@
     )
 
 
+@functools.lru_cache(maxsize=_REMEMBERED_HASHES)
 def _hash(name: str) -> int:
     digest = hashlib.blake2b(name.encode(), digest_size=_HASH_BYTES).digest()
     return int.from_bytes(digest, 'big')
--- a/packages/turmericwharf/src/turmericwharf/coordination/retries.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/retries.py
@@ -1,6 +1,7 @@
 """Which outcomes may be tried again, and how often."""
 
 import collections
+from collections.abc import Callable
 
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.state import Answered, NotRun, Outcome, Reason, RetryReport, ServiceId
@@ -30,10 +31,19 @@
         Retries over requests.
     clock
         Clock of the node.
+    minimum
+        Returns the retries that are allowed whatever the requests.
     """
 
-    def __init__(self, fraction: float, clock: Clock) -> None:
+    def __init__(
+        self,
+        fraction: float,
+        clock: Clock,
+        *,
+        minimum: Callable[[], float] | None = None,
+    ) -> None:
         self._fraction = fraction
+        self._minimum = minimum or _default_minimum
         self._clock = clock
         self._requests_by_id: dict[ServiceId, collections.deque[float]] = {}
         self._retries_by_id: dict[ServiceId, collections.deque[float]] = {}
@@ -47,7 +57,7 @@
         """Whether one more retry is inside the budget."""
         requests = self._recent(self._requests_by_id, service)
         retries = self._recent(self._retries_by_id, service)
-        is_allowed = len(retries) + 1 <= len(requests) * self._fraction + _MINIMUM_RETRIES
+        is_allowed = len(retries) + 1 <= len(requests) * self._fraction + self._minimum()
         if not is_allowed:
             self._refused_by_id[service] += 1
         return is_allowed
@@ -77,3 +87,7 @@
         while moments and moments[0] < self._clock.now() - _WINDOW_SECONDS:
             moments.popleft()
         return moments
+
+
+def _default_minimum() -> float:
+    return _MINIMUM_RETRIES
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
@@ -116,4 +116,6 @@
 def _rank(route: RouteRule, organisation: OrganisationRule | None) -> int:
     if organisation is None:
         return _CALL_RANK - route.priority
-    return -(route.priority if organisation.priority is None else organisation.priority)
+    if organisation.priority is None:
+        return -route.priority
+    return -organisation.priority
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -1,5 +1,7 @@
 """Takes what the backend server beside the node says of itself."""
 
+import dataclasses
+
 from loguru import logger
 
 from turmericwharf.coordination.sidecar.own_entry import OwnEntryPublisher
@@ -39,14 +41,7 @@
     async def announce(self, server: AnnouncedServer) -> None:
         """Take an announcement; on return it may be acknowledged."""
         if self._was_leaving(server):
-            server = AnnouncedServer(
-                server=server.server,
-                service=server.service,
-                slots=server.slots,
-                phase=ServerPhase.LEAVING,
-                born=server.born,
-                sequence=server.sequence,
-            )
+            server = dataclasses.replace(server, phase=ServerPhase.LEAVING)
         before = self._record.current
         if not self._record.take(server):
             return
@@ -62,11 +57,30 @@
 
     def remember(self, entry: NodeEntry) -> None:
         """Note what the process before this one wrote about the server."""
+        if self._own_before is not None:
+            return
         self._own_before = entry
         if self._was_leaving(self._record.current):
             self._record.remove(self._record.current)
+        if self._record.current.phase is ServerPhase.ABSENT:
+            # Kept for the process after this one, in case this one ends before it knows more.
+            left = entry.phase is ServerPhase.LEAVING
+            self._publisher.use_server(
+                dataclasses.replace(
+                    _server_of(entry),
+                    phase=ServerPhase.LEAVING if left else ServerPhase.STOPPING,
+                ),
+            )
+        else:
             self._publish()
 
+    def recoverable(self) -> AnnouncedServer | None:
+        """Return the server that the process before this one gave work to, if none is known."""
+        before = self._own_before
+        if before is None or self._record.current.phase is not ServerPhase.ABSENT:
+            return None
+        return None if before.phase is ServerPhase.LEAVING else _server_of(before)
+
     def _was_leaving(self, server: AnnouncedServer) -> bool:
         # A server that left while the process before this one ran is not ready again.
         before = self._own_before
@@ -86,3 +100,13 @@
     def _publish(self) -> None:
         if not self.is_stopping:
             self._publisher.use_server(self._record.current)
+
+
+def _server_of(entry: NodeEntry) -> AnnouncedServer:
+    return AnnouncedServer(
+        server=entry.server,
+        service=entry.service,
+        slots=entry.slots,
+        phase=ServerPhase.READY,
+        born=entry.born,
+    )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -8,7 +8,6 @@
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.retries import RetryBudget
 from turmericwharf.coordination.sidecar.admission import FleetAdmission
-from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.orders import OrderSender
 from turmericwharf.coordination.sidecar.server_choice import ServerChoice
 from turmericwharf.state import (
@@ -48,8 +47,6 @@
 
     Parameters
     ----------
-    directory
-        Known nodes.
     choice
         Chooses servers.
     sender
@@ -63,13 +60,11 @@
     def __init__(
         self,
         *,
-        directory: NodeDirectory,
         choice: ServerChoice,
         sender: OrderSender,
         budget: RetryBudget,
         clock: Clock,
     ) -> None:
-        self._directory = directory
         self._choice = choice
         self._sender = sender
         self._budget = budget
@@ -79,18 +74,19 @@
         """Return the final outcome of a request."""
         self._budget.record_request(admitted.service)
         progress = _Progress()
-        while admitted.deadline - self._clock.now() > _LEAST_SECONDS:
+        is_final = False
+        while not is_final and admitted.deadline - self._clock.now() > _LEAST_SECONDS:
             entry = self._choice.choose(admitted.service, progress.excluded)
-            if entry is None and progress.outcome is None:
-                progress.outcome = NotRun(NO_CAPACITY.reason, NO_CAPACITY.detail)
-            if entry is None and not await self._pause(admitted, progress):
-                break
-            if entry is not None and await self._is_final(admitted, entry, progress):
-                break
+            if entry is None:
+                is_final = not await self._pause(admitted, progress)
+            else:
+                is_final = await self._is_final(admitted, entry, progress)
         return progress.outcome or NotRun(DEADLINE_PASSED.reason, DEADLINE_PASSED.detail)
 
     async def _pause(self, admitted: FleetAdmission, progress: _Progress) -> bool:
         """Wait for the next round of servers; return whether there is time for one."""
+        if progress.outcome is None:
+            progress.outcome = NotRun(NO_CAPACITY.reason, NO_CAPACITY.detail)
         left = admitted.deadline - self._clock.now()
         if left < 2 * _ROUND_SECONDS or not isinstance(progress.outcome, NotRun):
             return False
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
@@ -36,7 +36,19 @@
         self._entries_by_id: dict[InstanceId, NodeEntry] = {}
         self._suspicions_by_id: dict[InstanceId, _Suspicion] = {}
         self._met_by_id: dict[InstanceId, ProcessId] = {}
-        self.own = own
+        self._own = own
+        self.changes = 0
+
+    @property
+    def own(self) -> NodeEntry:
+        """The own entry."""
+        return self._own
+
+    @own.setter
+    def own(self, entry: NodeEntry) -> None:
+        """Change the own entry."""
+        self._own = entry
+        self.changes += 1
 
     @property
     def peers(self) -> list[NodeEntry]:
@@ -74,6 +86,7 @@
             source=source,
         ).info('node_entry_changed')
         self._entries_by_id[entry.instance] = entry
+        self.changes += 1
         self._suspicions_by_id.pop(entry.instance, None)
 
     def meet(self, entry: NodeEntry) -> None:
@@ -88,6 +101,7 @@
     def remove(self, key: str) -> None:
         """Forget a node that was removed from the store."""
         if self._entries_by_id.pop(InstanceId(key), None) is not None:
+            self.changes += 1
             logger.bind(instance=key).info('node_removed')
 
     def learn(self, entry: NodeEntry) -> None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/fleet_entry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/fleet_entry.py
@@ -5,10 +5,10 @@
 from loguru import logger
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.sidecar.admission import FleetAdmission, RequestChecks
+from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, RequestChecks
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
 from turmericwharf.coordination.sidecar.quota import QuotaKeeper
-from turmericwharf.state import Answered, NotRun, Outcome, RequestFailure
+from turmericwharf.state import SHUTDOWN, Answered, NotRun, Outcome, OrganisationId, RequestFailure
 from turmericwharf.state.sidecar import FleetRequest
 
 
@@ -40,6 +40,7 @@
         self._clock = clock
         self.outcomes_by_name: collections.Counter[str] = collections.Counter()
         self.in_progress = 0
+        self.is_closed = False
 
     async def serve(self, request: FleetRequest) -> Outcome:
         """Return the outcome of a request."""
@@ -52,25 +53,18 @@
         return outcome
 
     async def _serve(self, request: FleetRequest) -> Outcome:
-        admitted = self._checks.admit(request)
-        if isinstance(admitted, FleetAdmission):
-            refusal = await self._quota.take(admitted)
-        else:
-            refusal = admitted
-        if isinstance(refusal, RequestFailure):
-            logger.bind(
-                request=request.request,
-                reason=refusal.reason.value,
-                host=request.host,
-                target=request.target,
-                organisation='' if isinstance(admitted, RequestFailure) else admitted.organisation,
-            ).info('request_refused')
-            return NotRun(refusal.reason, refusal.detail)
+        admitted = SHUTDOWN if self.is_closed else self._checks.admit(request)
+        if isinstance(admitted, RequestFailure):
+            return _refuse(request, admitted, NO_ORGANISATION)
+        refusal = await self._quota.take(admitted)
+        if refusal is not None:
+            return _refuse(request, refusal, admitted.organisation)
         outcome = await self._attempts.run(admitted)
         logger.bind(
             request=request.request,
             route=admitted.route.route,
             service=admitted.service,
+            organisation=admitted.organisation,
             version=admitted.version,
             seconds=round(self._clock.now() - admitted.admitted_at, 3),
             outcome=name_outcome(outcome),
@@ -78,6 +72,21 @@
         return outcome
 
 
+def _refuse(
+    request: FleetRequest,
+    failure: RequestFailure,
+    organisation: OrganisationId,
+) -> NotRun:
+    logger.bind(
+        request=request.request,
+        reason=failure.reason.value,
+        host=request.host,
+        target=request.target,
+        organisation=organisation,
+    ).info('request_refused')
+    return NotRun(failure.reason, failure.detail)
+
+
 def name_outcome(outcome: Outcome) -> str:
     """Return a short name of an outcome for logs and counters."""
     if isinstance(outcome, Answered):
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/membership.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/membership.py
@@ -4,6 +4,7 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.own_entry import OwnEntryPublisher
 from turmericwharf.coordination.sidecar.ports import NodeEntryDecoder
+from turmericwharf.coordination.sidecar.quota import QuotaHolders
 from turmericwharf.state.sidecar import KeyedPage, NodeEntry
 
 
@@ -20,6 +21,8 @@
         Writes the own entry again if somebody else changed it.
     decode
         Reads an entry.
+    holders
+        Holders of rates, which follow the nodes.
     """
 
     def __init__(
@@ -28,11 +31,13 @@
         announcements: AnnouncementService,
         publisher: OwnEntryPublisher,
         decode: NodeEntryDecoder,
+        holders: QuotaHolders,
     ) -> None:
         self._directory = directory
         self._announcements = announcements
         self._publisher = publisher
         self._decode = decode
+        self._holders = holders
 
     def take(self, page: KeyedPage) -> None:
         """Apply a page of entries."""
@@ -40,8 +45,9 @@
             entry = self._decode(encoded) if encoded else None
             if entry is not None and entry.instance == key:
                 self._apply(entry)
-            elif encoded is None or not encoded:
+            elif not encoded:
                 self._remove(key)
+        self._holders.refresh()
 
     def _apply(self, entry: NodeEntry) -> None:
         own = self._directory.own
@@ -49,7 +55,6 @@
             self._directory.update(entry, source='store')
         elif entry.process != own.process:
             self._announcements.remember(entry)
-            self._publisher.publish_again()
 
     def _remove(self, key: str) -> None:
         if key == self._directory.own.instance:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -22,15 +22,24 @@
     NodeStore,
     ServerConnection,
 )
-from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaKeeper
+from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders, QuotaKeeper
+from turmericwharf.coordination.sidecar.recovery import ServerRecovery
 from turmericwharf.coordination.sidecar.server_choice import ServerChoice
 from turmericwharf.coordination.sidecar.server_gate import ServerGate
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.coordination.sidecar.version_spread import VersionSpread
-from turmericwharf.state.sidecar import KeyedPage, NodeEntry, SidecarSettings, StoreTopic
+from turmericwharf.state.sidecar import (
+    KeyedPage,
+    NodeEntry,
+    SidecarBounds,
+    SidecarSettings,
+    StoreTopic,
+)
 
 _GATHER_SECONDS = 0.25
+# The lookups of a repeated request count as repeats of the service that they call.
+_BUDGET_SHARE = 0.75
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,12 +72,14 @@
     spread: VersionSpread
     configuration_follower: TopicFollower
     membership_follower: TopicFollower
+    recovery: ServerRecovery
     clock: Clock
 
     @property
     def is_ready(self) -> bool:
         """Whether clients may send requests to this node."""
-        return self.holder.is_known and not self.checks.is_stopping
+        knows_fleet = self.membership_follower.has_read or bool(self.directory.peers)
+        return self.holder.is_known and knows_fleet and not self.checks.is_stopping
 
 
 def build_sidecar_node(
@@ -82,36 +93,19 @@
     holder = ConfigurationHolder(ports.decode_configuration)
     request_checks = RequestChecks(holder, clock)
     record = ServerRecord()
-    order_checks = OrderChecks(record, holder, request_checks)
-    gate = ServerGate(server=ports.server, checks=order_checks, directory=directory, clock=clock)
+    checks = OrderChecks(record, holder, request_checks)
+    gate = ServerGate(server=ports.server, checks=checks, directory=directory, clock=clock)
+    holders = QuotaHolders(directory, holder, clock)
+    quota = QuotaKeeper(QuotaBuckets(holders, holder, clock), ports.links, directory, holder)
     publisher = OwnEntryPublisher(ports.store, directory)
     announcements = AnnouncementService(record, gate, publisher)
-    membership = FleetMembership(directory, announcements, publisher, ports.decode_entry)
-    quota = QuotaKeeper(
-        QuotaBuckets(directory, holder, clock),
-        ports.links,
-        directory,
-        holder,
-    )
-    attempts = AttemptRunner(
-        directory=directory,
-        choice=ServerChoice(directory, clock),
-        sender=OrderSender(
-            gate=gate,
-            links=ports.links,
-            directory=directory,
-            holder=holder,
-            clock=clock,
-            caller_service=settings.service,
-        ),
-        budget=RetryBudget(settings.bounds.retry_ratio, clock),
-        clock=clock,
-    )
-    configuration_follower = TopicFollower(
+    membership = FleetMembership(directory, announcements, publisher, ports.decode_entry, holders)
+    follower = TopicFollower(
         ports.log,
         StoreTopic.CONFIGURATION,
         lambda page: _offer_configuration(holder, page),
     )
+    attempts = _build_attempts(settings, ports, directory, holder, gate)
     return SidecarNode(
         settings=settings,
         directory=directory,
@@ -119,23 +113,54 @@
         entry=FleetEntry(request_checks, quota, attempts, clock),
         gate=gate,
         quota=quota,
-        checks=order_checks,
+        checks=checks,
         record=record,
         announcements=announcements,
         publisher=publisher,
-        spread=VersionSpread(holder, directory, ports.links, configuration_follower),
-        configuration_follower=configuration_follower,
+        spread=VersionSpread(holder, directory, ports.links, follower),
+        configuration_follower=follower,
         membership_follower=TopicFollower(
             ports.log,
             StoreTopic.NODES,
             membership.take,
             gather_seconds=_GATHER_SECONDS,
         ),
+        recovery=ServerRecovery(announcements, holder, ports.server),
         clock=clock,
     )
 
 
+def _build_attempts(
+    settings: SidecarSettings,
+    ports: SidecarPorts,
+    directory: NodeDirectory,
+    holder: ConfigurationHolder,
+    gate: ServerGate,
+) -> AttemptRunner:
+    return AttemptRunner(
+        choice=ServerChoice(directory, ports.clock),
+        sender=OrderSender(
+            gate=gate,
+            links=ports.links,
+            directory=directory,
+            holder=holder,
+            clock=ports.clock,
+            caller_service=settings.service,
+        ),
+        budget=RetryBudget(
+            settings.bounds.retry_ratio * _BUDGET_SHARE,
+            ports.clock,
+            minimum=lambda: _retry_minimum(settings.bounds, directory),
+        ),
+        clock=ports.clock,
+    )
+
+
 def _offer_configuration(holder: ConfigurationHolder, page: KeyedPage) -> None:
     for encoded in page.values_by_key.values():
         if encoded:
             holder.offer(encoded, source='store')
+
+
+def _retry_minimum(bounds: SidecarBounds, directory: NodeDirectory) -> float:
+    return bounds.retry_extra * _BUDGET_SHARE / len(directory.entries)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_table.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_table.py
@@ -3,7 +3,8 @@
 import asyncio
 import collections
 import dataclasses
-from typing import TypeAlias
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeAlias
 
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.state import RequestId
@@ -14,6 +15,7 @@
 # An entry node asks again after a lost connection within the deadline of the request.
 _KEPT_SECONDS = 20.0
 _KEPT_BYTES = 24_000_000
+_ORPHAN_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,6 +27,16 @@
     size_bytes: int
 
 
+@dataclasses.dataclass(slots=True)
+class _Order:
+    """A run of an order; changes as callers come and go."""
+
+    task: asyncio.Task[WorkAnswer]
+    idempotent: bool
+    callers: int = 0
+    is_at_server: bool = False
+
+
 class OrderTable:
     """Joins a repeated order to its first run, or to the answer that is kept.
 
@@ -36,27 +48,65 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._tasks_by_key: dict[OrderKey, asyncio.Task[WorkAnswer]] = {}
+        self._orders_by_key: dict[OrderKey, _Order] = {}
         self._finished: collections.deque[_Finished] = collections.deque()
         self._kept_bytes = 0
         self.in_progress = 0
 
-    def find(self, order: WorkOrder) -> asyncio.Task[WorkAnswer] | None:
-        """Return the run of an order that came before, or None."""
-        return self._tasks_by_key.get((order.request, order.attempt))
-
-    def start(self, order: WorkOrder, task: asyncio.Task[WorkAnswer]) -> None:
-        """Keep a run until some time after its end."""
-        key = (order.request, order.attempt)
-        self._tasks_by_key[key] = task
-        self.in_progress += 1
-        task.add_done_callback(lambda done: self._end(key, done))
+    async def join(
+        self,
+        order: WorkOrder,
+        run: Callable[[], Coroutine[Any, Any, WorkAnswer]],
+    ) -> WorkAnswer | None:
+        """Wait for the run of an order, which `run` starts if it is new.
+
+        Returns
+        -------
+        WorkAnswer or None
+            None if the order was cancelled before it reached the server.
+        """
+        key = _key_of(order)
+        known = self._orders_by_key.get(key)
+        if known is None:
+            known = _Order(asyncio.create_task(run()), order.idempotent)
+            self._start(key, known)
+        known.callers += 1
+        try:
+            return await asyncio.shield(known.task)
+        except asyncio.CancelledError:
+            if known.task.cancelled():
+                return None
+            self._watch_orphan(key)
+            raise
+        finally:
+            known.callers -= 1
+
+    def mark_at_server(self, order: WorkOrder) -> None:
+        """Note that an order is about to be sent to the server."""
+        known = self._orders_by_key.get(_key_of(order))
+        if known is not None:
+            known.is_at_server = True
 
     def cancel(self, key: OrderKey) -> None:
-        """Cancel a run whose caller has left."""
-        task = self._tasks_by_key.get(key)
-        if task is not None:
-            task.cancel()
+        """Stop an order whose caller has left, unless it is at work and must not repeat."""
+        known = self._orders_by_key.get(key)
+        if known is not None and (known.idempotent or not known.is_at_server):
+            known.task.cancel()
+
+    def _watch_orphan(self, key: OrderKey) -> None:
+        # The caller's node may ask again over a new connection.
+        loop = asyncio.get_running_loop()
+        loop.call_later(_ORPHAN_SECONDS, self._cancel_orphan, key)
+
+    def _cancel_orphan(self, key: OrderKey) -> None:
+        known = self._orders_by_key.get(key)
+        if known is not None and not known.callers:
+            self.cancel(key)
+
+    def _start(self, key: OrderKey, order: _Order) -> None:
+        self._orders_by_key[key] = order
+        self.in_progress += 1
+        order.task.add_done_callback(lambda done: self._end(key, done))
 
     def _end(self, key: OrderKey, task: asyncio.Task[WorkAnswer]) -> None:
         self.in_progress -= 1
@@ -75,4 +125,8 @@
         ):
             finished = self._finished.popleft()
             self._kept_bytes -= finished.size_bytes
-            self._tasks_by_key.pop(finished.key, None)
+            self._orders_by_key.pop(finished.key, None)
+
+
+def _key_of(order: WorkOrder) -> OrderKey:
+    return order.request, order.attempt
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/own_entry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/own_entry.py
@@ -44,9 +44,10 @@
             ),
         )
 
-    def use_phase(self, phase: ServerPhase) -> None:
-        """Publish that the node takes work, or no more of it."""
-        self._change(dataclasses.replace(self._directory.own, phase=phase))
+    def use_stop(self) -> None:
+        """Publish that the node takes no more work."""
+        if self._directory.own.phase is ServerPhase.READY:
+            self._change(dataclasses.replace(self._directory.own, phase=ServerPhase.STOPPING))
 
     def publish_again(self) -> None:
         """Write the entry once more, as somebody else has changed or removed it."""
@@ -60,7 +61,8 @@
             await self._changed.wait()
             self._changed.clear()
             entry = self._directory.own
-            if entry == self._written:
+            if entry == self._written or entry.phase is ServerPhase.ABSENT:
+                # Before its server is known, a node has nothing to tell.
                 continue
             failure = await self._store.publish(entry)
             if isinstance(failure, LogFailure):
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -22,9 +22,16 @@
     OrganisationId,
     RequestFailure,
 )
-from turmericwharf.state.sidecar import NodeEntry, OrganisationRule, TokenReply, TokenRequest
+from turmericwharf.state.sidecar import (
+    NodeEntry,
+    OrganisationRule,
+    ServerPhase,
+    TokenReply,
+    TokenRequest,
+)
 
 _ASK_SECONDS = 0.3
+_WITHOUT_PARTS = frozenset((ServerPhase.LEAVING, ServerPhase.STOPPING))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,15 +42,13 @@
     at: float
 
 
-class QuotaBuckets:
-    """The parts of rates that this node holds.
-
-    A bucket is empty when the process starts, so that a restart never grants a burst twice.
+class QuotaHolders:
+    """Which node holds the part of an organisation's rate in each data centre.
 
     Parameters
     ----------
     directory
-        Known nodes, which decide who holds a part.
+        Known nodes; one whose server leaves holds no part.
     holder
         Configuration in force.
     clock
@@ -59,26 +64,81 @@
         self._directory = directory
         self._holder = holder
         self._clock = clock
-        self._started_at = clock.now()
+        self._seen = (-1, -1)
+        self._holders_by_id: dict[OrganisationId, dict[DataCentreId, InstanceId]] = {}
+        self._held_since_by_id: dict[OrganisationId, float] = {}
+        self.parts = 1
+
+    def of(self, organisation: OrganisationId) -> dict[DataCentreId, InstanceId]:
+        """Return the holder in each data centre."""
+        self.refresh()
+        return self._holders_by_id.get(organisation, {})
+
+    def held_since(self, organisation: OrganisationId) -> float | None:
+        """Return since when this node holds a part, or None."""
+        self.refresh()
+        return self._held_since_by_id.get(organisation)
+
+    def refresh(self) -> None:
+        """Follow a change of the nodes or of the configuration."""
+        seen = (self._directory.changes, self._holder.version)
+        if seen == self._seen:
+            return
+        self._seen = seen
+        entries = self._directory.entries
+        self.parts = len({entry.data_centre for entry in entries})
+        usable = [entry for entry in entries if entry.phase not in _WITHOUT_PARTS]
+        organisations = self._holder.current.organisations_by_id
+        self._holders_by_id = {name: _rank_holders(name, usable) for name in organisations}
+        own, now = self._directory.own, self._clock.now()
+        held = [
+            name
+            for name, holders in self._holders_by_id.items()
+            if holders.get(own.data_centre) == own.instance
+        ]
+        self._held_since_by_id = {name: self._held_since_by_id.get(name, now) for name in held}
+
+
+class QuotaBuckets:
+    """The parts of rates that this node holds.
+
+    A bucket is empty when the node becomes its holder, so that a restart or a change of holders
+    never grants a burst twice.
+
+    Parameters
+    ----------
+    holders
+        Who holds which part.
+    holder
+        Configuration in force.
+    clock
+        Clock of the node.
+    """
+
+    def __init__(self, holders: QuotaHolders, holder: ConfigurationHolder, clock: Clock) -> None:
+        self.holders = holders
+        self._holder = holder
+        self._clock = clock
         self._levels_by_id: dict[OrganisationId, _Level] = {}
 
     def grant(self, organisation: OrganisationId) -> TokenReply:
         """Take one token of the own part, or tell when there will be one."""
         rule = self._holder.current.organisations_by_id.get(organisation)
-        holders = holders_of(organisation, self._directory.entries)
-        own = self._directory.own
-        if rule is None or holders.get(own.data_centre) != own.instance:
+        held_since = self.holders.held_since(organisation)
+        if rule is None or held_since is None or not rule.is_limited:
             return TokenReply(granted=False, wait_seconds=0)
-        part = 1 / len(holders)
-        tokens = self._fill(rule, part)
+        part = 1 / self.holders.parts
+        tokens = self._fill(rule, part, held_since)
         granted = tokens >= 1
         self._levels_by_id[organisation] = _Level(tokens - granted, self._clock.now())
         missing_seconds = (1 - tokens) / (rule.rate_per_second * part)
         return TokenReply(granted=granted, wait_seconds=max(missing_seconds, 0))
 
-    def _fill(self, rule: OrganisationRule, part: float) -> float:
+    def _fill(self, rule: OrganisationRule, part: float, held_since: float) -> float:
         now = self._clock.now()
-        level = self._levels_by_id.get(rule.organisation, _Level(0, self._started_at))
+        level = self._levels_by_id.get(rule.organisation)
+        if level is None or level.at < held_since:
+            level = _Level(0, held_since)
         gained = (now - level.at) * rule.rate_per_second * part
         return min(level.tokens + gained, max(rule.burst * part, 1))
 
@@ -124,10 +184,11 @@
         return RATE_EXCEEDED
 
     def _ordered_holders(self, organisation: OrganisationId) -> list[InstanceId]:
-        holders = holders_of(organisation, self._directory.entries)
+        holders = self.buckets.holders.of(organisation)
         own = self._directory.own.data_centre
         # The near holder costs no bytes between data centres.
-        return [holders[place] for place in sorted(holders, key=lambda one: (one != own, one))]
+        near = [holders[own]] if own in holders else []
+        return near + [holders[place] for place in sorted(holders) if place != own]
 
     async def _ask(
         self,
@@ -149,11 +210,10 @@
         return None
 
 
-def holders_of(
+def _rank_holders(
     organisation: OrganisationId,
-    entries: tuple[NodeEntry, ...],
+    entries: list[NodeEntry],
 ) -> dict[DataCentreId, InstanceId]:
-    """Return the holder of an organisation's part in each data centre."""
     instances_by_place: dict[DataCentreId, list[InstanceId]] = {}
     for entry in entries:
         instances_by_place.setdefault(entry.data_centre, []).append(entry.instance)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
@@ -47,9 +47,7 @@
     def choose(self, service: ServiceId, excluded: Set[InstanceId]) -> NodeEntry | None:
         """Return the best node, or None if there is none left."""
         usable = [
-            entry
-            for entry in self._directory.servers_of(service)
-            if entry.instance not in excluded
+            entry for entry in self._directory.servers_of(service) if entry.instance not in excluded
         ]
         trusted = [one for one in usable if not self._directory.is_suspected(one.instance)]
         wanted = [one for one in trusted if not self._is_avoided(one.instance)]
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -62,16 +62,8 @@
 
     async def serve(self, order: WorkOrder, version: int) -> WorkAnswer:
         """Run an order, or join the run of the same order that came before."""
-        task = self.orders.find(order)
-        if task is None:
-            task = asyncio.create_task(self._run(order, version))
-            self.orders.start(order, task)
-        try:
-            return await asyncio.shield(task)
-        except asyncio.CancelledError:
-            if not task.cancelled():
-                raise
-            return self._answer(NotRun(CALLER_LEFT.reason, CALLER_LEFT.detail), version)
+        answer = await self.orders.join(order, lambda: self._run(order, version))
+        return answer or self._answer(NotRun(CALLER_LEFT.reason, CALLER_LEFT.detail), version)
 
     def cancel(self, message: WorkCancel) -> None:
         """Stop work for a caller that has left."""
@@ -111,6 +103,7 @@
         remaining = order.remaining_seconds - (started_at - received_at)
         if refusal is not None:
             return self._refuse(order, refusal, version)
+        self.orders.mark_at_server(order)
         outcome = await self._run_on_server(order, remaining)
         ran_seconds = self._clock.now() - started_at
         is_overdue = ran_seconds > _OVERDUE_FACTOR * self._times.usual(order.route)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/version_spread.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/version_spread.py
@@ -10,7 +10,13 @@
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.state import InstanceId
-from turmericwharf.state.sidecar import ConfigurationReply, ConfigurationRequest, NodeEntry
+from turmericwharf.state.sidecar import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    DirectoryReply,
+    DirectoryRequest,
+    NodeEntry,
+)
 
 _ASK_SECONDS = 0.5
 _PERIOD_SECONDS = 0.4
@@ -61,7 +67,14 @@
             if not self._follower.is_connected:
                 peers = self._directory.peers
                 asked = random.sample(peers, min(_PEERS, len(peers)))
-                await asyncio.gather(*(self._fetch(peer) for peer in asked))
+                await asyncio.gather(*(self._ask_all(peer) for peer in asked))
+
+    async def _ask_all(self, peer: NodeEntry) -> None:
+        await self._fetch(peer)
+        reply = await self._links.ask(peer, DirectoryRequest(), timeout_seconds=_ASK_SECONDS)
+        if isinstance(reply, DirectoryReply):
+            for entry in reply.nodes:
+                self._directory.learn(entry)
 
     async def _fetch(self, peer: NodeEntry) -> None:
         reply = await self._links.ask(
--- a/packages/turmericwharf/src/turmericwharf/platform/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/announcements.py
@@ -1,14 +1,16 @@
 """Reads what a backend server says of itself."""
 
+from types import MappingProxyType
+
 import msgspec
 
 from turmericwharf.state import ServiceId
 from turmericwharf.state.sidecar import AnnouncedServer, ServerId, ServerPhase
 
-_PHASES = {'ready': ServerPhase.READY, 'draining': ServerPhase.LEAVING}
+_PHASES = MappingProxyType({'ready': ServerPhase.READY, 'draining': ServerPhase.LEAVING})
 
 
-class _Info(msgspec.Struct, frozen=True):
+class _Description(msgspec.Struct, frozen=True):
     service: str
     slots: int
 
@@ -21,7 +23,7 @@
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
-    info: _Info
+    description: _Description = msgspec.field(name='info')
     status: _Status
     # Unix milliseconds of the server's start; servers that do not say it are older.
     born: int = 0
@@ -38,12 +40,12 @@
     except msgspec.DecodeError:
         return None
     phase = _PHASES.get(found.status.state)
-    if phase is None or not server or found.info.slots <= 0:
+    if phase is None or not server or found.description.slots <= 0:
         return None
     return AnnouncedServer(
         server=ServerId(server),
-        service=ServiceId(found.info.service),
-        slots=found.info.slots,
+        service=ServiceId(found.description.service),
+        slots=found.description.slots,
         phase=phase,
         born=found.born,
         sequence=found.status.sequence,
--- a/packages/turmericwharf/src/turmericwharf/platform/dialect.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/dialect.py
@@ -24,6 +24,9 @@
 
 _MILLISECONDS = 1000
 _OK = 200
+# Statuses that tell a client when to come back, and the seconds that it is told.
+_COME_BACK = frozenset((429, 503))
+_RETRY_SECONDS = '0.3'
 # Statuses that the platform reads otherwise than the product's own interface.
 _STATUS_BY_REASON = MappingProxyType(
     {
@@ -62,8 +65,11 @@
         if isinstance(outcome, Answered):
             return HttpAnswer(outcome.status, outcome.headers, outcome.body)
         answer = to_http(outcome)
+        status = _status(outcome, answer.status)
         headers = (*answer.headers, (names.REQUEST_ID, request.request))
-        return HttpAnswer(_status(outcome, answer.status), headers, answer.body)
+        if status in _COME_BACK:
+            headers = (*headers, (names.RETRY_AFTER, _RETRY_SECONDS))
+        return HttpAnswer(status, headers, answer.body)
 
     def request_headers(self, order: WorkOrder, *, remaining_seconds: float) -> Headers:
         """Return the headers for the backend server."""
--- a/packages/turmericwharf/src/turmericwharf/platform/main.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/main.py
@@ -86,4 +86,3 @@
     """Log JSON lines on standard output."""
     logger.remove()
     logger.add(JsonLineSink(sys.stdout), level='INFO', format='{message}', diagnose=False)
-
--- a/packages/turmericwharf/src/turmericwharf/platform/store.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/store.py
@@ -76,7 +76,7 @@
                 return page
             # Pages are no snapshot, so changes are read from the end that the first one names.
             end = page.end if end is None else end
-            values_by_key.update(_values(page))
+            values_by_key.update(_decode_values(page))
             if not page.has_more or not page.items:
                 return KeyedPage(_concerning(topic, values_by_key), end)
             query['after'] = page.items[-1].key
@@ -89,7 +89,7 @@
         wait_seconds: float,
     ) -> KeyedPage | LogFailure:
         """Read records from an offset on; wait for one if there is none yet."""
-        query = {
+        query: dict[str, str | int] = {
             'topic': _TOPICS[topic],
             'part': 0,
             'from': offset,
@@ -98,17 +98,14 @@
         response = await self._fetch('GET', '/log-read', query, wait_seconds + _CALL_SECONDS)
         if isinstance(response, LogFailure):
             return response
-        try:
-            values_by_key, count = _read_records(response.body)
-        except (struct.error, IndexError, UnicodeDecodeError) as error:
-            return LogFailure(Reason.FRAME_MALFORMED, f'records: {error}')
+        values_by_key, count = read_records(response.body)
         return KeyedPage(_concerning(topic, values_by_key), offset + count)
 
     async def publish(self, entry: NodeEntry) -> LogFailure | None:
         """Write the entry of a node."""
         key = entry.instance.encode()
         record = bytes([len(key)]) + key + encode_node_entry(entry)
-        query = {'topic': _TOPICS[StoreTopic.NODES], 'part': 0}
+        query: dict[str, str | int] = {'topic': _TOPICS[StoreTopic.NODES], 'part': 0}
         response = await self._fetch(
             'POST',
             '/log-append',
@@ -164,7 +161,7 @@
         return LogFailure(Reason.FRAME_MALFORMED, f'newest records: {error}')
 
 
-def _values(page: _Newest) -> dict[str, bytes]:
+def _decode_values(page: _Newest) -> dict[str, bytes]:
     values_by_key = {}
     for one in page.items:
         try:
@@ -174,16 +171,18 @@
     return values_by_key
 
 
-def _read_records(encoded: bytes) -> tuple[dict[str, bytes], int]:
-    """Return the newest value of each key, and how many records were read."""
+def read_records(encoded: bytes) -> tuple[dict[str, bytes], int]:
+    """Return the newest value of each key, and how many whole records were read."""
     place = _OFFSETS.size
     values_by_key = {}
     count = 0
-    while place < len(encoded):
-        (length,) = _LENGTH.unpack_from(encoded, place)
-        record = encoded[place + _LENGTH.size : place + _LENGTH.size + length]
-        place += _LENGTH.size + length
+    while place + _LENGTH.size <= len(encoded):
+        start = place + _LENGTH.size
+        place = start + _LENGTH.unpack_from(encoded, place)[0]
+        if place > len(encoded):
+            break
         count += 1
+        record = encoded[start:place]
         key_end = 1 + record[0] if record else 0
         try:
             values_by_key[record[1:key_end].decode()] = record[key_end:]
--- a/packages/turmericwharf/src/turmericwharf/protocol/codec.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/codec.py
@@ -9,8 +9,19 @@
 import msgspec
 
 from turmericwharf import state
-from turmericwharf.state import sidecar
 from turmericwharf.protocol.snapshots import decode_state, encode_state
+from turmericwharf.state.sidecar import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    DirectoryReply,
+    DirectoryRequest,
+    Greeting,
+    TokenReply,
+    TokenRequest,
+    WorkAnswer,
+    WorkCancel,
+    WorkOrder,
+)
 
 # Numbers are part of the wire format: they are never changed or given to another type.
 _TYPES_BY_NUMBER: MappingProxyType[int, type[state.Message]] = MappingProxyType(
@@ -48,16 +59,16 @@
         52: state.InForceRequest,
         53: state.InForceAnswer,
         60: state.Acknowledged,
-        70: sidecar.Greeting,
-        71: sidecar.WorkOrder,
-        72: sidecar.WorkAnswer,
-        73: sidecar.WorkCancel,
-        74: sidecar.ConfigurationRequest,
-        75: sidecar.ConfigurationReply,
-        76: sidecar.DirectoryRequest,
-        77: sidecar.DirectoryReply,
-        78: sidecar.TokenRequest,
-        79: sidecar.TokenReply,
+        70: Greeting,
+        71: WorkOrder,
+        72: WorkAnswer,
+        73: WorkCancel,
+        74: ConfigurationRequest,
+        75: ConfigurationReply,
+        76: DirectoryRequest,
+        77: DirectoryReply,
+        78: TokenRequest,
+        79: TokenReply,
     }
 )
 _NUMBERS_BY_TYPE = MappingProxyType(
--- a/packages/turmericwharf/src/turmericwharf/protocol/http1.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http1.py
@@ -36,18 +36,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """A whole answer of a server.
-
-    Parameters
-    ----------
-    is_reusable
-        Whether the connection can carry another request.
-    """
+    """A whole answer of a server."""
 
     status: int
     headers: Headers
     body: bytes
-    is_reusable: bool
 
 
 class RequestReader:
@@ -91,19 +84,22 @@
     def _next_request(self) -> HttpRequest | ProtocolFailure | None:
         while True:
             event = self._exchange.next_event()
-            if isinstance(event, h11.Request):
-                self._head = event
-                failure = self._check_head(event)
-                if failure is not None:
-                    return failure
-            elif isinstance(event, h11.Data):
-                self._chunks.append(bytes(event.data))
-                if sum(map(len, self._chunks)) > self._limits.body_bytes:
-                    return ProtocolFailure(BODY_TOO_LARGE.reason, BODY_TOO_LARGE.detail)
-            elif isinstance(event, h11.EndOfMessage):
+            if isinstance(event, h11.EndOfMessage):
                 return self._finish()
-            else:
+            if not isinstance(event, h11.Request | h11.Data):
                 return None
+            failure = self._take(event)
+            if failure is not None:
+                return failure
+
+    def _take(self, event: h11.Request | h11.Data) -> ProtocolFailure | None:
+        if isinstance(event, h11.Request):
+            self._head = event
+            return self._check_head(event)
+        self._chunks.append(bytes(event.data))
+        if sum(map(len, self._chunks)) > self._limits.body_bytes:
+            return ProtocolFailure(BODY_TOO_LARGE.reason, BODY_TOO_LARGE.detail)
+        return None
 
     def _check_head(self, head: h11.Request) -> ProtocolFailure | None:
         size = sum(
@@ -143,9 +139,16 @@
         return h11.Connection(h11.SERVER, max_incomplete_event_size=allowed)
 
 
-def encode_answer(exchange: h11.Connection, answer: HttpAnswer, *, is_last: bool) -> bytes:
+def encode_answer(
+    exchange: h11.Connection,
+    answer: HttpAnswer,
+    *,
+    is_last: bool,
+    method: str = 'GET',
+) -> bytes:
     """Return the bytes of an answer; with `is_last` it announces the end of the connection."""
     headers = list(answer.headers)
+    has_body = answer.status not in _BODILESS and method != 'HEAD'
     if answer.status not in _BODILESS:
         headers.append(('Content-Length', str(len(answer.body))))
     if is_last:
@@ -153,10 +156,9 @@
     head = exchange.send(
         h11.Response(status_code=answer.status, headers=_encode_headers(tuple(headers))),
     )
-    body = b''
-    if answer.body and answer.status not in _BODILESS:
-        body = exchange.send(h11.Data(data=answer.body)) or b''
-    return b''.join((head or b'', body, exchange.send(h11.EndOfMessage()) or b''))
+    body = exchange.send(h11.Data(data=answer.body)) if has_body else b''
+    end = exchange.send(h11.EndOfMessage())
+    return b''.join((head or b'', body or b'', end or b''))
 
 
 def is_connection_over(exchange: h11.Connection) -> bool:
@@ -199,26 +201,27 @@
     def _next_response(self) -> HttpResponse | ProtocolFailure | None:
         while True:
             event = self._exchange.next_event()
-            if isinstance(event, h11.Response):
-                self._head = event
-            elif isinstance(event, h11.Data):
-                self._chunks.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
+            if isinstance(event, h11.EndOfMessage):
                 return self._finish()
-            elif isinstance(event, h11.ConnectionClosed):
+            if isinstance(event, h11.ConnectionClosed):
                 return ProtocolFailure(Reason.ANSWER_INCOMPLETE, 'the connection was closed')
-            elif not isinstance(event, h11.InformationalResponse):
+            if not isinstance(event, h11.InformationalResponse | h11.Response | h11.Data):
                 return None
+            self._take(event)
+
+    def _take(self, event: h11.InformationalResponse | h11.Response | h11.Data) -> None:
+        if isinstance(event, h11.Response):
+            self._head = event
+        elif isinstance(event, h11.Data):
+            self._chunks.append(bytes(event.data))
 
     def _finish(self) -> HttpResponse | None:
         if self._head is None:
             return None
-        is_reusable = self._exchange.our_state is h11.DONE and not self._exchange.trailing_data[0]
         return HttpResponse(
             status=self._head.status_code,
             headers=_decode_headers(self._head.headers.raw_items()),
             body=b''.join(self._chunks),
-            is_reusable=is_reusable and self._exchange.their_state is h11.DONE,
         )
 
 
--- a/packages/turmericwharf/src/turmericwharf/protocol/node_entries.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/node_entries.py
@@ -16,6 +16,6 @@
     """Return an entry, or None if the bytes are no entry."""
     try:
         return msgspec.convert(cbor2.loads(encoded), type=NodeEntry)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError) as error:
+    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
         logger.bind(error=str(error)).warning('node_entry_unreadable')
         return None
--- a/packages/turmericwharf/src/turmericwharf/state/configuration.py
+++ b/packages/turmericwharf/src/turmericwharf/state/configuration.py
@@ -42,7 +42,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Organisation:
-    """A tenant with its rate in requests a second and its burst in requests."""
+    """An organisation with its rate in requests a second and its burst in requests."""
 
     organisation: OrganisationId
     rate_per_second: float
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
@@ -13,11 +13,14 @@
 
 
 class ServerPhase(enum.Enum):
-    """Whether a backend server takes new work."""
+    """Whether a backend server takes new work through its node."""
 
     ABSENT = 'absent'
     READY = 'ready'
+    # The server leaves and never becomes ready again.
     LEAVING = 'leaving'
+    # The node has stopped or just started; its server may be ready.
+    STOPPING = 'stopping'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/turmericwharf/src/turmericwharf/transport/metrics.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus.renderer import render
 
 from turmericwharf.coordination import Node, dump_parts
+from turmericwharf.coordination.sidecar import SidecarNode
 from turmericwharf.protocol import HttpAnswer
 
 _OK = 200
@@ -18,7 +19,7 @@
 )
 
 
-def render_metrics(node: Node) -> HttpAnswer:
+def render_metrics(node: Node | SidecarNode) -> HttpAnswer:
     """Return all numbers of the state dump in the text format of Prometheus."""
     registry = Registry()
     for part, dump in dump_parts(node).items():
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
@@ -229,6 +229,7 @@
                 request.exchange,
                 answer,
                 is_last=self._listener.is_draining,
+                method=request.method,
             )
         except h11.LocalProtocolError as error:
             # The backend server gave headers that HTTP does not allow.
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
@@ -8,7 +8,6 @@
 
 from turmericwharf.coordination.sidecar import SidecarNode
 from turmericwharf.protocol import HttpAnswer, HttpRequest
-from turmericwharf.state.sidecar import ServerPhase
 from turmericwharf.transport.sidecar.http_listener import HttpListener
 from turmericwharf.transport.sidecar.links import FleetLinkTable
 from turmericwharf.transport.sidecar.peer_listener import PeerListener
@@ -76,6 +75,7 @@
             asyncio.create_task(node.membership_follower.run()),
             asyncio.create_task(node.publisher.run()),
             asyncio.create_task(node.spread.run()),
+            asyncio.create_task(node.recovery.run()),
         ]
         logger.bind(instance=node.settings.instance, process=node.directory.own.process).info(
             'node_started',
@@ -107,10 +107,12 @@
         logger.bind(in_progress=self._clients.in_progress).info('node_draining')
         node.announcements.is_stopping = True
         node.checks.is_stopping = True
-        node.publisher.use_phase(ServerPhase.LEAVING)
+        node.publisher.use_stop()
         self._clients.drain()
         deadline = started_at + node.settings.bounds.grace_seconds - _EXIT_SECONDS
         await asyncio.sleep(_LINGER_SECONDS)
+        # A request that comes later could not be finished in the grace time.
+        node.entry.is_closed = True
         await _wait_while(self._is_busy, deadline)
 
     def _is_busy(self) -> bool:
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -117,4 +117,3 @@
             return OutcomeUnknown(response.reason, response.detail)
         if not encoded:
             return OutcomeUnknown(Reason.ANSWER_INCOMPLETE, 'the server closed the connection')
-
