--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
@@ -20,6 +20,8 @@
 NO_ORGANISATION = OrganisationId('')
 # A server's own call holds up the request that it serves, so it goes before all client requests.
 _CALL_RANK = 1_000
+# Ranks from here on belong to calls of servers.
+CALL_RANKS = _CALL_RANK // 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -26,10 +26,16 @@
 # Pause before the servers that refused are asked again.
 _ROUND_SECONDS = 0.06
 _LEAST_SECONDS = 0.01
+# A request that no server has taken is refused after this share of its target.
+_MOST_UNTRIED_SHARE = 0.35
+_MOST_REFUSALS = 12
+# Servers that refuse for their load, after which others are as full.
+_MOST_FULL = 3
 # Refusals that another server of the fleet would repeat.
 _FINAL_REFUSALS = frozenset((Reason.KEY_WITHDRAWN, Reason.CONFIGURATION_OUTDATED))
-# An idempotent request leaves this share of its time for another server.
-_FIRST_ATTEMPT_SHARE = 0.6
+_FULL_REFUSALS = frozenset((Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
+# An idempotent request without an answer goes to a second server after this share of its time.
+_HEDGE_SHARE = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,10 +44,21 @@
 
     number: int = 0
     arrivals: int = 0
+    refusals: int = 0
+    full: int = 0
     outcome: Outcome | None = None
     excluded: set[InstanceId] = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    """One order on its way."""
+
+    entry: NodeEntry
+    number: int
+    task: asyncio.Task[WorkAnswer]
+
+
 class AttemptRunner:
     """Tries servers within the deadline, the attempts of the route and the retry budget.
 
@@ -75,7 +92,7 @@
         self._budget.record_request(admitted.service)
         progress = _Progress()
         is_final = False
-        while not is_final and admitted.deadline - self._clock.now() > _LEAST_SECONDS:
+        while not is_final and self._left(admitted) > _LEAST_SECONDS:
             entry = self._choice.choose(admitted.service, progress.excluded)
             if entry is None:
                 is_final = not await self._pause(admitted, progress)
@@ -83,67 +100,135 @@
                 is_final = await self._is_final(admitted, entry, progress)
         return progress.outcome or NotRun(DEADLINE_PASSED.reason, DEADLINE_PASSED.detail)
 
+    def _left(self, admitted: FleetAdmission) -> float:
+        return admitted.deadline - self._clock.now()
+
     async def _pause(self, admitted: FleetAdmission, progress: _Progress) -> bool:
         """Wait for the next round of servers; return whether there is time for one."""
         if progress.outcome is None:
             progress.outcome = NotRun(NO_CAPACITY.reason, NO_CAPACITY.detail)
-        left = admitted.deadline - self._clock.now()
-        if left < 2 * _ROUND_SECONDS or not isinstance(progress.outcome, NotRun):
+        if not isinstance(progress.outcome, NotRun) or self._is_hopeless(admitted, progress):
             return False
         await asyncio.sleep(_ROUND_SECONDS)
         progress.excluded.clear()
         return True
 
+    def _is_hopeless(self, admitted: FleetAdmission, progress: _Progress) -> bool:
+        # A caller that gets its refusal early can turn to something else.
+        target_seconds = admitted.target_at - admitted.admitted_at
+        untried_seconds = self._clock.now() - admitted.admitted_at
+        return (
+            progress.full >= _MOST_FULL
+            or progress.refusals >= _MOST_REFUSALS
+            or untried_seconds > _MOST_UNTRIED_SHARE * target_seconds
+        )
+
     async def _is_final(
         self,
         admitted: FleetAdmission,
         entry: NodeEntry,
         progress: _Progress,
     ) -> bool:
+        first = self._start(admitted, entry, progress)
+        attempts = [first]
+        try:
+            if self._has_more(admitted, progress, at_work=1) and admitted.route.idempotent:
+                await self._hedge(admitted, attempts, progress)
+            return await self._collect(admitted, attempts, progress)
+        finally:
+            for one in attempts:
+                one.task.cancel()
+                self._choice.end(one.entry.instance)
+
+    def _start(
+        self,
+        admitted: FleetAdmission,
+        entry: NodeEntry,
+        progress: _Progress,
+    ) -> _Attempt:
         progress.number += 1
-        answer = await self._try(admitted, entry, progress)
         progress.excluded.add(entry.instance)
+        self._choice.start(entry.instance)
+        may_try = admitted.route.idempotent and self._has_more(admitted, progress, at_work=1)
+        sending = self._sender.send(
+            admitted,
+            entry,
+            number=progress.number,
+            allowed_seconds=self._left(admitted),
+            may_try=may_try,
+        )
+        return _Attempt(entry, progress.number, asyncio.create_task(sending))
+
+    async def _hedge(
+        self,
+        admitted: FleetAdmission,
+        attempts: list[_Attempt],
+        progress: _Progress,
+    ) -> None:
+        """Send a request that gets no answer to a second server; the first goes on."""
+        first = attempts[0]
+        await asyncio.wait([first.task], timeout=self._left(admitted) * _HEDGE_SHARE)
+        if first.task.done():
+            return
+        self._choice.avoid(first.entry.instance)
+        entry = self._choice.choose(admitted.service, progress.excluded)
+        if entry is not None and self._spend(admitted):
+            progress.arrivals += 1
+            attempts.append(self._start(admitted, entry, progress))
+            logger.bind(
+                request=admitted.request.request,
+                waiting_for=first.entry.instance,
+                instance=entry.instance,
+            ).info('request_hedged')
+
+    async def _collect(
+        self,
+        admitted: FleetAdmission,
+        attempts: list[_Attempt],
+        progress: _Progress,
+    ) -> bool:
+        """Take answers as they come; return whether the outcome is final."""
+        if len(attempts) > 1:
+            # The first attempt was counted when the second one started.
+            progress.arrivals -= 1
+        waiting = {one.task: one for one in attempts}
+        is_final = False
+        while waiting and not is_final:
+            done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                ended = waiting.pop(task)
+                is_final = self._record(admitted, ended, progress, at_work=len(waiting)) or is_final
+        return is_final
+
+    def _record(
+        self,
+        admitted: FleetAdmission,
+        ended: _Attempt,
+        progress: _Progress,
+        *,
+        at_work: int,
+    ) -> bool:
+        answer = ended.task.result()
+        self._choice.record_answer(ended.entry.instance, answer)
         outcome = _outcome_of(answer)
-        if not isinstance(outcome, NotRun) or not isinstance(progress.outcome, Answered):
-            # An answer of a server says more than a later refusal by another node.
+        progress.arrivals += answer.reached_server
+        if isinstance(outcome, NotRun):
+            progress.refusals += 1
+            progress.full += outcome.reason in _FULL_REFUSALS
+        if not isinstance(outcome, NotRun) or isinstance(progress.outcome, NotRun | None):
+            # What a server did says more than a later refusal by another node.
             progress.outcome = outcome
-        if answer.reached_server:
-            progress.arrivals += 1
-        may_repeat = self._may_repeat(admitted, outcome, progress)
+        is_success = isinstance(outcome, Answered) and outcome.status < _SERVER_ERROR
+        is_final = is_success or not (at_work or self._may_repeat(admitted, outcome, progress))
         logger.bind(
             request=admitted.request.request,
-            attempt=progress.number,
-            instance=entry.instance,
-            server=entry.server,
+            attempt=ended.number,
+            instance=ended.entry.instance,
+            server=ended.entry.server,
             outcome=_name(outcome),
-            repeat=may_repeat,
+            final=is_final,
         ).info('attempt_ended')
-        return not may_repeat
-
-    async def _try(
-        self,
-        admitted: FleetAdmission,
-        entry: NodeEntry,
-        progress: _Progress,
-    ) -> WorkAnswer:
-        now = self._clock.now()
-        allowed = admitted.deadline - now
-        has_more = progress.arrivals + 1 < admitted.route.attempts
-        if admitted.route.idempotent and has_more:
-            allowed *= _FIRST_ATTEMPT_SHARE
-        self._choice.start(entry.instance)
-        try:
-            answer = await self._sender.send(
-                admitted,
-                entry,
-                number=progress.number,
-                allowed_seconds=allowed,
-                may_try=admitted.route.idempotent and has_more,
-            )
-        finally:
-            self._choice.end(entry.instance)
-        self._choice.record_answer(entry.instance, answer)
-        return answer
+        return is_final
 
     def _may_repeat(
         self,
@@ -151,16 +236,16 @@
         outcome: Outcome,
         progress: _Progress,
     ) -> bool:
-        if isinstance(outcome, NotRun) and outcome.reason in _FINAL_REFUSALS:
-            return False
-        if progress.arrivals >= admitted.route.attempts:
-            return False
-        if isinstance(outcome, Answered) and outcome.status < _SERVER_ERROR:
+        if not self._has_more(admitted, progress, at_work=0):
             return False
         if isinstance(outcome, NotRun):
-            return progress.arrivals == 0 or self._spend(admitted)
+            is_final = outcome.reason in _FINAL_REFUSALS or self._is_hopeless(admitted, progress)
+            return not is_final and (progress.arrivals == 0 or self._spend(admitted))
         return admitted.route.idempotent and self._spend(admitted)
 
+    def _has_more(self, admitted: FleetAdmission, progress: _Progress, *, at_work: int) -> bool:
+        return progress.arrivals + at_work < admitted.route.attempts
+
     def _spend(self, admitted: FleetAdmission) -> bool:
         if not self._budget.allows(admitted.service):
             return False
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
@@ -3,11 +3,12 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Set
+from collections.abc import Mapping, Set
+from types import MappingProxyType
 
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.state import InstanceId, ServiceId
+from turmericwharf.state import InstanceId, Reason, ServiceId
 from turmericwharf.state.sidecar import NodeEntry, WorkAnswer
 
 # An older load says little about the requests that other nodes send now.
@@ -16,6 +17,9 @@
 # requests more.
 _FAR_REQUESTS = 8.0
 _AVOID_SECONDS = 0.3
+_AVOID_SECONDS_BY_REASON: Mapping[Reason | None, float] = MappingProxyType(
+    {Reason.BREAKER_OPEN: 1.0, Reason.QUEUE_FULL: 0.15, Reason.SERVER_DRAINING: 1.0},
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,14 +71,15 @@
         """Note the load that came with an answer."""
         requests = answer.running + answer.waiting
         self._load_by_id[instance] = _HeardLoad(requests, self._clock.now())
-        if answer.answered is None:
-            self.avoid(instance)
-        else:
+        if answer.answered is not None:
             self._avoided_until_by_id.pop(instance, None)
+            return
+        reason = None if answer.refused is None else answer.refused.reason
+        self.avoid(instance, _AVOID_SECONDS_BY_REASON.get(reason, _AVOID_SECONDS))
 
-    def avoid(self, instance: InstanceId) -> None:
+    def avoid(self, instance: InstanceId, seconds: float = _AVOID_SECONDS) -> None:
         """Prefer other servers for a short while."""
-        self._avoided_until_by_id[instance] = self._clock.now() + _AVOID_SECONDS
+        self._avoided_until_by_id[instance] = self._clock.now() + seconds
 
     def _is_avoided(self, instance: InstanceId) -> bool:
         return self._avoided_until_by_id.get(instance, 0) > self._clock.now()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -6,6 +6,7 @@
 
 from turmericwharf.coordination.fair_queue import FairQueue
 from turmericwharf.coordination.ports import Clock
+from turmericwharf.coordination.sidecar.admission import CALL_RANKS
 from turmericwharf.coordination.sidecar.breaker import CircuitBreaker
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.order_checks import OrderChecks
@@ -15,6 +16,7 @@
 from turmericwharf.state import (
     BREAKER_OPEN,
     CALLER_LEFT,
+    QUEUE_FULL,
     Answered,
     NotRun,
     Outcome,
@@ -26,6 +28,8 @@
 _QUEUE_LENGTH = 64
 _LEAST_RUN_SECONDS = 0.02
 _OVERDUE_FACTOR = 3.0
+# Wait beyond the useful time, in usual run times, so that a short queue is no reason to refuse.
+_LATE_SHARE = 0.5
 
 
 class ServerGate:
@@ -86,8 +90,14 @@
 
     async def _acquire(self, order: WorkOrder) -> RequestFailure | None:
         run_seconds = max(self._times.usual(order.route), _LEAST_RUN_SECONDS)
-        wait_seconds = max(order.remaining_seconds - run_seconds, 0)
-        return await self.queue.acquire(order.organisation, order.rank, wait_seconds)
+        wait_seconds = order.remaining_seconds - run_seconds
+        if order.rank < CALL_RANKS:
+            # An answer after the target is worth less than the place that the wait takes.
+            useful_seconds = max(order.target_seconds - run_seconds, 0)
+            wait_seconds = min(wait_seconds, useful_seconds + _LATE_SHARE * run_seconds)
+            if self.queue.expected_wait(order.rank) > wait_seconds:
+                return QUEUE_FULL
+        return await self.queue.acquire(order.organisation, order.rank, max(wait_seconds, 0))
 
     async def _run_in_slot(
         self,
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
@@ -92,6 +92,9 @@
             await connection.serve()
         except OSError as error:
             logger.bind(error=str(error)).debug('client_connection_lost')
+        except asyncio.CancelledError:
+            # The process ends; asyncio's streams would log the cancellation as an error.
+            logger.debug('client_connection_ended')
         finally:
             self._connections.discard(connection)
             connection.close()
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
@@ -16,7 +16,7 @@
 # Clients go on sending until two readiness checks, a second apart, have failed.
 _LINGER_SECONDS = 2.6
 # Left of the grace time for the end of the process.
-_EXIT_SECONDS = 0.4
+_EXIT_SECONDS = 0.8
 
 
 class SidecarPages(Protocol):
