--- a/packages/turmericwharf/src/turmericwharf/coordination/fair_queue.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/fair_queue.py
@@ -80,6 +80,11 @@
         """Requests that hold a slot or wait for one, over slots."""
         return (self._used + self._waiting) / max(self._slots, 1)
 
+    @property
+    def slots(self) -> int:
+        """Number of requests that may hold a slot."""
+        return self._slots
+
     @property
     def in_progress(self) -> int:
         """Requests that hold a slot."""
@@ -90,18 +95,6 @@
         """Requests that wait for a slot."""
         return self._waiting
 
-    def expected_wait(self, importance: int) -> float:
-        """Return the seconds that a new request would wait, by the mean time in a slot."""
-        ahead = sum(
-            len(queue)
-            for level, ring in self._rings.items()
-            if level >= importance
-            for queue in ring.values()
-        )
-        if not ahead and self._used < self._slots:
-            return 0
-        return (ahead + 1) * self._mean_seconds / max(self._slots, 1)
-
     def resize(self, slots: int) -> None:
         """Change the number of slots."""
         self._slots = slots
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
@@ -20,8 +20,6 @@
 NO_ORGANISATION = OrganisationId('')
 # A server's own call holds up the request that it serves, so it goes before all client requests.
 _CALL_RANK = 1_000
-# Ranks from here on belong to calls of servers.
-CALL_RANKS = _CALL_RANK // 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +46,11 @@
     target_at: float
     version: int
 
+    @property
+    def is_call(self) -> bool:
+        """Whether a server made the request while it runs another one."""
+        return self.organisation == NO_ORGANISATION
+
 
 class RequestChecks:
     """Checks requests against the configuration in force.
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -43,6 +43,7 @@
     """What became of a request so far; changes with each attempt."""
 
     number: int = 0
+    runs: int = 0
     arrivals: int = 0
     refusals: int = 0
     full: int = 0
@@ -155,10 +156,16 @@
             entry,
             number=progress.number,
             allowed_seconds=self._left(admitted),
+            target_seconds=self._target_seconds(admitted),
             may_try=may_try,
         )
         return _Attempt(entry, progress.number, asyncio.create_task(sending))
 
+    def _target_seconds(self, admitted: FleetAdmission) -> float:
+        # The server that makes a call holds a slot for it, so a call waits for as long as it may.
+        target_at = admitted.deadline if admitted.is_call else admitted.target_at
+        return max(target_at - self._clock.now(), 0)
+
     async def _hedge(
         self,
         admitted: FleetAdmission,
@@ -173,7 +180,7 @@
         self._choice.avoid(first.entry.instance)
         entry = self._choice.choose(admitted.service, progress.excluded)
         if entry is not None and self._spend(admitted):
-            progress.arrivals += 1
+            progress.runs += 1
             attempts.append(self._start(admitted, entry, progress))
             logger.bind(
                 request=admitted.request.request,
@@ -190,7 +197,7 @@
         """Take answers as they come; return whether the outcome is final."""
         if len(attempts) > 1:
             # The first attempt was counted when the second one started.
-            progress.arrivals -= 1
+            progress.runs -= 1
         waiting = {one.task: one for one in attempts}
         is_final = False
         while waiting and not is_final:
@@ -212,6 +219,7 @@
         self._choice.record_answer(ended.entry.instance, answer)
         outcome = _outcome_of(answer)
         progress.arrivals += answer.reached_server
+        progress.runs += not isinstance(outcome, NotRun)
         if isinstance(outcome, NotRun):
             progress.refusals += 1
             progress.full += outcome.reason in _FULL_REFUSALS
@@ -244,7 +252,7 @@
         return admitted.route.idempotent and self._spend(admitted)
 
     def _has_more(self, admitted: FleetAdmission, progress: _Progress, *, at_work: int) -> bool:
-        return progress.arrivals + at_work < admitted.route.attempts
+        return progress.runs + at_work < admitted.route.attempts
 
     def _spend(self, admitted: FleetAdmission) -> bool:
         if not self._budget.allows(admitted.service):
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/orders.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/orders.py
@@ -72,6 +72,7 @@
         *,
         number: int,
         allowed_seconds: float,
+        target_seconds: float,
         may_try: bool,
     ) -> WorkAnswer:
         """Return the answer to an order; a cancellation is passed on."""
@@ -79,6 +80,7 @@
         order = dataclasses.replace(
             self._make_order(admitted, entry, number, expires_at),
             may_try=may_try,
+            target_seconds=target_seconds,
         )
         try:
             async with asyncio.timeout(allowed_seconds):
@@ -153,7 +155,7 @@
             idempotent=admitted.route.idempotent,
             may_try=False,
             remaining_seconds=expires_at - now,
-            target_seconds=max(admitted.target_at - now, 0),
+            target_seconds=0,
             version=admitted.version,
             caller_service=self._caller_service,
             method=request.method,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -6,7 +6,7 @@
 
 from turmericwharf.coordination.fair_queue import FairQueue
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.sidecar.admission import CALL_RANKS
+from turmericwharf.coordination.sidecar.backlog import Backlog
 from turmericwharf.coordination.sidecar.breaker import CircuitBreaker
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.order_checks import OrderChecks
@@ -63,6 +63,7 @@
         self.orders = OrderTable(clock)
         self.breaker = CircuitBreaker(clock)
         self.queue = FairQueue(1, _QUEUE_LENGTH, clock)
+        self.backlog = Backlog()
 
     async def serve(self, order: WorkOrder, version: int) -> WorkAnswer:
         """Run an order, or join the run of the same order that came before."""
@@ -90,14 +91,16 @@
 
     async def _acquire(self, order: WorkOrder) -> RequestFailure | None:
         run_seconds = max(self._times.usual(order.route), _LEAST_RUN_SECONDS)
-        wait_seconds = order.remaining_seconds - run_seconds
-        if order.rank < CALL_RANKS:
-            # An answer after the target is worth less than the place that the wait takes.
-            useful_seconds = max(order.target_seconds - run_seconds, 0)
-            wait_seconds = min(wait_seconds, useful_seconds + _LATE_SHARE * run_seconds)
-            if self.queue.expected_wait(order.rank) > wait_seconds:
-                return QUEUE_FULL
-        return await self.queue.acquire(order.organisation, order.rank, max(wait_seconds, 0))
+        # An answer after the target is worth less than the place that the wait takes.
+        useful_seconds = max(order.target_seconds - run_seconds, 0) + _LATE_SHARE * run_seconds
+        wait_seconds = min(order.remaining_seconds - run_seconds, useful_seconds)
+        if self.backlog.expected_wait(order.rank, self.queue) > wait_seconds:
+            return QUEUE_FULL
+        self.backlog.wait(order.rank, run_seconds)
+        try:
+            return await self.queue.acquire(order.organisation, order.rank, max(wait_seconds, 0))
+        finally:
+            self.backlog.wait(order.rank, -run_seconds)
 
     async def _run_in_slot(
         self,
@@ -114,7 +117,8 @@
         if refusal is not None:
             return self._refuse(order, refusal, version)
         self.orders.mark_at_server(order)
-        outcome = await self._run_on_server(order, remaining)
+        with self.backlog.running(self._times.usual(order.route)):
+            outcome = await self._run_on_server(order, remaining)
         ran_seconds = self._clock.now() - started_at
         is_overdue = ran_seconds > _OVERDUE_FACTOR * self._times.usual(order.route)
         self.breaker.record(outcome, is_overdue=is_overdue)
