--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
@@ -20,6 +20,7 @@
 NO_ORGANISATION = OrganisationId('')
 # A server's own call holds up the request that it serves, so it goes before all client requests.
 _CALL_RANK = 1_000
+_HASTE_STEPS = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,6 +122,7 @@
 def _rank(route: RouteRule, organisation: OrganisationRule | None) -> int:
     if organisation is None:
         return _CALL_RANK - route.priority
-    if organisation.priority is None:
-        return -route.priority
-    return -organisation.priority
+    priority = route.priority if organisation.priority is None else organisation.priority
+    # Among equals, the request that becomes late first goes first.
+    haste = round(_HASTE_STEPS / (1 + route.target_seconds))
+    return haste - (_HASTE_STEPS + 1) * priority
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -7,6 +7,7 @@
 from turmericwharf.coordination.sidecar.admission import RequestChecks
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
+from turmericwharf.coordination.sidecar.bounds import BoundsInForce
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.fleet_entry import FleetEntry
@@ -73,6 +74,7 @@
     configuration_follower: TopicFollower
     membership_follower: TopicFollower
     recovery: ServerRecovery
+    bounds: BoundsInForce
     clock: Clock
 
     @property
@@ -89,6 +91,7 @@
 ) -> SidecarNode:
     """Wire the decisions of one node to what the other layers give."""
     clock = ports.clock
+    bounds = BoundsInForce(settings)
     directory = NodeDirectory(own, clock)
     holder = ConfigurationHolder(ports.decode_configuration)
     request_checks = RequestChecks(holder, clock)
@@ -105,7 +108,15 @@
         StoreTopic.CONFIGURATION,
         lambda page: _offer_configuration(holder, page),
     )
-    attempts = _build_attempts(settings, ports, directory, holder, gate)
+    sender = OrderSender(
+        gate=gate,
+        links=ports.links,
+        directory=directory,
+        holder=holder,
+        clock=clock,
+        caller_service=settings.service,
+    )
+    attempts = _build_attempts(bounds, sender, directory, clock)
     return SidecarNode(
         settings=settings,
         directory=directory,
@@ -126,33 +137,26 @@
             gather_seconds=_GATHER_SECONDS,
         ),
         recovery=ServerRecovery(announcements, holder, ports.server),
+        bounds=bounds,
         clock=clock,
     )
 
 
 def _build_attempts(
-    settings: SidecarSettings,
-    ports: SidecarPorts,
+    bounds: BoundsInForce,
+    sender: OrderSender,
     directory: NodeDirectory,
-    holder: ConfigurationHolder,
-    gate: ServerGate,
+    clock: Clock,
 ) -> AttemptRunner:
     return AttemptRunner(
-        choice=ServerChoice(directory, ports.clock),
-        sender=OrderSender(
-            gate=gate,
-            links=ports.links,
-            directory=directory,
-            holder=holder,
-            clock=ports.clock,
-            caller_service=settings.service,
-        ),
+        choice=ServerChoice(directory, clock),
+        sender=sender,
         budget=RetryBudget(
-            settings.bounds.retry_ratio * _BUDGET_SHARE,
-            ports.clock,
-            minimum=lambda: _retry_minimum(settings.bounds, directory),
+            bounds.current.retry_ratio * _BUDGET_SHARE,
+            clock,
+            minimum=lambda: _retry_minimum(bounds.current, directory),
         ),
-        clock=ports.clock,
+        clock=clock,
     )
 
 
--- a/packages/turmericwharf/src/turmericwharf/platform/main.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/main.py
@@ -40,7 +40,7 @@
 
 
 async def run_node(settings: SidecarSettings) -> None:
-    """Run a node until SIGTERM or SIGINT."""
+    """Run a node until SIGTERM or SIGINT; SIGHUP makes it read its settings file again."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -49,9 +49,22 @@
     dialect = PlatformDialect()
     node = build_node_on_platform(settings, links, dialect)
     links.use_node(node)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node)
     await SidecarProcess(node, PlatformPages(node, dialect), links).run(stopping)
 
 
+def _reload(node: SidecarNode) -> None:
+    try:
+        settings = read_settings(settings_path())
+    except OSError as error:
+        logger.bind(error=str(error)).error('settings_unreadable')
+        return
+    if isinstance(settings, SettingsFailure):
+        logger.bind(detail=settings.detail).error('settings_invalid')
+        return
+    node.bounds.reload(settings)
+
+
 def build_node_on_platform(
     settings: SidecarSettings,
     links: FleetLinkTable,
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
@@ -266,7 +266,7 @@
         open_timeout=_CONNECT_SECONDS,
         close_timeout=_PONG_SECONDS,
         ping_interval=None,
-        compression=None,
+        compression='deflate',
         max_size=WIRE_FRAME_BYTES,
         max_queue=_RECEIVE_QUEUE_FRAMES,
         proxy=None,
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
@@ -36,7 +36,7 @@
             open_timeout=_OPEN_SECONDS,
             close_timeout=_OPEN_SECONDS,
             ping_interval=None,
-            compression=None,
+            compression='deflate',
             max_size=WIRE_FRAME_BYTES,
         )
 
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
@@ -109,7 +109,7 @@
         node.checks.is_stopping = True
         node.publisher.use_stop()
         self._clients.drain()
-        deadline = started_at + node.settings.bounds.grace_seconds - _EXIT_SECONDS
+        deadline = started_at + node.bounds.current.grace_seconds - _EXIT_SECONDS
         await asyncio.sleep(_LINGER_SECONDS)
         # A request that comes later could not be finished in the grace time.
         node.entry.is_closed = True
