Test the sidecar fleet with real processes; hold rates by three nodes or more

A rolling restart showed requests inside their rate answered 429: the only holder of the rate restarted with an empty bucket. A rate now has at least three holders, and a request waits up to 0.1 s for the next token.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -1,11 +1,14 @@
 """Rates of organisations, divided into fixed parts that single nodes hold.
 
-Each data centre has one holder for each organisation, found by rendezvous hashing. It grants its
+Each data centre has holders for each organisation, found by rendezvous hashing. Each grants its
 fixed part of the rate, so the sum over all holders stays inside the rate without agreement,
 whatever part of the fleet is cut off.
 """
 
+import asyncio
+import collections
 import dataclasses
+import math
 
 from loguru import logger
 
@@ -23,7 +26,6 @@
     RequestFailure,
 )
 from turmericwharf.state.sidecar import (
-    NodeEntry,
     OrganisationRule,
     ServerPhase,
     TokenReply,
@@ -31,6 +33,9 @@
 )
 
 _ASK_SECONDS = 0.3
+_MOST_WAIT_SECONDS = 0.1
+# A holder that is down takes at most this part of a rate with it.
+_LEAST_PARTS = 3
 _WITHOUT_PARTS = frozenset((ServerPhase.LEAVING, ServerPhase.STOPPING))
 
 
@@ -43,7 +48,7 @@
 
 
 class QuotaHolders:
-    """Which node holds the part of an organisation's rate in each data centre.
+    """Which nodes hold parts of an organisation's rate.
 
     Parameters
     ----------
@@ -65,12 +70,12 @@
         self._holder = holder
         self._clock = clock
         self._seen = (-1, -1)
-        self._holders_by_id: dict[OrganisationId, dict[DataCentreId, InstanceId]] = {}
+        self._holders_by_id: dict[OrganisationId, dict[DataCentreId, list[InstanceId]]] = {}
         self._held_since_by_id: dict[OrganisationId, float] = {}
         self.parts = 1
 
-    def of(self, organisation: OrganisationId) -> dict[DataCentreId, InstanceId]:
-        """Return the holder in each data centre."""
+    def of(self, organisation: OrganisationId) -> dict[DataCentreId, list[InstanceId]]:
+        """Return the holders in each data centre."""
         self.refresh()
         return self._holders_by_id.get(organisation, {})
 
@@ -85,19 +90,33 @@
         if seen == self._seen:
             return
         self._seen = seen
-        entries = self._directory.entries
-        self.parts = len({entry.data_centre for entry in entries})
-        usable = [entry for entry in entries if entry.phase not in _WITHOUT_PARTS]
+        sizes = collections.Counter(entry.data_centre for entry in self._directory.entries)
+        each = math.ceil(_LEAST_PARTS / len(sizes))
+        self.parts = sum(min(each, size) for size in sizes.values())
         organisations = self._holder.current.organisations_by_id
-        self._holders_by_id = {name: _rank_holders(name, usable) for name in organisations}
+        self._holders_by_id = {name: self._rank(name, each) for name in organisations}
         own, now = self._directory.own, self._clock.now()
         held = [
             name
             for name, holders in self._holders_by_id.items()
-            if holders.get(own.data_centre) == own.instance
+            if own.instance in holders.get(own.data_centre, ())
         ]
         self._held_since_by_id = {name: self._held_since_by_id.get(name, now) for name in held}
 
+    def _rank(
+        self,
+        organisation: OrganisationId,
+        each: int,
+    ) -> dict[DataCentreId, list[InstanceId]]:
+        instances_by_place: dict[DataCentreId, list[InstanceId]] = {}
+        for entry in self._directory.entries:
+            if entry.phase not in _WITHOUT_PARTS:
+                instances_by_place.setdefault(entry.data_centre, []).append(entry.instance)
+        return {
+            place: rank_instances(organisation, instances)[:each]
+            for place, instances in instances_by_place.items()
+        }
+
 
 class QuotaBuckets:
     """The parts of rates that this node holds.
@@ -177,18 +196,30 @@
         rule = self._holder.current.organisations_by_id.get(admitted.organisation)
         if rule is None or not rule.is_limited:
             return None
-        for instance in self._ordered_holders(admitted.organisation):
-            reply = await self._ask(instance, admitted.organisation)
+        wait_seconds = await self._ask_all(admitted.organisation)
+        if 0 < wait_seconds <= _MOST_WAIT_SECONDS:
+            # A holder that has just started has its next token soon.
+            await asyncio.sleep(wait_seconds)
+            wait_seconds = await self._ask_all(admitted.organisation)
+        return RATE_EXCEEDED if wait_seconds else None
+
+    async def _ask_all(self, organisation: OrganisationId) -> float:
+        """Return 0 with a token, else the seconds until one of the holders has one."""
+        waits = [math.inf]
+        for instance in self._ordered_holders(organisation):
+            reply = await self._ask(instance, organisation)
             if reply is not None and reply.granted:
-                return None
-        return RATE_EXCEEDED
+                return 0
+            if reply is not None and reply.wait_seconds > 0:
+                waits.append(reply.wait_seconds)
+        return min(waits)
 
     def _ordered_holders(self, organisation: OrganisationId) -> list[InstanceId]:
         holders = self.buckets.holders.of(organisation)
         own = self._directory.own.data_centre
-        # The near holder costs no bytes between data centres.
-        near = [holders[own]] if own in holders else []
-        return near + [holders[place] for place in sorted(holders) if place != own]
+        # The near holders cost no bytes between data centres.
+        places = sorted(holders, key=lambda place: (place != own, place))
+        return [instance for place in places for instance in holders[place]]
 
     async def _ask(
         self,
@@ -208,16 +239,3 @@
         logger.bind(instance=instance, organisation=organisation).info('token_holder_silent')
         self._directory.suspect(instance)
         return None
-
-
-def _rank_holders(
-    organisation: OrganisationId,
-    entries: list[NodeEntry],
-) -> dict[DataCentreId, InstanceId]:
-    instances_by_place: dict[DataCentreId, list[InstanceId]] = {}
-    for entry in entries:
-        instances_by_place.setdefault(entry.data_centre, []).append(entry.instance)
-    return {
-        place: rank_instances(organisation, instances)[0]
-        for place, instances in instances_by_place.items()
-    }
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -16,6 +16,7 @@
 from turmericwharf.state import (
     BREAKER_OPEN,
     CALLER_LEFT,
+    DEADLINE_PASSED,
     QUEUE_FULL,
     Answered,
     NotRun,
@@ -114,6 +115,9 @@
             refusal = BREAKER_OPEN
         started_at = self._clock.now()
         remaining = order.remaining_seconds - (started_at - received_at)
+        if refusal is None and remaining < _LEAST_RUN_SECONDS:
+            # The process may have been suspended while the order waited.
+            refusal = DEADLINE_PASSED
         if refusal is not None:
             return self._refuse(order, refusal, version)
         self.orders.mark_at_server(order)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/version_spread.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/version_spread.py
@@ -19,8 +19,9 @@
 )
 
 _ASK_SECONDS = 0.5
-_PERIOD_SECONDS = 0.4
-_PEERS = 2
+_PERIOD_SECONDS = 1.0
+_LOST_PERIOD_SECONDS = 0.4
+_LOST_PEERS = 2
 
 
 class VersionSpread:
@@ -61,13 +62,24 @@
         task.add_done_callback(self._asked.discard)
 
     async def run(self) -> None:
-        """Ask around while the store is lost, until cancelled."""
+        """Ask around until cancelled, more often while the store is lost."""
         while True:
-            await asyncio.sleep(_PERIOD_SECONDS * random.uniform(0.8, 1.2))
-            if not self._follower.is_connected:
-                peers = self._directory.peers
-                asked = random.sample(peers, min(_PEERS, len(peers)))
-                await asyncio.gather(*(self._ask_all(peer) for peer in asked))
+            is_lost = not self._follower.is_connected
+            pause_seconds = _LOST_PERIOD_SECONDS if is_lost else _PERIOD_SECONDS
+            await asyncio.sleep(pause_seconds * random.uniform(0.8, 1.2))
+            if is_lost:
+                await asyncio.gather(*(self._ask_all(peer) for peer in self._sample(_LOST_PEERS)))
+            else:
+                # A read of the store may wait on a connection that went silent.
+                await asyncio.gather(*(self._fetch(peer) for peer in self._sample(1)))
+
+    def _sample(self, count: int) -> list[NodeEntry]:
+        peers = [
+            peer
+            for peer in self._directory.peers
+            if not self._directory.is_suspected(peer.instance)
+        ]
+        return random.sample(peers, min(count, len(peers)))
 
     async def _ask_all(self, peer: NodeEntry) -> None:
         await self._fetch(peer)
--- /dev/null
+++ b/tests/sidecar_fleet.py
@@ -0,0 +1,216 @@
+"""Starts sidecar nodes as separate processes, with stand-ins for the platform around them."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from tests.stand_ins.platform_server import PlatformServer
+from tests.stand_ins.platform_store import PlatformStore
+
+ROOT = Path(__file__).parents[1]
+SOURCES = os.pathsep.join(
+    str(ROOT / 'packages' / name / 'src') for name in ('turmericwharf', 'turmericwharf-node')
+)
+START_SECONDS = 20.0
+GRACE_SECONDS = 6
+KEY = 'key-of-the-cafe'
+
+
+@dataclasses.dataclass(frozen=True)
+class Ports:
+    server: int
+    clients: int
+    readiness: int
+    announcements: int
+    first_peer: int
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free on all loopback addresses of the fleet."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind(('0.0.0.0', 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
+def make_configuration(version: int = 1, **changes) -> dict:
+    configuration = {
+        'version': f'{version:08x}',
+        'routes': {
+            'book': {
+                'host': 'a.example',
+                'pathPrefix': '/book/',
+                'routeType': 'non_idempotent',
+                'timeoutS': 3.0,
+                'targetLatencyS': 1.0,
+                'priority': 1,
+                'service': 'bookings',
+                'attempts': 2,
+                'public': False,
+            },
+            'read': {
+                'host': 'a.example',
+                'pathPrefix': '/read/',
+                'routeType': 'idempotent',
+                'timeoutS': 3.0,
+                'targetLatencyS': 1.0,
+                'priority': 2,
+                'service': 'bookings',
+                'attempts': 3,
+                'public': False,
+            },
+        },
+        'services': {'bookings': {'healthCheckPath': '/healthz', 'maxConnections': 100}},
+        'limits': {'headerTimeoutS': 3, 'idleTimeoutS': 15},
+        'tenants': {'cafe': {'apiKeys': [KEY], 'ratePerS': 1000, 'burst': 1000}},
+    }
+    return {**configuration, **changes}
+
+
+class SidecarNode:
+    """One node's process and the backend server beside it."""
+
+    def __init__(self, fleet: 'SidecarFleet', number: int) -> None:
+        self.fleet = fleet
+        self.name = f'node-{number}'
+        self.host = f'127.0.0.{10 + number}'
+        self.server = PlatformServer(self.host, fleet.ports, 'bookings', f'server-{number}')
+        self.process: asyncio.subprocess.Process | None = None
+        self.log_path = fleet.folder / f'{self.name}.log'
+
+    def settings(self) -> dict:
+        ports, host = self.fleet.ports, self.host
+        return {
+            'localNode': {
+                'nodeName': self.name,
+                'ip': host,
+                'zone': 'a',
+                'appAddr': f'{host}:{ports.server}',
+                'service': 'bookings',
+            },
+            'network': {
+                'listen': {
+                    'outbound': f'{host}:{ports.clients}',
+                    'ready': f'{host}:{ports.readiness}',
+                    'control': f'{host}:{ports.announcements}',
+                },
+                'portRange': [ports.first_peer, ports.first_peer + 1],
+            },
+            'platform': {'platform': {'address': f'127.0.0.1:{self.fleet.store_port}'}},
+            'terms': {'bounds': {'budgetExtraRetries': 100, 'graceS': GRACE_SECONDS}},
+        }
+
+    async def start(self) -> None:
+        path = self.fleet.folder / f'{self.name}.json'
+        path.write_text(json.dumps(self.settings()))
+        with self.log_path.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'turmericwharf_node.sidecar',
+                'run',
+                env={'TURMERICWHARF_NODE_FILE': str(path), 'PYTHONPATH': SOURCES},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def stop(self, number: int = signal.SIGTERM) -> None:
+        self.process.send_signal(number)
+        await self.process.wait()
+
+    def events(self, name: str) -> list[dict]:
+        lines = [line for line in self.log_path.read_text().splitlines() if line.startswith('{')]
+        return [one for one in map(json.loads, lines) if one['event'] == name]
+
+    async def is_ready(self) -> bool:
+        with contextlib.suppress(OSError):
+            found = await self.fleet.fetch(f'http://{self.host}:{self.fleet.ports.readiness}/ready')
+            return found.code == 200
+        return False
+
+    async def ask(self, target: str, *, method: str = 'GET', key: str = KEY, **options):
+        """Send a request as a client on this node's machine."""
+        headers = {
+            'Host': 'a.example',
+            'Turmericwharf-Attempt-Id': options.get('request') or f'r{next(self.fleet.numbers)}',
+            'Turmericwharf-Deadline-Ms': str(options.get('deadline_milliseconds', 3000)),
+            'Api-Key': key,
+        }
+        return await self.fleet.fetch(
+            f'http://{self.host}:{self.fleet.ports.clients}{target}',
+            method=method,
+            headers=headers,
+            body=b'x' if method == 'POST' else None,
+        )
+
+
+class SidecarFleet:
+    """A store, nodes and servers on loopback."""
+
+    def __init__(self, count: int, folder: Path) -> None:
+        found = free_ports(6)
+        self.folder = folder
+        # The second peer port is the next one; a clash shows as a node that does not start.
+        self.ports = Ports(*found[:5])
+        self.store_port = found[5]
+        self.store = PlatformStore()
+        self.numbers = itertools.count(1)
+        self.nodes = [SidecarNode(self, number) for number in range(count)]
+
+    async def start(self) -> None:
+        self.store.start('127.0.0.1', self.store_port)
+        self.store.configure(make_configuration())
+        for node in self.nodes:
+            node.server.start()
+            await node.start()
+        await self.wait_until_whole()
+
+    async def wait_until_whole(self) -> None:
+        """Wait until all nodes are ready and the store names all servers."""
+        async with asyncio.timeout(START_SECONDS):
+            while not all([await node.is_ready() for node in self.nodes]):
+                await asyncio.sleep(0.05)
+            while len(self.store.newest.get('keyed.nodes', {})) < len(self.nodes):
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.6)
+
+    async def close(self) -> None:
+        for node in self.nodes:
+            if node.process is not None and node.process.returncode is None:
+                await node.stop(signal.SIGKILL)
+            node.server.stop()
+        self.store.stop()
+
+    def runs(self, request: str) -> int:
+        return sum(node.server.runs_by_request[request] for node in self.nodes)
+
+    async def fetch(self, url: str, **options):
+        client = AsyncHTTPClient(force_instance=True)
+        request = HTTPRequest(url, request_timeout=10, allow_nonstandard_methods=True, **options)
+        try:
+            return await client.fetch(request, raise_error=False)
+        finally:
+            client.close()
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(count: int = 3):
+    """Yield a fleet that serves."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = SidecarFleet(count, Path(folder))
+        try:
+            await fleet.start()
+            yield fleet
+        finally:
+            await fleet.close()
--- /dev/null
+++ b/tests/stand_ins/platform_server.py
@@ -0,0 +1,122 @@
+"""Stand-in for a backend server on the platform; runs in the loop of the test."""
+
+import asyncio
+import collections
+import contextlib
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+HEARTBEAT_SECONDS = 0.3
+
+
+class PlatformServer:
+    """Counts the runs of each request, announces itself, and fails on command.
+
+    `behaviour` is one of `'answer'`, `'reset'` (breaks off after the run began), `'hang'`,
+    `'error'` and `'reject'` (says that it did not run the request).
+    """
+
+    def __init__(self, host: str, ports, service: str, name: str) -> None:
+        self.host = host
+        self.ports = ports
+        self.service = service
+        self.name = name
+        self.behaviour = 'answer'
+        self.work_seconds = 0.01
+        self.state = 'ready'
+        self.sequence = 0
+        self.runs_by_request: collections.Counter[str] = collections.Counter()
+        self.headers_by_request: dict[str, dict] = {}
+        self.cut: list[str] = []
+        self._beats: asyncio.Task | None = None
+        self._server: HTTPServer | None = None
+
+    def start(self) -> None:
+        self._server = HTTPServer(
+            Application(
+                [
+                    ('/healthz', HealthHandler, {'server': self}),
+                    ('.*', WorkHandler, {'server': self}),
+                ],
+            ),
+        )
+        self._server.listen(self.ports.server, self.host)
+        self._beats = asyncio.create_task(self._beat_for_ever())
+
+    def stop(self) -> None:
+        self._beats.cancel()
+        self._server.stop()
+
+    async def say(self, state: str) -> int:
+        """Announce a state; return the status of the acknowledgement."""
+        self.state = state
+        return await self._beat()
+
+    async def _beat_for_ever(self) -> None:
+        while True:
+            with contextlib.suppress(OSError):
+                await self._beat()
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def _beat(self) -> int:
+        self.sequence += 1
+        body = (
+            f'{{"address":"{self.host}:{self.ports.server}","born":1000,'
+            f'"info":{{"service":"{self.service}","version":"v1","zone":"a","slots":3}},'
+            f'"status":{{"state":"{self.state}","sequence":{self.sequence},"coldRemainingS":0}}}}'
+        )
+        request = HTTPRequest(
+            f'http://{self.host}:{self.ports.announcements}/Instances.Heartbeat/{self.name}',
+            method='POST',
+            body=body,
+            request_timeout=1,
+        )
+        client = AsyncHTTPClient(force_instance=True)
+        try:
+            return (await client.fetch(request, raise_error=False)).code
+        finally:
+            client.close()
+
+
+class HealthHandler(RequestHandler):
+    def initialize(self, server: PlatformServer) -> None:
+        self.server = server
+
+    def get(self) -> None:
+        self.set_status(200 if self.server.state == 'ready' else 503)
+        self.set_header('Turmericwharf-Instance-Id', self.server.name)
+
+
+class WorkHandler(RequestHandler):
+    SUPPORTED_METHODS = ('GET', 'POST', 'DELETE')
+
+    def initialize(self, server: PlatformServer) -> None:
+        self.server = server
+
+    def on_connection_close(self) -> None:
+        self.server.cut.append(self.request.headers['Turmericwharf-Attempt-Id'])
+
+    async def work(self) -> None:
+        server, headers = self.server, self.request.headers
+        name = headers['Turmericwharf-Attempt-Id']
+        if headers['Turmericwharf-Expected-Instance'] != server.name:
+            self.set_status(421)
+            return
+        if server.behaviour == 'reject':
+            self.set_status(503)
+            self.set_header('Turmericwharf-Not-Executed', '1')
+            return
+        server.runs_by_request[name] += 1
+        server.headers_by_request[name] = dict(headers)
+        await asyncio.sleep(3600 if server.behaviour == 'hang' else server.work_seconds)
+        if server.behaviour == 'reset':
+            self.request.connection.stream.close()
+            return
+        self.set_status(500 if server.behaviour == 'error' else 200)
+        self.set_header('Turmericwharf-Attempt-Id', name)
+        self.set_header('Turmericwharf-Response-Stamp', f'stamp-{name}')
+        self.write(f'{server.name}:'.encode() + self.request.body)
+
+    get = post = delete = work
--- /dev/null
+++ b/tests/stand_ins/platform_store.py
@@ -0,0 +1,134 @@
+"""Stand-in for the platform's store: keyed topics with one partition, and faults on command.
+
+Runs in the loop of the test. `fault` is one of `''`, `'busy'` (503), `'silent'` (no answer) and
+`'lost'` (appends take effect without an answer).
+"""
+
+import asyncio
+import base64
+import json
+import struct
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+CONFIGURATION_TOPIC = 'keyed.op'
+
+
+class Topic:
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+        self.first = 0
+        self.appended = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+class PlatformStore:
+    def __init__(self) -> None:
+        self.topics: dict[str, Topic] = {}
+        self.newest: dict[str, dict[str, tuple[int, bytes]]] = {}
+        self.fault = ''
+        self.calls = 0
+        self._server: HTTPServer | None = None
+
+    def topic(self, name: str) -> Topic:
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, name: str, key: str, content: bytes) -> None:
+        topic = self.topic(name)
+        topic.records.append((key, content))
+        newest = self.newest.setdefault(name, {})
+        if content:
+            newest[key] = (topic.end - 1, content)
+        else:
+            newest.pop(key, None)
+        topic.appended.set()
+        topic.appended = asyncio.Event()
+
+    def configure(self, configuration: dict) -> None:
+        self.put(CONFIGURATION_TOPIC, 'config', json.dumps(configuration).encode())
+
+    def forget(self) -> None:
+        """Drop the history of all topics; the newest record of each key stays."""
+        for topic in self.topics.values():
+            topic.first = topic.end
+            topic.records.clear()
+
+    def start(self, host: str, port: int) -> None:
+        arguments = {'store': self}
+        self._server = HTTPServer(
+            Application(
+                [
+                    ('/log-append', AppendHandler, arguments),
+                    ('/log-read', ReadHandler, arguments),
+                    ('/log-newest', NewestHandler, arguments),
+                ],
+            ),
+        )
+        self._server.listen(port, host)
+
+    def stop(self) -> None:
+        self._server.stop()
+
+
+class StoreHandler(RequestHandler):
+    def initialize(self, store: PlatformStore) -> None:
+        self.store = store
+
+    async def prepare(self) -> None:
+        self.store.calls += 1
+        if self.store.fault == 'busy':
+            self.set_status(503)
+            self.finish()
+        elif self.store.fault == 'silent':
+            await asyncio.sleep(3600)
+
+    @property
+    def topic(self) -> Topic:
+        return self.store.topic(self.get_query_argument('topic'))
+
+
+class AppendHandler(StoreHandler):
+    async def post(self) -> None:
+        body, place, first = self.request.body, 0, self.topic.end
+        while place < len(body):
+            length = struct.unpack_from('>I', body, place)[0]
+            record = body[place + 4 : place + 4 + length]
+            key = record[1 : 1 + record[0]].decode()
+            self.store.put(self.get_query_argument('topic'), key, record[1 + record[0] :])
+            place += 4 + length
+        if self.store.fault == 'lost':
+            await asyncio.sleep(3600)
+        self.write({'offset': first, 'end': self.topic.end})
+
+
+class ReadHandler(StoreHandler):
+    async def get(self) -> None:
+        topic, offset = self.topic, int(self.get_query_argument('from'))
+        if offset >= topic.end:
+            try:
+                async with asyncio.timeout(int(self.get_query_argument('waitMs', '0')) / 1000):
+                    await topic.appended.wait()
+            except TimeoutError:
+                pass
+        if offset < topic.first:
+            self.set_status(410)
+            self.write({'first': topic.first})
+            return
+        self.write(struct.pack('>QQ', topic.end, topic.first))
+        for key, content in topic.records[offset - topic.first :]:
+            record = bytes([len(key)]) + key.encode() + content
+            self.write(struct.pack('>I', len(record)) + record)
+
+
+class NewestHandler(StoreHandler):
+    async def get(self) -> None:
+        newest = self.store.newest.get(self.get_query_argument('topic'), {})
+        items = [
+            {'key': key, 'value': base64.b64encode(content).decode(), 'offset': offset}
+            for key, (offset, content) in newest.items()
+        ]
+        self.write({'items': items, 'hasMore': False, 'end': self.topic.end})
