--- a/packages/turmericwharf-cli/src/turmericwharf_cli/main.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/main.py
@@ -17,6 +17,7 @@
     new_identifier,
 )
 from turmericwharf_cli.client import Page
+from turmericwharf_cli.explain import explain
 from turmericwharf_cli.objects import organisation, route, service, work_class
 from turmericwharf_cli.session import EXIT_INVALID, EXIT_STATUS_HELP, Session, fail
 
@@ -41,6 +42,7 @@
 main.add_command(work_class)
 main.add_command(service)
 main.add_command(route)
+main.add_command(explain)
 
 
 @main.command()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/__init__.py
@@ -4,6 +4,7 @@
 beside it, which alone decides whether and when the request runs.
 """
 
+from turmericwharf.coordination.sidecar.fleet_entry import name_outcome
 from turmericwharf.coordination.sidecar.messages import answer_peer
 from turmericwharf.coordination.sidecar.node import (
     SidecarNode,
@@ -32,4 +33,5 @@
     'answer_peer',
     'build_sidecar_node',
     'judge_answer',
+    'name_outcome',
 )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_holder.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_holder.py
@@ -4,8 +4,9 @@
 
 from turmericwharf.coordination.sidecar.ports import ConfigurationDecoder
 from turmericwharf.coordination.sidecar.routes import RouteTable
+from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import KeyDigest
-from turmericwharf.state.sidecar import FleetConfiguration, OrganisationRule
+from turmericwharf.state.sidecar import FleetConfiguration, HolderDump, OrganisationRule
 
 
 class ConfigurationHolder:
@@ -61,3 +62,12 @@
     def find_organisation(self, digest: KeyDigest) -> OrganisationRule | None:
         """Return the organisation that holds a key, or None."""
         return self._organisations_by_key.get(digest)
+
+
+@describe.register
+def _(part: ConfigurationHolder) -> HolderDump:
+    return HolderDump(
+        version=part.version,
+        routes=len(part.current.routes),
+        organisations=len(part.current.organisations_by_id),
+    )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
@@ -5,8 +5,9 @@
 from loguru import logger
 
 from turmericwharf.coordination.ports import Clock
+from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import InstanceId, ServiceId
-from turmericwharf.state.sidecar import NodeEntry, ProcessId, ServerPhase
+from turmericwharf.state.sidecar import DirectoryDump, NodeEntry, ProcessId, ServerPhase
 
 _FIRST_SUSPICION_SECONDS = 0.25
 _LAST_SUSPICION_SECONDS = 4.0
@@ -139,3 +140,12 @@
         # The process that a connection leads to is the one that runs.
         met = self._met_by_id.get(entry.instance)
         return met is not None and met != entry.process
+
+
+@describe.register
+def _(part: NodeDirectory) -> DirectoryDump:
+    return DirectoryDump(
+        nodes=part.entries,
+        known_nodes=len(part.entries),
+        suspected_nodes=sum(part.is_suspected(one.instance) for one in part.peers),
+    )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/fleet_entry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/fleet_entry.py
@@ -8,8 +8,9 @@
 from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, RequestChecks
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
 from turmericwharf.coordination.sidecar.quota import QuotaKeeper
-from turmericwharf.state import SHUTDOWN, Answered, NotRun, Outcome, OrganisationId, RequestFailure
-from turmericwharf.state.sidecar import FleetRequest
+from turmericwharf.coordination.state_dump import describe
+from turmericwharf.state import SHUTDOWN, Answered, NotRun, OrganisationId, Outcome, RequestFailure
+from turmericwharf.state.sidecar import EntryDump, FleetRequest
 
 
 class FleetEntry:
@@ -93,3 +94,8 @@
         return f'answered_{outcome.status}'
     kind = 'not_run' if isinstance(outcome, NotRun) else 'unknown'
     return f'{kind}_{outcome.reason.value}'
+
+
+@describe.register
+def _(part: FleetEntry) -> EntryDump:
+    return EntryDump(in_progress=part.in_progress, outcomes_total=dict(part.outcomes_by_name))
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -13,6 +13,7 @@
 from turmericwharf.coordination.sidecar.order_table import OrderTable
 from turmericwharf.coordination.sidecar.ports import ServerConnection
 from turmericwharf.coordination.sidecar.run_times import RunTimes
+from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import (
     BREAKER_OPEN,
     CALLER_LEFT,
@@ -24,7 +25,7 @@
     OutcomeUnknown,
     RequestFailure,
 )
-from turmericwharf.state.sidecar import WorkAnswer, WorkCancel, WorkOrder
+from turmericwharf.state.sidecar import GateDump, WorkAnswer, WorkCancel, WorkOrder
 
 _QUEUE_LENGTH = 64
 _LEAST_RUN_SECONDS = 0.02
@@ -176,3 +177,13 @@
     if isinstance(outcome, Answered):
         return str(outcome.status)
     return outcome.reason.value
+
+
+@describe.register
+def _(part: ServerGate) -> GateDump:
+    return GateDump(
+        running=part.queue.in_progress,
+        waiting=part.queue.waiting,
+        orders_in_progress=part.orders.in_progress,
+        breaker_open=part.breaker.is_open,
+    )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_record.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_record.py
@@ -2,7 +2,8 @@
 
 from loguru import logger
 
-from turmericwharf.state.sidecar import NO_SERVER, AnnouncedServer, ServerPhase
+from turmericwharf.coordination.state_dump import describe
+from turmericwharf.state.sidecar import NO_SERVER, AnnouncedServer, RecordDump, ServerPhase
 
 
 class ServerRecord:
@@ -69,3 +70,8 @@
             # One start never becomes ready again after it began to leave.
             return True
         return announced.sequence < current.sequence
+
+
+@describe.register
+def _(part: ServerRecord) -> RecordDump:
+    return RecordDump(server=part.current)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
@@ -7,8 +7,9 @@
 from loguru import logger
 
 from turmericwharf.coordination.sidecar.ports import KeyedLog
+from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import LogFailure
-from turmericwharf.state.sidecar import HISTORY_GONE, KeyedPage, StoreTopic
+from turmericwharf.state.sidecar import HISTORY_GONE, FollowerDump, KeyedPage, StoreTopic
 
 _WAIT_SECONDS = 10.0
 _FIRST_PAUSE_SECONDS = 0.1
@@ -91,3 +92,8 @@
             logger.bind(topic=self._topic.value).info('store_reached')
         self.is_connected = True
         self.has_read = True
+
+
+@describe.register
+def _(part: TopicFollower) -> FollowerDump:
+    return FollowerDump(is_connected=part.is_connected)
--- a/packages/turmericwharf/src/turmericwharf/platform/pages.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/pages.py
@@ -4,13 +4,15 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.sidecar import SidecarNode
+from turmericwharf.coordination import dump_parts
+from turmericwharf.coordination.sidecar import SidecarNode, name_outcome
 from turmericwharf.platform.announcements import read_heartbeat, read_leave
 from turmericwharf.platform.dialect import PlatformDialect
-from turmericwharf.protocol import HttpAnswer, HttpRequest
-from turmericwharf.transport.metrics import render_metrics
+from turmericwharf.protocol import HttpAnswer, HttpRequest, to_page
+from turmericwharf.transport.metrics import LatencyHistogram, render_metrics
 
 _OK = 200
+_DUMP_PATH = '/state'
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
@@ -25,11 +27,14 @@
     def __init__(self, node: SidecarNode, dialect: PlatformDialect) -> None:
         self._node = node
         self._dialect = dialect
+        self._latencies = LatencyHistogram()
 
     async def serve_client(self, request: HttpRequest) -> HttpAnswer:
         """Answer a request of a client or of the own backend server."""
+        began_at = self._node.clock.now()
         read = self._dialect.read_request(request)
         outcome = await self._node.entry.serve(read)
+        self._latencies.record(name_outcome(outcome), self._node.clock.now() - began_at)
         return self._dialect.write_outcome(read, outcome)
 
     async def serve_readiness(self, request: HttpRequest) -> HttpAnswer:
@@ -56,5 +61,7 @@
         return HttpAnswer(_OK, _JSON, b'{}')
 
     async def serve_operator(self, request: HttpRequest) -> HttpAnswer:
-        """Answer with metrics."""
-        return render_metrics(self._node)
+        """Answer with the metrics, or with the state dump at its own path."""
+        if request.target == _DUMP_PATH:
+            return to_page(dump_parts(self._node))
+        return render_metrics(self._node, self._latencies)
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -1,5 +1,13 @@
 """Values of a fleet whose nodes each run beside one backend server."""
 
+from turmericwharf.state.sidecar.dumps import (
+    DirectoryDump,
+    EntryDump,
+    FollowerDump,
+    GateDump,
+    HolderDump,
+    RecordDump,
+)
 from turmericwharf.state.sidecar.fleet_configuration import (
     NO_FLEET_VERSION,
     ClientLimits,
@@ -50,16 +58,22 @@
     'ConfigurationReply',
     'ConfigurationRequest',
     'Destination',
+    'DirectoryDump',
     'DirectoryReply',
     'DirectoryRequest',
+    'EntryDump',
     'FleetConfiguration',
     'FleetMessage',
     'FleetRequest',
+    'FollowerDump',
+    'GateDump',
     'Greeting',
+    'HolderDump',
     'KeyedPage',
     'NodeEntry',
     'OrganisationRule',
     'ProcessId',
+    'RecordDump',
     'RouteRule',
     'ServerAnswer',
     'ServerId',
--- a/packages/turmericwharf/src/turmericwharf/transport/metrics.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/metrics.py
@@ -1,10 +1,11 @@
 """Metrics of a node, made from the state dump when they are asked for."""
 
 import dataclasses
+import math
 from collections.abc import Mapping
 from types import MappingProxyType
 
-from aioprometheus.collectors import Collector, Counter, Gauge, Registry
+from aioprometheus.collectors import Collector, Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 from turmericwharf.coordination import Node, dump_parts
@@ -12,6 +13,7 @@
 from turmericwharf.protocol import HttpAnswer
 
 _OK = 200
+_LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, math.inf)
 _COUNTER_SUFFIX = '_total'
 _NUMBERS = (bool, int, float)
 _COLLECTORS_BY_GROWTH: Mapping[bool, type[Collector]] = MappingProxyType(
@@ -19,9 +21,33 @@
 )
 
 
-def render_metrics(node: Node | SidecarNode) -> HttpAnswer:
+class LatencyHistogram:
+    """Seconds until the answers to clients, by outcome."""
+
+    def __init__(self) -> None:
+        self._histogram = Histogram(
+            'turmericwharf_request_seconds',
+            'Seconds from the request to its outcome',
+            buckets=_LATENCY_BUCKETS,
+        )
+
+    def record(self, outcome: str, seconds: float) -> None:
+        """Count one answer."""
+        self._histogram.add({'outcome': outcome}, seconds)
+
+    def register(self, registry: Registry) -> None:
+        """Add the histogram to what is rendered."""
+        registry.register(self._histogram)
+
+
+def render_metrics(
+    node: Node | SidecarNode,
+    latencies: LatencyHistogram | None = None,
+) -> HttpAnswer:
     """Return all numbers of the state dump in the text format of Prometheus."""
     registry = Registry()
+    if latencies is not None:
+        latencies.register(registry)
     for part, dump in dump_parts(node).items():
         for field in dataclasses.fields(dump):  # type: ignore[arg-type]
             _collect(registry, f'{part}_{field.name}', getattr(dump, field.name))
--- a/tests/fleet/test_sidecar.py
+++ b/tests/fleet/test_sidecar.py
@@ -1,6 +1,7 @@
 """Sidecar nodes as separate processes, with faults from outside."""
 
 import asyncio
+import json
 import signal
 
 from tests.sidecar_fleet import KEY, make_configuration, running_fleet
@@ -26,6 +27,31 @@
         assert int(headers['Turmericwharf-Deadline-Ms']) <= 3000
 
 
+async def test_metrics_and_state_are_served():
+    """On-call engineers would have nothing but the logs."""
+    async with running_fleet(2) as fleet:
+        node = fleet.nodes[0]
+        await node.ask('/read/1')
+        base = f'http://{node.host}:{fleet.ports.first_peer + 1}'
+        text = (await fleet.fetch(f'{base}/metrics')).body.decode()
+        assert 'turmericwharf_request_seconds_bucket{le="0.25",outcome="answered_200"}' in text
+        assert 'turmericwharf_gate_running 0' in text
+        state = json.loads((await fleet.fetch(f'{base}/state')).body)
+        assert state['holder']['version'] == 1
+        assert len(state['directory']['nodes']) == 2
+
+
+async def test_changed_settings_are_read_on_a_signal():
+    """A signal that announces changed settings would end the process."""
+    async with running_fleet(1) as fleet:
+        node = fleet.nodes[0]
+        node.process.send_signal(signal.SIGHUP)
+        async with asyncio.timeout(5):
+            while not node.events('settings_reloaded'):
+                await asyncio.sleep(0.05)
+        assert (await node.ask('/read/1')).code == 200
+
+
 async def test_bad_keys_and_paths_are_refused():
     """A request would run for nobody, or for another organisation."""
     async with running_fleet(2) as fleet:
