--- a/packages/turmericwharf-cli/src/turmericwharf_cli/explain.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/explain.py
@@ -1,6 +1,7 @@
 """Tells what happened to one request, from the logs of many nodes."""
 
 import json
+import sys
 from collections.abc import Iterable, Iterator
 from types import MappingProxyType
 from typing import Any, TextIO
@@ -35,7 +36,7 @@
 
     LOGS are files of JSON lines, one or more for each node; without any, standard input is read.
     """
-    sources: tuple[TextIO, ...] = logs or (click.get_text_stream('stdin', errors='replace'),)
+    sources: tuple[TextIO, ...] = logs or (sys.stdin,)
     events = [one for source in sources for one in read_events(source, request)]
     if not events:
         raise click.ClickException(
