--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -53,10 +53,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Attempt:
-    """One order on its way."""
+    """One order on its way, and the load by which its server was chosen."""
 
     entry: NodeEntry
     number: int
+    load: int
+    load_age: float | None
     task: asyncio.Task[WorkAnswer]
 
 
@@ -146,20 +148,24 @@
         admitted: FleetAdmission,
         entry: NodeEntry,
         progress: _Progress,
+        *,
+        at_work: int = 0,
     ) -> _Attempt:
         progress.number += 1
         progress.excluded.add(entry.instance)
         self._choice.start(entry.instance)
-        may_try = admitted.route.idempotent and self._has_more(admitted, progress, at_work=1)
+        # A second server must not be one that fails.
+        may_try = not at_work and self._has_more(admitted, progress, at_work=1)
         sending = self._sender.send(
             admitted,
             entry,
             number=progress.number,
             allowed_seconds=self._left(admitted),
             target_seconds=self._target_seconds(admitted),
-            may_try=may_try,
+            may_try=may_try and admitted.route.idempotent,
         )
-        return _Attempt(entry, progress.number, asyncio.create_task(sending))
+        load, load_age = self._choice.known_load(entry.instance)
+        return _Attempt(entry, progress.number, load, load_age, asyncio.create_task(sending))
 
     def _target_seconds(self, admitted: FleetAdmission) -> float:
         # The server that makes a call holds a slot for it, so a call waits for as long as it may.
@@ -181,7 +187,7 @@
         entry = self._choice.choose(admitted.service, progress.excluded)
         if entry is not None and self._spend(admitted):
             progress.runs += 1
-            attempts.append(self._start(admitted, entry, progress))
+            attempts.append(self._start(admitted, entry, progress, at_work=1))
             logger.bind(
                 request=admitted.request.request,
                 waiting_for=first.entry.instance,
@@ -234,6 +240,8 @@
             instance=ended.entry.instance,
             server=ended.entry.server,
             outcome=_name(outcome),
+            load=ended.load,
+            load_age=ended.load_age,
             final=is_final,
         ).info('attempt_ended')
         return is_final
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -201,7 +201,18 @@
             # A holder that has just started has its next token soon.
             await asyncio.sleep(wait_seconds)
             wait_seconds = await self._ask_all(admitted.organisation)
-        return RATE_EXCEEDED if wait_seconds else None
+        if not wait_seconds:
+            return None
+        logger.bind(
+            request=admitted.request.request,
+            organisation=rule.organisation,
+            rate=rule.rate_per_second,
+            holders=len(self._ordered_holders(rule.organisation)),
+            parts=self.buckets.holders.parts,
+            next_token_seconds=None if math.isinf(wait_seconds) else round(wait_seconds, 3),
+            version=admitted.version,
+        ).info('token_refused')
+        return RATE_EXCEEDED
 
     async def _ask_all(self, organisation: OrganisationId) -> float:
         """Return 0 with a token, else the seconds until one of the holders has one."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
@@ -57,6 +57,13 @@
         wanted = [one for one in trusted if not self._is_avoided(one.instance)]
         return min(wanted or trusted or usable, key=self._cost, default=None)
 
+    def known_load(self, instance: InstanceId) -> tuple[int, float | None]:
+        """Return the requests at a server as last heard, and the age of that in seconds."""
+        heard = self._load_by_id.get(instance)
+        if heard is None:
+            return 0, None
+        return heard.requests, round(self._clock.now() - heard.heard_at, 3)
+
     def start(self, instance: InstanceId) -> None:
         """Count an attempt that starts."""
         self._in_flight_by_id[instance] += 1
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -152,6 +152,10 @@
             reason=failure.reason.value,
             running=self.queue.in_progress,
             waiting=self.queue.waiting,
+            expected_wait=round(self.backlog.expected_wait(order.rank, self.queue), 3),
+            breaker_open=self.breaker.is_open,
+            version=version,
+            order_version=order.version,
         ).info('order_refused')
         return self._answer(NotRun(failure.reason, failure.detail), version)
 
