--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONDONTWRITEBYTECODE := 1
 
 
-.PHONY: setup lint test fault-matrix demo bench format clean
+.PHONY: setup lint test fault-matrix demo bench soak format clean
 
 # The packages run from the tree (PYTHONPATH), so that a second work tree can share $(VENV).
 setup: $(VENV)/.installed
@@ -36,6 +36,10 @@
 demo: setup
 	$(BIN)/python -m tests.demo
 
+SEEDS ?= 1-3
+soak: setup
+	$(BIN)/python -m tests.soak $(SEEDS)
+
 bench: setup
 	$(BIN)/python -m benchmarks.run
 
