--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -38,7 +38,7 @@
     StoreTopic,
 )
 
-_GATHER_SECONDS = 0.25
+_GATHER_SECONDS = 0.5
 # The lookups of a repeated request count as repeats of the service that they call.
 _BUDGET_SHARE = 0.75
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -32,6 +32,8 @@
 _OVERDUE_FACTOR = 3.0
 # Wait beyond the useful time, in usual run times, so that a short queue is no reason to refuse.
 _LATE_SHARE = 0.5
+# Predictions of the wait are too short when calls of servers come in between.
+_WAIT_SHARE = 0.6
 
 
 class ServerGate:
@@ -94,7 +96,8 @@
     async def _acquire(self, order: WorkOrder) -> RequestFailure | None:
         run_seconds = max(self._times.usual(order.route), _LEAST_RUN_SECONDS)
         # An answer after the target is worth less than the place that the wait takes.
-        useful_seconds = max(order.target_seconds - run_seconds, 0) + _LATE_SHARE * run_seconds
+        useful_seconds = max(order.target_seconds - run_seconds, 0) * _WAIT_SHARE
+        useful_seconds += _LATE_SHARE * run_seconds
         wait_seconds = min(order.remaining_seconds - run_seconds, useful_seconds)
         if self.backlog.expected_wait(order.rank, self.queue) > wait_seconds:
             return QUEUE_FULL
