--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -48,7 +48,8 @@
 
 def test_standard_input_and_broken_lines_are_read():
     """A truncated line would hide the rest of the log."""
-    text = 'node-1 {"at": 1, "event": "request_refused", "request": "r1", "reason": "rate_exceeded"}\n{"r1\n'
+    refused = {'at': 1, 'event': 'request_refused', 'request': 'r1', 'reason': 'rate_exceeded'}
+    text = f'node-1 {json.dumps(refused)}\n{{"r1\n'
     found = CliRunner().invoke(main, ['explain', 'r1'], input=text)
     assert found.exit_code == 0
     assert 'above its rate' in found.output
