--- a/packages/turmericwharf/src/turmericwharf/platform/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/announcements.py
@@ -15,11 +15,9 @@
     slots: int
 
 
-class _Status(msgspec.Struct, frozen=True, rename='camel'):
+class _Status(msgspec.Struct, frozen=True):
     state: str
     sequence: int
-    # How much longer the server is slow after its start.
-    cold_remaining_s: float = msgspec.field(default=0, name='coldRemainingS')
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
@@ -49,7 +47,6 @@
         phase=phase,
         born=found.born,
         sequence=found.status.sequence,
-        cold_seconds=found.status.cold_remaining_s,
     )
 
 
--- a/packages/turmericwharf/src/turmericwharf/platform/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/settings.py
@@ -48,10 +48,6 @@
 class _Bounds(msgspec.Struct, frozen=True, rename='camel'):
     retry_budget_ratio: float = 0.2
     budget_extra_retries: float = 0
-    budget_window_s: float = msgspec.field(default=10, name='budgetWindowS')
-    quota_window_s: float = msgspec.field(default=5, name='quotaWindowS')
-    config_apply_s: float = msgspec.field(default=2, name='configApplyS')
-    drain_s: float = msgspec.field(default=2, name='drainS')
     grace_s: float = msgspec.field(default=6, name='graceS')
 
 
@@ -98,10 +94,6 @@
         bounds=SidecarBounds(
             retry_ratio=bounds.retry_budget_ratio,
             retry_extra=bounds.budget_extra_retries,
-            retry_window_seconds=bounds.budget_window_s,
-            quota_window_seconds=bounds.quota_window_s,
-            apply_seconds=bounds.config_apply_s,
-            drain_seconds=bounds.drain_s,
             grace_seconds=bounds.grace_s,
         ),
     )
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
@@ -43,7 +43,6 @@
     phase: ServerPhase = ServerPhase.ABSENT
     born: int = 0
     sequence: int = 0
-    cold_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/settings.py
@@ -26,14 +26,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SidecarBounds:
-    """Bounds that the operators promise for the whole fleet."""
+    """Bounds that the operators promise for the whole fleet.
+
+    Parameters
+    ----------
+    retry_ratio, retry_extra
+        Most repeats of requests to a service over its requests, and beyond that.
+    grace_seconds
+        Time from the signal to stop until the process is killed.
+    """
 
     retry_ratio: float
     retry_extra: float
-    retry_window_seconds: float
-    quota_window_seconds: float
-    apply_seconds: float
-    drain_seconds: float
     grace_seconds: float
 
 
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
@@ -54,7 +54,6 @@
         self._used_at = self._loop.time()
         # Result of the attempt to connect that is in progress, or of the latest one.
         self._attempt: asyncio.Future[FrameChannel | None] = self._loop.create_future()
-        self._wanted = asyncio.Event()
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -73,7 +72,6 @@
     ) -> FleetMessage | LinkFailure | LinkUncertain:
         """Send a message and wait for its answer."""
         self._used_at = self._loop.time()
-        self._wanted.set()
         deadline = self._used_at + timeout_seconds
         channel = await self._connected_channel(min(deadline, self._used_at + _CONNECT_SECONDS))
         if channel is None:
@@ -127,14 +125,10 @@
             backoff_seconds = _FIRST_BACKOFF_SECONDS if was_connected else 2 * backoff_seconds
             backoff_seconds = min(backoff_seconds, _LAST_BACKOFF_SECONDS)
             # Jitter keeps the nodes from connecting all at once to a node that comes back.
-            await self._wait_until_wanted(backoff_seconds * random.uniform(0.5, 1.0))
+            await asyncio.sleep(backoff_seconds * random.uniform(0.5, 1.0))
             if self._attempt.done():
                 self._attempt = self._loop.create_future()
 
-    async def _wait_until_wanted(self, seconds: float) -> None:
-        self._wanted.clear()
-        await asyncio.sleep(seconds)
-
     async def _connect_once(self) -> bool:
         try:
             await self._connect_and_read()
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -56,7 +56,6 @@
     found = read_heartbeat('s1', json.dumps(HEARTBEAT).encode())
     assert found.phase is ServerPhase.READY
     assert (found.service, found.slots, found.born, found.sequence) == ('bookings', 3, 1700, 4)
-    assert found.cold_seconds == 0.5
 
 
 @given(JSON, st.sampled_from(['info', 'status', 'born', 'address']))
