--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
@@ -7,6 +7,7 @@
     LinkFailure,
     LinkUncertain,
     LogFailure,
+    Message,
     NotRun,
     OutcomeUnknown,
 )
@@ -29,7 +30,7 @@
         message: FleetMessage,
         *,
         timeout_seconds: float,
-    ) -> FleetMessage | LinkFailure | LinkUncertain:
+    ) -> Message | LinkFailure | LinkUncertain:
         """Send a message and wait for its answer.
 
         Returns
--- a/packages/turmericwharf/src/turmericwharf/transport/peer_link.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/peer_link.py
@@ -1,7 +1,6 @@
 """Outgoing connections to other nodes, one task for each peer."""
 
 import asyncio
-import itertools
 import random
 
 from loguru import logger
@@ -12,9 +11,7 @@
 from turmericwharf.protocol import Frame, is_valid_welcome, make_nonce, make_proof
 from turmericwharf.state import (
     PEER_INSTANCE_FOREIGN,
-    PEER_LINK_LOST,
     PEER_SECRET_WRONG,
-    PEER_TIMEOUT,
     PEER_UNREACHABLE,
     Challenge,
     InstanceId,
@@ -29,6 +26,7 @@
     Welcome,
 )
 from turmericwharf.transport.connection import WIRE_FRAME_BYTES, FrameChannel
+from turmericwharf.transport.pending_answers import PendingAnswers
 
 _CONNECT_SECONDS = 2.0
 _FIRST_BACKOFF_SECONDS = 0.1
@@ -68,8 +66,7 @@
         self._own = own
         self._settings = settings
         self._members = members
-        self._correlations = itertools.count(1)
-        self._answers_by_correlation: dict[int, asyncio.Future[Message | LinkUncertain]] = {}
+        self._answers = PendingAnswers()
         self._loop = asyncio.get_running_loop()
         self._in_use = 0
         self._used_at = self._loop.time()
@@ -107,34 +104,7 @@
         channel = await self._connected_channel(deadline)
         if channel is None:
             return PEER_UNREACHABLE
-        correlation = next(self._correlations)
-        answer: asyncio.Future[Message | LinkUncertain] = self._loop.create_future()
-        self._answers_by_correlation[correlation] = answer
-        try:
-            return await self._exchange(channel, message, correlation, answer, deadline)
-        finally:
-            self._answers_by_correlation.pop(correlation, None)
-
-    async def _exchange(
-        self,
-        channel: FrameChannel,
-        message: Message,
-        correlation: int,
-        answer: asyncio.Future[Message | LinkUncertain],
-        deadline: float,
-    ) -> Message | LinkFailure | LinkUncertain:
-        failure = await channel.send(
-            message,
-            correlation,
-            timeout_seconds=deadline - self._loop.time(),
-        )
-        if failure is not None:
-            return failure
-        try:
-            async with asyncio.timeout_at(deadline):
-                return await answer
-        except TimeoutError:
-            return PEER_TIMEOUT
+        return await self._answers.exchange(channel, message, deadline)
 
     async def _connected_channel(self, deadline: float) -> FrameChannel | None:
         try:
@@ -190,15 +160,10 @@
                 logger.bind(peer=self.peer.instance, detail=frame.detail).warning('frame_rejected')
                 return
             if isinstance(frame, Frame):
-                self._give_answer(frame)
+                self._answers.give(frame)
             elif self._is_idle() or await self._is_silent(channel):
                 return
 
-    def _give_answer(self, frame: Frame) -> None:
-        answer = self._answers_by_correlation.get(frame.correlation)
-        if answer is not None and not answer.done():
-            answer.set_result(frame.message)
-
     async def _receive(self, channel: FrameChannel) -> Frame | ProtocolFailure | None:
         try:
             async with asyncio.timeout(_SILENCE_SECONDS):
@@ -208,7 +173,7 @@
 
     async def _is_silent(self, channel: FrameChannel) -> bool:
         # A one-way cut takes the bytes of requests and gives no sign of it, so the link asks.
-        if not self._answers_by_correlation:
+        if not self._answers:
             return False
         is_silent = not await channel.is_responding(_SILENCE_SECONDS)
         if is_silent:
@@ -221,9 +186,7 @@
     def _drop(self) -> None:
         if self._attempt.result() is not None:
             self._attempt = self._loop.create_future()
-        for answer in self._answers_by_correlation.values():
-            if not answer.done():
-                answer.set_result(PEER_LINK_LOST)
+        self._answers.lose_all()
 
 
 class PeerLinkTable:
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
@@ -1,7 +1,6 @@
 """Outgoing connections to other sidecar nodes, one task for each peer."""
 
 import asyncio
-import itertools
 import random
 
 from loguru import logger
@@ -11,16 +10,16 @@
 from turmericwharf.coordination.sidecar import SidecarNode
 from turmericwharf.protocol import Frame
 from turmericwharf.state import (
-    PEER_LINK_LOST,
-    PEER_TIMEOUT,
     PEER_UNREACHABLE,
     InstanceId,
     LinkFailure,
     LinkUncertain,
+    Message,
     ProtocolFailure,
 )
 from turmericwharf.state.sidecar import FleetMessage, Greeting, NodeEntry, WorkAnswer
 from turmericwharf.transport.connection import WIRE_FRAME_BYTES, FrameChannel
+from turmericwharf.transport.pending_answers import PendingAnswers
 
 MOST_FRAME_BYTES = 80_000_000
 _CONNECT_SECONDS = 0.5
@@ -48,8 +47,7 @@
     def __init__(self, node: SidecarNode, peer: NodeEntry) -> None:
         self.peer = peer
         self._node = node
-        self._correlations = itertools.count(1)
-        self._answers: dict[int, asyncio.Future[FleetMessage | LinkUncertain]] = {}
+        self._answers = PendingAnswers()
         self._loop = asyncio.get_running_loop()
         self._used_at = self._loop.time()
         # Result of the attempt to connect that is in progress, or of the latest one.
@@ -69,20 +67,14 @@
         self,
         message: FleetMessage,
         timeout_seconds: float,
-    ) -> FleetMessage | LinkFailure | LinkUncertain:
+    ) -> Message | LinkFailure | LinkUncertain:
         """Send a message and wait for its answer."""
         self._used_at = self._loop.time()
         deadline = self._used_at + timeout_seconds
         channel = await self._connected_channel(min(deadline, self._used_at + _CONNECT_SECONDS))
         if channel is None:
             return PEER_UNREACHABLE
-        correlation = next(self._correlations)
-        answer: asyncio.Future[FleetMessage | LinkUncertain] = self._loop.create_future()
-        self._answers[correlation] = answer
-        try:
-            return await self._exchange(channel, message, correlation, answer, deadline)
-        finally:
-            self._answers.pop(correlation, None)
+        return await self._answers.exchange(channel, message, deadline)
 
     async def tell(self, message: FleetMessage) -> None:
         """Send a message that has no answer."""
@@ -92,24 +84,6 @@
         if channel is not None:
             await channel.send(message, timeout_seconds=_TELL_SECONDS)
 
-    async def _exchange(
-        self,
-        channel: FrameChannel,
-        message: FleetMessage,
-        correlation: int,
-        answer: asyncio.Future[FleetMessage | LinkUncertain],
-        deadline: float,
-    ) -> FleetMessage | LinkFailure | LinkUncertain:
-        left = deadline - self._loop.time()
-        failure = await channel.send(message, correlation, timeout_seconds=left)
-        if failure is not None:
-            return failure
-        try:
-            async with asyncio.timeout_at(deadline):
-                return await answer
-        except TimeoutError:
-            return PEER_TIMEOUT
-
     async def _connected_channel(self, deadline: float) -> FrameChannel | None:
         try:
             async with asyncio.timeout_at(deadline):
@@ -179,9 +153,7 @@
     def _give_answer(self, frame: Frame) -> None:
         if isinstance(frame.message, WorkAnswer):
             self._node.spread.note(self.peer.instance, frame.message.version)
-        answer = self._answers.get(frame.correlation)
-        if answer is not None and not answer.done():
-            answer.set_result(frame.message)  # type: ignore[arg-type]
+        self._answers.give(frame)
 
     async def _receive(self, channel: FrameChannel) -> Frame | ProtocolFailure | None:
         try:
@@ -194,9 +166,7 @@
         self._node.directory.part(self.peer.instance)
         if self._attempt.result() is not None:
             self._attempt = self._loop.create_future()
-        for answer in self._answers.values():
-            if not answer.done():
-                answer.set_result(PEER_LINK_LOST)
+        self._answers.lose_all()
 
 
 class FleetLinkTable:
@@ -217,7 +187,7 @@
         message: FleetMessage,
         *,
         timeout_seconds: float,
-    ) -> FleetMessage | LinkFailure | LinkUncertain:
+    ) -> Message | LinkFailure | LinkUncertain:
         """Send a message and wait for its answer."""
         link = self._find_link(peer)
         if link is None:
