--- a/benchmarks/sidecar_slopes.py
+++ b/benchmarks/sidecar_slopes.py
@@ -6,6 +6,7 @@
 import json
 import time
 import tracemalloc
+from types import SimpleNamespace
 
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
@@ -13,7 +14,7 @@
 from turmericwharf.coordination.sidecar.server_choice import ServerChoice
 from turmericwharf.platform.configuration import decode_configuration
 from turmericwharf.protocol import encode_node_entry
-from turmericwharf.state.sidecar import NodeEntry, ServerPhase
+from turmericwharf.state.sidecar import NodeEntry, ServerPhase, SidecarBounds
 from turmericwharf.transport.clock import BootClock
 
 PLACES = 4
@@ -92,7 +93,8 @@
     holders.refresh()
     directory.update(make_entry(count), source='benchmark')
     refresh = timed(holders.refresh)
-    buckets = QuotaBuckets(holders, holder, clock)
+    bounds = SidecarBounds(0.2, 64, 6, 5, 0.1, 20)
+    buckets = QuotaBuckets(holders, holder, clock, SimpleNamespace(current=bounds))
     grant = timed(lambda: buckets.grant('t1'), ROUNDS)
     choice = ServerChoice(directory, clock)
     choose = timed(lambda: choice.choose('service-0', frozenset()), ROUNDS)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -99,7 +99,9 @@
     checks = OrderChecks(record, holder, request_checks)
     gate = ServerGate(server=ports.server, checks=checks, directory=directory, clock=clock)
     holders = QuotaHolders(directory, holder, clock)
-    quota = QuotaKeeper(QuotaBuckets(holders, holder, clock), ports.links, directory, holder)
+    quota = QuotaKeeper(
+        QuotaBuckets(holders, holder, clock, bounds), ports.links, directory, holder
+    )
     publisher = OwnEntryPublisher(ports.store, directory)
     announcements = AnnouncementService(record, gate, publisher)
     membership = FleetMembership(directory, announcements, publisher, ports.decode_entry, holders)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -15,6 +15,7 @@
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.rendezvous import partition_of, rank_instances
 from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, FleetAdmission
+from turmericwharf.coordination.sidecar.bounds import BoundsInForce
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import FleetLinks
@@ -32,7 +33,11 @@
     TokenRequest,
 )
 
-_ASK_SECONDS = 0.3
+_ASK_SECONDS = 0.2
+# A holder that begins this soon after the start of its process held the part before.
+_START_SECONDS = 3.0
+# Two starts of all processes inside one window stay within what may run beyond the rate.
+_START_SHARE = 0.45
 _MOST_WAIT_SECONDS = 0.1
 # A holder that is down takes at most this part of a rate with it.
 _LEAST_PARTS = 3
@@ -131,8 +136,8 @@
 class QuotaBuckets:
     """The parts of rates that this node holds.
 
-    A bucket is empty when the node becomes its holder, so that a restart or a change of holders
-    never grants a burst twice.
+    A bucket is empty when the node becomes its holder, so that a change of holders never grants a
+    burst twice. After a start of the process it holds a part of what may run beyond the rate.
 
     Parameters
     ----------
@@ -142,9 +147,19 @@
         Configuration in force.
     clock
         Clock of the node.
+    bounds
+        What may run beyond the rate.
     """
 
-    def __init__(self, holders: QuotaHolders, holder: ConfigurationHolder, clock: Clock) -> None:
+    def __init__(
+        self,
+        holders: QuotaHolders,
+        holder: ConfigurationHolder,
+        clock: Clock,
+        bounds: BoundsInForce,
+    ) -> None:
+        self._bounds = bounds
+        self._started_at = clock.now()
         self.holders = holders
         self._holder = holder
         self._clock = clock
@@ -167,10 +182,17 @@
         now = self._clock.now()
         level = self._levels_by_id.get(rule.organisation)
         if level is None or level.at < held_since:
-            level = _Level(0, held_since)
+            level = _Level(self._first_tokens(rule, held_since) * part, held_since)
         gained = (now - level.at) * rule.rate_per_second * part
         return min(level.tokens + gained, max(rule.burst * part, 1))
 
+    def _first_tokens(self, rule: OrganisationRule, held_since: float) -> float:
+        if held_since > self._started_at + _START_SECONDS:
+            return 0
+        bounds = self._bounds.current
+        allowed = rule.rate_per_second * bounds.rate_window_seconds + rule.burst
+        return (allowed * bounds.rate_overage + bounds.rate_slack) * _START_SHARE
+
 
 class QuotaKeeper:
     """Takes tokens for admitted requests.
--- a/packages/turmericwharf/src/turmericwharf/platform/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/settings.py
@@ -49,6 +49,9 @@
     retry_budget_ratio: float = 0.2
     budget_extra_retries: float = 0
     grace_s: float = msgspec.field(default=6, name='graceS')
+    quota_window_s: float = msgspec.field(default=5, name='quotaWindowS')
+    quota_overage: float = 0
+    quota_slack: float = 0
 
 
 class _Terms(msgspec.Struct, frozen=True):
@@ -95,6 +98,9 @@
             retry_ratio=bounds.retry_budget_ratio,
             retry_extra=bounds.budget_extra_retries,
             grace_seconds=bounds.grace_s,
+            rate_window_seconds=bounds.quota_window_s,
+            rate_overage=bounds.quota_overage,
+            rate_slack=bounds.quota_slack,
         ),
     )
 
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/settings.py
@@ -34,11 +34,17 @@
         Most repeats of requests to a service over its requests, and beyond that.
     grace_seconds
         Time from the signal to stop until the process is killed.
+    rate_window_seconds, rate_overage, rate_slack
+        In a window of this length an organisation may run this share of its rate and burst, and
+        this many requests, more than they allow.
     """
 
     retry_ratio: float
     retry_extra: float
     grace_seconds: float
+    rate_window_seconds: float
+    rate_overage: float
+    rate_slack: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/coordination/sidecar/test_quota.py
+++ b/tests/coordination/sidecar/test_quota.py
@@ -1,19 +1,33 @@
 import dataclasses
+from types import SimpleNamespace
 
 from tests.coordination.fakes import ManualClock
 from tests.coordination.sidecar.samples import make_configuration, make_entry
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders
-from turmericwharf.state.sidecar import OrganisationRule, ServerPhase
+from turmericwharf.state.sidecar import OrganisationRule, ServerPhase, SidecarBounds
 
 RATE = 30
+WINDOW_SECONDS = 5
+
+
+def make_bounds(*, overage, slack):
+    bounds = SidecarBounds(
+        retry_ratio=0.2,
+        retry_extra=64,
+        grace_seconds=6,
+        rate_window_seconds=WINDOW_SECONDS,
+        rate_overage=overage,
+        rate_slack=slack,
+    )
+    return SimpleNamespace(current=bounds)
 
 
 class Fleet:
     """Quota buckets of nodes that all see the same entries."""
 
-    def __init__(self, entries) -> None:
+    def __init__(self, entries, *, overage=0.0, slack=0.0) -> None:
         self.clock = ManualClock()
         self.buckets_by_id = {}
         self.directories = []
@@ -26,7 +40,12 @@
             holders = QuotaHolders(directory, holder, self.clock)
             holders.refresh()
             self.directories.append(directory)
-            self.buckets_by_id[own.instance] = QuotaBuckets(holders, holder, self.clock)
+            self.buckets_by_id[own.instance] = QuotaBuckets(
+                holders,
+                holder,
+                self.clock,
+                make_bounds(overage=overage, slack=slack),
+            )
 
     def drain(self) -> int:
         """Take tokens at all nodes until none has one; return how many there were."""
@@ -56,6 +75,22 @@
     assert fleet.drain() == 0
 
 
+def test_two_restarts_of_all_stay_inside_what_may_run_beyond_the_rate():
+    """All processes killed twice in a window would grant an organisation too much."""
+    overage, slack = 0.1, 20
+    allowed = (RATE * WINDOW_SECONDS + RATE) * (1 + overage) + slack
+    fleet = Fleet(make_nodes(), overage=overage, slack=slack)
+    fleet.clock.at += 60
+    ran = fleet.drain()
+    for _ in range(2):
+        restarted = Fleet(make_nodes(), overage=overage, slack=slack)
+        first = restarted.drain()
+        assert first > 10
+        restarted.clock.at += WINDOW_SECONDS / 2
+        ran += first + restarted.drain()
+    assert ran <= allowed
+
+
 def test_new_holder_starts_empty():
     """A change of holders would grant the burst of a part twice in one window."""
     nodes = make_nodes()
