--- a/benchmarks/gossip_bytes.py
+++ b/benchmarks/gossip_bytes.py
@@ -11,8 +11,8 @@
 import time
 
 from turmericwharf.coordination import MembershipView, Standing
-from turmericwharf.coordination.control_log import ControlLog
-from turmericwharf.coordination.gossip import Gossiper
+from turmericwharf.coordination.configuration.control_log import ControlLog
+from turmericwharf.coordination.membership.gossip import Gossiper
 from turmericwharf.protocol import Frame, decode_frame, encode_frame
 from turmericwharf.state import (
     PEER_UNREACHABLE,
--- a/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
@@ -1,55 +1,55 @@
 """Decisions of a node; no encoding and no sockets."""
 
-from turmericwharf.coordination.admission import (
+from turmericwharf.coordination.routing.admission import (
     EntryService,
 )
 from turmericwharf.coordination.assembly import (
     Ports,
     build_node,
 )
-from turmericwharf.coordination.change_checks import (
+from turmericwharf.coordination.configuration.change_checks import (
     find_problems,
 )
-from turmericwharf.coordination.claim_fold import (
+from turmericwharf.coordination.claims.claim_fold import (
     ClaimState,
     PartitionClaims,
     fold_claim,
     hold_seconds_of,
 )
-from turmericwharf.coordination.claim_ledger import (
+from turmericwharf.coordination.claims.claim_ledger import (
     ClaimLedger,
 )
-from turmericwharf.coordination.claims import (
+from turmericwharf.coordination.claims.claims import (
     ClaimClient,
     content_of,
     fingerprint_of,
 )
-from turmericwharf.coordination.confirmation import (
+from turmericwharf.coordination.membership.confirmation import (
     MembershipConfirmer,
 )
-from turmericwharf.coordination.control_fold import (
+from turmericwharf.coordination.configuration.control_fold import (
     fold_record,
     judge_change,
     merge_change,
 )
-from turmericwharf.coordination.control_log import (
+from turmericwharf.coordination.configuration.control_log import (
     ControlLog,
 )
-from turmericwharf.coordination.dispatching import (
+from turmericwharf.coordination.routing.dispatching import (
     Dispatcher,
 )
-from turmericwharf.coordination.execution import (
+from turmericwharf.coordination.execution.execution import (
     Executor,
     InProgress,
     not_run,
 )
-from turmericwharf.coordination.fair_queue import (
+from turmericwharf.coordination.execution.fair_queue import (
     FairQueue,
 )
-from turmericwharf.coordination.gossip import (
+from turmericwharf.coordination.membership.gossip import (
     Gossiper,
 )
-from turmericwharf.coordination.harm import (
+from turmericwharf.coordination.routing.harm import (
     Attempt,
     TypicalTimes,
     excess,
@@ -57,52 +57,52 @@
     path_seconds,
     server_harm,
 )
-from turmericwharf.coordination.held_slices import (
+from turmericwharf.coordination.rates.held_slices import (
     HeldSlices,
 )
-from turmericwharf.coordination.in_flight import (
+from turmericwharf.coordination.routing.in_flight import (
     Choice,
     InFlight,
 )
-from turmericwharf.coordination.in_force import (
+from turmericwharf.coordination.configuration.in_force import (
     InForceCheck,
 )
-from turmericwharf.coordination.joining import (
+from turmericwharf.coordination.membership.joining import (
     Joiner,
 )
-from turmericwharf.coordination.kept_answers import (
+from turmericwharf.coordination.claims.kept_answers import (
     KeptAnswer,
     KeptAnswers,
 )
-from turmericwharf.coordination.lookups import (
+from turmericwharf.coordination.routing.lookups import (
     LookupService,
 )
-from turmericwharf.coordination.membership import (
+from turmericwharf.coordination.membership.membership import (
     MembershipView,
 )
 from turmericwharf.coordination.node import (
     Node,
 )
-from turmericwharf.coordination.object_names import (
+from turmericwharf.coordination.configuration.object_names import (
     changed_objects,
     object_name,
 )
-from turmericwharf.coordination.object_references import (
+from turmericwharf.coordination.configuration.object_references import (
     FIELDS_BY_KIND,
     find_object,
     find_user,
     objects_by_name,
 )
-from turmericwharf.coordination.outcome_counts import (
+from turmericwharf.coordination.routing.outcome_counts import (
     OutcomeCounts,
 )
-from turmericwharf.coordination.outliers import (
+from turmericwharf.coordination.routing.outliers import (
     OutlierDetector,
     observe,
     observe_ratio,
     within_floor,
 )
-from turmericwharf.coordination.pause_watch import (
+from turmericwharf.coordination.execution.pause_watch import (
     PauseWatch,
 )
 from turmericwharf.coordination.ports import (
@@ -113,66 +113,66 @@
     SnapshotCodec,
     WallClock,
 )
-from turmericwharf.coordination.publishing import (
+from turmericwharf.coordination.configuration.publishing import (
     Publisher,
 )
-from turmericwharf.coordination.rate_buckets import (
+from turmericwharf.coordination.rates.rate_buckets import (
     RateBuckets,
     fill_bucket,
 )
-from turmericwharf.coordination.rate_limits import (
+from turmericwharf.coordination.rates.rate_limits import (
     RateLimiter,
 )
-from turmericwharf.coordination.removal import (
+from turmericwharf.coordination.membership.removal import (
     Remover,
 )
-from turmericwharf.coordination.rendezvous import (
+from turmericwharf.coordination.membership.rendezvous import (
     PARTITION_COUNT,
     partition_of,
     rank_instances,
 )
-from turmericwharf.coordination.report_table import (
+from turmericwharf.coordination.membership.report_table import (
     BUCKET_COUNT,
     ReportTable,
 )
-from turmericwharf.coordination.retries import (
+from turmericwharf.coordination.routing.retries import (
     RetryBudget,
     is_retryable,
 )
-from turmericwharf.coordination.route_index import (
+from turmericwharf.coordination.routing.route_index import (
     RouteIndex,
 )
-from turmericwharf.coordination.routing import (
+from turmericwharf.coordination.routing.routing import (
     Router,
 )
-from turmericwharf.coordination.run_check import (
+from turmericwharf.coordination.execution.run_check import (
     RunCheck,
 )
-from turmericwharf.coordination.settling import (
+from turmericwharf.coordination.rates.settling import (
     CLOCK_DRIFT,
     Confirmation,
     MembershipSettling,
     SHARE_TICK_SECONDS,
     settle_seconds,
 )
-from turmericwharf.coordination.share_holders import (
+from turmericwharf.coordination.rates.share_holders import (
     HOLDER_COUNT,
     ShareHolders,
 )
-from turmericwharf.coordination.share_loans import (
+from turmericwharf.coordination.rates.share_loans import (
     SHARE_TOLERANCE,
     ShareLoans,
 )
-from turmericwharf.coordination.slots import (
+from turmericwharf.coordination.membership.slots import (
     SlotView,
 )
-from turmericwharf.coordination.snapshot_reading import (
+from turmericwharf.coordination.configuration.snapshot_reading import (
     read_newest_snapshot,
 )
-from turmericwharf.coordination.snapshots import (
+from turmericwharf.coordination.configuration.snapshots import (
     SnapshotKeeper,
 )
-from turmericwharf.coordination.standing import (
+from turmericwharf.coordination.membership.standing import (
     Standing,
 )
 from turmericwharf.coordination.state_dump import (
--- a/packages/turmericwharf/src/turmericwharf/coordination/assembly.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/assembly.py
@@ -3,20 +3,20 @@
 import dataclasses
 import functools
 
-from turmericwharf.coordination.admission import EntryService
-from turmericwharf.coordination.claim_ledger import ClaimLedger
-from turmericwharf.coordination.claims import ClaimClient
-from turmericwharf.coordination.confirmation import MembershipConfirmer
-from turmericwharf.coordination.control_log import ControlLog
-from turmericwharf.coordination.dispatching import Dispatcher
-from turmericwharf.coordination.execution import Executor
-from turmericwharf.coordination.gossip import Gossiper
-from turmericwharf.coordination.in_force import InForceCheck
-from turmericwharf.coordination.joining import Joiner
-from turmericwharf.coordination.lookups import LookupService
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.routing.admission import EntryService
+from turmericwharf.coordination.claims.claim_ledger import ClaimLedger
+from turmericwharf.coordination.claims.claims import ClaimClient
+from turmericwharf.coordination.membership.confirmation import MembershipConfirmer
+from turmericwharf.coordination.configuration.control_log import ControlLog
+from turmericwharf.coordination.routing.dispatching import Dispatcher
+from turmericwharf.coordination.execution.execution import Executor
+from turmericwharf.coordination.membership.gossip import Gossiper
+from turmericwharf.coordination.configuration.in_force import InForceCheck
+from turmericwharf.coordination.membership.joining import Joiner
+from turmericwharf.coordination.routing.lookups import LookupService
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.node import Node
-from turmericwharf.coordination.outcome_counts import OutcomeCounts
+from turmericwharf.coordination.routing.outcome_counts import OutcomeCounts
 from turmericwharf.coordination.ports import (
     BackendServer,
     Clock,
@@ -25,15 +25,15 @@
     SnapshotCodec,
     WallClock,
 )
-from turmericwharf.coordination.publishing import Publisher
-from turmericwharf.coordination.rate_buckets import RateBuckets
-from turmericwharf.coordination.rate_limits import RateLimiter
-from turmericwharf.coordination.removal import Remover
-from turmericwharf.coordination.routing import Router
-from turmericwharf.coordination.run_check import RunCheck
-from turmericwharf.coordination.share_loans import ShareLoans
-from turmericwharf.coordination.snapshots import SnapshotKeeper
-from turmericwharf.coordination.standing import Standing
+from turmericwharf.coordination.configuration.publishing import Publisher
+from turmericwharf.coordination.rates.rate_buckets import RateBuckets
+from turmericwharf.coordination.rates.rate_limits import RateLimiter
+from turmericwharf.coordination.membership.removal import Remover
+from turmericwharf.coordination.routing.routing import Router
+from turmericwharf.coordination.execution.run_check import RunCheck
+from turmericwharf.coordination.rates.share_loans import ShareLoans
+from turmericwharf.coordination.configuration.snapshots import SnapshotKeeper
+from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import Member, NodeSettings, ServiceId
 
 
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once runs across nodes, by claims on the log."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/claim_ledger.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_ledger.py
@@ -4,15 +4,15 @@
 import dataclasses
 from collections.abc import Callable
 
-from turmericwharf.coordination.claim_fold import (
+from turmericwharf.coordination.claims.claim_fold import (
     ClaimState,
     PartitionClaims,
     fold_claim,
     hold_seconds_of,
 )
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import Clock, LogService, WallClock
-from turmericwharf.coordination.rendezvous import PARTITION_COUNT
+from turmericwharf.coordination.membership.rendezvous import PARTITION_COUNT
 from turmericwharf.state import (
     Acknowledged,
     Claimed,
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claims.py
@@ -7,11 +7,11 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.claim_ledger import ClaimLedger
-from turmericwharf.coordination.kept_answers import KeptAnswers
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.claims.claim_ledger import ClaimLedger
+from turmericwharf.coordination.claims.kept_answers import KeptAnswers
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import Clock, PeerLinks
-from turmericwharf.coordination.rendezvous import partition_of, rank_instances
+from turmericwharf.coordination.membership.rendezvous import partition_of, rank_instances
 from turmericwharf.state import (
     Acknowledged,
     Answered,
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration on the log: publishing, checking, following, snapshots."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/change_checks.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/change_checks.py
@@ -7,8 +7,8 @@
 from functools import singledispatch
 from typing import TypeAlias
 
-from turmericwharf.coordination.object_names import changed_objects, object_name
-from turmericwharf.coordination.object_references import find_user, objects_by_name
+from turmericwharf.coordination.configuration.object_names import changed_objects, object_name
+from turmericwharf.coordination.configuration.object_references import find_user, objects_by_name
 from turmericwharf.state import (
     Configuration,
     Key,
--- a/packages/turmericwharf/src/turmericwharf/coordination/control_fold.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/control_fold.py
@@ -6,9 +6,12 @@
 from functools import singledispatch
 from typing import Any, TypeVar
 
-from turmericwharf.coordination.change_checks import find_problems
-from turmericwharf.coordination.object_names import changed_objects, object_name
-from turmericwharf.coordination.object_references import FIELDS_BY_KIND, objects_by_name
+from turmericwharf.coordination.configuration.change_checks import find_problems
+from turmericwharf.coordination.configuration.object_names import changed_objects, object_name
+from turmericwharf.coordination.configuration.object_references import (
+    FIELDS_BY_KIND,
+    objects_by_name,
+)
 from turmericwharf.state import (
     Configuration,
     Conflict,
--- a/packages/turmericwharf/src/turmericwharf/coordination/control_log.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/control_log.py
@@ -6,12 +6,12 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.control_fold import fold_record
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.configuration.control_fold import fold_record
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import Clock, LogService, SnapshotCodec
-from turmericwharf.coordination.route_index import RouteIndex
-from turmericwharf.coordination.snapshot_reading import read_newest_snapshot
-from turmericwharf.coordination.standing import Standing
+from turmericwharf.coordination.routing.route_index import RouteIndex
+from turmericwharf.coordination.configuration.snapshot_reading import read_newest_snapshot
+from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import (
     CONTROL_STREAM,
--- a/packages/turmericwharf/src/turmericwharf/coordination/in_force.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/in_force.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from turmericwharf.coordination.control_log import ControlLog
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.configuration.control_log import ControlLog
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import PeerLinks
 from turmericwharf.state import (
     InForce,
--- a/packages/turmericwharf/src/turmericwharf/coordination/object_references.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/object_references.py
@@ -4,7 +4,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from turmericwharf.coordination.object_names import object_name
+from turmericwharf.coordination.configuration.object_names import object_name
 from turmericwharf.state import Configuration, ConfigurationObject, ObjectKind
 
 FIELDS_BY_KIND = MappingProxyType(
--- a/packages/turmericwharf/src/turmericwharf/coordination/publishing.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/publishing.py
@@ -1,9 +1,9 @@
 """Publishes operators' changes of the configuration."""
 
-from turmericwharf.coordination.control_fold import judge_change
-from turmericwharf.coordination.control_log import ControlLog
+from turmericwharf.coordination.configuration.control_fold import judge_change
+from turmericwharf.coordination.configuration.control_log import ControlLog
 from turmericwharf.coordination.ports import Clock, LogService
-from turmericwharf.coordination.standing import Standing
+from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import (
     CONTROL_STREAM,
     PUBLISH_LOG_AWAY,
--- a/packages/turmericwharf/src/turmericwharf/coordination/snapshots.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/snapshots.py
@@ -7,9 +7,9 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.control_log import ControlLog
+from turmericwharf.coordination.configuration.control_log import ControlLog
 from turmericwharf.coordination.ports import LogService, SnapshotCodec
-from turmericwharf.coordination.standing import Standing
+from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import (
     SNAPSHOT_STREAM,
     LogFailure,
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Work at the backend server beside a node."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/execution.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/execution.py
@@ -6,11 +6,11 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.claims import ClaimClient
-from turmericwharf.coordination.fair_queue import FairQueue
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.claims.claims import ClaimClient
+from turmericwharf.coordination.execution.fair_queue import FairQueue
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import BackendServer, Clock, WallClock
-from turmericwharf.coordination.run_check import RunCheck
+from turmericwharf.coordination.execution.run_check import RunCheck
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import (
     CALLER_LEFT,
--- a/packages/turmericwharf/src/turmericwharf/coordination/run_check.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/run_check.py
@@ -1,6 +1,6 @@
 """The last check of a request before it runs: standing, and the key once more."""
 
-from turmericwharf.coordination.control_log import ControlLog
+from turmericwharf.coordination.configuration.control_log import ControlLog
 from turmericwharf.state import (
     KEY_UNKNOWN,
     KEY_WITHDRAWN,
--- a/packages/turmericwharf/src/turmericwharf/coordination/confirmation.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/confirmation.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from turmericwharf.coordination.control_log import ControlLog
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.configuration.control_log import ControlLog
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import Clock, PeerLinks
-from turmericwharf.coordination.rendezvous import rank_instances
+from turmericwharf.coordination.membership.rendezvous import rank_instances
 from turmericwharf.state import InForceAnswer, InForceRequest, InstanceId, TimingSettings
 
 _PERIOD_SECONDS = 0.5
--- a/packages/turmericwharf/src/turmericwharf/coordination/gossip.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/gossip.py
@@ -8,10 +8,10 @@
 import asyncio
 import random
 
-from turmericwharf.coordination.control_log import ControlLog
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.configuration.control_log import ControlLog
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import Clock, PeerLinks
-from turmericwharf.coordination.standing import Standing
+from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import (
     ControlSnapshot,
     Gossip,
--- a/packages/turmericwharf/src/turmericwharf/coordination/joining.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/joining.py
@@ -5,11 +5,11 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.control_log import ControlLog
-from turmericwharf.coordination.gossip import Gossiper
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.configuration.control_log import ControlLog
+from turmericwharf.coordination.membership.gossip import Gossiper
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import PeerLinks
-from turmericwharf.coordination.standing import Standing
+from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import Joined, LogFailure, Member, NodeSettings, PeerIntroduction
 
 _POLL_SECONDS = 0.5
--- a/packages/turmericwharf/src/turmericwharf/coordination/membership.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/membership.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.report_table import ReportTable
-from turmericwharf.coordination.settling import MembershipSettling
-from turmericwharf.coordination.slots import SlotView
+from turmericwharf.coordination.membership.report_table import ReportTable
+from turmericwharf.coordination.rates.settling import MembershipSettling
+from turmericwharf.coordination.membership.slots import SlotView
 from turmericwharf.coordination.state_dump import describe, seconds_since
 from turmericwharf.state import (
     InstanceId,
--- a/packages/turmericwharf/src/turmericwharf/coordination/removal.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/removal.py
@@ -4,11 +4,11 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.control_log import ControlLog
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.configuration.control_log import ControlLog
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.rendezvous import rank_instances
-from turmericwharf.coordination.standing import Standing
+from turmericwharf.coordination.membership.rendezvous import rank_instances
+from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import InstanceId, LogFailure, Member, Removed, TimingSettings
 
 _POLL_SECONDS = 1.0
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Rates of organisations, by shares that nodes hold and lend."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/rate_buckets.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_buckets.py
@@ -4,10 +4,10 @@
 import itertools
 import math
 
-from turmericwharf.coordination.control_log import ControlLog
+from turmericwharf.coordination.configuration.control_log import ControlLog
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.rendezvous import partition_of
-from turmericwharf.coordination.share_loans import ShareLoans
+from turmericwharf.coordination.membership.rendezvous import partition_of
+from turmericwharf.coordination.rates.share_loans import ShareLoans
 from turmericwharf.state import (
     Bucket,
     OpenSlice,
--- a/packages/turmericwharf/src/turmericwharf/coordination/rate_limits.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_limits.py
@@ -5,12 +5,12 @@
 import math
 from collections import Counter
 
-from turmericwharf.coordination.held_slices import HeldSlices
+from turmericwharf.coordination.rates.held_slices import HeldSlices
 from turmericwharf.coordination.ports import Clock, PeerLinks
-from turmericwharf.coordination.rate_buckets import RateBuckets
-from turmericwharf.coordination.rendezvous import partition_of
-from turmericwharf.coordination.settling import CLOCK_DRIFT
-from turmericwharf.coordination.share_loans import SHARE_TOLERANCE, ShareLoans
+from turmericwharf.coordination.rates.rate_buckets import RateBuckets
+from turmericwharf.coordination.membership.rendezvous import partition_of
+from turmericwharf.coordination.rates.settling import CLOCK_DRIFT
+from turmericwharf.coordination.rates.share_loans import SHARE_TOLERANCE, ShareLoans
 from turmericwharf.state import (
     Demand,
     HeldSlice,
--- a/packages/turmericwharf/src/turmericwharf/coordination/share_holders.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/share_holders.py
@@ -2,8 +2,8 @@
 
 from collections import defaultdict
 
-from turmericwharf.coordination.membership import MembershipView
-from turmericwharf.coordination.rendezvous import PARTITION_COUNT, rank_instances
+from turmericwharf.coordination.membership.membership import MembershipView
+from turmericwharf.coordination.membership.rendezvous import PARTITION_COUNT, rank_instances
 from turmericwharf.state import InstanceId
 
 HOLDER_COUNT = 8
--- a/packages/turmericwharf/src/turmericwharf/coordination/share_loans.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/share_loans.py
@@ -3,11 +3,11 @@
 import asyncio
 import dataclasses
 
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import Clock, PeerLinks
-from turmericwharf.coordination.settling import CLOCK_DRIFT, SHARE_TICK_SECONDS
-from turmericwharf.coordination.share_holders import ShareHolders
-from turmericwharf.coordination.standing import Standing
+from turmericwharf.coordination.rates.settling import CLOCK_DRIFT, SHARE_TICK_SECONDS
+from turmericwharf.coordination.rates.share_holders import ShareHolders
+from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import (
     NO_VERSION,
     BorrowedShare,
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request: admission, choice of a server, attempts, ejection."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/admission.py
@@ -3,14 +3,14 @@
 import asyncio
 import dataclasses
 
-from turmericwharf.coordination.claims import ClaimClient, content_of, fingerprint_of
-from turmericwharf.coordination.control_log import ControlLog
-from turmericwharf.coordination.dispatching import Dispatcher
-from turmericwharf.coordination.execution import not_run
-from turmericwharf.coordination.pause_watch import PauseWatch
+from turmericwharf.coordination.claims.claims import ClaimClient, content_of, fingerprint_of
+from turmericwharf.coordination.configuration.control_log import ControlLog
+from turmericwharf.coordination.routing.dispatching import Dispatcher
+from turmericwharf.coordination.execution.execution import not_run
+from turmericwharf.coordination.execution.pause_watch import PauseWatch
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.rate_limits import RateLimiter
-from turmericwharf.coordination.standing import Standing
+from turmericwharf.coordination.rates.rate_limits import RateLimiter
+from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import (
     ALREADY_RUN,
     CLAIM_IN_PROGRESS,
--- a/packages/turmericwharf/src/turmericwharf/coordination/dispatching.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
@@ -4,12 +4,12 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.execution import Executor, not_run
-from turmericwharf.coordination.in_flight import Choice
-from turmericwharf.coordination.membership import MembershipView
+from turmericwharf.coordination.execution.execution import Executor, not_run
+from turmericwharf.coordination.routing.in_flight import Choice
+from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import Clock, PeerLinks, WallClock
-from turmericwharf.coordination.retries import RetryBudget, is_retryable
-from turmericwharf.coordination.routing import Router
+from turmericwharf.coordination.routing.retries import RetryBudget, is_retryable
+from turmericwharf.coordination.routing.routing import Router
 from turmericwharf.state import (
     CALLER_LEFT,
     DEADLINE_PASSED,
--- a/packages/turmericwharf/src/turmericwharf/coordination/in_flight.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/in_flight.py
@@ -3,7 +3,7 @@
 import dataclasses
 import itertools
 
-from turmericwharf.coordination.harm import TypicalTimes, excess
+from turmericwharf.coordination.routing.harm import TypicalTimes, excess
 from turmericwharf.state import AdmittedRequest, InstanceId, RouteId, ServerReport
 
 # A younger request proves nothing; this share of the target is far beyond typical times.
--- a/packages/turmericwharf/src/turmericwharf/coordination/lookups.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/lookups.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 
-from turmericwharf.coordination.admission import EntryService
-from turmericwharf.coordination.control_log import ControlLog
-from turmericwharf.coordination.execution import Executor, not_run
+from turmericwharf.coordination.routing.admission import EntryService
+from turmericwharf.coordination.configuration.control_log import ControlLog
+from turmericwharf.coordination.execution.execution import Executor, not_run
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.standing import Standing
+from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import (
     DEADLINE_PASSED,
     KEY_MISPLACED,
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/routing.py
@@ -5,16 +5,16 @@
 import random
 from collections.abc import Callable, Sequence, Set
 
-from turmericwharf.coordination.harm import (
+from turmericwharf.coordination.routing.harm import (
     Attempt,
     TypicalTimes,
     path_harm,
     path_seconds,
     server_harm,
 )
-from turmericwharf.coordination.in_flight import Choice, InFlight
-from turmericwharf.coordination.membership import MembershipView
-from turmericwharf.coordination.outliers import OutlierDetector, within_floor
+from turmericwharf.coordination.routing.in_flight import Choice, InFlight
+from turmericwharf.coordination.membership.membership import MembershipView
+from turmericwharf.coordination.routing.outliers import OutlierDetector, within_floor
 from turmericwharf.coordination.ports import Clock, PeerLinks
 from turmericwharf.state import (
     AdmittedRequest,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.retries import RetryBudget
+from turmericwharf.coordination.routing.retries import RetryBudget
 from turmericwharf.coordination.sidecar.admission import FleetAdmission
 from turmericwharf.coordination.sidecar.orders import OrderSender
 from turmericwharf.coordination.sidecar.server_choice import ServerChoice
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/backlog.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/backlog.py
@@ -3,7 +3,7 @@
 import contextlib
 from collections.abc import Iterator
 
-from turmericwharf.coordination.fair_queue import FairQueue
+from turmericwharf.coordination.execution.fair_queue import FairQueue
 
 # A running request has this share of its usual time left on average.
 _RUNNING_SHARE = 0.5
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.retries import RetryBudget
+from turmericwharf.coordination.routing.retries import RetryBudget
 from turmericwharf.coordination.sidecar.admission import RequestChecks
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.rendezvous import partition_of, rank_instances
+from turmericwharf.coordination.membership.rendezvous import partition_of, rank_instances
 from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, FleetAdmission
 from turmericwharf.coordination.sidecar.bounds import BoundsInForce
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.fair_queue import FairQueue
+from turmericwharf.coordination.execution.fair_queue import FairQueue
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.sidecar.backlog import Backlog
 from turmericwharf.coordination.sidecar.breaker import CircuitBreaker
--- a/tests/coordination/test_control_fold.py
+++ b/tests/coordination/configuration/test_control_fold.py
@@ -6,7 +6,8 @@
 import pytest
 
 from tests.fleet_processes import kavarna_change
-from turmericwharf.coordination import control_fold, fold_record
+from turmericwharf.coordination import fold_record
+from turmericwharf.coordination.configuration import control_fold
 from turmericwharf.protocol import decode_record, digest_key
 from turmericwharf.state import (
     ControlState,
--- a/tests/coordination/test_control_log.py
+++ b/tests/coordination/configuration/test_control_log.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from tests.coordination.test_control_fold import publish, start
+from tests.coordination.configuration.test_control_fold import publish, start
 from turmericwharf.coordination import ControlLog, MembershipView, Standing
-from turmericwharf.coordination import control_log as control_log_module
+from turmericwharf.coordination.configuration import control_log as control_log_module
 from turmericwharf.protocol import SnapshotEncoding
 from turmericwharf.state import (
     CONTROL_STREAM,
--- a/tests/coordination/test_snapshots.py
+++ b/tests/coordination/configuration/test_snapshots.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from tests.coordination.test_control_fold import start
+from tests.coordination.configuration.test_control_fold import start
 from turmericwharf.coordination import SnapshotKeeper, read_newest_snapshot
 from turmericwharf.protocol import SnapshotEncoding
 from turmericwharf.protocol import snapshots as encoding
--- a/tests/coordination/test_gossip.py
+++ b/tests/coordination/membership/test_gossip.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.coordination.test_standing import NAMES, STANDING_SECONDS, TIMING, started
+from tests.coordination.membership.test_standing import NAMES, STANDING_SECONDS, TIMING, started
 from tests.virtual_fleet import VirtualFleet, run_virtual
 from turmericwharf.state import ServerState, ServiceId
 
--- a/tests/coordination/test_rate_limits.py
+++ b/tests/coordination/rates/test_rate_limits.py
@@ -32,7 +32,7 @@
 @pytest.fixture(autouse=True)
 def one_partition(monkeypatch):
     """The simulated organisation is in partition 0; loans of the others only cost time."""
-    monkeypatch.setattr('turmericwharf.coordination.share_holders.PARTITION_COUNT', 1)
+    monkeypatch.setattr('turmericwharf.coordination.rates.share_holders.PARTITION_COUNT', 1)
 
 
 async def _run(fleet, events):
--- a/tests/coordination/sidecar/test_attempts.py
+++ b/tests/coordination/sidecar/test_attempts.py
@@ -4,7 +4,7 @@
 from tests.coordination.fakes import ManualClock
 from tests.coordination.sidecar.samples import make_entry, make_request, make_route
 from tests.virtual_time import LoopClock, run_in_virtual_time
-from turmericwharf.coordination.retries import RetryBudget
+from turmericwharf.coordination.routing.retries import RetryBudget
 from turmericwharf.coordination.sidecar.admission import FleetAdmission
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
--- a/tests/protocol/test_snapshots.py
+++ b/tests/protocol/test_snapshots.py
@@ -2,7 +2,7 @@
 
 import random
 
-from tests.coordination.test_control_fold import KEY, folded, publish, start
+from tests.coordination.configuration.test_control_fold import KEY, folded, publish, start
 from turmericwharf.protocol import (
     Frame,
     SnapshotEncoding,
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -178,7 +178,7 @@
         self.results: list[Result] = []
         # First ejection of each (entry node, backend server).
         self.history: dict[tuple[InstanceId, InstanceId], Any] = {}
-        logger.disable('turmericwharf.coordination.dispatching')
+        logger.disable('turmericwharf.coordination.routing.dispatching')
         self.nodes: dict[InstanceId, SimulatedNode] = {}
         for number in range(servers):
             instance = InstanceId(f'node-{number}')
