Let two readers of each data centre read the nodes' topic for the others

Cause: every node followed the topic of node entries, so each change of an entry was read by every node.

Ruled out: the configuration's topic. Its reads are one for each change and each long poll, so it is still read by every node; only its poll is longer.

Change: the two nodes that rank first in a data centre read the topic. The others ask one of them with a request that waits for a change; replies hold only the entries that changed since the last one. A node reads the store itself while no reader is current. Entries carry the offset of their record, so that a reader that is behind cannot bring an earlier process back. Versions of the configuration are asked of near nodes, and of a far one only while the store is lost.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
@@ -1,5 +1,6 @@
 """The nodes that a node knows, and which of them it can use."""
 
+import asyncio
 import dataclasses
 
 from loguru import logger
@@ -7,7 +8,14 @@
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import InstanceId, ServiceId
-from turmericwharf.state.sidecar import DirectoryDump, NodeEntry, ProcessId, ServerPhase
+from turmericwharf.state.sidecar import (
+    NOT_STORED,
+    DirectoryDump,
+    NodeEntry,
+    ProcessId,
+    ServerPhase,
+    StoredEntry,
+)
 
 _FIRST_SUSPICION_SECONDS = 0.25
 _LAST_SUSPICION_SECONDS = 4.0
@@ -35,6 +43,9 @@
     def __init__(self, own: NodeEntry, clock: Clock) -> None:
         self._clock = clock
         self._entries_by_id: dict[InstanceId, NodeEntry] = {}
+        self._positions_by_id: dict[InstanceId, int] = {}
+        self._changed_at_by_id: dict[InstanceId, int] = {}
+        self._changed = asyncio.Event()
         self._suspicions_by_id: dict[InstanceId, _Suspicion] = {}
         self._met_by_id: dict[InstanceId, ProcessId] = {}
         self._own = own
@@ -49,7 +60,7 @@
     def own(self, entry: NodeEntry) -> None:
         """Change the own entry."""
         self._own = entry
-        self.changes += 1
+        self._note_change(entry.instance)
 
     @property
     def peers(self) -> list[NodeEntry]:
@@ -73,27 +84,43 @@
             if entry.service == service and entry.phase is ServerPhase.READY
         ]
 
-    def update(self, entry: NodeEntry, *, source: str) -> None:
-        """Take an entry of another node from the store."""
+    def changed_after(self, number: int) -> tuple[StoredEntry, ...]:
+        """Return the entries that changed after this many changes."""
+        return tuple(
+            StoredEntry(entry, self._positions_by_id.get(entry.instance, NOT_STORED))
+            for entry in self.entries
+            if self._changed_at_by_id.get(entry.instance, 0) > number
+        )
+
+    async def wait_for_change(self, number: int, timeout_seconds: float) -> None:
+        """Wait until there are more than this many changes, or until the time is over."""
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                while self.changes <= number:
+                    self._changed.clear()
+                    await self._changed.wait()
+        except TimeoutError:
+            logger.debug('directory_unchanged')
+
+    def take(self, stored: StoredEntry, *, source: str) -> None:
+        """Take an entry that came from the store, directly or over another node.
+
+        Entries of one process are ordered by their revision, those of two processes by their
+        position on the store.
+        """
+        entry = stored.entry
         known = self._entries_by_id.get(entry.instance)
-        if entry.instance == self.own.instance or known == entry:
-            return
-        if known is not None and self._is_older(entry, known):
+        position = self._positions_by_id.get(entry.instance, NOT_STORED)
+        if stored.position > position:
+            self._positions_by_id[entry.instance] = stored.position
+        elif known is not None and known.process != entry.process:
             return
-        logger.bind(
-            instance=entry.instance,
-            server=entry.server,
-            phase=entry.phase.value,
-            source=source,
-        ).info('node_entry_changed')
-        self._entries_by_id[entry.instance] = entry
-        self.changes += 1
-        self._suspicions_by_id.pop(entry.instance, None)
+        self._update(entry, source=source)
 
     def meet(self, entry: NodeEntry) -> None:
         """Take the entry of a node that a connection leads to."""
         self._met_by_id[entry.instance] = entry.process
-        self.update(entry, source='connection')
+        self._update(entry, source='connection')
 
     def part(self, instance: InstanceId) -> None:
         """Note that the connection to a node ended."""
@@ -102,14 +129,9 @@
     def remove(self, key: str) -> None:
         """Forget a node that was removed from the store."""
         if self._entries_by_id.pop(InstanceId(key), None) is not None:
-            self.changes += 1
+            self._note_change(InstanceId(key))
             logger.bind(instance=key).info('node_removed')
 
-    def learn(self, entry: NodeEntry) -> None:
-        """Take an entry that another node passes on, unless the node is known already."""
-        if entry.instance not in self._entries_by_id:
-            self.update(entry, source='peer')
-
     def suspect(self, instance: InstanceId) -> None:
         """Leave a node out for a while that grows with each failure in a row."""
         last = self._suspicions_by_id.get(instance)
@@ -134,6 +156,27 @@
         entry = self._entries_by_id.get(instance)
         return None if entry is None else entry.process
 
+    def _update(self, entry: NodeEntry, *, source: str) -> None:
+        known = self._entries_by_id.get(entry.instance)
+        if entry.instance == self.own.instance or known == entry:
+            return
+        if known is not None and self._is_older(entry, known):
+            return
+        logger.bind(
+            instance=entry.instance,
+            server=entry.server,
+            phase=entry.phase.value,
+            source=source,
+        ).info('node_entry_changed')
+        self._entries_by_id[entry.instance] = entry
+        self._note_change(entry.instance)
+        self._suspicions_by_id.pop(entry.instance, None)
+
+    def _note_change(self, instance: InstanceId) -> None:
+        self.changes += 1
+        self._changed_at_by_id[instance] = self.changes
+        self._changed.set()
+
     def _is_older(self, entry: NodeEntry, known: NodeEntry) -> bool:
         if entry.process == known.process:
             return entry.revision <= known.revision
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/membership.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/membership.py
@@ -5,7 +5,7 @@
 from turmericwharf.coordination.sidecar.own_entry import OwnEntryPublisher
 from turmericwharf.coordination.sidecar.ports import NodeEntryDecoder
 from turmericwharf.coordination.sidecar.quota import QuotaHolders
-from turmericwharf.state.sidecar import KeyedPage, NodeEntry
+from turmericwharf.state.sidecar import KeyedPage, StoredEntry
 
 
 class FleetMembership:
@@ -41,20 +41,20 @@
 
     def take(self, page: KeyedPage) -> None:
         """Apply a page of entries."""
-        for key, encoded in page.values_by_key.items():
-            entry = self._decode(encoded) if encoded else None
+        for key, record in page.records_by_key.items():
+            entry = self._decode(record.encoded) if record.encoded else None
             if entry is not None and entry.instance == key:
-                self._apply(entry)
-            elif not encoded:
+                self._apply(StoredEntry(entry, record.offset))
+            elif not record.encoded:
                 self._remove(key)
         self._holders.refresh()
 
-    def _apply(self, entry: NodeEntry) -> None:
+    def _apply(self, stored: StoredEntry) -> None:
         own = self._directory.own
-        if entry.instance != own.instance:
-            self._directory.update(entry, source='store')
-        elif entry.process != own.process:
-            self._announcements.remember(entry)
+        if stored.entry.instance != own.instance:
+            self._directory.take(stored, source='store')
+        elif stored.entry.process != own.process:
+            self._announcements.remember(stored.entry)
 
     def _remove(self, key: str) -> None:
         if key == self._directory.own.instance:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/messages.py
@@ -6,7 +6,6 @@
 from turmericwharf.state.sidecar import (
     ConfigurationReply,
     ConfigurationRequest,
-    DirectoryReply,
     DirectoryRequest,
     FleetMessage,
     Greeting,
@@ -57,7 +56,7 @@
 
 @answer_peer.register
 async def _(message: DirectoryRequest, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
-    return DirectoryReply(node.directory.entries)
+    return await node.relay.answer(message)
 
 
 @answer_peer.register
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -1,5 +1,6 @@
 """The objects of one sidecar node, and how they are wired."""
 
+import asyncio
 import dataclasses
 
 from turmericwharf.coordination.ports import Clock
@@ -10,6 +11,7 @@
 from turmericwharf.coordination.sidecar.bounds import BoundsInForce
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.directory_relay import DirectoryRelay
 from turmericwharf.coordination.sidecar.fleet_entry import FleetEntry
 from turmericwharf.coordination.sidecar.membership import FleetMembership
 from turmericwharf.coordination.sidecar.order_checks import OrderChecks
@@ -28,6 +30,7 @@
 from turmericwharf.coordination.sidecar.server_choice import ServerChoice
 from turmericwharf.coordination.sidecar.server_gate import ServerGate
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
+from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.coordination.sidecar.version_spread import VersionSpread
 from turmericwharf.state.sidecar import (
@@ -38,7 +41,10 @@
     StoreTopic,
 )
 
-_GATHER_SECONDS = 0.5
+_GATHER_SECONDS = 0.3
+_NODES_WAIT_SECONDS = 5.0
+# Other nodes tell of newer configurations, so that a long wait on a silent connection does no harm.
+_CONFIGURATION_WAIT_SECONDS = 20.0
 # The lookups of a repeated request count as repeats of the service that they call.
 _BUDGET_SHARE = 0.75
 
@@ -71,6 +77,7 @@
     announcements: AnnouncementService
     publisher: OwnEntryPublisher
     spread: VersionSpread
+    relay: DirectoryRelay
     configuration_follower: TopicFollower
     membership_follower: TopicFollower
     recovery: ServerRecovery
@@ -109,6 +116,23 @@
         ports.log,
         StoreTopic.CONFIGURATION,
         lambda page: _offer_configuration(holder, page),
+        wait_seconds=_CONFIGURATION_WAIT_SECONDS,
+    )
+    store_needed = asyncio.Event()
+    membership_follower = TopicFollower(
+        ports.log,
+        StoreTopic.NODES,
+        membership.take,
+        wait_seconds=_NODES_WAIT_SECONDS,
+        gather_seconds=_GATHER_SECONDS,
+        needed=store_needed,
+    )
+    relay = DirectoryRelay(
+        directory=directory,
+        readers=StoreReaders(directory),
+        links=ports.links,
+        store_needed=store_needed,
+        follower=membership_follower,
     )
     sender = OrderSender(
         gate=gate,
@@ -131,13 +155,9 @@
         announcements=announcements,
         publisher=publisher,
         spread=VersionSpread(holder, directory, ports.links, follower),
+        relay=relay,
         configuration_follower=follower,
-        membership_follower=TopicFollower(
-            ports.log,
-            StoreTopic.NODES,
-            membership.take,
-            gather_seconds=_GATHER_SECONDS,
-        ),
+        membership_follower=membership_follower,
         recovery=ServerRecovery(announcements, holder, ports.server),
         bounds=bounds,
         clock=clock,
@@ -163,9 +183,9 @@
 
 
 def _offer_configuration(holder: ConfigurationHolder, page: KeyedPage) -> None:
-    for encoded in page.values_by_key.values():
-        if encoded:
-            holder.offer(encoded, source='store')
+    for record in page.records_by_key.values():
+        if record.encoded:
+            holder.offer(record.encoded, source='store')
 
 
 def _retry_minimum(bounds: SidecarBounds, directory: NodeDirectory) -> float:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
@@ -11,9 +11,8 @@
 from turmericwharf.state import LogFailure
 from turmericwharf.state.sidecar import HISTORY_GONE, FollowerDump, KeyedPage, StoreTopic
 
-_WAIT_SECONDS = 10.0
 _FIRST_PAUSE_SECONDS = 0.1
-_LAST_PAUSE_SECONDS = 0.8
+_LAST_PAUSE_SECONDS = 1.6
 
 
 class TopicFollower:
@@ -27,8 +26,12 @@
         What to follow.
     take
         Called with each page.
+    wait_seconds
+        How long one read waits for a change.
     gather_seconds
         Pause after a page, so that changes that come together are read together.
+    needed
+        Set while the topic is to be read; it is always read if None.
     """
 
     def __init__(
@@ -37,12 +40,16 @@
         topic: StoreTopic,
         take: Callable[[KeyedPage], None],
         *,
+        wait_seconds: float,
         gather_seconds: float = 0.0,
+        needed: asyncio.Event | None = None,
     ) -> None:
         self._log = log
         self._topic = topic
         self._take = take
+        self._wait_seconds = wait_seconds
         self._gather_seconds = gather_seconds
+        self._needed = needed
         self._next_offset: int | None = None
         self.is_connected = False
         self.has_read = False
@@ -51,6 +58,8 @@
         """Follow the topic until cancelled."""
         pause_seconds = _FIRST_PAUSE_SECONDS
         while True:
+            if self._needed is not None:
+                await self._needed.wait()
             if await self._read_once():
                 pause_seconds = _FIRST_PAUSE_SECONDS
                 await asyncio.sleep(self._gather_seconds)
@@ -66,7 +75,7 @@
             page = await self._log.changes(
                 self._topic,
                 offset=self._next_offset,
-                wait_seconds=_WAIT_SECONDS,
+                wait_seconds=self._wait_seconds,
             )
         if page == HISTORY_GONE:
             logger.bind(topic=self._topic.value).info('store_history_gone')
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/version_spread.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/version_spread.py
@@ -13,19 +13,20 @@
 from turmericwharf.state.sidecar import (
     ConfigurationReply,
     ConfigurationRequest,
-    DirectoryReply,
-    DirectoryRequest,
     NodeEntry,
 )
 
 _ASK_SECONDS = 0.5
 _PERIOD_SECONDS = 1.0
 _LOST_PERIOD_SECONDS = 0.4
-_LOST_PEERS = 2
 
 
 class VersionSpread:
-    """Asks a node that named a newer version for it, and random nodes while the store is lost.
+    """Asks a node that named a newer version for it, and random nodes from time to time.
+
+    A read of the store may wait on a connection that went silent, so a near node is asked also
+    while the store answers. A whole data centre may lose the store, so a far one is asked too
+    while it does not.
 
     Parameters
     ----------
@@ -67,26 +68,19 @@
             is_lost = not self._follower.is_connected
             pause_seconds = _LOST_PERIOD_SECONDS if is_lost else _PERIOD_SECONDS
             await asyncio.sleep(pause_seconds * random.uniform(0.8, 1.2))
-            if is_lost:
-                await asyncio.gather(*(self._ask_all(peer) for peer in self._sample(_LOST_PEERS)))
-            else:
-                # A read of the store may wait on a connection that went silent.
-                await asyncio.gather(*(self._fetch(peer) for peer in self._sample(1)))
+            await asyncio.gather(*(self._fetch(peer) for peer in self._sample(is_lost=is_lost)))
 
-    def _sample(self, count: int) -> list[NodeEntry]:
+    def _sample(self, *, is_lost: bool) -> list[NodeEntry]:
+        own = self._directory.own
         peers = [
             peer
             for peer in self._directory.peers
             if not self._directory.is_suspected(peer.instance)
         ]
-        return random.sample(peers, min(count, len(peers)))
-
-    async def _ask_all(self, peer: NodeEntry) -> None:
-        await self._fetch(peer)
-        reply = await self._links.ask(peer, DirectoryRequest(), timeout_seconds=_ASK_SECONDS)
-        if isinstance(reply, DirectoryReply):
-            for entry in reply.nodes:
-                self._directory.learn(entry)
+        near = [peer for peer in peers if peer.data_centre == own.data_centre]
+        far = [peer for peer in peers if peer.data_centre != own.data_centre]
+        groups = (near, far) if is_lost else (near or far,)
+        return [random.choice(group) for group in groups if group]
 
     async def _fetch(self, peer: NodeEntry) -> None:
         reply = await self._links.ask(
--- a/packages/turmericwharf/src/turmericwharf/platform/store.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/store.py
@@ -15,6 +15,7 @@
 from turmericwharf.state.sidecar import (
     HISTORY_GONE,
     KeyedPage,
+    KeyedRecord,
     NodeEntry,
     StoreSettings,
     StoreTopic,
@@ -39,6 +40,7 @@
 
 class _Item(msgspec.Struct, frozen=True):
     key: str
+    offset: int
     value: str | None = None
 
 
@@ -64,7 +66,7 @@
 
     async def newest(self, topic: StoreTopic) -> KeyedPage | LogFailure:
         """Read the newest record of each key."""
-        values_by_key: dict[str, bytes] = {}
+        records_by_key: dict[str, KeyedRecord] = {}
         query: dict[str, str | int] = {'topic': _TOPICS[topic], 'part': 0}
         end: int | None = None
         while True:
@@ -76,9 +78,9 @@
                 return page
             # Pages are no snapshot, so changes are read from the end that the first one names.
             end = page.end if end is None else end
-            values_by_key.update(_decode_values(page))
+            records_by_key.update(_decode_items(page))
             if not page.has_more or not page.items:
-                return KeyedPage(_concerning(topic, values_by_key), end)
+                return KeyedPage(_concerning(topic, records_by_key), end)
             query['after'] = page.items[-1].key
 
     async def changes(
@@ -98,8 +100,8 @@
         response = await self._fetch('GET', '/log-read', query, wait_seconds + _CALL_SECONDS)
         if isinstance(response, LogFailure):
             return response
-        values_by_key, count = read_records(response.body)
-        return KeyedPage(_concerning(topic, values_by_key), offset + count)
+        records_by_key, next_offset = read_records(response.body, offset)
+        return KeyedPage(_concerning(topic, records_by_key), next_offset)
 
     async def publish(self, entry: NodeEntry) -> LogFailure | None:
         """Write the entry of a node."""
@@ -161,38 +163,42 @@
         return LogFailure(Reason.FRAME_MALFORMED, f'newest records: {error}')
 
 
-def _decode_values(page: _Newest) -> dict[str, bytes]:
-    values_by_key = {}
+def _decode_items(page: _Newest) -> dict[str, KeyedRecord]:
+    records_by_key = {}
     for one in page.items:
         try:
-            values_by_key[one.key] = base64.b64decode(one.value or '', validate=True)
+            encoded = base64.b64decode(one.value or '', validate=True)
         except ValueError as error:
             logger.bind(key=one.key, error=str(error)).warning('store_record_unreadable')
-    return values_by_key
+            continue
+        records_by_key[one.key] = KeyedRecord(encoded, one.offset)
+    return records_by_key
 
 
-def read_records(encoded: bytes) -> tuple[dict[str, bytes], int]:
-    """Return the newest value of each key, and how many whole records were read."""
+def read_records(encoded: bytes, offset: int) -> tuple[dict[str, KeyedRecord], int]:
+    """Return the newest record of each key, and the offset after the last whole one."""
     place = _OFFSETS.size
-    values_by_key = {}
-    count = 0
+    records_by_key = {}
     while place + _LENGTH.size <= len(encoded):
         start = place + _LENGTH.size
         place = start + _LENGTH.unpack_from(encoded, place)[0]
         if place > len(encoded):
             break
-        count += 1
         record = encoded[start:place]
         key_end = 1 + record[0] if record else 0
         try:
-            values_by_key[record[1:key_end].decode()] = record[key_end:]
+            records_by_key[record[1:key_end].decode()] = KeyedRecord(record[key_end:], offset)
         except UnicodeDecodeError as error:
-            logger.bind(error=str(error)).warning('store_record_unreadable')
-    return values_by_key, count
+            logger.bind(offset=offset, error=str(error)).warning('store_record_unreadable')
+        offset += 1
+    return records_by_key, offset
 
 
-def _concerning(topic: StoreTopic, values_by_key: dict[str, bytes]) -> dict[str, bytes]:
+def _concerning(
+    topic: StoreTopic,
+    records_by_key: dict[str, KeyedRecord],
+) -> dict[str, KeyedRecord]:
     keys = _KEYS.get(topic)
     if keys is None:
-        return values_by_key
-    return {key: found for key, found in values_by_key.items() if key in keys}
+        return records_by_key
+    return {key: found for key, found in records_by_key.items() if key in keys}
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -18,11 +18,13 @@
 )
 from turmericwharf.state.sidecar.nodes import (
     NO_SERVER,
+    NOT_STORED,
     AnnouncedServer,
     NodeEntry,
     ProcessId,
     ServerId,
     ServerPhase,
+    StoredEntry,
 )
 from turmericwharf.state.sidecar.settings import (
     Address,
@@ -31,7 +33,7 @@
     SidecarSettings,
     StoreSettings,
 )
-from turmericwharf.state.sidecar.store import HISTORY_GONE, KeyedPage, StoreTopic
+from turmericwharf.state.sidecar.store import HISTORY_GONE, KeyedPage, KeyedRecord, StoreTopic
 from turmericwharf.state.sidecar.work import (
     ConfigurationReply,
     ConfigurationRequest,
@@ -51,6 +53,7 @@
 __all__ = (
     'HISTORY_GONE',
     'NO_FLEET_VERSION',
+    'NOT_STORED',
     'NO_SERVER',
     'Address',
     'AnnouncedServer',
@@ -70,6 +73,7 @@
     'Greeting',
     'HolderDump',
     'KeyedPage',
+    'KeyedRecord',
     'NodeEntry',
     'OrganisationRule',
     'ProcessId',
@@ -83,6 +87,7 @@
     'SidecarSettings',
     'StoreSettings',
     'StoreTopic',
+    'StoredEntry',
     'TokenReply',
     'TokenRequest',
     'WorkAnswer',
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
@@ -10,6 +10,8 @@
 ProcessId = NewType('ProcessId', str)
 
 NO_SERVER = ServerId('')
+# Position of an entry that does not come from the store.
+NOT_STORED = -1
 
 
 class ServerPhase(enum.Enum):
@@ -70,3 +72,17 @@
     phase: ServerPhase
     born: int = 0
     revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredEntry:
+    """An entry, and where the store's log has it.
+
+    Parameters
+    ----------
+    position
+        Offset of the record, `NOT_STORED` for an entry that only a connection told.
+    """
+
+    entry: NodeEntry
+    position: int
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/store.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/store.py
@@ -14,9 +14,17 @@
     NODES = 'nodes'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """Newest value of a key, empty if the key was dropped, and its offset."""
+
+    encoded: bytes
+    offset: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyedPage:
-    """Newest value of each key that a read returned, empty if the key was dropped.
+    """Newest record of each key that a read returned.
 
     Parameters
     ----------
@@ -24,7 +32,7 @@
         Where the next read goes on.
     """
 
-    values_by_key: Mapping[str, bytes]
+    records_by_key: Mapping[str, KeyedRecord]
     next_offset: int
 
 
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/work.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/work.py
@@ -11,7 +11,7 @@
     ServiceId,
 )
 from turmericwharf.state.outcomes import Answered, Headers, NotRun, OutcomeUnknown
-from turmericwharf.state.sidecar.nodes import NodeEntry, ProcessId, ServerId
+from turmericwharf.state.sidecar.nodes import NodeEntry, ProcessId, ServerId, StoredEntry
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,14 +160,37 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DirectoryRequest:
-    """Ask for all nodes that a node knows."""
+    """Ask a node for the entries that it has learned since an earlier reply.
+
+    Parameters
+    ----------
+    process, after
+        Process that gave the earlier reply, and the count of changes in it.
+    wait_seconds
+        How long the reply may wait for a change.
+    """
+
+    process: ProcessId
+    after: int
+    wait_seconds: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DirectoryReply:
-    """All nodes that a node knows."""
+    """Entries that a node has learned since an earlier reply.
+
+    Parameters
+    ----------
+    process, changes
+        What the next request names.
+    is_current
+        Whether the node reads the entries from the store now.
+    """
 
-    nodes: tuple[NodeEntry, ...]
+    process: ProcessId
+    changes: int
+    nodes: tuple[StoredEntry, ...]
+    is_current: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
@@ -75,6 +75,7 @@
             asyncio.create_task(node.membership_follower.run()),
             asyncio.create_task(node.publisher.run()),
             asyncio.create_task(node.spread.run()),
+            asyncio.create_task(node.relay.run()),
             asyncio.create_task(node.recovery.run()),
         ]
         logger.bind(instance=node.settings.instance, process=node.directory.own.process).info(
--- a/tests/coordination/sidecar/test_attempts.py
+++ b/tests/coordination/sidecar/test_attempts.py
@@ -11,7 +11,7 @@
 from turmericwharf.coordination.sidecar.orders import refused_answer, unknown_answer
 from turmericwharf.coordination.sidecar.server_choice import ServerChoice
 from turmericwharf.state import Answered, NotRun, OutcomeUnknown, Reason
-from turmericwharf.state.sidecar import WorkAnswer
+from turmericwharf.state.sidecar import StoredEntry, WorkAnswer
 
 SUCCESS = WorkAnswer(Answered(200, (), b'ok'), None, None, True, 0, 0, 5)
 ERROR = WorkAnswer(Answered(500, (), b''), None, None, True, 0, 0, 5)
@@ -48,7 +48,7 @@
         clock = LoopClock()
         directory = NodeDirectory(make_entry('own'), clock)
         for number in range(servers - 1):
-            directory.update(make_entry(f'n{number}'), source='test')
+            directory.take(StoredEntry(make_entry(f'n{number}'), 0), source='test')
         rule = make_route(**route)
         admitted = FleetAdmission(
             request=make_request(),
--- a/tests/coordination/sidecar/test_quota.py
+++ b/tests/coordination/sidecar/test_quota.py
@@ -6,7 +6,7 @@
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders
-from turmericwharf.state.sidecar import OrganisationRule, ServerPhase, SidecarBounds
+from turmericwharf.state.sidecar import OrganisationRule, ServerPhase, SidecarBounds, StoredEntry
 
 RATE = 30
 WINDOW_SECONDS = 5
@@ -34,7 +34,7 @@
         for own in entries:
             directory = NodeDirectory(own, self.clock)
             for other in entries:
-                directory.update(other, source='test')
+                directory.take(StoredEntry(other, 0), source='test')
             holder = ConfigurationHolder(lambda encoded: make_configuration())
             holder.offer(b'', source='test')
             holders = QuotaHolders(directory, holder, self.clock)
@@ -106,7 +106,7 @@
         for gone in nodes:
             if gone.instance in holders and gone.instance != directory.own.instance:
                 left = dataclasses.replace(gone, phase=ServerPhase.STOPPING, revision=1)
-                directory.update(left, source='test')
+                directory.take(StoredEntry(left, 0), source='test')
             elif gone.instance in holders:
                 directory.own = dataclasses.replace(gone, phase=ServerPhase.STOPPING, revision=1)
     for buckets in fleet.buckets_by_id.values():
--- /dev/null
+++ b/tests/coordination/sidecar/test_topic_follower.py
@@ -0,0 +1,71 @@
+import asyncio
+
+from tests.coordination.fakes import AWAY
+from tests.virtual_time import run_in_virtual_time
+from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
+from turmericwharf.state.sidecar import HISTORY_GONE, KeyedPage, KeyedRecord, StoreTopic
+
+PAGE = KeyedPage({'config': KeyedRecord(b'x', 4)}, 5)
+
+
+class Log:
+    """Gives scripted pages, then waits; counts the calls."""
+
+    def __init__(self, *pages) -> None:
+        self.pages = list(pages)
+        self.calls = []
+
+    async def newest(self, topic):
+        return await self._next('newest')
+
+    async def changes(self, topic, *, offset, wait_seconds):
+        return await self._next(offset)
+
+    async def _next(self, call):
+        self.calls.append(call)
+        if not self.pages:
+            await asyncio.sleep(1000)
+        return self.pages.pop(0)
+
+
+def follow(log, seconds, *, needed=None):
+    async def main():
+        pages = []
+        event = needed() if needed else None
+        follower = TopicFollower(log, StoreTopic.NODES, pages.append, wait_seconds=5, needed=event)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+        return follower, pages
+
+    return run_in_virtual_time(main())
+
+
+def test_changes_are_read_from_where_the_last_page_ended():
+    """A change would be missed, or all records would be read again and again."""
+    log = Log(PAGE, KeyedPage({}, 7))
+    follower, pages = follow(log, 1)
+    assert log.calls == ['newest', 5, 7]
+    assert follower.is_connected and len(pages) == 2
+
+
+def test_newest_records_are_read_again_when_history_is_gone():
+    """A node would wait for ever for records that the store has dropped."""
+    log = Log(PAGE, HISTORY_GONE, PAGE)
+    follow(log, 1)
+    assert log.calls == ['newest', 5, 'newest', 5]
+
+
+def test_lost_store_is_asked_less_and_less_often():
+    """Calls to a store that is down are counted and priced like others."""
+    log = Log(*[AWAY] * 100)
+    follower, _ = follow(log, 16)
+    assert not follower.is_connected
+    assert 8 <= len(log.calls) <= 30
+
+
+def test_topic_is_not_read_while_others_tell_of_it():
+    """Nodes that hear from a reader would read the store all the same."""
+    log = Log(PAGE)
+    follow(log, 5, needed=asyncio.Event)
+    assert not log.calls
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -8,7 +8,7 @@
 from turmericwharf.platform.announcements import read_heartbeat, read_leave
 from turmericwharf.protocol import decode_node_entry, digest_key
 from turmericwharf.state import SettingsFailure
-from turmericwharf.state.sidecar import ServerPhase
+from turmericwharf.state.sidecar import KeyedRecord, ServerPhase
 
 HEARTBEAT = {
     'address': '10.1.0.1:8080',
@@ -74,7 +74,7 @@
     assert configuration.decode_configuration(encoded) is None
     assert isinstance(settings.decode_platform_settings(encoded), SettingsFailure)
     decode_node_entry(encoded)
-    store.read_records(encoded)
+    store.read_records(encoded, 0)
 
 
 @given(JSON)
@@ -103,9 +103,9 @@
     head = (3).to_bytes(8, 'big') + (0).to_bytes(8, 'big')
     records = [b'\x01aold', b'\x01bx', b'\x01anew', b'\x01b']
     encoded = head + b''.join(len(one).to_bytes(4, 'big') + one for one in records)
-    values_by_key, count = store.read_records(encoded)
-    assert values_by_key == {'a': b'new', 'b': b''}
-    assert count == 4
+    records_by_key, next_offset = store.read_records(encoded, 10)
+    assert records_by_key == {'a': KeyedRecord(b'new', 12), 'b': KeyedRecord(b'', 13)}
+    assert next_offset == 14
 
 
 @pytest.mark.parametrize('text', ['10.0.0.1', ':80', '10.0.0.1:x', ''])
