Pay for a retry when it reaches a server, not when a node refuses it

Cause: after a request had reached one server, each later refusal by a node (mostly an open breaker) spent one retry of the budget, although it reached no server.

Ruled out: too few sound servers (the same service had idle ones), the route's attempts (one of two was used).

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -44,7 +44,9 @@
 
     number: int = 0
     runs: int = 0
+    # Servers that the request has reached, and those beyond the first that the budget has paid.
     arrivals: int = 0
+    paid: int = 0
     refusals: int = 0
     full: int = 0
     outcome: Outcome | None = None
@@ -185,7 +187,7 @@
             return
         self._choice.avoid(first.entry.instance)
         entry = self._choice.choose(admitted.service, progress.excluded)
-        if entry is not None and self._spend(admitted):
+        if entry is not None and self._pays(admitted, progress, at_work=1):
             progress.runs += 1
             attempts.append(self._start(admitted, entry, progress, at_work=1))
             logger.bind(
@@ -256,16 +258,20 @@
             return False
         if isinstance(outcome, NotRun):
             is_final = outcome.reason in _FINAL_REFUSALS or self._is_hopeless(admitted, progress)
-            return not is_final and (progress.arrivals == 0 or self._spend(admitted))
-        return admitted.route.idempotent and self._spend(admitted)
+            return not is_final and self._pays(admitted, progress)
+        return admitted.route.idempotent and self._pays(admitted, progress)
 
     def _has_more(self, admitted: FleetAdmission, progress: _Progress, *, at_work: int) -> bool:
         return progress.runs + at_work < admitted.route.attempts
 
-    def _spend(self, admitted: FleetAdmission) -> bool:
+    def _pays(self, admitted: FleetAdmission, progress: _Progress, *, at_work: int = 0) -> bool:
+        """Whether the request may reach one more server; what was paid holds until it does."""
+        if progress.paid >= progress.arrivals + at_work:
+            return True
         if not self._budget.allows(admitted.service):
             return False
         self._budget.spend(admitted.service)
+        progress.paid += 1
         return True
 
 
--- a/tests/coordination/sidecar/test_attempts.py
+++ b/tests/coordination/sidecar/test_attempts.py
@@ -97,6 +97,16 @@
     assert len(sender.sent) == 3
 
 
+def test_refusals_beside_servers_use_no_budget():
+    """Open breakers would use up the retries of requests whose first server failed."""
+    sender = Sender(BROKEN, OPEN, OPEN, OPEN, SUCCESS)
+    outcome, _ = run(sender, idempotent=True, attempts=2, retries=1)
+    assert isinstance(outcome, Answered)
+    sender = Sender(SHED, OPEN, SHED, SUCCESS)
+    assert isinstance(run(sender, retries=1)[0], NotRun)
+    assert len(sender.sent) == 3
+
+
 def test_rejections_of_servers_use_the_budget_but_not_the_attempts():
     """A request that no server ran would fail after as many rejections as it may run."""
     sender = Sender(SHED, SHED, SHED, SUCCESS)
