Grant retries beyond the ratio by one node of each data centre

Ruled out: a larger share for each node, since the sum would exceed the budget when all servers fail.

Change: each data centre has an even part, and the node that ranks first for the service grants it. A node that has granted for less than a window grants a quarter of the budget instead of three quarters, so that a change of the granting node stays inside the budget. The window's length is read from the settings, and a changed ratio takes effect with SIGHUP.

--- a/benchmarks/sidecar_slopes.py
+++ b/benchmarks/sidecar_slopes.py
@@ -14,7 +14,7 @@
 from turmericwharf.coordination.sidecar.server_choice import ServerChoice
 from turmericwharf.platform.configuration import decode_configuration
 from turmericwharf.protocol import encode_node_entry
-from turmericwharf.state.sidecar import NodeEntry, ServerPhase, SidecarBounds
+from turmericwharf.state.sidecar import NodeEntry, ServerPhase, SidecarBounds, StoredEntry
 from turmericwharf.transport.clock import BootClock
 
 PLACES = 4
@@ -84,16 +84,16 @@
     tracemalloc.start()
     directory = NodeDirectory(make_entry(0), clock)
     for number in range(1, count):
-        directory.update(make_entry(number), source='benchmark')
+        directory.take(StoredEntry(make_entry(number), number), source='benchmark')
     kilobytes = tracemalloc.get_traced_memory()[0] / 1e3
     tracemalloc.stop()
     holder = ConfigurationHolder(decode_configuration)
     holder.offer(make_configuration(45_000, 1), source='benchmark')
     holders = QuotaHolders(directory, holder, clock)
     holders.refresh()
-    directory.update(make_entry(count), source='benchmark')
+    directory.take(StoredEntry(make_entry(count), count), source='benchmark')
     refresh = timed(holders.refresh)
-    bounds = SidecarBounds(0.2, 64, 6, 5, 0.1, 20)
+    bounds = SidecarBounds(0.2, 64, 10, 6, 5, 0.1, 20)
     buckets = QuotaBuckets(holders, holder, clock, SimpleNamespace(current=bounds))
     grant = timed(lambda: buckets.grant('t1'), ROUNDS)
     choice = ServerChoice(directory, clock)
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
@@ -8,7 +8,7 @@
 from turmericwharf.coordination.routing.in_flight import Choice
 from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import Clock, PeerLinks, WallClock
-from turmericwharf.coordination.routing.retries import RetryBudget, is_retryable
+from turmericwharf.coordination.routing.retries import RetryBudget, RetryLimits, is_retryable
 from turmericwharf.coordination.routing.routing import Router
 from turmericwharf.state import (
     CALLER_LEFT,
@@ -60,7 +60,7 @@
         self._wall_clock = wall_clock
         self._cancelled: set[RequestId] = set()
         self._attempts_by_id: dict[RequestId, tuple[InstanceId, RequestId]] = {}
-        self.budget = RetryBudget(limits.retry_fraction, clock)
+        self.budget = RetryBudget(lambda: RetryLimits(limits.retry_fraction), clock)
 
     async def dispatch(self, admitted: AdmittedRequest) -> Outcome:
         """Try a request on one server after another, as far as that is safe."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/retries.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/retries.py
@@ -1,13 +1,12 @@
 """Which outcomes may be tried again, and how often."""
 
 import collections
+import dataclasses
 from collections.abc import Callable
 
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.state import Answered, NotRun, Outcome, Reason, RetryReport, ServiceId
 
-_WINDOW_SECONDS = 10.0
-_MINIMUM_RETRIES = 3
 
 # Refusals that every other server would repeat.
 _FINAL_REASONS = frozenset((Reason.DEADLINE_PASSED, Reason.KEY_WITHDRAWN, Reason.CALLER_LEFT))
@@ -22,28 +21,38 @@
     return idempotent
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryLimits:
+    """How many retries a node may make to one service.
+
+    Parameters
+    ----------
+    fraction
+        Retries over the requests of a window.
+    minimum
+        Retries that are allowed in a window whatever the requests.
+    window_seconds
+        Length of the window that ends now.
+    """
+
+    fraction: float
+    minimum: float = 3
+    window_seconds: float = 10
+
+
 class RetryBudget:
     """Bounds retries to a fraction of the recent requests of a service.
 
     Parameters
     ----------
-    fraction
-        Retries over requests.
+    limits
+        Returns the limits in force.
     clock
         Clock of the node.
-    minimum
-        Returns the retries that are allowed whatever the requests.
     """
 
-    def __init__(
-        self,
-        fraction: float,
-        clock: Clock,
-        *,
-        minimum: Callable[[], float] | None = None,
-    ) -> None:
-        self._fraction = fraction
-        self._minimum = minimum or _default_minimum
+    def __init__(self, limits: Callable[[], RetryLimits], clock: Clock) -> None:
+        self._limits = limits
         self._clock = clock
         self._requests_by_id: dict[ServiceId, collections.deque[float]] = {}
         self._retries_by_id: dict[ServiceId, collections.deque[float]] = {}
@@ -57,7 +66,8 @@
         """Whether one more retry is inside the budget."""
         requests = self._recent(self._requests_by_id, service)
         retries = self._recent(self._retries_by_id, service)
-        is_allowed = len(retries) + 1 <= len(requests) * self._fraction + self._minimum()
+        limits = self._limits()
+        is_allowed = len(retries) + 1 <= len(requests) * limits.fraction + limits.minimum
         if not is_allowed:
             self._refused_by_id[service] += 1
         return is_allowed
@@ -84,10 +94,7 @@
         service: ServiceId,
     ) -> collections.deque[float]:
         moments = moments_by_id.setdefault(service, collections.deque())
-        while moments and moments[0] < self._clock.now() - _WINDOW_SECONDS:
+        oldest = self._clock.now() - self._limits().window_seconds
+        while moments and moments[0] < oldest:
             moments.popleft()
         return moments
-
-
-def _default_minimum() -> float:
-    return _MINIMUM_RETRIES
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -6,9 +6,9 @@
 from loguru import logger
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.routing.retries import RetryBudget
 from turmericwharf.coordination.sidecar.admission import FleetAdmission
 from turmericwharf.coordination.sidecar.orders import OrderSender
+from turmericwharf.coordination.sidecar.retry_allowance import RetryAllowance
 from turmericwharf.coordination.sidecar.server_choice import ServerChoice
 from turmericwharf.state import (
     DEADLINE_PASSED,
@@ -73,7 +73,7 @@
         Chooses servers.
     sender
         Sends one order and returns its answer.
-    budget
+    allowance
         Bound on requests that reach a second server.
     clock
         Clock of the node.
@@ -84,17 +84,17 @@
         *,
         choice: ServerChoice,
         sender: OrderSender,
-        budget: RetryBudget,
+        allowance: RetryAllowance,
         clock: Clock,
     ) -> None:
         self._choice = choice
         self._sender = sender
-        self._budget = budget
+        self._allowance = allowance
         self._clock = clock
 
     async def run(self, admitted: FleetAdmission) -> Outcome:
         """Return the final outcome of a request."""
-        self._budget.record_request(admitted.service)
+        self._allowance.record_request(admitted.service)
         progress = _Progress()
         is_final = False
         while not is_final and self._left(admitted) > _LEAST_SECONDS:
@@ -187,7 +187,7 @@
             return
         self._choice.avoid(first.entry.instance)
         entry = self._choice.choose(admitted.service, progress.excluded)
-        if entry is not None and self._pays(admitted, progress, at_work=1):
+        if entry is not None and await self._pays(admitted, progress, at_work=1):
             progress.runs += 1
             attempts.append(self._start(admitted, entry, progress, at_work=1))
             logger.bind(
@@ -212,10 +212,11 @@
             done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 ended = waiting.pop(task)
-                is_final = self._record(admitted, ended, progress, at_work=len(waiting)) or is_final
+                is_last = await self._record(admitted, ended, progress, at_work=len(waiting))
+                is_final = is_last or is_final
         return is_final
 
-    def _record(
+    async def _record(
         self,
         admitted: FleetAdmission,
         ended: _Attempt,
@@ -235,7 +236,9 @@
             # What a server did says more than a later refusal by another node.
             progress.outcome = outcome
         is_success = isinstance(outcome, Answered) and outcome.status < _SERVER_ERROR
-        is_final = is_success or not (at_work or self._may_repeat(admitted, outcome, progress))
+        is_final = is_success
+        if not is_success and not at_work:
+            is_final = not await self._may_repeat(admitted, outcome, progress)
         logger.bind(
             request=admitted.request.request,
             attempt=ended.number,
@@ -248,7 +251,7 @@
         ).info('attempt_ended')
         return is_final
 
-    def _may_repeat(
+    async def _may_repeat(
         self,
         admitted: FleetAdmission,
         outcome: Outcome,
@@ -258,21 +261,25 @@
             return False
         if isinstance(outcome, NotRun):
             is_final = outcome.reason in _FINAL_REFUSALS or self._is_hopeless(admitted, progress)
-            return not is_final and self._pays(admitted, progress)
-        return admitted.route.idempotent and self._pays(admitted, progress)
+            return not is_final and await self._pays(admitted, progress)
+        return admitted.route.idempotent and await self._pays(admitted, progress)
 
     def _has_more(self, admitted: FleetAdmission, progress: _Progress, *, at_work: int) -> bool:
         return progress.runs + at_work < admitted.route.attempts
 
-    def _pays(self, admitted: FleetAdmission, progress: _Progress, *, at_work: int = 0) -> bool:
+    async def _pays(
+        self,
+        admitted: FleetAdmission,
+        progress: _Progress,
+        *,
+        at_work: int = 0,
+    ) -> bool:
         """Whether the request may reach one more server; what was paid holds until it does."""
         if progress.paid >= progress.arrivals + at_work:
             return True
-        if not self._budget.allows(admitted.service):
-            return False
-        self._budget.spend(admitted.service)
-        progress.paid += 1
-        return True
+        is_paid = await self._allowance.take(admitted.service)
+        progress.paid += is_paid
+        return is_paid
 
 
 def _outcome_of(answer: WorkAnswer) -> Outcome:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/messages.py
@@ -10,6 +10,8 @@
     FleetMessage,
     Greeting,
     NodeEntry,
+    RetryReply,
+    RetryRequest,
     TokenRequest,
     WorkCancel,
     WorkOrder,
@@ -63,3 +65,8 @@
 async def _(message: TokenRequest, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
     node.spread.note(peer.instance, message.version)
     return node.quota.buckets.grant(message.organisation)
+
+
+@answer_peer.register
+async def _(message: RetryRequest, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
+    return RetryReply(node.allowance.pool.grant(message.service))
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -4,7 +4,6 @@
 import dataclasses
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.routing.retries import RetryBudget
 from turmericwharf.coordination.sidecar.admission import RequestChecks
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
@@ -15,6 +14,7 @@
 from turmericwharf.coordination.sidecar.fleet_entry import FleetEntry
 from turmericwharf.coordination.sidecar.membership import FleetMembership
 from turmericwharf.coordination.sidecar.order_checks import OrderChecks
+from turmericwharf.coordination.sidecar.near_nodes import NearNodes
 from turmericwharf.coordination.sidecar.orders import OrderSender
 from turmericwharf.coordination.sidecar.own_entry import OwnEntryPublisher
 from turmericwharf.coordination.sidecar.ports import (
@@ -27,6 +27,7 @@
 )
 from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders, QuotaKeeper
 from turmericwharf.coordination.sidecar.recovery import ServerRecovery
+from turmericwharf.coordination.sidecar.retry_allowance import RetryAllowance, RetryPool
 from turmericwharf.coordination.sidecar.server_choice import ServerChoice
 from turmericwharf.coordination.sidecar.server_gate import ServerGate
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
@@ -36,7 +37,6 @@
 from turmericwharf.state.sidecar import (
     KeyedPage,
     NodeEntry,
-    SidecarBounds,
     SidecarSettings,
     StoreTopic,
 )
@@ -45,8 +45,6 @@
 _NODES_WAIT_SECONDS = 5.0
 # Other nodes tell of newer configurations, so that a long wait on a silent connection does no harm.
 _CONFIGURATION_WAIT_SECONDS = 20.0
-# The lookups of a repeated request count as repeats of the service that they call.
-_BUDGET_SHARE = 0.75
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +70,7 @@
     entry: FleetEntry
     gate: ServerGate
     quota: QuotaKeeper
+    allowance: RetryAllowance
     checks: OrderChecks
     record: ServerRecord
     announcements: AnnouncementService
@@ -118,6 +117,7 @@
         lambda page: _offer_configuration(holder, page),
         wait_seconds=_CONFIGURATION_WAIT_SECONDS,
     )
+    near = NearNodes(directory)
     store_needed = asyncio.Event()
     membership_follower = TopicFollower(
         ports.log,
@@ -129,7 +129,7 @@
     )
     relay = DirectoryRelay(
         directory=directory,
-        readers=StoreReaders(directory),
+        readers=StoreReaders(directory, near),
         links=ports.links,
         store_needed=store_needed,
         follower=membership_follower,
@@ -142,7 +142,14 @@
         clock=clock,
         caller_service=settings.service,
     )
-    attempts = _build_attempts(bounds, sender, directory, clock)
+    pool = RetryPool(directory, near, bounds, clock)
+    allowance = RetryAllowance(pool, ports.links, directory, bounds, clock)
+    attempts = AttemptRunner(
+        choice=ServerChoice(directory, clock),
+        sender=sender,
+        allowance=allowance,
+        clock=clock,
+    )
     return SidecarNode(
         settings=settings,
         directory=directory,
@@ -150,6 +157,7 @@
         entry=FleetEntry(request_checks, quota, attempts, clock),
         gate=gate,
         quota=quota,
+        allowance=allowance,
         checks=checks,
         record=record,
         announcements=announcements,
@@ -164,29 +172,7 @@
     )
 
 
-def _build_attempts(
-    bounds: BoundsInForce,
-    sender: OrderSender,
-    directory: NodeDirectory,
-    clock: Clock,
-) -> AttemptRunner:
-    return AttemptRunner(
-        choice=ServerChoice(directory, clock),
-        sender=sender,
-        budget=RetryBudget(
-            bounds.current.retry_ratio * _BUDGET_SHARE,
-            clock,
-            minimum=lambda: _retry_minimum(bounds.current, directory),
-        ),
-        clock=clock,
-    )
-
-
 def _offer_configuration(holder: ConfigurationHolder, page: KeyedPage) -> None:
     for record in page.records_by_key.values():
         if record.encoded:
             holder.offer(record.encoded, source='store')
-
-
-def _retry_minimum(bounds: SidecarBounds, directory: NodeDirectory) -> float:
-    return bounds.retry_extra * _BUDGET_SHARE / len(directory.entries)
--- a/packages/turmericwharf/src/turmericwharf/platform/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/settings.py
@@ -48,6 +48,7 @@
 class _Bounds(msgspec.Struct, frozen=True, rename='camel'):
     retry_budget_ratio: float = 0.2
     budget_extra_retries: float = 0
+    budget_window_s: float = msgspec.field(default=10, name='budgetWindowS')
     grace_s: float = msgspec.field(default=6, name='graceS')
     quota_window_s: float = msgspec.field(default=5, name='quotaWindowS')
     quota_overage: float = 0
@@ -97,6 +98,7 @@
         bounds=SidecarBounds(
             retry_ratio=bounds.retry_budget_ratio,
             retry_extra=bounds.budget_extra_retries,
+            retry_window_seconds=bounds.budget_window_s,
             grace_seconds=bounds.grace_s,
             rate_window_seconds=bounds.quota_window_s,
             rate_overage=bounds.quota_overage,
--- a/packages/turmericwharf/src/turmericwharf/protocol/codec.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/codec.py
@@ -16,6 +16,8 @@
     DirectoryReply,
     DirectoryRequest,
     Greeting,
+    RetryReply,
+    RetryRequest,
     TokenReply,
     TokenRequest,
     WorkAnswer,
@@ -69,6 +71,8 @@
         77: DirectoryReply,
         78: TokenRequest,
         79: TokenReply,
+        80: RetryRequest,
+        81: RetryReply,
     }
 )
 _NUMBERS_BY_TYPE = MappingProxyType(
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/settings.py
@@ -30,8 +30,9 @@
 
     Parameters
     ----------
-    retry_ratio, retry_extra
-        Most repeats of requests to a service over its requests, and beyond that.
+    retry_ratio, retry_extra, retry_window_seconds
+        Most repeats of requests to a service over its requests, and beyond that, in a window of
+        this length.
     grace_seconds
         Time from the signal to stop until the process is killed.
     rate_window_seconds, rate_overage, rate_slack
@@ -41,6 +42,7 @@
 
     retry_ratio: float
     retry_extra: float
+    retry_window_seconds: float
     grace_seconds: float
     rate_window_seconds: float
     rate_overage: float
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/work.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/work.py
@@ -210,6 +210,20 @@
     wait_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryRequest:
+    """Ask for one retry of a service's budget beyond the ratio of its requests."""
+
+    service: ServiceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryReply:
+    """Whether a retry was granted."""
+
+    granted: bool
+
+
 FleetMessage = (
     WorkOrder
     | WorkAnswer
@@ -221,4 +235,6 @@
     | DirectoryReply
     | TokenRequest
     | TokenReply
+    | RetryRequest
+    | RetryReply
 )
--- a/tests/coordination/sidecar/test_attempts.py
+++ b/tests/coordination/sidecar/test_attempts.py
@@ -1,10 +1,8 @@
 import asyncio
 import dataclasses
 
-from tests.coordination.fakes import ManualClock
 from tests.coordination.sidecar.samples import make_entry, make_request, make_route
 from tests.virtual_time import LoopClock, run_in_virtual_time
-from turmericwharf.coordination.routing.retries import RetryBudget
 from turmericwharf.coordination.sidecar.admission import FleetAdmission
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
@@ -43,6 +41,20 @@
         return answer
 
 
+class Allowance:
+    """Allows so many retries."""
+
+    def __init__(self, retries) -> None:
+        self.left = retries
+
+    def record_request(self, service) -> None:
+        """Requests allow no retries here."""
+
+    async def take(self, service):
+        self.left -= 1
+        return self.left >= 0
+
+
 def run(sender, *, retries=100.0, servers=6, service='bookings', **route):
     async def main():
         clock = LoopClock()
@@ -64,7 +76,7 @@
         runner = AttemptRunner(
             choice=ServerChoice(directory, clock),
             sender=sender,
-            budget=RetryBudget(0, ManualClock(), minimum=lambda: retries),
+            allowance=Allowance(retries),
             clock=clock,
         )
         outcome = await runner.run(admitted)
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -6,6 +6,7 @@
 from tests.virtual_time import LoopClock, run_in_virtual_time
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.directory_relay import DirectoryRelay
+from turmericwharf.coordination.sidecar.near_nodes import NearNodes
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state import PEER_UNREACHABLE
 from turmericwharf.state.sidecar import ServerPhase, StoredEntry
@@ -28,7 +29,7 @@
         follower = SimpleNamespace(is_connected=True)
         relay = DirectoryRelay(
             directory=directory,
-            readers=StoreReaders(directory),
+            readers=StoreReaders(directory, NearNodes(directory)),
             links=self,
             store_needed=needed,
             follower=follower,
--- a/tests/coordination/sidecar/test_quota.py
+++ b/tests/coordination/sidecar/test_quota.py
@@ -16,6 +16,7 @@
     bounds = SidecarBounds(
         retry_ratio=0.2,
         retry_extra=64,
+        retry_window_seconds=10,
         grace_seconds=6,
         rate_window_seconds=WINDOW_SECONDS,
         rate_overage=overage,
--- a/tests/coordination/sidecar/test_store_readers.py
+++ b/tests/coordination/sidecar/test_store_readers.py
@@ -3,6 +3,7 @@
 from tests.coordination.fakes import ManualClock
 from tests.coordination.sidecar.samples import make_entry
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.near_nodes import NearNodes
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state.sidecar import ServerPhase, StoredEntry
 
@@ -18,6 +19,10 @@
     return directories_by_id
 
 
+def make_readers(directory):
+    return StoreReaders(directory, NearNodes(directory))
+
+
 def names(readers):
     return {entry.instance for entry in readers.above_own()}
 
@@ -25,7 +30,7 @@
 def test_two_nodes_of_each_data_centre_read_and_the_others_agree_on_them():
     """Each node would read the store, or a data centre would depend on another one."""
     directories_by_id = make_fleet(count=12, places=3)
-    asked_by_id = {name: names(StoreReaders(one)) for name, one in directories_by_id.items()}
+    asked_by_id = {name: names(make_readers(one)) for name, one in directories_by_id.items()}
     own_readers = {name for name, asked in asked_by_id.items() if not asked}
     assert len(own_readers) == 6
     for name, asked in asked_by_id.items():
@@ -37,7 +42,7 @@
 def test_next_node_reads_when_a_reader_is_suspected_or_stops():
     """A data centre would hear nothing after its readers have ended."""
     directories_by_id = make_fleet()
-    readers_by_id = {name: StoreReaders(one) for name, one in directories_by_id.items()}
+    readers_by_id = {name: make_readers(one) for name, one in directories_by_id.items()}
     first, second = (name for name, one in readers_by_id.items() if not names(one))
     other = next(name for name, one in readers_by_id.items() if names(one))
     directories_by_id[other].suspect(first)
@@ -55,6 +60,6 @@
         for other in list(directories_by_id)[number : number + 2]:
             if other != name:
                 directory.suspect(other)
-    asked_by_id = {name: names(StoreReaders(one)) for name, one in directories_by_id.items()}
+    asked_by_id = {name: names(make_readers(one)) for name, one in directories_by_id.items()}
     for name, asked in asked_by_id.items():
         assert all(name not in asked_by_id[other] for other in asked)
