Count calls of repeated requests as repeats; open breakers for rejections

Change: an order says whether its request has reached a server before; the node beside the server counts the calls of that server as repeats by the share of repeated requests that run. The pool's share falls from 0.75 to 0.6. The breaker opens when nearly all requests are rejected, and any request may try such a server, since a rejected one has not run.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -94,7 +94,7 @@
 
     async def run(self, admitted: FleetAdmission) -> Outcome:
         """Return the final outcome of a request."""
-        self._allowance.record_request(admitted.service)
+        self._allowance.record_request(admitted.service, is_call=admitted.is_call)
         progress = _Progress()
         is_final = False
         while not is_final and self._left(admitted) > _LEAST_SECONDS:
@@ -165,6 +165,7 @@
             allowed_seconds=self._left(admitted),
             target_seconds=self._target_seconds(admitted),
             may_try=may_try and admitted.route.idempotent,
+            is_repeat=progress.arrivals + at_work > 0,
         )
         load, load_age = self._choice.known_load(entry.instance)
         return _Attempt(entry, progress.number, load, load_age, asyncio.create_task(sending))
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -143,7 +143,14 @@
         caller_service=settings.service,
     )
     pool = RetryPool(directory, near, bounds, clock)
-    allowance = RetryAllowance(pool, ports.links, directory, bounds, clock)
+    allowance = RetryAllowance(
+        pool=pool,
+        links=ports.links,
+        directory=directory,
+        bounds=bounds,
+        clock=clock,
+        repeated_share=lambda: gate.repeated_share,
+    )
     attempts = AttemptRunner(
         choice=ServerChoice(directory, clock),
         sender=sender,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/orders.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/orders.py
@@ -74,12 +74,14 @@
         allowed_seconds: float,
         target_seconds: float,
         may_try: bool,
+        is_repeat: bool,
     ) -> WorkAnswer:
         """Return the answer to an order; a cancellation is passed on."""
         expires_at = self._clock.now() + allowed_seconds
         order = dataclasses.replace(
             self._make_order(admitted, entry, number, expires_at),
             may_try=may_try,
+            is_repeat=is_repeat,
             target_seconds=target_seconds,
         )
         try:
@@ -154,6 +156,7 @@
             rank=admitted.rank,
             idempotent=admitted.route.idempotent,
             may_try=False,
+            is_repeat=False,
             remaining_seconds=expires_at - now,
             target_seconds=0,
             version=admitted.version,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
@@ -2,10 +2,13 @@
 
 The budget of a service is a ratio of its requests and a number beyond that. Each node keeps to the
 ratio of the requests that it has itself. The number is divided between the data centres, and one
-node of each grants it, since a part for each node would be too small to be of use.
+node of each grants it, since a part for each node would be too small to be of use. The calls that a
+backend server makes while it runs a repeated request count as repeats too.
 """
 
 import collections
+import random
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -18,10 +21,12 @@
 from turmericwharf.state import InstanceId, ServiceId
 from turmericwharf.state.sidecar import RetryReply, RetryRequest
 
-# The calls of a request that is repeated count as repeats of the service that they go to.
-_BUDGET_SHARE = 0.75
+# Nodes learn of a change of the nodes at different moments, and count requests when they admit
+# them, so that the whole budget would be exceeded at times.
+_RATIO_SHARE = 0.75
+_POOL_SHARE = 0.6
 # The node that granted before may have granted its whole part in the same window.
-_NEW_SHARE = 0.25
+_NEW_SHARE = 0.2
 _ASK_SECONDS = 0.1
 
 
@@ -70,7 +75,7 @@
         while granted and granted[0] < now - window_seconds:
             granted.popleft()
         held_seconds = now - self._held_since_by_service.setdefault(service, now)
-        share = _BUDGET_SHARE if held_seconds >= window_seconds else _NEW_SHARE
+        share = _POOL_SHARE if held_seconds >= window_seconds else _NEW_SHARE
         if len(granted) + 1 > share * self._part():
             return False
         granted.append(now)
@@ -96,25 +101,33 @@
         The budget.
     clock
         Clock of the node.
+    repeated_share
+        Returns the share of the requests at the own server that are repeated ones.
     """
 
     def __init__(
         self,
+        *,
         pool: RetryPool,
         links: FleetLinks,
         directory: NodeDirectory,
         bounds: BoundsInForce,
         clock: Clock,
+        repeated_share: Callable[[], float],
     ) -> None:
         self.pool = pool
         self._links = links
         self._directory = directory
         self._bounds = bounds
         self._budget = RetryBudget(self._own_limits, clock)
+        self._repeated_share = repeated_share
 
-    def record_request(self, service: ServiceId) -> None:
+    def record_request(self, service: ServiceId, *, is_call: bool) -> None:
         """Count a request of the own clients or of the own server."""
         self._budget.record_request(service)
+        # A call does not name the request that makes it.
+        if is_call and random.random() < self._repeated_share():
+            self._budget.spend(service)
 
     async def take(self, service: ServiceId) -> bool:
         """Take one retry from the own part, else from the pool; return whether there was one."""
@@ -136,7 +149,7 @@
     def _own_limits(self) -> RetryLimits:
         bounds = self._bounds.current
         return RetryLimits(
-            fraction=bounds.retry_ratio * _BUDGET_SHARE,
+            fraction=bounds.retry_ratio * _RATIO_SHARE,
             minimum=0,
             window_seconds=bounds.retry_window_seconds,
         )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -1,6 +1,9 @@
 """Runs work orders on the backend server beside the node."""
 
 import asyncio
+import collections
+import contextlib
+from collections.abc import Iterator
 
 from loguru import logger
 
@@ -68,12 +71,19 @@
         self.breaker = CircuitBreaker(clock)
         self.queue = FairQueue(1, _QUEUE_LENGTH, clock)
         self.backlog = Backlog()
+        self._running_by_repeat: collections.Counter[bool] = collections.Counter()
 
     async def serve(self, order: WorkOrder, version: int) -> WorkAnswer:
         """Run an order, or join the run of the same order that came before."""
         answer = await self.orders.join(order, lambda: self._run(order, version))
         return answer or self._answer(NotRun(CALLER_LEFT.reason, CALLER_LEFT.detail), version)
 
+    @property
+    def repeated_share(self) -> float:
+        """Share of the running orders whose request has reached another server before."""
+        running = sum(self._running_by_repeat.values())
+        return self._running_by_repeat[True] / running if running else 0
+
     def cancel(self, message: WorkCancel) -> None:
         """Stop work for a caller that has left."""
         self.orders.cancel((message.request, message.attempt))
@@ -81,6 +91,7 @@
     async def _run(self, order: WorkOrder, version: int) -> WorkAnswer:
         received_at = self._clock.now()
         refusal = self._checks.refusal(order, self._directory.own)
+        is_trial = self.breaker.is_open
         if refusal is None and not self.breaker.allows(may_try=order.may_try):
             refusal = BREAKER_OPEN
         if refusal is not None:
@@ -89,7 +100,7 @@
         if refusal is not None:
             return self._refuse(order, refusal, version)
         try:
-            return await self._run_in_slot(order, received_at, version)
+            return await self._run_in_slot(order, received_at, version, is_trial=is_trial)
         finally:
             self.queue.release(order.organisation)
 
@@ -112,10 +123,12 @@
         order: WorkOrder,
         received_at: float,
         version: int,
+        *,
+        is_trial: bool,
     ) -> WorkAnswer:
         # The server may have left, or the key may have been withdrawn, while the order waited.
         refusal = self._checks.refusal(order, self._directory.own)
-        if refusal is None and self.breaker.is_open and not order.may_try:
+        if refusal is None and self.breaker.is_open and not (is_trial or order.may_try):
             refusal = BREAKER_OPEN
         started_at = self._clock.now()
         remaining = order.remaining_seconds - (started_at - received_at)
@@ -125,7 +138,7 @@
         if refusal is not None:
             return self._refuse(order, refusal, version)
         self.orders.mark_at_server(order)
-        with self.backlog.running(self._times.usual(order.route)):
+        with self.backlog.running(self._times.usual(order.route)), self._count(order):
             outcome = await self._run_on_server(order, remaining)
         ran_seconds = self._clock.now() - started_at
         is_overdue = ran_seconds > _OVERDUE_FACTOR * self._times.usual(order.route)
@@ -148,6 +161,14 @@
             # The request was sent, so the answer must not say that it has not run.
             return OutcomeUnknown(CALLER_LEFT.reason, CALLER_LEFT.detail)
 
+    @contextlib.contextmanager
+    def _count(self, order: WorkOrder) -> Iterator[None]:
+        self._running_by_repeat[order.is_repeat] += 1
+        try:
+            yield
+        finally:
+            self._running_by_repeat[order.is_repeat] -= 1
+
     def _refuse(self, order: WorkOrder, failure: RequestFailure, version: int) -> WorkAnswer:
         logger.bind(
             request=order.request,
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/work.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/work.py
@@ -75,6 +75,8 @@
         Order in the queue; higher goes first.
     may_try
         Whether the request could go to another server if it fails on this one.
+    is_repeat
+        Whether the request has reached another server before.
     remaining_seconds
         Time until the caller's deadline, from the moment of sending.
     target_seconds
@@ -94,6 +96,7 @@
     rank: int
     idempotent: bool
     may_try: bool
+    is_repeat: bool
     remaining_seconds: float
     target_seconds: float
     version: int
--- a/tests/coordination/sidecar/samples.py
+++ b/tests/coordination/sidecar/samples.py
@@ -86,6 +86,7 @@
         rank=0,
         idempotent=False,
         may_try=False,
+        is_repeat=False,
         remaining_seconds=2.0,
         target_seconds=0.8,
         version=5,
--- a/tests/coordination/sidecar/test_attempts.py
+++ b/tests/coordination/sidecar/test_attempts.py
@@ -26,9 +26,11 @@
     def __init__(self, *answers) -> None:
         self.answers = list(answers)
         self.sent = []
+        self.repeats = []
         self.cancelled = 0
 
-    async def send(self, admitted, entry, *, number, may_try, **times):
+    async def send(self, admitted, entry, *, number, may_try, is_repeat, **times):
+        self.repeats.append(is_repeat)
         self.sent.append((entry.instance, may_try))
         answer = self.answers[min(number, len(self.answers)) - 1]
         if answer is NEVER:
@@ -47,7 +49,7 @@
     def __init__(self, retries) -> None:
         self.left = retries
 
-    def record_request(self, service) -> None:
+    def record_request(self, service, *, is_call) -> None:
         """Requests allow no retries here."""
 
     async def take(self, service):
@@ -128,6 +130,16 @@
     assert len(sender.sent) == 2
 
 
+def test_order_says_whether_the_request_has_reached_a_server_before():
+    """The calls of a repeated request would not count against the budget."""
+    sender = Sender(OPEN, BROKEN, SUCCESS)
+    run(sender, idempotent=True, attempts=3)
+    assert sender.repeats == [False, False, True]
+    sender = Sender(NEVER, SUCCESS)
+    run(sender, idempotent=True)
+    assert sender.repeats == [False, True]
+
+
 def test_last_attempt_is_no_trial_of_a_failing_server():
     """A trial would lose the request that has no other server left."""
     sender = Sender(BROKEN, SUCCESS)
--- a/tests/coordination/sidecar/test_breaker.py
+++ b/tests/coordination/sidecar/test_breaker.py
@@ -71,3 +71,45 @@
     for _ in range(4):
         breaker.record(TIMEOUT, is_overdue=True)
     assert breaker.is_open
+
+
+SHED = NotRun(Reason.SERVER_SHED)
+
+
+def test_opens_when_the_server_rejects_what_it_is_sent():
+    """Rejections of a server that takes nothing would use up the retries of its service."""
+    clock = ManualClock()
+    breaker = CircuitBreaker(clock)
+    for _ in range(10):
+        breaker.record(SHED, is_overdue=False)
+    assert breaker.is_open
+    clock.at += 1
+    # A rejected request has not run, so any request may try.
+    assert breaker.allows(may_try=False)
+    assert not breaker.allows(may_try=False)
+    breaker.record(SUCCESS, is_overdue=False)
+    assert not breaker.is_open
+
+
+def test_server_that_rejects_two_of_three_keeps_its_work():
+    """A third of the capacity of a service that rejects in part would be lost as well."""
+    breaker = CircuitBreaker(ManualClock())
+    for _ in range(20):
+        breaker.record(SHED, is_overdue=False)
+        breaker.record(SHED, is_overdue=False)
+        breaker.record(SUCCESS, is_overdue=False)
+        assert not breaker.is_open
+
+
+def test_rejecting_server_that_breaks_a_connection_is_tried_with_idempotent_requests_only():
+    """A booking would be lost as the trial of a server that resets connections."""
+    clock = ManualClock()
+    breaker = CircuitBreaker(clock)
+    for _ in range(10):
+        breaker.record(SHED, is_overdue=False)
+    breaker.record(BROKEN, is_overdue=False)
+    for _ in range(5):
+        breaker.record(SHED, is_overdue=False)
+    clock.at += 1
+    assert not breaker.allows(may_try=False)
+    assert breaker.allows(may_try=True)
--- a/tests/coordination/sidecar/test_retry_allowance.py
+++ b/tests/coordination/sidecar/test_retry_allowance.py
@@ -27,6 +27,7 @@
     def __init__(self, count=9, places=3) -> None:
         self.clock = ManualClock()
         self.cut = set()
+        self.repeated_share = 0.0
         entries = [make_entry(f'n{n}', data_centre=f'place-{n % places}') for n in range(count)]
         self.nodes_by_id = {}
         for own in entries:
@@ -38,7 +39,14 @@
     def start(self, name, directory):
         bounds = SimpleNamespace(current=BOUNDS)
         pool = RetryPool(directory, NearNodes(directory), bounds, self.clock)
-        self.nodes_by_id[name] = RetryAllowance(pool, self, directory, bounds, self.clock)
+        self.nodes_by_id[name] = RetryAllowance(
+            pool=pool,
+            links=self,
+            directory=directory,
+            bounds=bounds,
+            clock=self.clock,
+            repeated_share=lambda: self.repeated_share,
+        )
 
     async def ask(self, peer, message, *, timeout_seconds):
         if peer.instance in self.cut:
@@ -63,7 +71,7 @@
     fleet = Fleet()
     fleet.take_all()
     fleet.clock.at += WINDOW_SECONDS + 1
-    assert fleet.take_all(['n0']) == EXTRA / 3 * 0.75
+    assert fleet.take_all(['n0']) == EXTRA / 3 * 0.6
 
 
 def test_all_nodes_together_keep_to_the_budget():
@@ -74,7 +82,7 @@
     requests = 0
     for number, allowance in enumerate(fleet.nodes_by_id.values()):
         for _ in range(10 * number):
-            allowance.record_request('bookings')
+            allowance.record_request('bookings', is_call=False)
             requests += 1
     taken = fleet.take_all()
     assert 0.5 * EXTRA < taken <= EXTRA + RATIO * requests
@@ -102,3 +110,20 @@
     assert not any(fleet.nodes_by_id[name].pool.grant('bookings') for name in others)
     fleet.cut.add(granting)
     assert fleet.take_all(others) == 0
+
+
+def test_calls_of_repeated_requests_count_as_repeats():
+    """Pages that are repeated call other services again, beyond the budget of those services."""
+    fleet = Fleet(count=1, places=1)
+    allowance = fleet.nodes_by_id['n0']
+    fleet.take_all()
+    fleet.clock.at += WINDOW_SECONDS + 1
+    fleet.repeated_share = 1.0
+    for _ in range(100):
+        allowance.record_request('bookings', is_call=True)
+    # All of the ratio is used, and the calls of clients' requests use nothing.
+    assert fleet.take_all() <= EXTRA
+    fleet.clock.at += WINDOW_SECONDS + 1
+    for _ in range(100):
+        allowance.record_request('bookings', is_call=False)
+    assert fleet.take_all() > 0.5 * RATIO * 100 + 0.5 * EXTRA
