--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
@@ -28,6 +28,8 @@
 # Answers that are pending for this long make the link ask whether the peer still answers.
 _SILENCE_SECONDS = 0.4
 _PONG_SECONDS = 0.5
+# A node that stops does not wait for peers that stand still.
+CLOSE_SECONDS = 0.2
 _IDLE_SECONDS = 60.0
 _TELL_SECONDS = 1.0
 _RECEIVE_QUEUE_FRAMES = 256
@@ -228,7 +230,7 @@
     return connect(
         f'ws://{peer.host}:{peer.peer_port}',
         open_timeout=_CONNECT_SECONDS,
-        close_timeout=_PONG_SECONDS,
+        close_timeout=CLOSE_SECONDS,
         ping_interval=None,
         compression='deflate',
         max_size=WIRE_FRAME_BYTES,
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
@@ -11,7 +11,7 @@
 from turmericwharf.state import ProtocolFailure
 from turmericwharf.state.sidecar import Greeting, NodeEntry
 from turmericwharf.transport.connection import WIRE_FRAME_BYTES, FrameChannel
-from turmericwharf.transport.sidecar.links import MOST_FRAME_BYTES
+from turmericwharf.transport.sidecar.links import CLOSE_SECONDS, MOST_FRAME_BYTES
 
 _OPEN_SECONDS = 2.0
 _ANSWER_SECONDS = 10.0
@@ -34,7 +34,7 @@
             address.host,
             address.port,
             open_timeout=_OPEN_SECONDS,
-            close_timeout=_OPEN_SECONDS,
+            close_timeout=CLOSE_SECONDS,
             ping_interval=None,
             compression='deflate',
             max_size=WIRE_FRAME_BYTES,
--- a/tests/fleet/test_sidecar.py
+++ b/tests/fleet/test_sidecar.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import time
 
 from tests.sidecar_fleet import KEY, make_configuration, running_fleet
 from turmericwharf.state.sidecar import ServerPhase
@@ -155,6 +156,22 @@
         )
 
 
+async def test_node_stops_in_time_beside_a_node_that_stands_still():
+    """A node would be killed at the end of its grace time, as it waits for a silent peer."""
+    async with running_fleet(3) as fleet:
+        stopping, frozen, _ = fleet.nodes
+        for _ in range(6):
+            await asyncio.gather(*(node.ask('/read/1') for node in fleet.nodes))
+        frozen.process.send_signal(signal.SIGSTOP)
+        try:
+            started_at = time.monotonic()
+            await stopping.stop()
+            # A node lingers for 2.6 s, and 1 s is enough for it to end.
+            assert time.monotonic() - started_at < 2.6 + 1.0
+        finally:
+            frozen.process.send_signal(signal.SIGCONT)
+
+
 async def test_failing_server_is_left_alone_and_tried_again():
     """A server that resets connections would go on losing bookings."""
     async with running_fleet() as fleet:
