Begin parts of rates when a relayed entry changes; split the wiring

Cause, found by reading: holders of rates were followed when entries came from the store. Nodes that hear of them from a reader began their part at the first request after the change, with an empty bucket, and refused it.

Change: the relay tells the holders after it has taken entries. The relay and its follower are wired by a function of their own.

Test: the relay tells every node that heard of a change; it failed before, as nothing was called.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -39,6 +40,8 @@
         Set while this node reads the store itself.
     follower
         Reads the entries from the store.
+    taken
+        Called after entries of another node were taken.
     """
 
     def __init__(
@@ -49,12 +52,14 @@
         links: FleetLinks,
         store_needed: asyncio.Event,
         follower: TopicFollower,
+        taken: Callable[[], None],
     ) -> None:
         self._directory = directory
         self._readers = readers
         self._links = links
         self._store_needed = store_needed
-        self._follower = follower
+        self.follower = follower
+        self._taken = taken
         self._heard_by_id: dict[InstanceId, tuple[ProcessId, int]] = {}
 
     async def run(self) -> None:
@@ -78,7 +83,7 @@
             process=own.process,
             changes=self._directory.changes,
             nodes=self._directory.changed_after(after),
-            is_current=self._store_needed.is_set() and self._follower.is_connected,
+            is_current=self._store_needed.is_set() and self.follower.is_connected,
         )
 
     async def _ask_readers(self) -> bool:
@@ -99,7 +104,7 @@
             for peer in self._directory.peers
             if not self._directory.is_suspected(peer.instance)
         ]
-        if peers and not self._follower.is_connected:
+        if peers and not self.follower.is_connected:
             await self._ask(random.choice(peers), 0)
 
     async def _ask(self, peer: NodeEntry, wait_seconds: float) -> bool:
@@ -116,6 +121,8 @@
         self._heard_by_id[peer.instance] = (reply.process, reply.changes)
         for stored in reply.nodes:
             self._directory.take(stored, source=peer.instance)
+        if reply.nodes:
+            self._taken()
         return reply.is_current
 
     def _use(self, *, store: bool) -> None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -118,22 +118,7 @@
         wait_seconds=_CONFIGURATION_WAIT_SECONDS,
     )
     near = NearNodes(directory)
-    store_needed = asyncio.Event()
-    membership_follower = TopicFollower(
-        ports.log,
-        StoreTopic.NODES,
-        membership.take,
-        wait_seconds=_NODES_WAIT_SECONDS,
-        gather_seconds=_GATHER_SECONDS,
-        needed=store_needed,
-    )
-    relay = DirectoryRelay(
-        directory=directory,
-        readers=StoreReaders(directory, near),
-        links=ports.links,
-        store_needed=store_needed,
-        follower=membership_follower,
-    )
+    relay = _build_relay(ports, directory, near, membership, holders)
     sender = OrderSender(
         gate=gate,
         links=ports.links,
@@ -142,9 +127,8 @@
         clock=clock,
         caller_service=settings.service,
     )
-    pool = RetryPool(directory, near, bounds, clock)
     allowance = RetryAllowance(
-        pool=pool,
+        pool=RetryPool(directory, near, bounds, clock),
         links=ports.links,
         directory=directory,
         bounds=bounds,
@@ -172,13 +156,39 @@
         spread=VersionSpread(holder, directory, ports.links, follower),
         relay=relay,
         configuration_follower=follower,
-        membership_follower=membership_follower,
+        membership_follower=relay.follower,
         recovery=ServerRecovery(announcements, holder, ports.server),
         bounds=bounds,
         clock=clock,
     )
 
 
+def _build_relay(
+    ports: SidecarPorts,
+    directory: NodeDirectory,
+    near: NearNodes,
+    membership: FleetMembership,
+    holders: QuotaHolders,
+) -> DirectoryRelay:
+    store_needed = asyncio.Event()
+    follower = TopicFollower(
+        ports.log,
+        StoreTopic.NODES,
+        membership.take,
+        wait_seconds=_NODES_WAIT_SECONDS,
+        gather_seconds=_GATHER_SECONDS,
+        needed=store_needed,
+    )
+    return DirectoryRelay(
+        directory=directory,
+        readers=StoreReaders(directory, near),
+        links=ports.links,
+        store_needed=store_needed,
+        follower=follower,
+        taken=holders.refresh,
+    )
+
+
 def _offer_configuration(holder: ConfigurationHolder, page: KeyedPage) -> None:
     for record in page.records_by_key.values():
         if record.encoded:
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -17,6 +17,7 @@
 
     def __init__(self, count=6) -> None:
         self.down = set()
+        self.told = []
         self.entries = [make_entry(f'n{n}') for n in range(count)]
         self.nodes_by_id = {one.instance: self._make_node(one) for one in self.entries}
         self.tasks = [asyncio.create_task(one.relay.run()) for one in self.nodes_by_id.values()]
@@ -33,6 +34,7 @@
             links=self,
             store_needed=needed,
             follower=follower,
+            taken=lambda: self.told.append(own.instance),
         )
         return SimpleNamespace(directory=directory, needed=needed, follower=follower, relay=relay)
 
@@ -85,9 +87,12 @@
     async def scenario(fleet):
         assert len(fleet.store_readers) == 2
         changed = fleet.change_one()
+        fleet.told.clear()
         await fleet.tell_readers(changed, 100)
         await asyncio.sleep(0.2)
         assert len(fleet.know(changed.instance, 1)) == 5
+        # Parts of rates begin with the change, not with the first request after it.
+        assert set(fleet.told) == set(fleet.nodes_by_id) - fleet.store_readers
 
     play(scenario)
 
