Disturb the store's connections and withdraw keys in the fault soak

The soak had no faults between a node and the store other than those of the store itself, and checked no withdrawn key. Each node now reaches the store over a relay of its own that resets, delays, cuts one way or silences its connections, and one fault withdraws a key for good; requests with it must not run 5 s after the faults have ended.

--- a/tests/sidecar_fleet.py
+++ b/tests/sidecar_fleet.py
@@ -16,6 +16,7 @@
 
 from tests.stand_ins.platform_server import PlatformServer
 from tests.stand_ins.platform_store import PlatformStore
+from tests.stand_ins.relay import Network, Relay
 
 ROOT = Path(__file__).parents[1]
 SOURCES = os.pathsep.join(
@@ -24,6 +25,7 @@
 START_SECONDS = 20.0
 GRACE_SECONDS = 6
 KEY = 'key-of-the-cafe'
+LOOPBACK = '127.0.0.1'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -86,6 +88,15 @@
         self.name = f'node-{number}'
         self.host = f'127.0.0.{10 + number}'
         self.server = PlatformServer(self.host, fleet.ports, 'bookings', f'server-{number}')
+        # Each node has a relay of its own to the store, so that it alone can be cut off.
+        self.store_relay_port = free_ports(1)[0]
+        self.store_relay = Relay(
+            fleet.network,
+            f'store-of-{self.name}',
+            LOOPBACK,
+            self.store_relay_port,
+            fleet.store_port,
+        )
         self.process: asyncio.subprocess.Process | None = None
         self.log_path = fleet.folder / f'{self.name}.log'
 
@@ -107,7 +118,7 @@
                 },
                 'portRange': [ports.first_peer, ports.first_peer + 1],
             },
-            'platform': {'platform': {'address': f'127.0.0.1:{self.fleet.store_port}'}},
+            'platform': {'platform': {'address': f'{LOOPBACK}:{self.store_relay_port}'}},
             'terms': {'bounds': {'budgetExtraRetries': 100, 'graceS': GRACE_SECONDS}},
         }
 
@@ -165,13 +176,15 @@
         self.ports = Ports(*found[:5])
         self.store_port = found[5]
         self.store = PlatformStore()
+        self.network = Network()
         self.numbers = itertools.count(1)
         self.nodes = [SidecarNode(self, number) for number in range(count)]
 
     async def start(self) -> None:
-        self.store.start('127.0.0.1', self.store_port)
+        self.store.start(LOOPBACK, self.store_port)
         self.store.configure(make_configuration())
         for node in self.nodes:
+            await node.store_relay.start()
             node.server.start()
             await node.start()
         await self.wait_until_whole()
@@ -190,6 +203,7 @@
             if node.process is not None and node.process.returncode is None:
                 await node.stop(signal.SIGKILL)
             node.server.stop()
+            await node.store_relay.stop()
         self.store.stop()
 
     def runs(self, request: str) -> int:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,7 +18,7 @@
 
 from tornado.httpclient import HTTPError
 
-from tests.sidecar_fleet import KEY, SidecarFleet, make_configuration
+from tests.sidecar_fleet import KEY, LOOPBACK, SidecarFleet, make_configuration
 
 NODES = 4
 SOAK_SECONDS = 12.0
@@ -27,6 +27,9 @@
 FROZEN_SECONDS = (0.2, 3.0)
 DOWN_SECONDS = (0.1, 1.5)
 NEVER_HELD_KEY = 'key-of-nobody'
+# A fault withdraws it for good; afterwards nothing may run for it once the faults have ended.
+WITHDRAWN_KEY = 'key-to-be-withdrawn'
+WITHDRAWAL_SECONDS = 5.0
 # Answers that promise that the request has not run and never will.
 NOT_RUN = frozenset((408, 421, 429, 503))
 # The organisation of the last check has this rate and burst, in requests.
@@ -61,6 +64,7 @@
     seen: list[Sent] = dataclasses.field(default_factory=list)
     timeline: list[str] = dataclasses.field(default_factory=list)
     version: int = 1
+    withdrawn_at: float | None = None
     began_at: float = dataclasses.field(default_factory=time.monotonic)
 
     def note(self, text: str) -> None:
@@ -82,23 +86,26 @@
             faults.add(asyncio.create_task(fault(self)))
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
         await asyncio.gather(*faults)
+        ended_at = time.monotonic()
         self.fleet.store.fault = ''
         self.note('faults ended')
         await asyncio.sleep(SETTLE_SECONDS)
         ended.set()
         await asyncio.gather(*clients)
-        return [*self.broken_promises(deadline + SETTLE_SECONDS / 2)]
+        return [*self.broken_promises(deadline + SETTLE_SECONDS / 2), *self.late_runs(ended_at)]
 
     def configure(self) -> None:
         self.version += 1
         small = {'apiKeys': [SMALL_KEY], 'ratePerS': SMALL_RATE, 'burst': SMALL_BURST}
-        tenants = {'cafe': {'apiKeys': [KEY], 'ratePerS': 5000, 'burst': 5000}, 'small': small}
+        keys = [KEY] if self.withdrawn_at else [KEY, WITHDRAWN_KEY]
+        tenants = {'cafe': {'apiKeys': keys, 'ratePerS': 5000, 'burst': 5000}, 'small': small}
         self.fleet.store.configure(make_configuration(self.version, tenants=tenants))
 
     async def call(self, node, ended: asyncio.Event) -> None:
         """Send requests on one machine until the soak ends."""
         while not ended.is_set():
-            key = self.random.choices((KEY, SMALL_KEY, NEVER_HELD_KEY), (10, 10, 1))[0]
+            keys = (KEY, SMALL_KEY, WITHDRAWN_KEY, NEVER_HELD_KEY)
+            key = self.random.choices(keys, (10, 10, 2, 1))[0]
             idempotent = self.random.random() < 0.5
             await self.call_once(node, key, idempotent=idempotent)
             await asyncio.sleep(self.random.uniform(0, 0.05))
@@ -135,6 +142,15 @@
         if served < 0.9 * len(late) or not late:
             yield f'only {served} of {len(late)} requests were served after the faults'
 
+    def late_runs(self, ended_at: float):
+        """Yield requests that ran for a key that was withdrawn before."""
+        if self.withdrawn_at is None:
+            return
+        in_force_at = max(self.withdrawn_at, ended_at) + WITHDRAWAL_SECONDS
+        for one in self.seen:
+            if one.key == WITHDRAWN_KEY and one.at > in_force_at and self.fleet.runs(one.request):
+                yield f'{one.request} ran for a withdrawn key'
+
     def rate_excesses(self):
         """Yield windows in which more requests of the small organisation ran than it may."""
         allowed = (SMALL_RATE * WINDOW_SECONDS + SMALL_BURST) * (1 + OVERAGE) + SLACK
@@ -210,13 +226,50 @@
     soak.note('the store forgets its history')
 
 
+async def disturb_store_link(soak: Soak) -> None:
+    """Reset, delay, cut one way or silence a node's connections to the store."""
+    relay = soak.random.choice(soak.fleet.nodes).store_relay
+    disturbance = soak.random.choice(('reset', 'delay', 'cut answers', 'silence'))
+    soak.note(f'{relay.name}: {disturbance}')
+    if disturbance == 'reset':
+        relay.reset()
+    elif disturbance == 'delay':
+        soak.fleet.network.delay(relay.name, LOOPBACK, 0.4)
+    else:
+        soak.fleet.network.cut(relay.name, LOOPBACK)
+        if disturbance == 'silence':
+            soak.fleet.network.cut(LOOPBACK, relay.name)
+    await asyncio.sleep(soak.random.uniform(1, 5))
+    soak.fleet.network.heal()
+    soak.note(f'{relay.name}: healed')
+
+
+async def withdraw_key(soak: Soak) -> None:
+    """Withdraw a key for good."""
+    if soak.withdrawn_at is None:
+        soak.withdrawn_at = time.monotonic()
+        soak.configure()
+        soak.note(f'the key is withdrawn by version {soak.version}')
+
+
 async def configure(soak: Soak) -> None:
     """Write another version of the configuration."""
     soak.configure()
     soak.note(f'version {soak.version} is written')
 
 
-FAULTS = (kill, terminate, freeze, fail_server, fail_server, fail_store, forget_history, configure)
+FAULTS = (
+    kill,
+    terminate,
+    freeze,
+    fail_server,
+    fail_server,
+    fail_store,
+    disturb_store_link,
+    forget_history,
+    configure,
+    withdraw_key,
+)
 
 
 async def play(seed: int) -> dict:
--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -56,6 +56,17 @@
         self._target_port = target_port
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def name(self) -> str:
+        """Name of the relay's own end of the link."""
+        return self._name
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in self._writers:
+            writer.transport.abort()
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, self._host, self._port)
@@ -81,6 +92,7 @@
             writer.close()
             return
         target_reader, target_writer = target
+        self._writers |= {writer, target_writer}
         try:
             await asyncio.gather(
                 self._pump(reader, target_writer, lambda: (source, self._name)),
@@ -89,6 +101,7 @@
         except (OSError, asyncio.CancelledError):
             pass
         finally:
+            self._writers -= {writer, target_writer}
             target_writer.close()
             writer.close()
 
