Deliver all answers of a pipelined connection when a node stops

A request was read 1.1 s after SIGTERM behind another on its connection; its server answered 0.4 s later, and the connection closed at the end of the drain without that answer.

Cause, two faults: the first answer while draining closed the connection, also with more requests behind it; and when the drain ended while the first request still had no answer, the connection was closed with ready answers behind it.

Ruled out: a lost connection to the server's node (the answer was there), the server's time (it had ended 2.8 s before).

Change: only the answer to the last pending request closes a connection, and nothing is passed on after it.

--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
@@ -75,9 +75,15 @@
         )
 
     def drain(self) -> None:
-        """Announce the end of each connection with its next answer."""
+        """Announce the end of each connection with the answer to its last request."""
         self.is_draining = True
 
+    async def finish(self, timeout_seconds: float) -> None:
+        """Give up requests that have no answer, so that the answers behind them are delivered."""
+        waiting = [connection.finish() for connection in self._connections]
+        if waiting:
+            await asyncio.wait(waiting, timeout=timeout_seconds)
+
     async def stop(self) -> None:
         """Close all connections."""
         if self._server is not None:
@@ -116,6 +122,8 @@
         self._tasks: collections.deque[asyncio.Task[HttpAnswer]] = collections.deque()
         self._written = asyncio.Event()
         self._previous: asyncio.Task[None] | None = None
+        self._is_finishing = False
+        self._is_over = False
         self.pending = 0
 
     async def serve(self) -> None:
@@ -133,6 +141,13 @@
         """Close the connection."""
         self._writer.close()
 
+    def finish(self) -> asyncio.Task[None]:
+        """Give up requests that have no answer; return the task that writes the last one."""
+        self._is_finishing = True
+        for task in self._tasks:
+            task.cancel()
+        return self._previous or asyncio.create_task(asyncio.sleep(0))
+
     async def _read_one(self) -> bool:
         self._requests.use_limits(self._listener.limits())
         request = self._requests.next_request()
@@ -147,6 +162,9 @@
         if isinstance(request, ProtocolFailure):
             await self._refuse(request)
             return False
+        if self._is_over:
+            # The client sends again what it sent behind the answer that ends the connection.
+            return False
         self._begin(request)
         return True
 
@@ -205,6 +223,10 @@
     async def _answer(self, request: HttpRequest) -> HttpAnswer:
         try:
             return await self._listener.answer(request)
+        except asyncio.CancelledError:
+            if not self._is_finishing:
+                raise
+            return to_http(OutcomeUnknown(Reason.ANSWER_TIMEOUT, 'the node stops'))
         except Exception:
             # The request may have run, so nothing else can be said about it.
             logger.exception('request_failed')
@@ -227,11 +249,13 @@
         await self._write_answer(request, answering.result())
 
     async def _write_answer(self, request: HttpRequest, answer: HttpAnswer) -> None:
+        # A server may have run the requests behind this one.
+        self._is_over = self._listener.is_draining and not self.pending
         try:
             encoded = encode_answer(
                 request.exchange,
                 answer,
-                is_last=self._listener.is_draining,
+                is_last=self._is_over,
                 method=request.method,
             )
         except h11.LocalProtocolError as error:
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
@@ -17,6 +17,7 @@
 _LINGER_SECONDS = 2.6
 # Left of the grace time for the end of the process.
 _EXIT_SECONDS = 0.8
+_FINISH_SECONDS = 0.2
 
 
 class SidecarPages(Protocol):
@@ -115,6 +116,7 @@
         # A request that comes later could not be finished in the grace time.
         node.entry.is_closed = True
         await _wait_while(self._is_busy, deadline)
+        await self._clients.finish(_FINISH_SECONDS)
 
     def _is_busy(self) -> bool:
         return bool(self._clients.in_progress or self._node.gate.orders.in_progress)
--- a/tests/transport/sidecar/test_http_listener.py
+++ b/tests/transport/sidecar/test_http_listener.py
@@ -120,3 +120,43 @@
         writer.write(REQUEST % b'1')
         found = await asyncio.wait_for(reader.read(1000), 5)
         assert b'502' in found
+
+
+async def read_answers(reader, count):
+    """Return the statuses and bodies of answers, in order, up to the end of the connection."""
+    found = b''
+    async with asyncio.timeout(5):
+        while chunk := await reader.read(1000):
+            found += chunk
+    heads = found.split(b'HTTP/1.1 ')[1:]
+    assert len(heads) == count, found
+    return [(int(head[:3]), head.partition(b'\r\n\r\n')[2]) for head in heads]
+
+
+async def test_draining_listener_answers_all_requests_of_a_connection():
+    """The first answer would close the connection on requests that servers had run."""
+    answers = Answers()
+    async with listening(answers.answer) as (listener, reader, writer):
+        writer.write(REQUEST % b'1' + REQUEST % b'2')
+        await wait_until(lambda: len(answers.began) == 2)
+        listener.drain()
+        answers.released_by_target['/1'].set()
+        await asyncio.sleep(0.05)
+        answers.released_by_target['/2'].set()
+        assert await read_answers(reader, 2) == [(200, b'/1'), (200, b'/2')]
+
+
+async def test_answers_behind_a_request_that_does_not_end_are_delivered_at_the_end():
+    """A stop would lose answers that were ready, behind one that a server still works at."""
+    answers = Answers()
+    async with listening(answers.answer) as (listener, reader, writer):
+        writer.write(REQUEST % b'1' + REQUEST % b'2')
+        await wait_until(lambda: len(answers.began) == 2)
+        answers.released_by_target['/2'].set()
+        await asyncio.sleep(0.05)
+        listener.drain()
+        await listener.finish(1.0)
+        (first, _), second = await read_answers(reader, 2)
+        assert first >= 500
+        assert second == (200, b'/2')
+        assert answers.cancelled == ['/1']
