--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Callable
 
@@ -25,6 +26,14 @@
 _OWN_SECONDS = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Heard:
+    """Up to where a process has told its changes."""
+
+    process: ProcessId
+    changes: int = 0
+
+
 class DirectoryRelay:
     """Asks the readers; while none of them is current, the node reads the store itself.
 
@@ -60,7 +69,7 @@
         self._store_needed = store_needed
         self.follower = follower
         self._taken = taken
-        self._heard_by_id: dict[InstanceId, tuple[ProcessId, int]] = {}
+        self._heard_by_id: dict[InstanceId, _Heard] = {}
 
     async def run(self) -> None:
         """Ask until cancelled."""
@@ -109,16 +118,16 @@
 
     async def _ask(self, peer: NodeEntry, wait_seconds: float) -> bool:
         """Take the news of a node; return whether it reads the store now."""
-        process, after = self._heard_by_id.get(peer.instance, (peer.process, 0))
+        heard = self._heard_by_id.get(peer.instance, _Heard(peer.process))
         reply = await self._links.ask(
             peer,
-            DirectoryRequest(process, after, wait_seconds),
+            DirectoryRequest(heard.process, heard.changes, wait_seconds),
             timeout_seconds=wait_seconds + _ANSWER_SECONDS,
         )
         if not isinstance(reply, DirectoryReply):
             self._directory.suspect(peer.instance)
             return False
-        self._heard_by_id[peer.instance] = (reply.process, reply.changes)
+        self._heard_by_id[peer.instance] = _Heard(reply.process, reply.changes)
         for stored in reply.nodes:
             self._directory.take(stored, source=peer.instance)
         if reply.nodes:
