--- a/tests/sidecar_fleet.py
+++ b/tests/sidecar_fleet.py
@@ -89,12 +89,11 @@
         self.host = f'127.0.0.{10 + number}'
         self.server = PlatformServer(self.host, fleet.ports, 'bookings', f'server-{number}')
         # Each node has a relay of its own to the store, so that it alone can be cut off.
-        self.store_relay_port = free_ports(1)[0]
         self.store_relay = Relay(
             fleet.network,
             f'store-of-{self.name}',
             LOOPBACK,
-            self.store_relay_port,
+            0,
             fleet.store_port,
         )
         self.process: asyncio.subprocess.Process | None = None
@@ -118,7 +117,7 @@
                 },
                 'portRange': [ports.first_peer, ports.first_peer + 1],
             },
-            'platform': {'platform': {'address': f'{LOOPBACK}:{self.store_relay_port}'}},
+            'platform': {'platform': {'address': f'{LOOPBACK}:{self.store_relay.port}'}},
             'terms': {'bounds': {'budgetExtraRetries': 100, 'graceS': GRACE_SECONDS}},
         }
 
--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -46,7 +46,10 @@
 
 
 class Relay:
-    """Forwards connections on one port to another; the source is the client's IP address."""
+    """Forwards connections on one port to another; the source is the client's IP address.
+
+    With port 0 the system chooses the port when the relay starts.
+    """
 
     def __init__(self, network: Network, name: str, host: str, port: int, target_port: int) -> None:
         self._network = network
@@ -63,6 +66,11 @@
         """Name of the relay's own end of the link."""
         return self._name
 
+    @property
+    def port(self) -> int:
+        """Port of the relay, known once it has started."""
+        return self._port
+
     def reset(self) -> None:
         """Reset all connections."""
         for writer in self._writers:
@@ -70,6 +78,7 @@
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, self._host, self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
         if self._server is not None:
