Count a readiness check without an answer as not ready in fleet tests

The connection that ended was that of the test's own readiness check, at the end of the stopping process (trace: is_ready), not that of a caller's request, whose check is unchanged.

--- a/tests/sidecar_fleet.py
+++ b/tests/sidecar_fleet.py
@@ -12,7 +12,7 @@
 import tempfile
 from pathlib import Path
 
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 
 from tests.stand_ins.platform_server import PlatformServer
 from tests.stand_ins.platform_store import PlatformStore
@@ -144,7 +144,8 @@
         return [one for one in map(json.loads, lines) if one['event'] == name]
 
     async def is_ready(self) -> bool:
-        with contextlib.suppress(OSError):
+        # A process that ends in the middle of a check gives no answer, which counts as not ready.
+        with contextlib.suppress(OSError, HTTPError):
             found = await self.fleet.fetch(f'http://{self.host}:{self.fleet.ports.readiness}/ready')
             return found.code == 200
         return False
