Rename vague names of rate sharing and claims to the usual terms

RateBuckets.take and HeldSlices.spend become try_acquire and try_spend, since they may fail; fill_bucket becomes refill_bucket; take_reports and take_due_reports become pop_reports and pop_all_reports; own_share becomes local_share; counted_members becomes members_with_shares; MembershipSettling.take_over becomes apply_membership; PartitionClaims.take and change become apply_claim and update_claim; content_of becomes content_digest_of. The simulated rate fleet says max_total_share, delayed_nodes and cut_links.

--- a/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
@@ -21,7 +21,7 @@
 )
 from turmericwharf.coordination.claims.claims import (
     ClaimClient,
-    content_of,
+    content_digest_of,
     fingerprint_of,
 )
 from turmericwharf.coordination.membership.confirmation import (
@@ -118,7 +118,7 @@
 )
 from turmericwharf.coordination.rates.rate_buckets import (
     RateBuckets,
-    fill_bucket,
+    refill_bucket,
 )
 from turmericwharf.coordination.rates.rate_limits import (
     RateLimiter,
@@ -241,11 +241,11 @@
     'WallClock',
     'build_node',
     'changed_objects',
-    'content_of',
+    'content_digest_of',
     'describe',
     'dump_parts',
     'excess',
-    'fill_bucket',
+    'refill_bucket',
     'find_object',
     'find_problems',
     'find_user',
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_fold.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_fold.py
@@ -30,7 +30,7 @@
 
     claim: ClaimId
     content: str
-    held_at: float
+    last_claimed_at: float
     status: int | None = None
     kept_by: InstanceId | None = None
     released: bool = False
@@ -72,7 +72,7 @@
         """Return the claim that holds or held a fingerprint."""
         return self._states_by_fingerprint.get(fingerprint)
 
-    def take(self, record: Claimed) -> None:
+    def apply_claim(self, record: Claimed) -> None:
         """Apply a claim: it wins if no other one holds the fingerprint at its time."""
         # A record that was made long before others and appended after them, by a coordinator that
         # was paused in between, must not win against a claim that was forgotten meanwhile.
@@ -82,11 +82,11 @@
         state = self.find(record.fingerprint)
         if state is None or self._is_free(state, record):
             state = ClaimState(record.claim, record.content, record.claimed_at)
-        held_at = max(state.held_at, record.claimed_at)
-        self._keep(record.fingerprint, dataclasses.replace(state, held_at=held_at))
+        last_claimed_at = max(state.last_claimed_at, record.claimed_at)
+        self._keep(record.fingerprint, dataclasses.replace(state, last_claimed_at=last_claimed_at))
         self._forget_old()
 
-    def change(self, record: Released | Finished, **changes: object) -> None:
+    def update_claim(self, record: Released | Finished, **changes: object) -> None:
         """Change the state of a claim if it still holds its fingerprint."""
         state = self.find(record.fingerprint)
         if state is None or state.claim != record.claim or state.released:
@@ -95,7 +95,7 @@
         self._states_by_fingerprint[record.fingerprint] = changed
 
     def _is_free(self, state: ClaimState, record: Claimed) -> bool:
-        if record.claimed_at >= state.held_at + self._hold_seconds:
+        if record.claimed_at >= state.last_claimed_at + self._hold_seconds:
             return True
         return state.released and state.claim != record.claim
 
@@ -106,7 +106,7 @@
     def _forget_old(self) -> None:
         # No record that still counts can meet a claim from before this moment.
         needed_since = self._newest_at - 2 * self._hold_seconds
-        while next(iter(self._states_by_fingerprint.values())).held_at < needed_since:
+        while next(iter(self._states_by_fingerprint.values())).last_claimed_at < needed_since:
             self._states_by_fingerprint.popitem(last=False)
 
 
@@ -117,14 +117,14 @@
 
 @fold_claim.register
 def _(record: Claimed, claims: PartitionClaims) -> None:
-    claims.take(record)
+    claims.apply_claim(record)
 
 
 @fold_claim.register
 def _(record: Released, claims: PartitionClaims) -> None:
-    claims.change(record, released=True)
+    claims.update_claim(record, released=True)
 
 
 @fold_claim.register
 def _(record: Finished, claims: PartitionClaims) -> None:
-    claims.change(record, status=record.status, kept_by=record.kept_by)
+    claims.update_claim(record, status=record.status, kept_by=record.kept_by)
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claims.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claims.py
@@ -51,7 +51,7 @@
     return hashlib.sha256(f'{organisation}/{route}/{idempotency_key}'.encode()).hexdigest()
 
 
-def content_of(request: CallerRequest) -> str:
+def content_digest_of(request: CallerRequest) -> str:
     """Return the digest that tells two requests with the same key apart."""
     digest = hashlib.sha256(f'{request.method} {request.target}\n'.encode())
     digest.update(request.body)
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/kept_answers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/kept_answers.py
@@ -12,7 +12,7 @@
     """An answer with the moment until which it is kept, and its size."""
 
     answer: Answered
-    until: float
+    expires_at: float
     size_bytes: int
 
 
@@ -39,8 +39,8 @@
         """Keep an answer, and drop old ones that are due or do not fit any longer."""
         headers_bytes = sum(len(name) + len(text) for name, text in answer.headers)
         size_bytes = len(answer.body) + headers_bytes
-        until = self._clock.now() + self._limits.claim_retention_seconds
-        self._kept_by_claim[claim] = KeptAnswer(answer, until, size_bytes)
+        expires_at = self._clock.now() + self._limits.claim_retention_seconds
+        self._kept_by_claim[claim] = KeptAnswer(answer, expires_at, size_bytes)
         self._size_bytes += size_bytes
         while self._must_drop(next(iter(self._kept_by_claim.values()), None)):
             _, dropped = self._kept_by_claim.popitem(last=False)
@@ -55,4 +55,4 @@
         if oldest is None:
             return False
         is_full = self._size_bytes > self._limits.kept_answer_bytes
-        return is_full or oldest.until < self._clock.now()
+        return is_full or oldest.expires_at < self._clock.now()
--- a/packages/turmericwharf/src/turmericwharf/coordination/membership/membership.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/membership.py
@@ -65,7 +65,7 @@
             return
         before = {peer: self.find_member(peer) for peer in self.peers()}
         super().apply(membership)
-        self.settling.take_over(membership, follows=follows)
+        self.settling.apply_membership(membership, follows=follows)
         # A majority of this membership is heard only through signs given under it. Otherwise
         # majorities of two memberships that share no node could both vouch.
         self._vouched_at_by_id.clear()
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/held_slices.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/held_slices.py
@@ -29,7 +29,7 @@
         """Hold one more slice."""
         self._slices_by_id[organisation] = (*self._slices_by_id.get(organisation, ()), held)
 
-    def spend(self, organisation: OrganisationId) -> bool:
+    def try_spend(self, organisation: OrganisationId) -> bool:
         """Spend one token; return whether there was one."""
         current = self._current(organisation)
         if not current:
@@ -42,7 +42,7 @@
         """Return the number of tokens that may still be spent at a moment."""
         return sum(held.tokens for held in self._current(organisation) if held.ends_at > at)
 
-    def take_reports(
+    def pop_reports(
         self,
         holder: InstanceId,
         organisation: OrganisationId,
@@ -51,7 +51,7 @@
         self._current(organisation)
         return self._reports.pop((holder, organisation), ())
 
-    def take_due_reports(
+    def pop_all_reports(
         self,
     ) -> Iterator[tuple[tuple[InstanceId, OrganisationId], tuple[SliceReport, ...]]]:
         """Yield all reports; they are not returned again."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_buckets.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_buckets.py
@@ -55,7 +55,7 @@
         """Return the number of buckets in memory."""
         return len(self._buckets_by_id)
 
-    def take(self, organisation: Organisation) -> bool:
+    def try_acquire(self, organisation: Organisation) -> bool:
         """Spend one token here; return whether there was one."""
         bucket, _ = self._filled(organisation)
         has_token = bucket.tokens >= 1 - _TOKEN_TOLERANCE
@@ -91,7 +91,7 @@
     def _is_idle(self, organisation: Organisation) -> bool:
         kept, _ = self._filled(organisation)
         segments = self._loans.segments(partition_of(organisation.organisation))
-        new = fill_bucket(_EMPTY, segments, organisation, self._clock.now())
+        new = refill_bucket(_EMPTY, segments, organisation, self._clock.now())
         return not kept.open_slices and kept.tokens >= new.tokens
 
     def _filled(self, organisation: Organisation) -> tuple[Bucket, float]:
@@ -99,7 +99,7 @@
         now = self._clock.now()
         bucket = self._buckets_by_id.get(organisation.organisation, _EMPTY)
         # Slices that ended since the last look count against the capacity up to now.
-        bucket = fill_bucket(bucket, segments, organisation, now)
+        bucket = refill_bucket(bucket, segments, organisation, now)
         still_open = tuple(one for one in bucket.open_slices if one.ends_at > now)
         return dataclasses.replace(bucket, open_slices=still_open), segments[-1].share
 
@@ -127,7 +127,7 @@
         return SliceGranted(organisation, SliceId(0), 0, wait, share)
 
 
-def fill_bucket(
+def refill_bucket(
     bucket: Bucket,
     segments: tuple[ShareSegment, ...],
     organisation: Organisation,
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_limits.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_limits.py
@@ -90,7 +90,7 @@
 
     def tick(self) -> None:
         """Send the reports that no question carried, and drop what is idle."""
-        for (holder, organisation), reports in self._slices.take_due_reports():
+        for (holder, organisation), reports in self._slices.pop_all_reports():
             self._send_report(holder, organisation, reports)
         self._drop_idle()
 
@@ -122,14 +122,14 @@
     def _take(self, organisation: Organisation) -> bool:
         name = organisation.organisation
         holder = next(iter(self._candidates(name)), None)
-        if holder == self.loans.members.own.instance and self.buckets.take(organisation):
+        if holder == self.loans.members.own.instance and self.buckets.try_acquire(organisation):
             return True
-        if not self._slices.spend(name):
+        if not self._slices.try_spend(name):
             return False
         if not self._expected(name):
             # A lone request's token counts against a small burst until it is reported.
             for spent_at in self._candidates(name)[:_ASKED_HOLDERS]:
-                self._send_report(spent_at, name, self._slices.take_reports(spent_at, name))
+                self._send_report(spent_at, name, self._slices.pop_reports(spent_at, name))
         elif self._runs_low(name) and name not in self._questions_by_id:
             self._start_question(organisation)
         return True
@@ -223,7 +223,7 @@
             organisation=organisation,
             wanted=needed + self._expected(organisation),
             needed=needed,
-            reports=self._slices.take_reports(holder, organisation),
+            reports=self._slices.pop_reports(holder, organisation),
         )
         answer = await self._request(holder, request)
         if answer is None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/settling.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/settling.py
@@ -86,13 +86,13 @@
         joined_version = self._joined_version_by_id.get(instance)
         return joined_version is not None and joined_version <= self.settled_version
 
-    def counted_members(self) -> list[InstanceId]:
+    def members_with_shares(self) -> list[InstanceId]:
         """Return the members that may use rate shares, by this node's knowledge."""
         settled = self.settled_version
         removed = [one for one, version in self._removed_version_by_id.items() if version > settled]
         return [*self._membership.members_by_id, *removed]
 
-    def take_over(self, membership: Membership, *, follows: bool) -> None:
+    def apply_membership(self, membership: Membership, *, follows: bool) -> None:
         """Take over a newer membership; `follows` if none between it and the present was missed."""
         self._replace(membership)
         if follows:
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/share_holders.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/share_holders.py
@@ -20,7 +20,7 @@
         self._members = members
         self._holders_by_partition: dict[int, tuple[InstanceId, ...]] = {}
 
-    def forget(self) -> None:
+    def invalidate(self) -> None:
         """Rank the holders anew, since the counted members changed."""
         self._holders_by_partition.clear()
 
@@ -28,17 +28,17 @@
         """Return the holders of a partition in the order of their ranks."""
         holders = self._holders_by_partition.get(partition)
         if holders is None:
-            counted = self._members.settling.counted_members()
+            counted = self._members.settling.members_with_shares()
             holders = tuple(rank_instances(f'rate/{partition}', counted)[:HOLDER_COUNT])
             self._holders_by_partition[partition] = holders
         return holders
 
-    def own_share(self, partition: int) -> float:
+    def local_share(self, partition: int) -> float:
         """Return this node's share of a partition, lent or not."""
         holders = self.holders(partition)
         return 1 / len(holders) if self._members.own.instance in holders else 0
 
-    def serving(self, partition: int) -> tuple[InstanceId, ...]:
+    def serving_holders(self, partition: int) -> tuple[InstanceId, ...]:
         """Return the holders that serve a partition, the owner first."""
         return tuple(filter(self._is_serving, self.holders(partition)))
 
@@ -52,13 +52,13 @@
             return True
         return next(filter(self._is_serving, holders), None) == borrower
 
-    def lenders(self) -> dict[InstanceId, list[int]]:
+    def partitions_by_lender(self) -> dict[InstanceId, list[int]]:
         """Return, by lender, the partitions that this node owns and should borrow."""
         own = self._members.own.instance
-        serving = frozenset(filter(self._is_serving, self._members.live_members()))
+        serving_holders = frozenset(filter(self._is_serving, self._members.live_members()))
         partitions_by_lender: defaultdict[InstanceId, list[int]] = defaultdict(list)
         for partition in range(PARTITION_COUNT):
-            holders = [holder for holder in self.holders(partition) if holder in serving]
+            holders = [holder for holder in self.holders(partition) if holder in serving_holders]
             if holders[:1] == [own]:
                 for lender in holders[1:]:
                     partitions_by_lender[lender].append(partition)
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/share_loans.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/share_loans.py
@@ -89,7 +89,7 @@
         self._observe()
         now = self._clock.now()
         if now >= self._lenders_until:
-            self._lenders = self._holders.lenders() if self._observed.is_usable else {}
+            self._lenders = self._holders.partitions_by_lender() if self._observed.is_usable else {}
             self._lenders_until = now + _LENDERS_SECONDS
         for lender, partitions in self._lenders.items():
             asked_at = self._asked_at_by_lender.get(lender, float('-inf'))
@@ -102,7 +102,7 @@
     def candidates(self, partition: int) -> tuple[InstanceId, ...]:
         """Return the holders that can serve a partition, the owner first."""
         self._observe()
-        return self._holders.serving(partition)
+        return self._holders.serving_holders(partition)
 
     def segments(self, partition: int) -> tuple[ShareSegment, ...]:
         """Return the shares that this node used over time, up to now."""
@@ -156,7 +156,7 @@
         if has_lapsed or observed != self._observed:
             self._observed = observed
             self._lenders_until = now
-            self._holders.forget()
+            self._holders.invalidate()
             for partition in self._shares_by_partition:
                 self._look_at(partition, now)
 
@@ -188,7 +188,7 @@
         if not self._observed.is_usable:
             return 0
         borrowed = sum(loan.share for loan in shares.borrowed_by_id.values())
-        return borrowed if shares.lent else borrowed + self._holders.own_share(partition)
+        return borrowed if shares.lent else borrowed + self._holders.local_share(partition)
 
     def _lend_one(self, partition: int, request: LoanRequest) -> float:
         now = self._clock.now()
@@ -206,7 +206,7 @@
         if is_new:
             self._look_at(partition, now)
         # Tokens of own slices may still be spent; until then the share is only set aside.
-        return self._holders.own_share(partition) if shares.slices_end_at <= now else 0
+        return self._holders.local_share(partition) if shares.slices_end_at <= now else 0
 
     async def _borrow(self, lender: InstanceId, partitions: tuple[int, ...]) -> None:
         own = self.members.own
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/admission.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from turmericwharf.coordination.claims.claims import ClaimClient, content_of, fingerprint_of
+from turmericwharf.coordination.claims.claims import ClaimClient, content_digest_of, fingerprint_of
 from turmericwharf.coordination.configuration.control_log import ControlLog
 from turmericwharf.coordination.routing.dispatching import Dispatcher
 from turmericwharf.coordination.execution.execution import not_run
@@ -176,7 +176,7 @@
         for _attempt in range(_CLAIM_ATTEMPTS):
             claim = ClaimReference(fingerprint, ClaimId(new_identifier()))
             remaining = admitted.deadline - self._clock.now()
-            answer = await self._claims.claim(claim, content_of(admitted.request), remaining)
+            answer = await self._claims.claim(claim, content_digest_of(admitted.request), remaining)
             if isinstance(answer, ClaimGranted):
                 return await self._run_claimed(admitted, claim)
             if isinstance(answer, ClaimFailed):
@@ -199,7 +199,7 @@
         taken: ClaimTaken,
     ) -> Outcome:
         # This request does not run; the earlier one with the same key may have.
-        if taken.content != content_of(admitted.request):
+        if taken.content != content_digest_of(admitted.request):
             return not_run(IDEMPOTENCY_KEY_REUSED)
         answer: ClaimTaken | ClaimFailed = taken
         if taken.status is None:
--- a/tests/coordination/rates/test_rate_buckets.py
+++ b/tests/coordination/rates/test_rate_buckets.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from tests.simulated_rates import find_excess
-from turmericwharf.coordination import RateBuckets, fill_bucket
+from turmericwharf.coordination import RateBuckets, refill_bucket
 from turmericwharf.state import (
     Bucket,
     Configuration,
@@ -112,25 +112,25 @@
     """Guards against tokens that both the borrower and the lender of a share count."""
     full = Bucket(tokens=10.0, filled_at=0.0)
     lent = (ShareSegment(0.0, 1.0), ShareSegment(1.0, 0.0), ShareSegment(2.0, 0.5))
-    assert fill_bucket(full, lent, ORGANISATION, 2.1).tokens == pytest.approx(0.1 * 40 * 0.5)
-    assert fill_bucket(full, lent, ORGANISATION, 9.0).tokens == 5.0
+    assert refill_bucket(full, lent, ORGANISATION, 2.1).tokens == pytest.approx(0.1 * 40 * 0.5)
+    assert refill_bucket(full, lent, ORGANISATION, 9.0).tokens == 5.0
 
 
 def test_new_bucket_starts_empty():
     """Guards against a replaced node that hands out a burst which its predecessor spent."""
     new = Bucket(tokens=0.0, filled_at=float('-inf'))
     started = (ShareSegment(5.0, 0.25),)
-    assert fill_bucket(new, started, ORGANISATION, 5.0).tokens == 0
-    assert fill_bucket(new, started, ORGANISATION, 5.1).tokens < 1.1
+    assert refill_bucket(new, started, ORGANISATION, 5.0).tokens == 0
+    assert refill_bucket(new, started, ORGANISATION, 5.1).tokens < 1.1
 
 
 def test_only_idle_buckets_are_dropped():
     """Guards against memory that grows with each organisation, and drops that add tokens."""
     holder = _Holder()
-    assert holder.buckets.take(ORGANISATION)
+    assert holder.buckets.try_acquire(ORGANISATION)
     holder.buckets.drop_idle()
     assert len(holder.buckets) == 1
     holder.moment += 0.03
     holder.buckets.drop_idle()
     assert len(holder.buckets) == 0
-    assert sum(holder.buckets.take(ORGANISATION) for _ in range(20)) == ORGANISATION.burst
+    assert sum(holder.buckets.try_acquire(ORGANISATION) for _ in range(20)) == ORGANISATION.burst
--- a/tests/coordination/rates/test_rate_limits.py
+++ b/tests/coordination/rates/test_rate_limits.py
@@ -53,7 +53,7 @@
     fleet = SimulatedFleet(rate=RATE, burst=BURST, seed=seed)
     run_virtual(lambda: _run(fleet, events))
     assert find_excess(fleet.admissions, rate=MEASURED_RATE, burst=BURST) is None
-    assert fleet.most_shares <= 1 + 1e-6
+    assert fleet.max_total_share <= 1 + 1e-6
 
 
 @settings(
--- a/tests/simulated_rates.py
+++ b/tests/simulated_rates.py
@@ -226,12 +226,12 @@
         publish = Publish('p', -1, 'test', organisations=(self.organisation,))
         self.records: list[StoredRecord] = [StoredRecord(0, publish)]
         self.nodes_by_id: dict[str, SimulatedNode] = {}
-        self.cuts: set[tuple[str, str]] = set()
+        self.cut_links: set[tuple[str, str]] = set()
         self.admissions: list[tuple[float, str]] = []
         self.loss = 0.0
         self.latency_seconds = HOP_SECONDS
-        self.late_nodes: set[str] = set()
-        self.most_shares = 0.0
+        self.delayed_nodes: set[str] = set()
+        self.max_total_share = 0.0
         self._numbers = itertools.count()
 
     def start(self, *instances: str) -> None:
@@ -250,17 +250,17 @@
         self.append(Left(member.instance, member.incarnation))
 
     def is_cut(self, source: str, destination: str) -> bool:
-        return (source, destination) in self.cuts
+        return (source, destination) in self.cut_links
 
-    def cut_between(self, some: Any, others: Any) -> None:
+    def cut_links_between(self, some: Any, others: Any) -> None:
         """Cut all links between two groups, in both directions; `log` is the log."""
         for one in some:
             for other in others:
-                self.cuts |= {(one, other), (other, one)}
+                self.cut_links |= {(one, other), (other, one)}
 
     async def deliver(self, source: str, node: SimulatedNode) -> None:
         await asyncio.sleep(self.random.uniform(HOP_SECONDS, self.latency_seconds))
-        if node.instance in self.late_nodes:
+        if node.instance in self.delayed_nodes:
             await asyncio.sleep(LATE_SECONDS)
         if self.random.random() < self.loss:
             await asyncio.sleep(3600)
@@ -294,12 +294,12 @@
             'pause': node.pause,
             'resume': node.resume,
             'kill': node.kill,
-            'cut': lambda: self.cuts.add((one, other)),
-            'cut log': lambda: self.cut_between([one], ['log']),
-            'isolate': lambda: self.cut_between([one], others),
-            'heal': self.cuts.clear,
+            'cut': lambda: self.cut_links.add((one, other)),
+            'cut log': lambda: self.cut_links_between([one], ['log']),
+            'isolate': lambda: self.cut_links_between([one], others),
+            'heal': self.cut_links.clear,
             'lose messages': self._switch_loss,
-            'hear late': lambda: self.late_nodes.add(one),
+            'hear late': lambda: self.delayed_nodes.add(one),
             'slow links': self._switch_latency,
         }
         actions[event]()
@@ -321,7 +321,7 @@
                 for node in self.nodes_by_id.values()
                 if node.is_running.is_set() and not node.is_dead
             ]
-            self.most_shares = max(self.most_shares, sum(used))
+            self.max_total_share = max(self.max_total_share, sum(used))
 
     def close(self) -> None:
         for node in self.nodes_by_id.values():
