--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_fold.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_fold.py
@@ -83,8 +83,10 @@
         if state is None or self._is_free(state, record):
             state = ClaimState(record.claim, record.content, record.claimed_at)
         last_claimed_at = max(state.last_claimed_at, record.claimed_at)
-        self._keep(record.fingerprint, dataclasses.replace(state, last_claimed_at=last_claimed_at))
-        self._forget_old()
+        self._store_state(
+            record.fingerprint, dataclasses.replace(state, last_claimed_at=last_claimed_at)
+        )
+        self._evict_expired()
 
     def update_claim(self, record: Released | Finished, **changes: object) -> None:
         """Change the state of a claim if it still holds its fingerprint."""
@@ -99,14 +101,14 @@
             return True
         return state.released and state.claim != record.claim
 
-    def _keep(self, fingerprint: str, state: ClaimState) -> None:
+    def _store_state(self, fingerprint: str, state: ClaimState) -> None:
         self._states_by_fingerprint[fingerprint] = state
         self._states_by_fingerprint.move_to_end(fingerprint)
 
-    def _forget_old(self) -> None:
+    def _evict_expired(self) -> None:
         # No record that still counts can meet a claim from before this moment.
-        needed_since = self._newest_at - 2 * self._hold_seconds
-        while next(iter(self._states_by_fingerprint.values())).last_claimed_at < needed_since:
+        oldest_relevant = self._newest_at - 2 * self._hold_seconds
+        while next(iter(self._states_by_fingerprint.values())).last_claimed_at < oldest_relevant:
             self._states_by_fingerprint.popitem(last=False)
 
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_ledger.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_ledger.py
@@ -30,7 +30,7 @@
     Released,
 )
 
-_BATCH_RECORDS = 512
+_MAX_BATCH_RECORDS = 512
 # Most outcomes come through the own coordinator; others are found by reading this often.
 _POLL_SECONDS = 0.25
 _MILLISECONDS = 1000
@@ -74,7 +74,7 @@
             return _UNAVAILABLE
         if state.claim == request.claim:
             return ClaimGranted(request.claim)
-        return _taken(state)
+        return _to_claim_taken(state)
 
     async def release(self, request: ClaimRelease) -> Acknowledged | ClaimFailed:
         """Record that a claim's request certainly did not run."""
@@ -105,12 +105,12 @@
                 return _RELEASED
             remaining = deadline - self._clock.now()
             if state.status is not None or remaining <= 0:
-                return _taken(state)
+                return _to_claim_taken(state)
             await partition.wait_for_change(min(remaining, _POLL_SECONDS))
         return _UNAVAILABLE
 
     def _partition(self, number: int) -> '_Partition':
-        self._forget_unused()
+        self._evict_unused()
         partition = self._partitions_by_number.get(number)
         if partition is None:
             partition = _Partition(
@@ -124,7 +124,7 @@
         partition.used_at = self._clock.now()
         return partition
 
-    def _forget_unused(self) -> None:
+    def _evict_unused(self) -> None:
         unused_since = self._clock.now() - hold_seconds_of(self._limits)
         for number, partition in tuple(self._partitions_by_number.items()):
             if partition.used_at < unused_since and partition.is_idle:
@@ -154,7 +154,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Pending:
+class _PendingAppend:
     """A record that waits for the next append, made at the moment of appending."""
 
     make_record: Callable[[], Claimed | Released | Finished]
@@ -179,22 +179,22 @@
         self._log = log
         self._pacer = pacer
         self._next_offset = 0
-        self._pending: list[_Pending] = []
-        self._flushing: asyncio.Task[None] | None = None
-        self._reading = asyncio.Lock()
+        self._pending: list[_PendingAppend] = []
+        self._flush_task: asyncio.Task[None] | None = None
+        self._read_lock = asyncio.Lock()
         self._changed = asyncio.Event()
 
     @property
     def is_idle(self) -> bool:
         """Whether no append is waiting or in flight."""
-        return self._flushing is None or self._flushing.done()
+        return self._flush_task is None or self._flush_task.done()
 
     async def append(self, make_record: Callable[[], Claimed | Released | Finished]) -> bool:
         """Append a record with the next batch; return whether the stream was read after it."""
         is_read: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._pending.append(_Pending(make_record, is_read))
+        self._pending.append(_PendingAppend(make_record, is_read))
         if self.is_idle:
-            self._flushing = asyncio.create_task(self._flush())
+            self._flush_task = asyncio.create_task(self._flush())
         return await is_read
 
     async def refresh(self) -> bool:
@@ -212,8 +212,8 @@
     async def _flush(self) -> None:
         while self._pending:
             await self._pacer.wait()
-            batch = self._pending[:_BATCH_RECORDS]
-            self._pending = self._pending[_BATCH_RECORDS:]
+            batch = self._pending[:_MAX_BATCH_RECORDS]
+            self._pending = self._pending[_MAX_BATCH_RECORDS:]
             records = tuple(pending.make_record() for pending in batch)
             offset = await self._log.append(self._stream, records)
             last = None if isinstance(offset, LogFailure) else offset + len(records) - 1
@@ -223,7 +223,7 @@
                     pending.is_read.set_result(is_read)
 
     async def _read_through(self, last_offset: int | None) -> bool:
-        async with self._reading:
+        async with self._read_lock:
             while last_offset is None or self._next_offset <= last_offset:
                 page = await self._log.read(
                     self._stream,
@@ -245,5 +245,5 @@
         self._changed = asyncio.Event()
 
 
-def _taken(state: ClaimState) -> ClaimTaken:
+def _to_claim_taken(state: ClaimState) -> ClaimTaken:
     return ClaimTaken(state.claim, state.content, state.status, state.kept_by)
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claims.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claims.py
@@ -39,9 +39,9 @@
 # costs callers a refusal until the claim expires.
 _RECORD_ATTEMPTS = 60
 _FIRST_RETRY_SECONDS = 0.25
-_RETRY_SECONDS = 5.0
+_MAX_RETRY_SECONDS = 5.0
 # One record waits in about 1 KB, so this bounds the memory of a log outage to a few megabytes.
-_MAX_RECORDING = 4096
+_MAX_PENDING_RECORDS = 4096
 
 _ClaimAnswer: TypeAlias = ClaimGranted | ClaimTaken | ClaimFailed
 
@@ -97,7 +97,7 @@
         wait_seconds = min(timeout_seconds / 2, self._timing.claim_timeout_seconds)
         answer = await _within(
             timeout_seconds,
-            self._ask(request, self._ledger.claim, wait_seconds),
+            self._request_coordinator(request, self._ledger.claim, wait_seconds),
         )
         if isinstance(answer, ClaimGranted | ClaimTaken):
             return answer
@@ -120,7 +120,7 @@
         )
         answer = await _within(
             timeout_seconds,
-            self._ask(request, self._ledger.wait_for_outcome, timeout_seconds),
+            self._request_coordinator(request, self._ledger.wait_for_outcome, timeout_seconds),
         )
         if isinstance(answer, ClaimTaken | ClaimFailed):
             return answer
@@ -144,7 +144,9 @@
         partition = partition_of(reference.fingerprint)
         request = ClaimRelease(partition, reference.fingerprint, reference.claim)
         wait_seconds = self._timing.claim_timeout_seconds
-        self._record(lambda: self._ask(request, self._ledger.release, wait_seconds))
+        self._record_in_background(
+            lambda: self._request_coordinator(request, self._ledger.release, wait_seconds)
+        )
 
     def finish(self, reference: ClaimReference, answer: Answered) -> None:
         """Keep the answer of a claimed request; that it has one is recorded in the background."""
@@ -157,20 +159,22 @@
             self._members.own.instance,
         )
         wait_seconds = self._timing.claim_timeout_seconds
-        self._record(lambda: self._ask(request, self._ledger.finish, wait_seconds))
+        self._record_in_background(
+            lambda: self._request_coordinator(request, self._ledger.finish, wait_seconds)
+        )
 
-    def _record(self, ask: Callable[[], Awaitable[object]]) -> None:
-        if len(self._recording) >= _MAX_RECORDING:
+    def _record_in_background(self, send: Callable[[], Awaitable[object]]) -> None:
+        if len(self._recording) >= _MAX_PENDING_RECORDS:
             logger.bind(recording=len(self._recording)).error('claim_record_dropped')
             return
-        task = asyncio.create_task(_record_until_done(ask))
+        task = asyncio.create_task(_record_until_done(send))
         self._recording.add(task)
         task.add_done_callback(self._recording.discard)
 
-    async def _ask(
+    async def _request_coordinator(
         self,
         request: '_LedgerRequest',
-        ask_own: Callable[..., Awaitable[Message]],
+        local_handler: Callable[..., Awaitable[Message]],
         wait_seconds: float,
     ) -> Message:
         coordinator = self._coordinator_of(request.partition)
@@ -185,7 +189,7 @@
             if isinstance(answer, ClaimFailed) and answer.reason is Reason.CLAIM_RELEASED:
                 return answer
             # The coordinator may be cut off from the log, or this node from the coordinator.
-        return await ask_own(request)
+        return await local_handler(request)
 
     def _coordinator_of(self, partition: int) -> InstanceId:
         live = self._members.live_members() or [self._members.own.instance]
@@ -195,19 +199,19 @@
 _LedgerRequest: TypeAlias = ClaimRequest | ClaimOutcomeRequest | ClaimRelease | ClaimFinish
 
 
-async def _within(timeout_seconds: float, asked: Awaitable[Message]) -> Message | None:
+async def _within(timeout_seconds: float, operation: Awaitable[Message]) -> Message | None:
     try:
         async with asyncio.timeout(timeout_seconds):
-            return await asked
+            return await operation
     except TimeoutError:
         return None
 
 
-async def _record_until_done(ask: Callable[[], Awaitable[object]]) -> None:
+async def _record_until_done(send: Callable[[], Awaitable[object]]) -> None:
     retry_seconds = _FIRST_RETRY_SECONDS
     for _attempt in range(_RECORD_ATTEMPTS):
-        if isinstance(await ask(), Acknowledged):
+        if isinstance(await send(), Acknowledged):
             return
         await asyncio.sleep(retry_seconds)
-        retry_seconds = min(retry_seconds * 2, _RETRY_SECONDS)
+        retry_seconds = min(retry_seconds * 2, _MAX_RETRY_SECONDS)
     logger.error('claim_record_dropped')
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/kept_answers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/kept_answers.py
@@ -42,16 +42,16 @@
         expires_at = self._clock.now() + self._limits.claim_retention_seconds
         self._kept_by_claim[claim] = KeptAnswer(answer, expires_at, size_bytes)
         self._size_bytes += size_bytes
-        while self._must_drop(next(iter(self._kept_by_claim.values()), None)):
-            _, dropped = self._kept_by_claim.popitem(last=False)
-            self._size_bytes -= dropped.size_bytes
+        while self._must_evict(next(iter(self._kept_by_claim.values()), None)):
+            _, evicted = self._kept_by_claim.popitem(last=False)
+            self._size_bytes -= evicted.size_bytes
 
     def find(self, claim: ClaimId) -> Answered | None:
         """Return the answer of a claim's request, or None if it is not kept."""
         kept = self._kept_by_claim.get(claim)
         return kept.answer if kept else None
 
-    def _must_drop(self, oldest: KeptAnswer | None) -> bool:
+    def _must_evict(self, oldest: KeptAnswer | None) -> bool:
         if oldest is None:
             return False
         is_full = self._size_bytes > self._limits.kept_answer_bytes
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/__init__.py
@@ -1,1 +1,1 @@
-"""Rates of organisations, by shares that nodes hold and lend."""
+"""Fleet-wide rate limits of organisations, divided into shares that nodes hold and lend."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_buckets.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_buckets.py
@@ -1,4 +1,4 @@
-"""Token buckets of a holder of rate shares, and the slices that it grants to entry nodes."""
+"""Token buckets at a holder of rate shares, and the slices that it grants to entry nodes."""
 
 import dataclasses
 import itertools
@@ -20,20 +20,20 @@
     TimingSettings,
 )
 
-# Sums of small fractions of a token come out slightly below the whole token.
+# Rounding can leave the sum of small fractions of a token slightly below a whole token.
 _TOKEN_TOLERANCE = 1e-6
-# Slices count against the capacity for this many times their life, so that reports of unspent
-# tokens arrive before the tokens are given up.
-_OPEN_TIMES = 2
+# A slice counts against the capacity for this many slice lifetimes, so that the report of its
+# unspent tokens arrives before they are written off.
+_OPEN_SLICE_LIFETIMES = 2
 _MINIMUM_WAIT_SECONDS = 0.005
-_EMPTY = Bucket(0, float('-inf'))
+_EMPTY_BUCKET = Bucket(0, float('-inf'))
 
 
 class RateBuckets:
-    """Buckets of the organisations of which this node uses a share.
+    """Token buckets of the organisations of which this node uses a share.
 
-    A bucket that is not in memory is empty at the start of the oldest share that is kept, and
-    has filled since.
+    A bucket that is not in memory counts as empty at the start of the oldest share segment that
+    is kept, and as refilled since then.
     """
 
     def __init__(
@@ -56,8 +56,8 @@
         return len(self._buckets_by_id)
 
     def try_acquire(self, organisation: Organisation) -> bool:
-        """Spend one token here; return whether there was one."""
-        bucket, _ = self._filled(organisation)
+        """Spend one token of the local bucket; return whether one was available."""
+        bucket, _ = self._refilled(organisation)
         has_token = bucket.tokens >= 1 - _TOKEN_TOLERANCE
         if has_token:
             bucket = dataclasses.replace(bucket, tokens=max(bucket.tokens - 1, 0))
@@ -65,14 +65,14 @@
         return has_token
 
     def grant(self, request: SliceRequest) -> SliceGranted:
-        """Grant tokens to an entry node."""
+        """Apply an entry node's reports and grant it a slice, or refuse with a waiting time."""
         organisation = self._control_log.configuration.organisations_by_id.get(request.organisation)
         if organisation is None:
-            # The entry node has read a newer configuration than this node.
+            # The entry node has applied a newer configuration than this node.
             return self._refusal(request.organisation, self._timing.slice_seconds, 0)
-        bucket, share = self._filled(organisation)
+        bucket, share = self._refilled(organisation)
         bucket = _with_reports(bucket, request, organisation.burst * share)
-        granted = _grantable(bucket.tokens, request)
+        granted = _grantable_tokens(bucket.tokens, request)
         if not granted:
             self._buckets_by_id[organisation.organisation] = bucket
             missing = 1 - bucket.tokens
@@ -81,7 +81,7 @@
         return self._open_slice(organisation.organisation, bucket, granted, share)
 
     def drop_idle(self) -> None:
-        """Drop the buckets that a new bucket would equal, and those of deleted organisations."""
+        """Drop buckets that are equivalent to a new one, and those of deleted organisations."""
         organisations_by_id = self._control_log.configuration.organisations_by_id
         for organisation_id in tuple(self._buckets_by_id):
             organisation = organisations_by_id.get(organisation_id)
@@ -89,18 +89,18 @@
                 self._buckets_by_id.pop(organisation_id)
 
     def _is_idle(self, organisation: Organisation) -> bool:
-        kept, _ = self._filled(organisation)
+        kept, _ = self._refilled(organisation)
         segments = self._loans.segments(partition_of(organisation.organisation))
-        new = refill_bucket(_EMPTY, segments, organisation, self._clock.now())
+        new = refill_bucket(_EMPTY_BUCKET, segments, organisation, self._clock.now())
         return not kept.open_slices and kept.tokens >= new.tokens
 
-    def _filled(self, organisation: Organisation) -> tuple[Bucket, float]:
+    def _refilled(self, organisation: Organisation) -> tuple[Bucket, float]:
         segments = self._loans.segments(partition_of(organisation.organisation))
         now = self._clock.now()
-        bucket = self._buckets_by_id.get(organisation.organisation, _EMPTY)
-        # Slices that ended since the last look count against the capacity up to now.
+        bucket = self._buckets_by_id.get(organisation.organisation, _EMPTY_BUCKET)
+        # Slices that ended since the last refill count against the capacity until now.
         bucket = refill_bucket(bucket, segments, organisation, now)
-        still_open = tuple(one for one in bucket.open_slices if one.ends_at > now)
+        still_open = tuple(each for each in bucket.open_slices if each.ends_at > now)
         return dataclasses.replace(bucket, open_slices=still_open), segments[-1].share
 
     def _open_slice(
@@ -113,7 +113,7 @@
         now = self._clock.now()
         seconds = self._timing.slice_seconds
         slice_id = SliceId(next(self._slice_numbers))
-        opened = OpenSlice(slice_id, tokens, now + seconds * _OPEN_TIMES)
+        opened = OpenSlice(slice_id, tokens, now + seconds * _OPEN_SLICE_LIFETIMES)
         self._buckets_by_id[organisation] = Bucket(
             max(bucket.tokens - tokens, 0),
             bucket.filled_at,
@@ -133,36 +133,39 @@
     organisation: Organisation,
     now: float,
 ) -> Bucket:
-    """Return a bucket after the shares up to now; open slices count against its capacity."""
+    """Return the bucket refilled up to now; open slices count against its capacity."""
     tokens, filled_at = bucket.tokens, bucket.filled_at
     if filled_at < segments[0].starts_at:
         tokens, filled_at = 0, segments[0].starts_at
-    taken = sum(one.tokens for one in bucket.open_slices)
-    ends = (*(one.starts_at for one in segments[1:]), now)
+    reserved = sum(each.tokens for each in bucket.open_slices)
+    ends = (*(segment.starts_at for segment in segments[1:]), now)
     for segment, ends_at in zip(segments, ends, strict=True):
         if ends_at < filled_at:
             continue
         added = (ends_at - filled_at) * organisation.rate_per_second * segment.share
-        tokens = min(tokens + added, max(organisation.burst * segment.share - taken, 0))
+        tokens = min(tokens + added, max(organisation.burst * segment.share - reserved, 0))
         filled_at = ends_at
     return dataclasses.replace(bucket, tokens=tokens, filled_at=filled_at)
 
 
 def _with_reports(bucket: Bucket, request: SliceRequest, capacity: float) -> Bucket:
-    """Close the reported slices; unspent tokens return if the slice still counted."""
+    """Close the reported slices and return the unspent tokens of those that were still open."""
     unspent_by_id = {report.slice_id: report.unspent for report in request.reports}
     returned = sum(
-        min(unspent_by_id[one.slice_id], one.tokens)
-        for one in bucket.open_slices
-        if one.slice_id in unspent_by_id
+        min(unspent_by_id[each.slice_id], each.tokens)
+        for each in bucket.open_slices
+        if each.slice_id in unspent_by_id
     )
-    still_open = tuple(one for one in bucket.open_slices if one.slice_id not in unspent_by_id)
-    room = max(capacity - sum(one.tokens for one in still_open), 0)
-    return Bucket(min(bucket.tokens + returned, room), bucket.filled_at, still_open)
+    still_open = tuple(each for each in bucket.open_slices if each.slice_id not in unspent_by_id)
+    free_capacity = max(capacity - sum(each.tokens for each in still_open), 0)
+    return Bucket(min(bucket.tokens + returned, free_capacity), bucket.filled_at, still_open)
 
 
-def _grantable(tokens: float, request: SliceRequest) -> int:
-    """Return whole tokens: all that requests wait for, and at most half of the rest."""
+def _grantable_tokens(tokens: float, request: SliceRequest) -> int:
+    """Return the whole tokens to grant.
+
+    Waiting requests get all they need; expected requests get at most half of the rest.
+    """
     available = math.floor(tokens + _TOKEN_TOLERANCE)
     needed = min(request.needed, available)
     expected = max(request.wanted - request.needed, 0)
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_limits.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_limits.py
@@ -1,4 +1,4 @@
-"""Admits requests inside the rate and burst of their organisation at the entry node."""
+"""Admits requests at the entry node within the rate and burst of their organisation."""
 
 import asyncio
 import dataclasses
@@ -24,39 +24,40 @@
     TimingSettings,
 )
 
-# The owner and the next holder are asked before a request is refused.
-_ASKED_HOLDERS = 2
-# A request that waited for a question of others may need one of its own.
-_ROUNDS = 3
-_BUSY_REQUESTS = 2
+# The owner and the next holder are tried before a request is refused.
+_MAX_HOLDERS_ASKED = 2
+# A request that waited for the slice request of earlier requests may need one of its own.
+_MAX_ATTEMPTS = 3
+_MIN_BUSY_REQUESTS = 2
 _DEMAND_MARGIN = 1.25
-# Tokens for expected requests are asked for at most once in this part of a slice's time; without
-# it, an organisation at its rate caused one question for each request.
-_QUESTION_FRACTION = 0.2
-# A holder that did not answer is asked last for this time.
+# Tokens for expected requests are requested at most once in this fraction of a slice's lifetime.
+# Without this limit, an organisation at its rate caused one slice request for each request.
+_PREFETCH_INTERVAL_FRACTION = 0.2
+# A holder that did not answer is tried after all others for this time.
 _SUSPECT_SECONDS = 1.0
-_UNANSWERED_WAIT_SECONDS = 0.05
-# Reports wait this long, so that the next question of a busy organisation carries them.
-_PERIOD_SECONDS = 0.05
-_DROP_PERIOD_SECONDS = 5.0
+_UNANSWERED_BACKOFF_SECONDS = 0.05
+# Reports are delayed by this period, so that the next slice request of a busy organisation
+# carries them.
+_REPORT_PERIOD_SECONDS = 0.05
+_CLEANUP_PERIOD_SECONDS = 5.0
 _NEVER = float('-inf')
 
 
 class RateLimiter:
-    """Takes tokens for the requests that enter at this node.
+    """Acquires tokens for the requests that enter at this node.
 
     Parameters
     ----------
     loans
-        Knows the owner of each organisation's rate.
+        Shares and loans, which determine the owner of each organisation's rate.
     buckets
-        The buckets of this node, for the rates that it owns.
+        Token buckets of this node, for the rates that it owns.
     links
-        Connections to the other owners.
+        Connections to the other holders.
     timing
-        Times of the coordination.
+        Timing settings of the node.
     clock
-        Clock that counts suspension.
+        Clock that includes suspended time.
     """
 
     def __init__(
@@ -74,64 +75,65 @@
         self._timing = timing
         self._clock = clock
         self._counts: Counter[str] = Counter()
-        self._drop_at = clock.now()
+        self._next_cleanup_at = clock.now()
         self._slices = HeldSlices(clock)
         self._demand_by_id: dict[OrganisationId, Demand] = {}
         self._waiting_by_id: Counter[OrganisationId] = Counter()
-        self._questions_by_id: dict[OrganisationId, asyncio.Task[str]] = {}
+        self._slice_requests_by_id: dict[OrganisationId, asyncio.Task[str]] = {}
         self._refused_until_by_id: dict[OrganisationId, tuple[float, str]] = {}
         self._suspect_until_by_holder: dict[InstanceId, float] = {}
 
     async def run(self) -> None:
-        """Drop what is known of idle organisations for as long as the node runs."""
+        """Run `tick` periodically until cancelled."""
         while True:
-            await asyncio.sleep(_PERIOD_SECONDS)
+            await asyncio.sleep(_REPORT_PERIOD_SECONDS)
             self.tick()
 
     def tick(self) -> None:
-        """Send the reports that no question carried, and drop what is idle."""
+        """Send the reports that no slice request carried, and drop idle state."""
         for (holder, organisation), reports in self._slices.pop_all_reports():
             self._send_report(holder, organisation, reports)
         self._drop_idle()
 
     async def admit(self, organisation: Organisation) -> bool:
-        """Take one token; return whether the request is inside the rate."""
+        """Acquire one token; return whether the request is within the rate."""
         name = organisation.organisation
         self._record_arrival(name)
         cause = ''
-        for waits in range(_ROUNDS):
-            if self._take(organisation):
+        for waits in range(_MAX_ATTEMPTS):
+            if self._try_admit_locally(organisation):
                 self._counts['admitted'] += 1
                 self._counts['admitted_without_question'] += not waits
                 return True
             refused_until, cause = self._refused_until_by_id.get(name, (_NEVER, ''))
             if self._clock.now() < refused_until:
                 break
-            cause = await self._wait_for_question(organisation)
+            cause = await self._wait_for_slice(organisation)
         self._counts[cause or 'refused_unanswered'] += 1
         return False
 
     def counters(self) -> RateCounters:
-        """Return the counts since the start of the node."""
+        """Return the counters since the start of the node."""
         return RateCounters(
             **self._counts,
             partitions_owned=self.loans.count_owned(),
             buckets=len(self.buckets),
         )
 
-    def _take(self, organisation: Organisation) -> bool:
+    def _try_admit_locally(self, organisation: Organisation) -> bool:
         name = organisation.organisation
         holder = next(iter(self._candidates(name)), None)
         if holder == self.loans.members.own.instance and self.buckets.try_acquire(organisation):
             return True
         if not self._slices.try_spend(name):
             return False
-        if not self._expected(name):
-            # A lone request's token counts against a small burst until it is reported.
-            for spent_at in self._candidates(name)[:_ASKED_HOLDERS]:
-                self._send_report(spent_at, name, self._slices.pop_reports(spent_at, name))
-        elif self._runs_low(name) and name not in self._questions_by_id:
-            self._start_question(organisation)
+        if not self._expected_requests(name):
+            # The token of a lone request counts against a small burst until it is reported, so
+            # the report is sent at once.
+            for candidate in self._candidates(name)[:_MAX_HOLDERS_ASKED]:
+                self._send_report(candidate, name, self._slices.pop_reports(candidate, name))
+        elif self._should_prefetch(name) and name not in self._slice_requests_by_id:
+            self._start_slice_request(organisation)
         return True
 
     def _candidates(self, organisation: OrganisationId) -> list[InstanceId]:
@@ -145,60 +147,71 @@
     def _record_arrival(self, organisation: OrganisationId) -> None:
         now = self._clock.now()
         demand = self._demand_by_id.get(organisation, Demand(0, now, 0))
-        passed = now - demand.since
-        if passed >= self._timing.slice_seconds:
-            per_slice = demand.arrivals * self._timing.slice_seconds / passed
+        elapsed = now - demand.since
+        if elapsed >= self._timing.slice_seconds:
+            per_slice = demand.arrivals * self._timing.slice_seconds / elapsed
             demand = Demand(0, now, per_slice, demand.asked_at)
         self._demand_by_id[organisation] = dataclasses.replace(
             demand,
             arrivals=demand.arrivals + 1,
         )
 
-    def _expected(self, organisation: OrganisationId) -> int:
+    def _expected_requests(self, organisation: OrganisationId) -> int:
         demand = self._demand_by_id.get(organisation)
         if demand is None:
             return 0
         per_slice = max(demand.per_slice, demand.arrivals)
-        return math.ceil(per_slice * _DEMAND_MARGIN) if per_slice >= _BUSY_REQUESTS else 0
+        return math.ceil(per_slice * _DEMAND_MARGIN) if per_slice >= _MIN_BUSY_REQUESTS else 0
 
-    def _runs_low(self, organisation: OrganisationId) -> bool:
-        expected = self._expected(organisation)
+    def _should_prefetch(self, organisation: OrganisationId) -> bool:
+        expected = self._expected_requests(organisation)
         now = self._clock.now()
         refused_until, _ = self._refused_until_by_id.get(organisation, (_NEVER, ''))
-        # Demand is dropped when the process was paused between the arrival and here.
+        # The demand is missing if the process was paused after the arrival was recorded and the
+        # demand was dropped as idle in the meantime.
         demand = self._demand_by_id.get(organisation)
         asked_at = _NEVER if demand is None else demand.asked_at
-        if now < max(refused_until, asked_at + self._timing.slice_seconds * _QUESTION_FRACTION):
+        if now < max(
+            refused_until, asked_at + self._timing.slice_seconds * _PREFETCH_INTERVAL_FRACTION
+        ):
             return False
-        soon = now + self._timing.slice_seconds / 2
-        left = self._slices.count(organisation, soon)
+        horizon = now + self._timing.slice_seconds / 2
+        left = self._slices.count(organisation, horizon)
         return left * 2 < expected
 
-    async def _wait_for_question(self, organisation: Organisation) -> str:
+    async def _wait_for_slice(self, organisation: Organisation) -> str:
         name = organisation.organisation
         self._waiting_by_id[name] += 1
         try:
-            question = self._questions_by_id.get(name) or self._start_question(organisation)
-            # The question goes on for the other requests when the caller of this one leaves.
-            return await asyncio.shield(question)
+            slice_request = self._slice_requests_by_id.get(name) or self._start_slice_request(
+                organisation
+            )
+            # Shielded, because other requests still need the slice if this caller disconnects.
+            return await asyncio.shield(slice_request)
         finally:
             self._waiting_by_id[name] -= 1
             if not self._waiting_by_id[name]:
                 self._waiting_by_id.pop(name)
 
-    def _start_question(self, organisation: Organisation) -> asyncio.Task[str]:
+    def _start_slice_request(self, organisation: Organisation) -> asyncio.Task[str]:
         name = organisation.organisation
-        question = asyncio.create_task(self._ask_holders(name))
-        self._questions_by_id[name] = question
-        question.add_done_callback(lambda _: self._questions_by_id.pop(name))
-        return question
+        slice_request = asyncio.create_task(self._request_slice(name))
+        self._slice_requests_by_id[name] = slice_request
+        slice_request.add_done_callback(lambda _: self._slice_requests_by_id.pop(name))
+        return slice_request
 
-    async def _ask_holders(self, organisation: OrganisationId) -> str:
-        """Ask the owner and then the next holder; return why there are no tokens, if none."""
-        waits = [_UNANSWERED_WAIT_SECONDS]
+    async def _request_slice(self, organisation: OrganisationId) -> str:
+        """Request a slice from the owner, then from the next holder.
+
+        Returns
+        -------
+        str
+            Counter of the refusal, or an empty string if tokens were granted.
+        """
+        waits = [_UNANSWERED_BACKOFF_SECONDS]
         cause = 'refused_unanswered'
-        for holder in self._candidates(organisation)[:_ASKED_HOLDERS]:
-            answer = await self._ask(holder, organisation)
+        for holder in self._candidates(organisation)[:_MAX_HOLDERS_ASKED]:
+            answer = await self._request_slice_from(holder, organisation)
             if answer is None:
                 continue
             if answer.tokens:
@@ -213,29 +226,34 @@
         self._refused_until_by_id[organisation] = (refused_until, cause)
         return cause
 
-    async def _ask(self, holder: InstanceId, organisation: OrganisationId) -> SliceGranted | None:
+    async def _request_slice_from(
+        self, holder: InstanceId, organisation: OrganisationId
+    ) -> SliceGranted | None:
         asked_at = self._clock.now()
         demand = self._demand_by_id.get(organisation, Demand(0, asked_at, 0))
         self._demand_by_id[organisation] = dataclasses.replace(demand, asked_at=asked_at)
-        # Callers that already wait are counted; the task starts after the first of them.
+        # Includes every request that waits by now; the first is counted before this task starts.
         needed = self._waiting_by_id[organisation]
         request = SliceRequest(
             organisation=organisation,
-            wanted=needed + self._expected(organisation),
+            wanted=needed + self._expected_requests(organisation),
             needed=needed,
             reports=self._slices.pop_reports(holder, organisation),
         )
-        answer = await self._request(holder, request)
+        answer = await self._send_slice_request(holder, request)
         if answer is None:
             self._suspect_until_by_holder[holder] = self._clock.now() + _SUSPECT_SECONDS
         elif answer.tokens:
-            # The tokens count from the question, so they end here before they end at the holder.
+            # The lifetime starts when the request is sent, so the slice ends here before it ends
+            # at the holder.
             ends_at = asked_at + answer.seconds * (1 - CLOCK_DRIFT)
             held = HeldSlice(holder, answer.slice_id, answer.tokens, ends_at)
             self._slices.add(organisation, held)
         return answer
 
-    async def _request(self, holder: InstanceId, request: SliceRequest) -> SliceGranted | None:
+    async def _send_slice_request(
+        self, holder: InstanceId, request: SliceRequest
+    ) -> SliceGranted | None:
         if holder == self.loans.members.own.instance:
             return self.buckets.grant(request)
         self._counts['questions'] += 1
@@ -262,14 +280,14 @@
 
     def _drop_idle(self) -> None:
         now = self._clock.now()
-        if now < self._drop_at:
+        if now < self._next_cleanup_at:
             return
-        self._drop_at = now + _DROP_PERIOD_SECONDS
+        self._next_cleanup_at = now + _CLEANUP_PERIOD_SECONDS
         self.buckets.drop_idle()
         self._demand_by_id = {
             name: demand
             for name, demand in self._demand_by_id.items()
-            if now - demand.since < _DROP_PERIOD_SECONDS
+            if now - demand.since < _CLEANUP_PERIOD_SECONDS
         }
         self._refused_until_by_id = {
             name: refused for name, refused in self._refused_until_by_id.items() if refused[0] > now
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/settling.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/settling.py
@@ -1,4 +1,4 @@
-"""Which nodes may use rate shares, and which must be counted when a rate is divided."""
+"""Decides which nodes may use rate shares, and among which members a rate is divided."""
 
 import dataclasses
 from collections.abc import Set as AbstractSet
@@ -6,25 +6,27 @@
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.state import NO_VERSION, InstanceId, Member, Membership, TimingSettings
 
-# Clocks of two machines drift apart by less than this fraction.
+# Upper bound of the relative drift between the clocks of two machines.
 CLOCK_DRIFT = 0.02
-# Shares are looked at once in this time, so a node may use one that long after it lost standing.
+# Shares are updated once in this period, so a node may use a share for this long after it lost
+# its standing.
 SHARE_TICK_SECONDS = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Confirmation:
-    """A membership version that was confirmed by `learned_at` on the own clock."""
+    """A membership version that was confirmed no later than `learned_at` on the local clock."""
 
     version: int
     learned_at: float
 
 
 def settle_seconds(timing: TimingSettings) -> float:
-    """Return how long a confirmed membership must wait before shares follow it.
+    """Return the delay between the confirmation of a membership and its effect on shares.
 
-    A node that lacks it has standing for `standing_seconds` at most. A share that it used then
-    may still be lent, and tokens granted from that share may still be spent.
+    A node that lacks the membership keeps its standing for at most `standing_seconds`. A share
+    that it used until then may still be lent, and tokens granted from that share may still be
+    spent.
     """
     needed = (
         timing.standing_seconds + timing.loan_seconds + timing.slice_seconds + SHARE_TICK_SECONDS
@@ -33,28 +35,28 @@
 
 
 class MembershipSettling:
-    """Follows the memberships until no node with standing can lack them.
+    """Tracks memberships until no node with standing can lack them.
 
     A version is *confirmed* once a majority of each membership since the last confirmed version
-    is known to know it. A node that lacks it loses its standing within `standing_seconds`. The
-    version is *settled* once it was confirmed `settle_seconds` ago.
+    is known to have it. A node that lacks it loses its standing within `standing_seconds`. The
+    version is *settled* once `settle_seconds` have passed since its confirmation.
 
     Parameters
     ----------
-    own
-        The node itself.
+    local_member
+        Member entry of this node.
     timing
-        Times of the coordination.
+        Timing settings of the node.
     clock
         Clock of the node.
     """
 
-    def __init__(self, own: Member, timing: TimingSettings, clock: Clock) -> None:
-        self._own = own
+    def __init__(self, local_member: Member, timing: TimingSettings, clock: Clock) -> None:
+        self._local_member = local_member
         self._timing = timing
         self._clock = clock
         self._membership = Membership()
-        # Memberships since the last confirmed one, oldest first, without a gap.
+        # Memberships since the last confirmed one, oldest first, with no version missing.
         self._unconfirmed: tuple[Membership, ...] = (self._membership,)
         self._gap_version = NO_VERSION
         self._confirmations: tuple[Confirmation, ...] = ()
@@ -68,32 +70,47 @@
 
     @property
     def settled_version(self) -> int:
-        """Newest membership version that was confirmed at least the settle time ago."""
+        """Newest membership version that was confirmed at least `settle_seconds` ago."""
         settled_at = self._clock.now() - settle_seconds(self._timing)
-        settled = [one.version for one in self._confirmations if one.learned_at <= settled_at]
+        settled = [each.version for each in self._confirmations if each.learned_at <= settled_at]
         return max(settled, default=NO_VERSION)
 
     @property
     def is_settled(self) -> bool:
-        """Whether all nodes that use shares count this one, and this one counts all of them."""
-        known = self._membership.members_by_id.get(self._own.instance)
-        if known is None or known.incarnation != self._own.incarnation:
+        """Whether this node and all other nodes that use shares count each other as members."""
+        known = self._membership.members_by_id.get(self._local_member.instance)
+        if known is None or known.incarnation != self._local_member.incarnation:
             return False
         return self.settled_version >= self._gap_version and self.has_settled(known.instance)
 
     def has_settled(self, instance: InstanceId) -> bool:
-        """Whether the join of a member's present incarnation has settled."""
+        """Whether the join of a member's current incarnation has settled."""
         joined_version = self._joined_version_by_id.get(instance)
         return joined_version is not None and joined_version <= self.settled_version
 
     def members_with_shares(self) -> list[InstanceId]:
-        """Return the members that may use rate shares, by this node's knowledge."""
+        """Return the members that may use rate shares, as far as this node knows.
+
+        Removed members are included until their removal has settled.
+        """
         settled = self.settled_version
-        removed = [one for one, version in self._removed_version_by_id.items() if version > settled]
+        removed = [
+            instance
+            for instance, version in self._removed_version_by_id.items()
+            if version > settled
+        ]
         return [*self._membership.members_by_id, *removed]
 
     def apply_membership(self, membership: Membership, *, follows: bool) -> None:
-        """Take over a newer membership; `follows` if none between it and the present was missed."""
+        """Replace the membership by a newer one.
+
+        Parameters
+        ----------
+        membership
+            The newer membership.
+        follows
+            Whether no version between the current membership and the newer one was missed.
+        """
         self._replace(membership)
         if follows:
             self._unconfirmed = (*self._unconfirmed, membership)
@@ -102,38 +119,39 @@
         self._gap_version = membership.version
 
     def confirm(self, version: int) -> None:
-        """Note that a membership version is confirmed."""
+        """Record that a membership version is confirmed."""
         if version <= self.confirmed_version:
             return
         settled = self.settled_version
-        kept = tuple(one for one in self._confirmations if one.version >= settled)
+        kept = tuple(each for each in self._confirmations if each.version >= settled)
         self._confirmations = (*kept, Confirmation(version, self._clock.now()))
         self._removed_version_by_id = {
             instance: removed_version
             for instance, removed_version in self._removed_version_by_id.items()
             if removed_version > settled
         }
-        older = [one for one in self._unconfirmed if one.version <= version][:-1]
+        older = [each for each in self._unconfirmed if each.version <= version][:-1]
         self._unconfirmed = self._unconfirmed[len(older) :]
 
     def is_confirmed_by(self, informed: AbstractSet[InstanceId]) -> bool:
-        """Whether informed instances prove that the present membership is confirmed.
+        """Whether the informed instances prove that the current membership is confirmed.
 
-        They are a majority of each membership since the last confirmed one: a node that still
-        has one of these hears from one of them, or loses its standing. A node that knows of no
-        confirmation, as after a restart of the whole fleet, needs all present members.
+        They must include a majority of each membership since the last confirmed one: a node that
+        still has one of these memberships is updated by an informed instance or loses its
+        standing. A node that knows no confirmation, as after a restart of the whole fleet, needs
+        all current members.
         """
         has_chain = self._unconfirmed[0].version <= self.confirmed_version
-        if has_chain and all(_is_majority(informed, one) for one in self._unconfirmed):
+        if has_chain and all(_is_majority(informed, each) for each in self._unconfirmed):
             return True
         members = self._membership.members_by_id.keys()
         return not self._confirmations and members <= informed
 
     def _replace(self, membership: Membership) -> None:
         known_by_id = self._membership.members_by_id
-        for gone in known_by_id.keys() - membership.members_by_id.keys():
-            self._removed_version_by_id[gone] = membership.version
-            self._joined_version_by_id.pop(gone, None)
+        for removed_instance in known_by_id.keys() - membership.members_by_id.keys():
+            self._removed_version_by_id[removed_instance] = membership.version
+            self._joined_version_by_id.pop(removed_instance, None)
         for instance, member in membership.members_by_id.items():
             known = known_by_id.get(instance)
             if known is None or known.incarnation != member.incarnation:
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/share_holders.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/share_holders.py
@@ -1,4 +1,4 @@
-"""Which members hold shares of a partition, and who of them owns it."""
+"""Selects the members that hold shares of a partition, and the owner among them."""
 
 from collections import defaultdict
 
@@ -10,10 +10,10 @@
 
 
 class ShareHolders:
-    """Holders of all partitions by this node's view.
+    """Holders of all partitions in this node's view of the membership.
 
-    A holder *serves* a partition if it is alive and its join has settled; the first that serves
-    is the owner.
+    A holder *serves* a partition if it is alive and its join has settled. The first serving
+    holder is the owner.
     """
 
     def __init__(self, members: MembershipView) -> None:
@@ -21,20 +21,20 @@
         self._holders_by_partition: dict[int, tuple[InstanceId, ...]] = {}
 
     def invalidate(self) -> None:
-        """Rank the holders anew, since the counted members changed."""
+        """Discard the cached rankings after the members with shares changed."""
         self._holders_by_partition.clear()
 
     def holders(self, partition: int) -> tuple[InstanceId, ...]:
-        """Return the holders of a partition in the order of their ranks."""
+        """Return the holders of a partition in rank order."""
         holders = self._holders_by_partition.get(partition)
         if holders is None:
-            counted = self._members.settling.members_with_shares()
-            holders = tuple(rank_instances(f'rate/{partition}', counted)[:HOLDER_COUNT])
+            members = self._members.settling.members_with_shares()
+            holders = tuple(rank_instances(f'rate/{partition}', members)[:HOLDER_COUNT])
             self._holders_by_partition[partition] = holders
         return holders
 
     def local_share(self, partition: int) -> float:
-        """Return this node's share of a partition, lent or not."""
+        """Return this node's share of a partition, whether or not it is lent."""
         holders = self.holders(partition)
         return 1 / len(holders) if self._members.own.instance in holders else 0
 
@@ -43,23 +43,23 @@
         return tuple(filter(self._is_serving, self.holders(partition)))
 
     def may_borrow(self, partition: int, borrower: InstanceId) -> bool:
-        """Whether a holder may have this node's share: it ranks higher or is the owner."""
+        """Whether a holder may borrow this node's share: it ranks higher or is the owner."""
         holders = self.holders(partition)
-        own = self._members.own.instance
-        if own == borrower or not {own, borrower} <= set(holders):
+        local = self._members.own.instance
+        if local == borrower or not {local, borrower} <= set(holders):
             return False
-        if holders.index(borrower) < holders.index(own):
+        if holders.index(borrower) < holders.index(local):
             return True
         return next(filter(self._is_serving, holders), None) == borrower
 
     def partitions_by_lender(self) -> dict[InstanceId, list[int]]:
-        """Return, by lender, the partitions that this node owns and should borrow."""
-        own = self._members.own.instance
+        """Return the owned partitions of which this node should borrow shares, by lender."""
+        local = self._members.own.instance
         serving_holders = frozenset(filter(self._is_serving, self._members.live_members()))
         partitions_by_lender: defaultdict[InstanceId, list[int]] = defaultdict(list)
         for partition in range(PARTITION_COUNT):
             holders = [holder for holder in self.holders(partition) if holder in serving_holders]
-            if holders[:1] == [own]:
+            if holders[:1] == [local]:
                 for lender in holders[1:]:
                     partitions_by_lender[lender].append(partition)
         return partitions_by_lender
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/share_loans.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/share_loans.py
@@ -1,4 +1,4 @@
-"""Shares of rates: which holder uses which part of a partition, and loans to its owner."""
+"""Rate shares: the part of each partition that a holder uses, and loans to the owner."""
 
 import asyncio
 import dataclasses
@@ -21,19 +21,19 @@
     TimingSettings,
 )
 
-# Shares are sums of fractions, so a whole rate may come out slightly below 1.
+# Shares are sums of fractions, so rounding can leave a whole rate slightly below 1.
 SHARE_TOLERANCE = 1e-9
-# A loan is asked for again after this part of its time, so that one lost message costs nothing.
+# A loan is renewed after this fraction of its duration, so that one lost message has no effect.
 _RENEWAL_FRACTION = 0.4
-# Whom to ask changes with liveness, which takes seconds to change.
-_LENDERS_SECONDS = 1.0
-# Buckets that were not used since older segments count as empty at the oldest one kept.
-_KEPT_SEGMENTS = 16
+# The lenders depend on liveness, which takes seconds to change.
+_LENDERS_REFRESH_SECONDS = 1.0
+# A bucket that was last used before the oldest kept segment counts as empty at its start.
+_MAX_SEGMENTS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Observation:
-    """What the shares of all partitions depend on."""
+class _ShareInputs:
+    """State on which the shares of all partitions depend."""
 
     is_usable: bool = False
     membership_version: int = NO_VERSION
@@ -41,18 +41,18 @@
 
 
 class ShareLoans:
-    """The shares that this node uses, lends and borrows.
+    """Shares that this node uses, lends and borrows.
 
     Parameters
     ----------
     members, standing
-        Decide whether the node may use its own shares.
+        Determine whether the node may use its shares.
     links
         Connections to the other holders.
     timing
-        Times of the coordination.
+        Timing settings of the node.
     clock
-        Clock that counts suspension, so that a paused node finds its loans ended.
+        Clock that includes suspended time, so that loans expire while the node is paused.
     """
 
     def __init__(
@@ -71,46 +71,46 @@
         self._clock = clock
         self._fresh_until = float('-inf')
         self._shares_by_partition: dict[int, PartitionShares] = {}
-        self._asked_at_by_lender: dict[InstanceId, float] = {}
-        self._questions: set[asyncio.Task[None]] = set()
+        self._requested_at_by_lender: dict[InstanceId, float] = {}
+        self._loan_requests: set[asyncio.Task[None]] = set()
         self._holders = ShareHolders(members)
-        self._observed = _Observation()
+        self._inputs = _ShareInputs()
         self._lenders: dict[InstanceId, list[int]] = {}
         self._lenders_until = float('-inf')
 
     async def run(self) -> None:
-        """Renew loans for as long as the node runs."""
+        """Run `tick` periodically until cancelled."""
         while True:
             await asyncio.sleep(SHARE_TICK_SECONDS)
             self.tick()
 
     def tick(self) -> None:
-        """Look at all shares, and ask for the loans that are due."""
-        self._observe()
+        """Update all shares and request the loans that are due."""
+        self._refresh_inputs()
         now = self._clock.now()
         if now >= self._lenders_until:
-            self._lenders = self._holders.partitions_by_lender() if self._observed.is_usable else {}
-            self._lenders_until = now + _LENDERS_SECONDS
+            self._lenders = self._holders.partitions_by_lender() if self._inputs.is_usable else {}
+            self._lenders_until = now + _LENDERS_REFRESH_SECONDS
         for lender, partitions in self._lenders.items():
-            asked_at = self._asked_at_by_lender.get(lender, float('-inf'))
-            if now - asked_at >= self._timing.loan_seconds * _RENEWAL_FRACTION:
-                self._asked_at_by_lender[lender] = now
-                question = asyncio.create_task(self._borrow(lender, tuple(partitions)))
-                self._questions.add(question)
-                question.add_done_callback(self._questions.discard)
+            requested_at = self._requested_at_by_lender.get(lender, float('-inf'))
+            if now - requested_at >= self._timing.loan_seconds * _RENEWAL_FRACTION:
+                self._requested_at_by_lender[lender] = now
+                loan_request = asyncio.create_task(self._borrow(lender, tuple(partitions)))
+                self._loan_requests.add(loan_request)
+                loan_request.add_done_callback(self._loan_requests.discard)
 
     def candidates(self, partition: int) -> tuple[InstanceId, ...]:
         """Return the holders that can serve a partition, the owner first."""
-        self._observe()
+        self._refresh_inputs()
         return self._holders.serving_holders(partition)
 
     def segments(self, partition: int) -> tuple[ShareSegment, ...]:
-        """Return the shares that this node used over time, up to now."""
-        self._observe()
-        return self._look_at(partition, self._clock.now()).segments
+        """Return the shares of a partition that this node used over time, up to now."""
+        self._refresh_inputs()
+        return self._update_shares(partition, self._clock.now()).segments
 
     def record_slice(self, partition: int, ends_at: float) -> None:
-        """Note how long tokens of a granted slice can be spent."""
+        """Record the time until which tokens of a granted slice can be spent."""
         shares = self._shares_by_partition[partition]
         self._shares_by_partition[partition] = dataclasses.replace(
             shares,
@@ -118,14 +118,14 @@
         )
 
     def lend(self, request: LoanRequest) -> LoanGranted | LoanRefused:
-        """Lend the own shares of the asked partitions where that is allowed."""
-        self._observe()
+        """Lend this node's shares of the requested partitions where that is allowed."""
+        self._refresh_inputs()
         shares_by_partition: dict[int, float] = {}
         if self._is_usable() and self.members.is_current(request.borrower, request.incarnation):
             shares_by_partition = {
                 partition: share
                 for partition in request.partitions
-                if (share := self._lend_one(partition, request)) > 0
+                if (share := self._lend_partition(partition, request)) > 0
             }
         if not shares_by_partition:
             return LoanRefused(request.partitions)
@@ -141,10 +141,10 @@
         known = tuple(self._shares_by_partition)
         return sum(self.segments(partition)[-1].share >= whole for partition in known)
 
-    def _observe(self) -> None:
-        """Note what changes the shares of all partitions: standing and the counted members."""
+    def _refresh_inputs(self) -> None:
+        """Update all shares if the standing or the members with shares changed."""
         now = self._clock.now()
-        observed = _Observation(
+        inputs = _ShareInputs(
             is_usable=self._is_usable(),
             membership_version=self.members.membership.version,
             settled_version=self.members.settling.settled_version,
@@ -153,29 +153,29 @@
         if has_lapsed:
             self._end_shares(self._fresh_until)
         self._fresh_until = self._standing.fresh_until
-        if has_lapsed or observed != self._observed:
-            self._observed = observed
+        if has_lapsed or inputs != self._inputs:
+            self._inputs = inputs
             self._lenders_until = now
             self._holders.invalidate()
             for partition in self._shares_by_partition:
-                self._look_at(partition, now)
+                self._update_shares(partition, now)
 
     def _end_shares(self, ended_at: float) -> None:
-        """Count the time since the standing was lost as time without shares."""
+        """Treat the time since the standing was lost as time without shares."""
         for partition, shares in self._shares_by_partition.items():
-            kept = tuple(one for one in shares.segments if one.starts_at < ended_at)
+            kept = tuple(each for each in shares.segments if each.starts_at < ended_at)
             self._shares_by_partition[partition] = dataclasses.replace(
                 shares,
                 segments=_with_segment(kept or shares.segments[:1], ended_at, 0),
             )
 
-    def _look_at(self, partition: int, now: float) -> PartitionShares:
-        """Return a partition's shares after the loans that ended by now."""
+    def _update_shares(self, partition: int, now: float) -> PartitionShares:
+        """Return a partition's shares, updated for the loans that ended by now."""
         shares = self._shares_by_partition.get(partition)
         if shares is None:
             shares = PartitionShares((ShareSegment(now, 0),))
-        shares = _after_lapses(shares, now)
-        segments = _with_segment(shares.segments, now, self._share(partition, shares))
+        shares = _without_ended_loans(shares, now)
+        segments = _with_segment(shares.segments, now, self._current_share(partition, shares))
         if segments is not shares.segments:
             shares = dataclasses.replace(shares, segments=segments)
         self._shares_by_partition[partition] = shares
@@ -184,18 +184,18 @@
     def _is_usable(self) -> bool:
         return self._standing.has_standing and self.members.settling.is_settled
 
-    def _share(self, partition: int, shares: PartitionShares) -> float:
-        if not self._observed.is_usable:
+    def _current_share(self, partition: int, shares: PartitionShares) -> float:
+        if not self._inputs.is_usable:
             return 0
         borrowed = sum(loan.share for loan in shares.borrowed_by_id.values())
         return borrowed if shares.lent else borrowed + self._holders.local_share(partition)
 
-    def _lend_one(self, partition: int, request: LoanRequest) -> float:
+    def _lend_partition(self, partition: int, request: LoanRequest) -> float:
         now = self._clock.now()
         lent = LentShare(request.borrower, request.incarnation, now + self._timing.loan_seconds)
         shares = self._shares_by_partition.get(partition)
         if shares is None or not _is_renewal(shares.lent, lent, now):
-            shares = self._look_at(partition, now)
+            shares = self._update_shares(partition, now)
             if shares.lent is not None and not _is_renewal(shares.lent, lent, now):
                 return 0
             if not self._holders.may_borrow(partition, request.borrower):
@@ -204,27 +204,28 @@
         shares = dataclasses.replace(shares, lent=lent)
         self._shares_by_partition[partition] = shares
         if is_new:
-            self._look_at(partition, now)
-        # Tokens of own slices may still be spent; until then the share is only set aside.
+            self._update_shares(partition, now)
+        # Tokens of this node's slices may still be spent; until they expire, the share is only
+        # reserved for the borrower.
         return self._holders.local_share(partition) if shares.slices_end_at <= now else 0
 
     async def _borrow(self, lender: InstanceId, partitions: tuple[int, ...]) -> None:
-        own = self.members.own
-        asked_at = self._clock.now()
+        local = self.members.own
+        requested_at = self._clock.now()
         answer = await self._links.request(
             lender,
-            LoanRequest(partitions, own.instance, own.incarnation),
+            LoanRequest(partitions, local.instance, local.incarnation),
             timeout_seconds=self._timing.peer_timeout_seconds,
         )
         if not isinstance(answer, LoanGranted):
             return
-        # Slices from a loan must end before the lender uses the share again.
+        # Slices granted from a loan must end before the lender uses the share again.
         seconds = answer.seconds * (1 - CLOCK_DRIFT) - self._timing.slice_seconds
-        self._observe()
+        self._refresh_inputs()
         for partition, share in zip(answer.partitions, answer.shares, strict=True):
-            self._take_loan(partition, lender, BorrowedShare(share, asked_at + seconds))
+            self._apply_loan(partition, lender, BorrowedShare(share, requested_at + seconds))
 
-    def _take_loan(self, partition: int, lender: InstanceId, loan: BorrowedShare) -> None:
+    def _apply_loan(self, partition: int, lender: InstanceId, loan: BorrowedShare) -> None:
         now = self._clock.now()
         if loan.ends_at <= now:
             return
@@ -237,14 +238,14 @@
                 borrowed_by_id=borrowed_by_id,
             )
             return
-        # Looks at the shares first: a loan that ended meanwhile leaves a gap, in which the lender
-        # may have used its share.
-        shares = self._look_at(partition, now)
+        # Updates the shares first: a loan that ended in the meantime leaves a gap, in which the
+        # lender may have used its share.
+        shares = self._update_shares(partition, now)
         self._shares_by_partition[partition] = dataclasses.replace(
             shares,
             borrowed_by_id={**shares.borrowed_by_id, lender: loan},
         )
-        self._look_at(partition, now)
+        self._update_shares(partition, now)
 
 
 def _is_renewal(known: LentShare | None, lent: LentShare, now: float) -> bool:
@@ -253,14 +254,14 @@
     return (known.borrower, known.incarnation) == (lent.borrower, lent.incarnation)
 
 
-def _after_lapses(shares: PartitionShares, now: float) -> PartitionShares:
-    """Return the shares without the loans that ended and the standing that was lost by now."""
+def _without_ended_loans(shares: PartitionShares, now: float) -> PartitionShares:
+    """Return the shares without the loans from and to other holders that ended by now."""
     segments, lent = shares.segments, shares.lent
     has_ended_loan = lent is not None and lent.ends_at <= now
     ended = [loan for loan in shares.borrowed_by_id.values() if loan.ends_at <= now]
-    for loan in sorted(ended, key=lambda one: one.ends_at):
-        left = max(segments[-1].share - loan.share, 0)
-        segments = _with_segment(segments, loan.ends_at, left)
+    for loan in sorted(ended, key=lambda borrowed: borrowed.ends_at):
+        remaining_share = max(segments[-1].share - loan.share, 0)
+        segments = _with_segment(segments, loan.ends_at, remaining_share)
     if not ended and not has_ended_loan:
         return shares
     return dataclasses.replace(
@@ -281,4 +282,4 @@
     if segments[-1].share == share:
         return segments
     segment = ShareSegment(max(starts_at, segments[-1].starts_at), share)
-    return (*segments, segment)[-_KEPT_SEGMENTS:]
+    return (*segments, segment)[-_MAX_SEGMENTS:]
