Reword the comments of claims and the tests of rates and claims

Tests renamed: test_index_forgets_what_can_no_longer_matter, now test_expired_claims_are_evicted; test_claim_without_an_answer_holds_the_key_for_nobody, now test_claim_is_released_if_its_result_is_unknown; test_kept_answers_stay_within_their_bytes, now test_kept_answers_stay_within_their_size_limit.

--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/__init__.py
@@ -1,1 +1,1 @@
-"""At-most-once runs across nodes, by claims on the log."""
+"""At-most-once execution across nodes, by claims in the log."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_fold.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_fold.py
@@ -1,4 +1,4 @@
-"""What the records of a claim partition mean; the same at every node that reads them."""
+"""Folds the records of a claim partition into the same state at every node that reads them."""
 
 import collections
 import dataclasses
@@ -23,9 +23,9 @@
     Parameters
     ----------
     held_at
-        Time of day of the latest attempt to claim the fingerprint.
+        Wall-clock time of the latest attempt to claim the fingerprint.
     released
-        Whether the claim was given back, so that the next one wins.
+        Whether the claim was released, so that the next claim wins.
     """
 
     claim: ClaimId
@@ -39,7 +39,8 @@
 def hold_seconds_of(limits: LimitSettings) -> float:
     """Return how long a fingerprint is held after the latest attempt to claim it.
 
-    Two nodes with clocks at the ends of the allowed skew still keep to the promised time.
+    The margin of twice the clock skew keeps the retention time for two nodes whose clocks are at
+    opposite ends of the allowed skew.
     """
     return limits.claim_retention_seconds + 2 * limits.clock_skew_seconds
 
@@ -47,9 +48,9 @@
 class PartitionClaims:
     """Claims of one partition.
 
-    Every attempt prolongs the hold. So a reader that lacks the earliest records, because the log
-    has dropped them, comes to the same result as one that has them: only attempts within the
-    hold time decide, and the log keeps records for longer than that.
+    Every attempt extends the hold. A reader that lacks the earliest records, because the log has
+    dropped them, therefore reaches the same result as one that has them: only attempts within
+    the hold time decide, and the log retains records for longer than that.
 
     Parameters
     ----------
@@ -65,7 +66,7 @@
         )
 
     def __len__(self) -> int:
-        """Return the number of fingerprints that are remembered."""
+        """Return the number of fingerprints in memory."""
         return len(self._states_by_fingerprint)
 
     def find(self, fingerprint: str) -> ClaimState | None:
@@ -73,9 +74,9 @@
         return self._states_by_fingerprint.get(fingerprint)
 
     def apply_claim(self, record: Claimed) -> None:
-        """Apply a claim: it wins if no other one holds the fingerprint at its time."""
-        # A record that was made long before others and appended after them, by a coordinator that
-        # was paused in between, must not win against a claim that was forgotten meanwhile.
+        """Apply a claim; it wins if no other claim holds the fingerprint at its time."""
+        # A coordinator that was paused between creating a record and appending it can append it
+        # long after newer records. It must not win over a claim that was evicted in the meantime.
         if record.claimed_at < self._newest_at - self._hold_seconds:
             return
         self._newest_at = max(self._newest_at, record.claimed_at)
@@ -89,7 +90,7 @@
         self._evict_expired()
 
     def update_claim(self, record: Released | Finished, **changes: object) -> None:
-        """Change the state of a claim if it still holds its fingerprint."""
+        """Update the state of a claim if it still holds its fingerprint."""
         state = self.find(record.fingerprint)
         if state is None or state.claim != record.claim or state.released:
             return
@@ -106,7 +107,7 @@
         self._states_by_fingerprint.move_to_end(fingerprint)
 
     def _evict_expired(self) -> None:
-        # No record that still counts can meet a claim from before this moment.
+        # Older claims cannot affect any record that is recent enough to be applied.
         oldest_relevant = self._newest_at - 2 * self._hold_seconds
         while next(iter(self._states_by_fingerprint.values())).last_claimed_at < oldest_relevant:
             self._states_by_fingerprint.popitem(last=False)
@@ -114,7 +115,7 @@
 
 @singledispatch
 def fold_claim(record: object, claims: PartitionClaims) -> None:
-    """Apply a record to the claims of its partition; records of other types are passed over."""
+    """Apply a record to the claims of its partition; records of other types are ignored."""
 
 
 @fold_claim.register
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_ledger.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_ledger.py
@@ -1,4 +1,4 @@
-"""Appends claims to the log in batches and reads back who came first."""
+"""Appends claims to the log in batches and reads back which claim came first."""
 
 import asyncio
 import dataclasses
@@ -31,7 +31,7 @@
 )
 
 _MAX_BATCH_RECORDS = 512
-# Most outcomes come through the own coordinator; others are found by reading this often.
+# Most outcomes are appended by this coordinator; others are found by polling at this interval.
 _POLL_SECONDS = 0.25
 _MILLISECONDS = 1000
 _UNAVAILABLE = ClaimFailed(Reason.CLAIM_LOG_UNAVAILABLE)
@@ -39,7 +39,10 @@
 
 
 class ClaimLedger:
-    """Coordinates claims; it saves appends and reads, and only the log's order decides."""
+    """Coordinates the claims of partitions to save appends and reads.
+
+    Which claim wins is decided by the order of the log alone.
+    """
 
     def __init__(
         self,
@@ -58,7 +61,7 @@
         self._partitions_by_number: dict[int, _Partition] = {}
 
     async def claim(self, request: ClaimRequest) -> ClaimGranted | ClaimTaken | ClaimFailed:
-        """Append a claim, read the partition back and return who came first."""
+        """Append a claim, read the partition back and return whether the claim came first."""
         partition = self._partition(request.partition)
         is_read = await partition.append(
             lambda: Claimed(
@@ -68,7 +71,8 @@
                 self._wall_clock.now(),
             ),
         )
-        # After a lost answer the record may stand in the log, so reading back decides.
+        # The record may be in the log even if the answer to the append was lost, so only the
+        # state that was read back decides.
         state = partition.claims.find(request.fingerprint)
         if not is_read or state is None or state.released:
             return _UNAVAILABLE
@@ -77,7 +81,7 @@
         return _to_claim_taken(state)
 
     async def release(self, request: ClaimRelease) -> Acknowledged | ClaimFailed:
-        """Record that a claim's request certainly did not run."""
+        """Record that the request of a claim certainly did not run."""
         partition = self._partition(request.partition)
         is_read = await partition.append(lambda: Released(request.fingerprint, request.claim))
         state = partition.claims.find(request.fingerprint)
@@ -85,7 +89,7 @@
         return _UNAVAILABLE if is_held or not is_read else Acknowledged()
 
     async def finish(self, request: ClaimFinish) -> Acknowledged | ClaimFailed:
-        """Record that a claim's request has an answer."""
+        """Record that the request of a claim was answered."""
         partition = self._partition(request.partition)
         is_read = await partition.append(
             lambda: Finished(request.fingerprint, request.claim, request.status, request.kept_by),
@@ -96,7 +100,7 @@
         return _UNAVAILABLE if is_open or not is_read else Acknowledged()
 
     async def wait_for_outcome(self, request: ClaimOutcomeRequest) -> ClaimTaken | ClaimFailed:
-        """Wait until the claim that holds a fingerprint is finished or given back."""
+        """Wait until the claim that holds a fingerprint is finished or released."""
         partition = self._partition(request.partition)
         deadline = self._clock.now() + request.wait_milliseconds / _MILLISECONDS
         while await partition.refresh():
@@ -132,10 +136,10 @@
 
 
 class _Pacer:
-    """Spaces the appends of this node so that the fleet keeps to its append budget.
+    """Spaces the appends of this node so that the fleet stays within its append budget.
 
-    Each partition has one coordinator, and each of the live nodes may append at an equal share
-    of the budget.
+    Each partition has one coordinator, and each live node may append at an equal share of the
+    budget.
     """
 
     def __init__(self, members: MembershipView, limits: LimitSettings, clock: Clock) -> None:
@@ -145,7 +149,7 @@
         self._next_at = clock.now()
 
     async def wait(self) -> None:
-        """Wait for this node's turn to append."""
+        """Wait until this node may append."""
         now = self._clock.now()
         turn_at = max(now, self._next_at)
         coordinators = min(max(len(self._members.live_members()), 1), PARTITION_COUNT)
@@ -155,14 +159,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PendingAppend:
-    """A record that waits for the next append, made at the moment of appending."""
+    """A record that waits for the next append and is created when it is appended."""
 
     make_record: Callable[[], Claimed | Released | Finished]
     is_read: asyncio.Future[bool]
 
 
 class _Partition:
-    """One stream of claims: one append in flight, and what was read back."""
+    """Log stream of one claim partition, with at most one append in flight."""
 
     def __init__(
         self,
@@ -198,11 +202,11 @@
         return await is_read
 
     async def refresh(self) -> bool:
-        """Read the stream to its tail; return whether the log answered."""
+        """Read the stream to its end; return whether the log answered."""
         return await self._read_through(None)
 
     async def wait_for_change(self, timeout_seconds: float) -> None:
-        """Wait until records were read, or until the time has passed."""
+        """Wait until records were read, or until the timeout."""
         try:
             async with asyncio.timeout(timeout_seconds):
                 await self._changed.wait()
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claims.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claims.py
@@ -35,12 +35,12 @@
 )
 
 _MILLISECONDS = 1000
-# A release or an outcome is recorded as soon as the log answers again; an outage that is longer
-# costs callers a refusal until the claim expires.
+# Releases and outcomes are retried up to this many times, so that they are recorded once the log
+# answers again. After a longer outage, callers are refused until the claim expires.
 _RECORD_ATTEMPTS = 60
 _FIRST_RETRY_SECONDS = 0.25
 _MAX_RETRY_SECONDS = 5.0
-# One record waits in about 1 KB, so this bounds the memory of a log outage to a few megabytes.
+# A pending record takes about 1 KB, so this limits memory during a log outage to a few megabytes.
 _MAX_PENDING_RECORDS = 4096
 
 _ClaimAnswer: TypeAlias = ClaimGranted | ClaimTaken | ClaimFailed
@@ -52,14 +52,14 @@
 
 
 def content_digest_of(request: CallerRequest) -> str:
-    """Return the digest that tells two requests with the same key apart."""
+    """Return the digest that distinguishes two requests with the same key."""
     digest = hashlib.sha256(f'{request.method} {request.target}\n'.encode())
     digest.update(request.body)
     return digest.hexdigest()
 
 
 class ClaimClient:
-    """Asks the coordinator of a fingerprint's partition, or the own ledger."""
+    """Claims fingerprints through the coordinator of their partition, or the local ledger."""
 
     def __init__(
         self,
@@ -80,7 +80,7 @@
 
     @property
     def recording(self) -> int:
-        """Releases and outcomes that are not recorded in the log yet."""
+        """Number of releases and outcomes that are not recorded in the log yet."""
         return len(self._recording)
 
     async def claim(
@@ -92,8 +92,8 @@
         """Claim a fingerprint for a request of this node."""
         partition = partition_of(reference.fingerprint)
         request = ClaimRequest(partition, reference.fingerprint, reference.claim, content)
-        # Claiming the same claim id twice is harmless: the first record counts.
-        # Half of the time is left for the own ledger, if the coordinator does not answer.
+        # Appending the same claim id twice is harmless, because the first record counts. Half of
+        # the time is reserved for the local ledger in case the coordinator does not answer.
         wait_seconds = min(timeout_seconds / 2, self._timing.claim_timeout_seconds)
         answer = await _within(
             timeout_seconds,
@@ -101,7 +101,8 @@
         )
         if isinstance(answer, ClaimGranted | ClaimTaken):
             return answer
-        # The record may stand in the log all the same, and would hold the key for nobody.
+        # The record may be in the log nevertheless, and would block the key although the request
+        # does not run.
         self.release(reference)
         return ClaimFailed(Reason.CLAIM_LOG_UNAVAILABLE)
 
@@ -110,8 +111,8 @@
         fingerprint: str,
         timeout_seconds: float,
     ) -> ClaimTaken | ClaimFailed:
-        """Wait until the claim that holds a fingerprint is finished or given back."""
-        # A part of the time is left for the way back and for fetching the answer.
+        """Wait until the claim that holds a fingerprint is finished or released."""
+        # Reserves time for the coordinator's response and for fetching the answer.
         wait_seconds = max(timeout_seconds - self._timing.peer_timeout_seconds, 0)
         request = ClaimOutcomeRequest(
             partition_of(fingerprint),
@@ -140,7 +141,7 @@
         return answer if isinstance(answer, Answered) else None
 
     def release(self, reference: ClaimReference) -> None:
-        """Give a claim back whose request certainly did not run; recorded in the background."""
+        """Release a claim whose request certainly did not run; recorded in the background."""
         partition = partition_of(reference.fingerprint)
         request = ClaimRelease(partition, reference.fingerprint, reference.claim)
         wait_seconds = self._timing.claim_timeout_seconds
@@ -149,7 +150,7 @@
         )
 
     def finish(self, reference: ClaimReference, answer: Answered) -> None:
-        """Keep the answer of a claimed request; that it has one is recorded in the background."""
+        """Keep the answer of a claimed request and record the outcome in the background."""
         self.kept_answers.keep(reference.claim, answer)
         request = ClaimFinish(
             partition_of(reference.fingerprint),
@@ -188,7 +189,8 @@
                 return answer
             if isinstance(answer, ClaimFailed) and answer.reason is Reason.CLAIM_RELEASED:
                 return answer
-            # The coordinator may be cut off from the log, or this node from the coordinator.
+            # The local ledger may succeed where the coordinator is cut off from the log, or this
+            # node from the coordinator.
         return await local_handler(request)
 
     def _coordinator_of(self, partition: int) -> InstanceId:
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/kept_answers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/kept_answers.py
@@ -1,4 +1,4 @@
-"""Answers of claimed requests, kept for callers that send the request again."""
+"""Answers of claimed requests, kept for callers that repeat the request."""
 
 import collections
 import dataclasses
@@ -9,7 +9,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeptAnswer:
-    """An answer with the moment until which it is kept, and its size."""
+    """An answer with its expiry time and size."""
 
     answer: Answered
     expires_at: float
@@ -17,12 +17,12 @@
 
 
 class KeptAnswers:
-    """Keeps answers up to a number of bytes; the oldest go first.
+    """Keeps answers up to a total size in bytes; the oldest are evicted first.
 
     Parameters
     ----------
     limits
-        Bounds on sizes and times.
+        Limits on sizes and times.
     clock
         Clock of the node.
     """
@@ -36,7 +36,7 @@
         )
 
     def keep(self, claim: ClaimId, answer: Answered) -> None:
-        """Keep an answer, and drop old ones that are due or do not fit any longer."""
+        """Keep an answer, and evict old answers that have expired or no longer fit."""
         headers_bytes = sum(len(name) + len(text) for name, text in answer.headers)
         size_bytes = len(answer.body) + headers_bytes
         expires_at = self._clock.now() + self._limits.claim_retention_seconds
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_limits.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_limits.py
@@ -32,7 +32,7 @@
 _DEMAND_MARGIN = 1.25
 # Tokens for expected requests are requested at most once in this fraction of a slice's lifetime.
 # Without this limit, an organisation at its rate caused one slice request for each request.
-_PREFETCH_INTERVAL_FRACTION = 0.2
+_PREFETCH_FRACTION = 0.2
 # A holder that did not answer is tried after all others for this time.
 _SUSPECT_SECONDS = 1.0
 _UNANSWERED_BACKOFF_SECONDS = 0.05
@@ -100,10 +100,10 @@
         name = organisation.organisation
         self._record_arrival(name)
         cause = ''
-        for waits in range(_MAX_ATTEMPTS):
+        for attempt in range(_MAX_ATTEMPTS):
             if self._try_admit_locally(organisation):
                 self._counts['admitted'] += 1
-                self._counts['admitted_without_question'] += not waits
+                self._counts['admitted_without_question'] += not attempt
                 return True
             refused_until, cause = self._refused_until_by_id.get(name, (_NEVER, ''))
             if self._clock.now() < refused_until:
@@ -171,23 +171,19 @@
         # demand was dropped as idle in the meantime.
         demand = self._demand_by_id.get(organisation)
         asked_at = _NEVER if demand is None else demand.asked_at
-        if now < max(
-            refused_until, asked_at + self._timing.slice_seconds * _PREFETCH_INTERVAL_FRACTION
-        ):
+        if now < max(refused_until, asked_at + self._timing.slice_seconds * _PREFETCH_FRACTION):
             return False
         horizon = now + self._timing.slice_seconds / 2
-        left = self._slices.count(organisation, horizon)
-        return left * 2 < expected
+        remaining = self._slices.count(organisation, horizon)
+        return remaining * 2 < expected
 
     async def _wait_for_slice(self, organisation: Organisation) -> str:
         name = organisation.organisation
         self._waiting_by_id[name] += 1
         try:
-            slice_request = self._slice_requests_by_id.get(name) or self._start_slice_request(
-                organisation
-            )
+            task = self._slice_requests_by_id.get(name) or self._start_slice_request(organisation)
             # Shielded, because other requests still need the slice if this caller disconnects.
-            return await asyncio.shield(slice_request)
+            return await asyncio.shield(task)
         finally:
             self._waiting_by_id[name] -= 1
             if not self._waiting_by_id[name]:
@@ -195,10 +191,10 @@
 
     def _start_slice_request(self, organisation: Organisation) -> asyncio.Task[str]:
         name = organisation.organisation
-        slice_request = asyncio.create_task(self._request_slice(name))
-        self._slice_requests_by_id[name] = slice_request
-        slice_request.add_done_callback(lambda _: self._slice_requests_by_id.pop(name))
-        return slice_request
+        task = asyncio.create_task(self._request_slice(name))
+        self._slice_requests_by_id[name] = task
+        task.add_done_callback(lambda _: self._slice_requests_by_id.pop(name))
+        return task
 
     async def _request_slice(self, organisation: OrganisationId) -> str:
         """Request a slice from the owner, then from the next holder.
@@ -206,9 +202,9 @@
         Returns
         -------
         str
-            Counter of the refusal, or an empty string if tokens were granted.
+            Name of the counter for the refusal, or an empty string if tokens were granted.
         """
-        waits = [_UNANSWERED_BACKOFF_SECONDS]
+        backoffs = [_UNANSWERED_BACKOFF_SECONDS]
         cause = 'refused_unanswered'
         for holder in self._candidates(organisation)[:_MAX_HOLDERS_ASKED]:
             answer = await self._request_slice_from(holder, organisation)
@@ -216,18 +212,20 @@
                 continue
             if answer.tokens:
                 return ''
-            waits.append(answer.seconds)
+            backoffs.append(answer.seconds)
             cause = 'refused_on_partial_share'
             if answer.share >= 1 - SHARE_TOLERANCE:
                 cause = 'refused_above_rate'
-                waits = [answer.seconds]
+                backoffs = [answer.seconds]
                 break
-        refused_until = self._clock.now() + min(waits)
+        refused_until = self._clock.now() + min(backoffs)
         self._refused_until_by_id[organisation] = (refused_until, cause)
         return cause
 
     async def _request_slice_from(
-        self, holder: InstanceId, organisation: OrganisationId
+        self,
+        holder: InstanceId,
+        organisation: OrganisationId,
     ) -> SliceGranted | None:
         asked_at = self._clock.now()
         demand = self._demand_by_id.get(organisation, Demand(0, asked_at, 0))
@@ -252,7 +250,9 @@
         return answer
 
     async def _send_slice_request(
-        self, holder: InstanceId, request: SliceRequest
+        self,
+        holder: InstanceId,
+        request: SliceRequest,
     ) -> SliceGranted | None:
         if holder == self.loans.members.own.instance:
             return self.buckets.grant(request)
--- a/tests/coordination/claims/test_claim_ledger.py
+++ b/tests/coordination/claims/test_claim_ledger.py
@@ -1,4 +1,4 @@
-"""Claims through two coordinators on one log that fails."""
+"""Claim ledgers of two coordinators that share an unreliable log."""
 
 import asyncio
 
@@ -32,7 +32,7 @@
 
 @pytest.mark.parametrize('seed', range(20))
 async def test_one_grant_for_each_key_with_lost_answers_and_two_coordinators(seed):
-    """Guards against two claimers that are both told that they came first."""
+    """Guards against two grants for one key when answers of the log are lost."""
     log, clock = MemoryLog(seed), ManualClock()
     log.lose, log.fail, log.fail_reads = 0.3, 0.1, 0.2
     ledgers = [_ledger(log, clock), _ledger(log, clock)]
@@ -41,7 +41,7 @@
     async def claim(number: int) -> None:
         key, claim_id = f'key-{number % 5}', ClaimId(f'claim-{number}')
         request = ClaimRequest(7, key, claim_id, 'content')
-        # A claimer whose coordinator failed asks the other one for the same claim.
+        # A claimer whose coordinator failed repeats the claim at the other coordinator.
         for attempt in range(6):
             answer = await ledgers[(number + attempt) % 2].claim(request)
             if not isinstance(answer, ClaimFailed):
@@ -55,20 +55,20 @@
 
 
 async def test_appends_keep_to_the_budget_with_one_in_flight():
-    """Guards against one append for each claim, which would use up the log's appends."""
+    """Guards against one append for each claim, which would exhaust the log's append budget."""
     log, clock = MemoryLog(), ManualClock()
     ledger = _ledger(log, clock, appends_per_second=50)
-    requests = [ClaimRequest(7, f'key-{one}', ClaimId(str(one)), '') for one in range(200)]
+    requests = [ClaimRequest(7, f'key-{number}', ClaimId(str(number)), '') for number in range(200)]
     async with asyncio.timeout(3):
-        answers = await asyncio.gather(*(ledger.claim(one) for one in requests))
-    assert all(isinstance(one, ClaimGranted) for one in answers)
-    # The clock stands still, so that only the first turn and one more can have come.
+        answers = await asyncio.gather(*(ledger.claim(request) for request in requests))
+    assert all(isinstance(answer, ClaimGranted) for answer in answers)
+    # The clock does not advance, so at most the first append and one more can happen.
     assert log.appends <= 2
     assert log.most_in_flight == 1
 
 
 async def test_outcome_is_waited_for_and_a_released_key_is_free():
-    """Guards against a retry that is refused although the outcome is about to be known."""
+    """Guards against refusing a retry while the outcome of the claim is about to be recorded."""
     log, clock = MemoryLog(), ManualClock()
     ledger, other = _ledger(log, clock), _ledger(log, clock)
     await ledger.claim(ClaimRequest(7, 'key', ClaimId('first'), 'content'))
@@ -77,7 +77,7 @@
     assert finished == Acknowledged()
     assert await waiting == ClaimTaken('first', 'content', 201, 'node-1')
     await ledger.claim(ClaimRequest(7, 'key-2', ClaimId('second'), 'content'))
-    # Only the claim that holds a key can give it back.
+    # Only the claim that holds a key can release it.
     await other.release(ClaimRelease(7, 'key-2', ClaimId('third')))
     taken = await ledger.claim(ClaimRequest(7, 'key-2', ClaimId('third'), 'content'))
     assert isinstance(taken, ClaimTaken)
--- a/tests/coordination/claims/test_claims.py
+++ b/tests/coordination/claims/test_claims.py
@@ -1,4 +1,4 @@
-"""The claiming node: what it must record reaches the log, and answers are kept within bounds."""
+"""Claim client: releases and outcomes reach the log, and kept answers stay within limits."""
 
 import asyncio
 
@@ -46,7 +46,7 @@
 
 
 async def test_release_and_outcome_survive_an_outage_of_the_log():
-    """Guards against a key that stays taken because one append failed."""
+    """Guards against a key that stays claimed because one append failed."""
     setup = Setup()
     assert isinstance(await setup.claim('first'), ClaimGranted)
     setup.log.fail = 1.0
@@ -59,12 +59,15 @@
     setup.claims.finish(ClaimReference('key', 'second'), Answered(201, (), b'done'))
     await setup.wait_until_recorded()
     records = setup.log.records_by_stream[f'claims-{partition_of("key")}']
-    finished = [one.record for one in records if isinstance(one.record, Finished)]
+    finished = [stored.record for stored in records if isinstance(stored.record, Finished)]
     assert finished == [Finished('key', 'second', 201, 'node-1')]
 
 
-async def test_claim_without_an_answer_holds_the_key_for_nobody():
-    """Guards against a key that stays taken by a request that was refused."""
+async def test_claim_is_released_if_its_result_is_unknown():
+    """Guards against a key that stays claimed for a request that was refused.
+
+    The claim is appended, but reading it back fails, so the request does not run.
+    """
     setup = Setup()
     setup.log.fail_reads = 1.0
     assert isinstance(await setup.claim('refused'), ClaimFailed)
@@ -73,9 +76,9 @@
     assert isinstance(await setup.claim('next'), ClaimGranted)
 
 
-def test_kept_answers_stay_within_their_bytes():
-    """Guards against memory that grows with every answered booking."""
+def test_kept_answers_stay_within_their_size_limit():
+    """Guards against memory that grows with every answered request."""
     kept = KeptAnswers(LimitSettings(kept_answer_bytes=1000), ManualClock())
     for number in range(100):
         kept.keep(f'claim-{number}', Answered(200, (), b'x' * 300))
-    assert [kept.find(f'claim-{one}') is not None for one in (96, 97, 99)] == [False, True, True]
+    assert [kept.find(f'claim-{num}') is not None for num in (96, 97, 99)] == [False, True, True]
--- a/tests/coordination/rates/test_rate_buckets.py
+++ b/tests/coordination/rates/test_rate_buckets.py
@@ -1,4 +1,4 @@
-"""A holder's buckets: what is admitted here or at entry nodes fits its share."""
+"""Token buckets of a holder: admissions here and at entry nodes stay within its share."""
 
 import pytest
 from hypothesis import given, settings
@@ -21,7 +21,7 @@
 
 
 class _Holder:
-    """Stands in for the clock, the configuration and the shares of a holder."""
+    """Fake clock, configuration and shares of a holder."""
 
     def __init__(self):
         self.moment = 0.0
@@ -36,11 +36,11 @@
         return (ShareSegment(-100.0, self.share),)
 
     def record_slice(self, partition, ends_at):
-        """The holder lends nothing here."""
+        """Does nothing, because the fake holder lends no shares."""
 
 
 class _EntryNode:
-    """Asks for tokens, and spends them at once or at the last moment."""
+    """Requests tokens and spends them either at once or just before they expire."""
 
     def __init__(self, holder):
         self.holder = holder
@@ -93,7 +93,7 @@
 
 
 def test_unspent_tokens_return_once():
-    """Guards against refusals inside the rate after a slice was not used, and double returns."""
+    """Guards against losing the tokens of an unused slice, and against returning them twice."""
     holder = _Holder()
     first = holder.buckets.grant(SliceRequest('org', 10, 10))
     report = (SliceReport(first.slice_id, 10),)
@@ -103,13 +103,13 @@
 
 
 def test_expected_requests_leave_half_for_other_entry_nodes():
-    """Guards against one entry node that holds all tokens while another must refuse."""
+    """Guards against granting all tokens to one entry node while another has to refuse."""
     granted = _Holder().buckets.grant(SliceRequest('org', wanted=100, needed=0))
     assert granted.tokens == ORGANISATION.burst / 2
 
 
 def test_time_without_share_empties_the_bucket():
-    """Guards against tokens that both the borrower and the lender of a share count."""
+    """Guards against counting the tokens of a lent share at both the borrower and the lender."""
     full = Bucket(tokens=10.0, filled_at=0.0)
     lent = (ShareSegment(0.0, 1.0), ShareSegment(1.0, 0.0), ShareSegment(2.0, 0.5))
     assert refill_bucket(full, lent, ORGANISATION, 2.1).tokens == pytest.approx(0.1 * 40 * 0.5)
@@ -117,7 +117,7 @@
 
 
 def test_new_bucket_starts_empty():
-    """Guards against a replaced node that hands out a burst which its predecessor spent."""
+    """Guards against a replacement node that grants a burst its predecessor has already spent."""
     new = Bucket(tokens=0.0, filled_at=float('-inf'))
     started = (ShareSegment(5.0, 0.25),)
     assert refill_bucket(new, started, ORGANISATION, 5.0).tokens == 0
@@ -125,7 +125,7 @@
 
 
 def test_only_idle_buckets_are_dropped():
-    """Guards against memory that grows with each organisation, and drops that add tokens."""
+    """Guards against memory growth per organisation, and against gaining tokens by eviction."""
     holder = _Holder()
     assert holder.buckets.try_acquire(ORGANISATION)
     holder.buckets.drop_idle()
--- a/tests/coordination/rates/test_rate_limits.py
+++ b/tests/coordination/rates/test_rate_limits.py
@@ -1,4 +1,4 @@
-"""No organisation gets more than its rate and burst from all nodes together."""
+"""Rate limiting: the whole fleet admits no more than an organisation's rate and burst."""
 
 import asyncio
 
@@ -10,7 +10,7 @@
 
 RATE = 16.0
 BURST = 8.0
-# Holders measure the rate on clocks that drift, in the simulation by up to 0.8 %.
+# Holders measure the rate on clocks that drift by up to 0.8 % in the simulation.
 MEASURED_RATE = RATE * 1.01
 INSTANCES = ('a', 'b', 'c', 'd')
 SETTLED_SECONDS = 12.0
@@ -31,18 +31,18 @@
 
 @pytest.fixture(autouse=True)
 def one_partition(monkeypatch):
-    """The simulated organisation is in partition 0; loans of the others only cost time."""
+    """Limits loans to partition 0 of the simulated organisation; the others only take time."""
     monkeypatch.setattr('turmericwharf.coordination.rates.share_holders.PARTITION_COUNT', 1)
 
 
 async def _run(fleet, events):
-    """Let events happen, each after some seconds, under a load of several times the rate."""
+    """Apply the events with the given pauses, under a load of three times the rate."""
     fleet.start(*INSTANCES)
     await asyncio.sleep(SETTLED_SECONDS)
     load = asyncio.create_task(fleet.send_load(factor=3, seconds=3600))
     watch = asyncio.create_task(fleet.watch_shares())
-    for event, one, other, seconds in events:
-        fleet.apply(event, one, other)
+    for event, instance, peer, seconds in events:
+        fleet.apply(event, instance, peer)
         await asyncio.sleep(seconds)
     load.cancel()
     watch.cancel()
@@ -58,7 +58,7 @@
 
 @settings(
     max_examples=12,
-    # Shrinking takes minutes, and the events of a failure are printed as they are.
+    # Shrinking takes minutes, and the events of a failing example are printed unshrunk.
     phases=(Phase.explicit, Phase.generate),
     deadline=None,
     derandomize=True,
@@ -107,7 +107,7 @@
     ('resume', 'b', '', 3),
     ('start', 'b', '', 12),
 ]
-# Each node loses the others while its loans run, so that borrowers and lenders must stop in order.
+# Each node is isolated while its loans are active, so borrowers must stop before lenders resume.
 OWNER_LOST = [
     ('slow links', 'a', '', 4),
     *[event for node in INSTANCES for event in (('isolate', node, '', 6), ('heal', node, '', 4))],
@@ -117,9 +117,9 @@
     ('isolate', 'a', '', 0),
     ('remove', 'a', '', 20),
 ]
-REMOVED_BUT_HEARS_LATE = [
+REMOVED_WITH_DELAYED_MESSAGES = [
     ('cut log', 'a', '', 0),
-    ('hear late', 'a', '', 4),
+    ('delay messages', 'a', '', 4),
     ('remove', 'a', '', 20),
 ]
 
@@ -132,28 +132,28 @@
         pytest.param(PAUSED_THEN_REPLACED, id='paused'),
         pytest.param(OWNER_LOST, id='owner lost'),
         pytest.param(REMOVED_WITHOUT_STANDING, id='removed without standing'),
-        pytest.param(REMOVED_BUT_HEARS_LATE, id='removed but hears late'),
+        pytest.param(REMOVED_WITH_DELAYED_MESSAGES, id='removed with delayed messages'),
     ],
 )
 def test_rate_holds_when_views_differ(events):
-    """Guards against shares that follow what others with standing do not know."""
+    """Guards against shares that follow a membership other nodes with standing do not know."""
     _check(events)
 
 
 @pytest.mark.parametrize(
-    ('rate', 'burst', 'factor', 'least_without_question'),
+    ('rate', 'burst', 'factor', 'min_without_question'),
     [(200.0, 100.0, 0.9, 0.95), (16.0, 8.0, 0.9, 0.9), (10.0, 1.0, 0.5, 0.0)],
     ids=['busy', 'small', 'burst of one'],
 )
-def test_whole_fleet_gets_the_whole_rate(rate, burst, factor, least_without_question):
-    """Guards against shares that are not lent, tokens that are lost and a hop for each request."""
+def test_whole_fleet_gets_the_whole_rate(rate, burst, factor, min_without_question):
+    """Guards against shares that are not lent, lost tokens and a remote call for each request."""
 
     async def scenario():
         fleet = SimulatedFleet(rate=rate, burst=burst)
         fleet.start(*INSTANCES)
         await asyncio.sleep(SETTLED_SECONDS + burst / rate)
         load = {'factor': factor, 'seconds': 6}
-        refused = [await fleet.send_load(**load, at=[one]) for one in INSTANCES]
+        refused = [await fleet.send_load(**load, at=[instance]) for instance in INSTANCES]
         counters = [node.node.limiter.counters() for node in fleet.nodes_by_id.values()]
         refused.append(await fleet.send_load(**load))
         fleet.close()
@@ -162,5 +162,5 @@
     refused, counters = run_virtual(scenario)
     assert refused == [0] * 5
     for counts in counters:
-        assert counts.admitted_without_question >= counts.admitted * least_without_question
+        assert counts.admitted_without_question >= counts.admitted * min_without_question
         assert counts.questions <= counts.admitted
--- a/tests/coordination/rates/test_settling.py
+++ b/tests/coordination/rates/test_settling.py
@@ -1,4 +1,4 @@
-"""A membership counts for shares only when no node with standing can lack it."""
+"""Membership settling: shares follow a membership only once no node with standing can lack it."""
 
 from turmericwharf.coordination import MembershipSettling, settle_seconds
 from turmericwharf.state import Member, Membership, TimingSettings
@@ -12,7 +12,7 @@
 
 
 def _membership(version, instances):
-    members = {one: Member(one, f'{one}-1', '127.0.0.1', 1, 'dc-1') for one in instances}
+    members = {name: Member(name, f'{name}-1', '127.0.0.1', 1, 'dc-1') for name in instances}
     return Membership(version, members)
 
 
@@ -25,7 +25,10 @@
 
 
 def test_each_membership_since_the_last_confirmed_needs_a_majority():
-    """Guards against a majority of the newest membership only: it may lack all older members."""
+    """Guards against confirmation by a majority of the newest membership only.
+
+    Such a majority may include none of the members of the older memberships.
+    """
     settling = _settling(_Clock())
     settling.apply_membership(_membership(1, 'abcde'), follows=True)
     settling.apply_membership(_membership(2, 'ade'), follows=True)
@@ -34,7 +37,10 @@
 
 
 def test_state_with_a_gap_is_not_confirmed_here():
-    """Guards against memberships that this node has not seen and cannot ask about."""
+    """Guards against confirming across memberships that this node has not received.
+
+    Their members are unknown here, so no majority of them can be checked.
+    """
     settling = _settling(_Clock())
     settling.apply_membership(_membership(5, 'abc'), follows=False)
     assert not settling.is_confirmed_by(frozenset('abc'))
@@ -42,7 +48,7 @@
 
 
 def test_removed_member_counts_until_its_removal_has_settled():
-    """Guards against a share that is divided while the removed member still uses its part."""
+    """Guards against dividing a rate anew while the removed member still uses its share."""
     clock = _Clock()
     settling = _settling(clock)
     settling.apply_membership(_membership(1, 'ab'), follows=True)
@@ -56,7 +62,10 @@
 
 
 def test_short_settle_setting_is_raised():
-    """Guards against settings with which a loan outlives the knowledge that it rests on."""
+    """Guards against a settle time that is shorter than the lifetime of loans and slices.
+
+    A loan could then outlive the membership on which it was granted.
+    """
     timing = TimingSettings(settle_seconds=1.0)
-    lasting = timing.standing_seconds + timing.loan_seconds + timing.slice_seconds
-    assert settle_seconds(timing) > lasting
+    max_lifetime = timing.standing_seconds + timing.loan_seconds + timing.slice_seconds
+    assert settle_seconds(timing) > max_lifetime
--- a/tests/simulated_rates.py
+++ b/tests/simulated_rates.py
@@ -1,6 +1,6 @@
-"""Nodes of a fleet in one process, on a virtual clock and with links and a log that fail.
+"""Simulated fleet in one process, with a virtual clock and unreliable links and log.
 
-Everything of `coordination` is real; the simulation stands in for the transport layer.
+All of `coordination` is the real code; the simulation replaces the transport layer.
 """
 
 import asyncio
@@ -30,11 +30,11 @@
 )
 
 HOP_SECONDS = 0.001
-LATE_SECONDS = 15.0
+DELAYED_DELIVERY_SECONDS = 15.0
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """Event loop whose time jumps to the next timer instead of waiting for it."""
+    """Event loop that advances its time to the next timer instead of waiting for it."""
 
     def __init__(self) -> None:
         self.virtual_now = 1000.0
@@ -55,7 +55,7 @@
 
 
 class SimulatedNode:
-    """One incarnation; a task of its own moves it on, and stops while it is paused."""
+    """One incarnation of a node, run by background tasks that stop while it is paused."""
 
     def __init__(self, fleet: 'SimulatedFleet', instance: str, number: int) -> None:
         self.fleet = fleet
@@ -63,7 +63,7 @@
         self.is_running = asyncio.Event()
         self.is_running.set()
         self.is_dead = False
-        # Clocks of machines differ by an offset and drift.
+        # The clocks of machines differ by an offset and by drift.
         self._offset = fleet.random.uniform(0, 1000)
         self._pace = 1 + fleet.random.uniform(-0.008, 0.008)
         self.member = Member(instance, f'{number:04d}', '127.0.0.1', 1, 'dc-1')
@@ -113,7 +113,7 @@
             task.cancel()
 
     async def admit(self) -> bool:
-        """Let one request enter here; record it if it was admitted."""
+        """Send one request to this node and record it if it was admitted."""
         if self.is_dead or not self.is_running.is_set():
             return False
         organisation = self.fleet.organisation
@@ -182,7 +182,7 @@
         return LogPage(records, 0, offset + len(records))
 
     async def request(self, instance: str, message: Any, *, timeout_seconds: float) -> Any:
-        # What was sent arrives, even if the sender no longer waits for the answer.
+        # A sent message is delivered even if the sender no longer waits for the answer.
         exchange = asyncio.create_task(self._exchange(instance, message))
         self.tasks.append(exchange)
         try:
@@ -190,7 +190,7 @@
                 answer = await asyncio.shield(exchange)
         except TimeoutError:
             answer = PEER_TIMEOUT
-        # A paused process finds the answer, or the end of the time, when it goes on.
+        # A paused process receives the answer or the timeout when it resumes.
         await self.is_running.wait()
         return answer
 
@@ -203,7 +203,7 @@
         if peer is None or peer.is_dead:
             return PEER_UNREACHABLE
         await self.fleet.deliver(self.instance, peer)
-        # The peer answers even if the time of the question has passed meanwhile.
+        # The peer answers even if the request has timed out in the meantime.
         answering = asyncio.create_task(handle_message(message, peer.node))
         peer.tasks.append(answering)
         answer = await asyncio.shield(answering)
@@ -216,7 +216,7 @@
 
 
 class SimulatedFleet:
-    """Nodes by instance, the log, and which links are cut."""
+    """Simulated nodes, their log and the state of the links between them."""
 
     def __init__(self, *, rate: float, burst: float, seed: int = 1) -> None:
         self.random = random.Random(seed)
@@ -245,61 +245,61 @@
         self.records.append(StoredRecord(len(self.records), record))
 
     def remove(self, instance: str) -> None:
-        """Let the log say that a member left, whether or not its process stopped."""
+        """Append to the log that a member left, whether or not its process stopped."""
         member = self.nodes_by_id[instance].member
         self.append(Left(member.instance, member.incarnation))
 
     def is_cut(self, source: str, destination: str) -> bool:
         return (source, destination) in self.cut_links
 
-    def cut_links_between(self, some: Any, others: Any) -> None:
-        """Cut all links between two groups, in both directions; `log` is the log."""
-        for one in some:
+    def cut_links_between(self, group: Any, others: Any) -> None:
+        """Cut all links between two groups in both directions; `log` stands for the log."""
+        for one in group:
             for other in others:
                 self.cut_links |= {(one, other), (other, one)}
 
     async def deliver(self, source: str, node: SimulatedNode) -> None:
         await asyncio.sleep(self.random.uniform(HOP_SECONDS, self.latency_seconds))
         if node.instance in self.delayed_nodes:
-            await asyncio.sleep(LATE_SECONDS)
+            await asyncio.sleep(DELAYED_DELIVERY_SECONDS)
         if self.random.random() < self.loss:
             await asyncio.sleep(3600)
-        # Bytes of a cut link arrive when it is healed, as with a connection that stays open.
+        # Messages on a cut link arrive once it is healed, as on a connection that stays open.
         while self.is_cut(source, node.instance) or not node.is_running.is_set():
             await asyncio.sleep(0.05)
 
     async def send_load(self, *, factor: float, seconds: float, at: Any = None) -> float:
-        """Send requests to all nodes in turn; return the part that was refused."""
+        """Send requests to randomly chosen nodes; return the fraction that was refused."""
         loop = asyncio.get_running_loop()
         period = 1 / (self.organisation.rate_per_second * factor)
         ends_at = loop.time() + seconds
         requests = []
         while loop.time() < ends_at:
-            nodes = [self.nodes_by_id[one] for one in at or sorted(self.nodes_by_id)]
+            nodes = [self.nodes_by_id[instance] for instance in at or sorted(self.nodes_by_id)]
             requests.append(asyncio.create_task(self.random.choice(nodes).admit()))
             await asyncio.sleep(period)
         admitted = await asyncio.gather(*requests)
         return 1 - sum(admitted) / len(admitted)
 
-    def apply(self, event: str, one: str, other: str) -> None:
-        """Let something happen to one node, or to the link from it to another."""
-        if one not in self.nodes_by_id:
-            self.start(one)
+    def apply(self, event: str, instance: str, peer: str) -> None:
+        """Apply an event to a node, or to the link from it to a peer."""
+        if instance not in self.nodes_by_id:
+            self.start(instance)
             return
-        node = self.nodes_by_id[one]
-        others = [peer for peer in self.nodes_by_id if peer != one]
+        node = self.nodes_by_id[instance]
+        others = [other for other in self.nodes_by_id if other != instance]
         actions: dict[str, Callable[[], Any]] = {
-            'start': lambda: self.start(one),
-            'remove': lambda: self.remove(one),
+            'start': lambda: self.start(instance),
+            'remove': lambda: self.remove(instance),
             'pause': node.pause,
             'resume': node.resume,
             'kill': node.kill,
-            'cut': lambda: self.cut_links.add((one, other)),
-            'cut log': lambda: self.cut_links_between([one], ['log']),
-            'isolate': lambda: self.cut_links_between([one], others),
+            'cut': lambda: self.cut_links.add((instance, peer)),
+            'cut log': lambda: self.cut_links_between([instance], ['log']),
+            'isolate': lambda: self.cut_links_between([instance], others),
             'heal': self.cut_links.clear,
             'lose messages': self._switch_loss,
-            'hear late': lambda: self.delayed_nodes.add(one),
+            'delay messages': lambda: self.delayed_nodes.add(instance),
             'slow links': self._switch_latency,
         }
         actions[event]()
@@ -308,12 +308,12 @@
         self.loss = 0.0 if self.loss else 0.2
 
     def _switch_latency(self) -> None:
-        # A question and its answer still come in time.
+        # A request and its answer still arrive within the peer timeout.
         slow = self.latency_seconds == HOP_SECONDS
         self.latency_seconds = 0.24 if slow else HOP_SECONDS
 
     async def watch_shares(self) -> None:
-        """Note the largest sum of the shares that all running nodes use at one moment."""
+        """Record the largest sum of the shares that all running nodes use at the same time."""
         while True:
             await asyncio.sleep(0.03)
             used = [
@@ -331,17 +331,17 @@
 def find_excess(
     admissions: list[tuple[float, str]], *, rate: float, burst: float
 ) -> tuple[float, str, float] | None:
-    """Return the moment and organisation with most requests above rate x window + burst.
+    """Return the time, organisation and size of the largest excess above rate x window + burst.
 
-    All windows are checked in one pass for each organisation: a full bucket with the rate and
-    burst runs short of tokens exactly when some window that ends now holds too many.
+    One pass over each organisation checks all windows: a token bucket with the rate and burst
+    that starts full runs out of tokens exactly when a window that ends now has too many requests.
     """
-    worst: tuple[float, str, float] | None = None
+    largest_excess: tuple[float, str, float] | None = None
     buckets_by_id: dict[str, tuple[float, float]] = {}
     for moment, organisation in sorted(admissions):
         tokens, filled_at = buckets_by_id.get(organisation, (burst, moment))
         tokens = min(tokens + (moment - filled_at) * rate, burst) - 1
         buckets_by_id[organisation] = (tokens, moment)
-        if tokens < -1e-3 and (worst is None or -tokens > worst[2]):
-            worst = (moment, organisation, -tokens)
-    return worst
+        if tokens < -1e-3 and (largest_excess is None or -tokens > largest_excess[2]):
+            largest_excess = (moment, organisation, -tokens)
+    return largest_excess
