--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_ledger.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_ledger.py
@@ -61,7 +61,7 @@
         self._partitions_by_number: dict[int, _Partition] = {}
 
     async def claim(self, request: ClaimRequest) -> ClaimGranted | ClaimTaken | ClaimFailed:
-        """Append a claim, read the partition back and return whether the claim came first."""
+        """Append a claim, read the partition back and return which claim came first."""
         partition = self._partition(request.partition)
         is_read = await partition.append(
             lambda: Claimed(
@@ -166,7 +166,7 @@
 
 
 class _Partition:
-    """Log stream of one claim partition, with at most one append in flight."""
+    """Log stream of one claim partition, with at most one append in flight, and its claims."""
 
     def __init__(
         self,
--- a/tests/simulated_rates.py
+++ b/tests/simulated_rates.py
@@ -254,9 +254,9 @@
 
     def cut_links_between(self, group: Any, others: Any) -> None:
         """Cut all links between two groups in both directions; `log` stands for the log."""
-        for one in group:
+        for member in group:
             for other in others:
-                self.cut_links |= {(one, other), (other, one)}
+                self.cut_links |= {(member, other), (other, member)}
 
     async def deliver(self, source: str, node: SimulatedNode) -> None:
         await asyncio.sleep(self.random.uniform(HOP_SECONDS, self.latency_seconds))
@@ -308,7 +308,7 @@
         self.loss = 0.0 if self.loss else 0.2
 
     def _switch_latency(self) -> None:
-        # A request and its answer still arrive within the peer timeout.
+        # A request and its answer still arrive before the timeout.
         slow = self.latency_seconds == HOP_SECONDS
         self.latency_seconds = 0.24 if slow else HOP_SECONDS
 
