Rename figurative names of routing and execution

Uses the usual terms for the public names of coordination/routing and coordination/execution: PauseWatch -> PauseDetector (and its module), take_back -> reinstate, Router.belief -> dump, excess -> latency_harm, Attempt -> AttemptTiming, InFlight -> InFlightAttempts, InProgress -> InProgressRequest, spend -> record_retry, review -> prune, forget -> discard_cancellation, announce -> record_announcement, remembered -> remembered_request_count. No behaviour changes.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -76,7 +76,7 @@
     if outcome.status >= 500:
         return 1.0
     seconds = outcome.first_byte_milliseconds / 1000
-    return harm.excess(seconds, attempt.typical_seconds, attempt.target_seconds)
+    return harm.latency_harm(seconds, attempt.typical_seconds, attempt.target_seconds)
 
 
 def _ratio_only(seconds: float, typical_seconds: float, target_seconds: float) -> float:
@@ -100,7 +100,7 @@
     'small odds only': {'_FAULTY_ODDS': (4.0,)},
     'large odds only': {'_FAULTY_ODDS': (30.0,)},
     'moving average over 0.3': {'judge': _moving_average},
-    'ratio to the baseline only': {'excess': _ratio_only},
+    'ratio to the baseline only': {'latency_harm': _ratio_only},
     'first byte only': {'first_byte': True},
     'concurrency limits, no ejection': {'judge': _never, 'router': ConcurrencyRouter},
     'no detection': {'judge': _never},
@@ -138,7 +138,7 @@
         mock.patch.object(outliers, '_FAULTY_ODDS', odds),
         mock.patch.object(outliers, '_NO_EVIDENCE', first),
         mock.patch.object(outliers.OutlierDetector, '_judge', variant.get('judge', JUDGE)),
-        mock.patch.object(harm, 'excess', variant.get('excess', harm.excess)),
+        mock.patch.object(harm, 'latency_harm', variant.get('latency_harm', harm.latency_harm)),
     ):
         finding = run_in_virtual_time(_measure(case, variant.get('router', Router)))
     harm.server_harm.register(Answered, original)
--- a/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
@@ -40,7 +40,7 @@
 )
 from turmericwharf.coordination.execution.execution import (
     Executor,
-    InProgress,
+    InProgressRequest,
     not_run,
 )
 from turmericwharf.coordination.execution.fair_queue import (
@@ -50,9 +50,9 @@
     Gossiper,
 )
 from turmericwharf.coordination.routing.harm import (
-    Attempt,
+    AttemptTiming,
     TypicalTimes,
-    excess,
+    latency_harm,
     path_harm,
     path_seconds,
     server_harm,
@@ -62,7 +62,7 @@
 )
 from turmericwharf.coordination.routing.in_flight import (
     Choice,
-    InFlight,
+    InFlightAttempts,
 )
 from turmericwharf.coordination.configuration.in_force import (
     InForceCheck,
@@ -99,11 +99,11 @@
 from turmericwharf.coordination.routing.outliers import (
     OutlierDetector,
     observe,
-    observe_ratio,
+    observe_latency_ratio,
     within_floor,
 )
-from turmericwharf.coordination.execution.pause_watch import (
-    PauseWatch,
+from turmericwharf.coordination.execution.pause_detector import (
+    PauseDetector,
 )
 from turmericwharf.coordination.ports import (
     BackendServer,
@@ -182,7 +182,7 @@
 )
 
 __all__ = (
-    'Attempt',
+    'AttemptTiming',
     'BUCKET_COUNT',
     'BackendServer',
     'CLOCK_DRIFT',
@@ -201,9 +201,9 @@
     'Gossiper',
     'HOLDER_COUNT',
     'HeldSlices',
-    'InFlight',
+    'InFlightAttempts',
     'InForceCheck',
-    'InProgress',
+    'InProgressRequest',
     'Joiner',
     'KeptAnswer',
     'KeptAnswers',
@@ -217,7 +217,7 @@
     'OutlierDetector',
     'PARTITION_COUNT',
     'PartitionClaims',
-    'PauseWatch',
+    'PauseDetector',
     'PeerLinks',
     'Ports',
     'Publisher',
@@ -244,7 +244,7 @@
     'content_of',
     'describe',
     'dump_parts',
-    'excess',
+    'latency_harm',
     'fill_bucket',
     'find_object',
     'find_problems',
@@ -260,7 +260,7 @@
     'object_name',
     'objects_by_name',
     'observe',
-    'observe_ratio',
+    'observe_latency_ratio',
     'partition_of',
     'path_harm',
     'path_seconds',
--- a/packages/turmericwharf/src/turmericwharf/coordination/execution/execution.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/execution.py
@@ -44,7 +44,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class InProgress:
+class InProgressRequest:
     """A request in progress, and the moment on the node's clock at which it must be answered."""
 
     order: Execute
@@ -93,16 +93,16 @@
         return len(self._progress.tasks_by_id)
 
     @property
-    def remembered(self) -> int:
+    def remembered_request_count(self) -> int:
         """Request ids that are remembered so that a second copy of a frame does not run."""
-        return self._progress.remembered
+        return self._progress.remembered_request_count
 
-    def find_in_progress(self, request: RequestId) -> InProgress | None:
+    def find_in_progress(self, request: RequestId) -> InProgressRequest | None:
         """Return a request that waits or runs here and was not cancelled, or None."""
         progress = self._progress
         return None if request in progress.cancelled else progress.requests_by_id.get(request)
 
-    def announce(self, service: ServiceId, slots: int, state: ServerState) -> None:
+    def record_announcement(self, service: ServiceId, slots: int, state: ServerState) -> None:
         """Take over what the backend server says of itself."""
         # The server goes on to say that it is ready while the node beside it shuts down.
         announced = (service, slots, ServerState.DRAINING if self._leaving else state)
@@ -127,7 +127,7 @@
         """Take no new work for the own backend server from now on."""
         self._leaving = True
         if self._report is not None:
-            self.announce(self._report.service, self._report.slots, ServerState.DRAINING)
+            self.record_announcement(self._report.service, self._report.slots, ServerState.DRAINING)
 
     def cancel(self, request: RequestId) -> None:
         """Drop a request that has not started; cut an idempotent one at the server."""
@@ -254,14 +254,14 @@
             collections.OrderedDict()
         )
         self._background: set[asyncio.Task[None]] = set()
-        self.requests_by_id: dict[RequestId, InProgress] = {}
+        self.requests_by_id: dict[RequestId, InProgressRequest] = {}
         self.tasks_by_id: dict[RequestId, asyncio.Task[Outcome]] = {}
         self.waiting_by_id: dict[RequestId, asyncio.Task[RequestFailure | None]] = {}
         self.started: set[RequestId] = set()
         self.cancelled: set[RequestId] = set()
 
     @property
-    def remembered(self) -> int:
+    def remembered_request_count(self) -> int:
         """Number of request ids that are remembered."""
         return len(self._remembered_until_by_id)
 
@@ -272,10 +272,10 @@
     def remember(self, request: RequestId, until: float) -> None:
         """Remember a request id until a moment, and forget those that are due."""
         now = self._clock.now()
-        remembered = self._remembered_until_by_id
-        while remembered and next(iter(remembered.values())) < now:
-            remembered.popitem(last=False)
-        remembered[request] = until
+        deadlines = self._remembered_until_by_id
+        while deadlines and next(iter(deadlines.values())) < now:
+            deadlines.popitem(last=False)
+        deadlines[request] = until
 
     def start(
         self,
@@ -284,7 +284,7 @@
         serving: collections.abc.Coroutine[object, object, Outcome],
     ) -> asyncio.Task[Outcome]:
         """Serve a request in a task of its own."""
-        self.requests_by_id[order.request] = InProgress(order, deadline)
+        self.requests_by_id[order.request] = InProgressRequest(order, deadline)
         task = asyncio.create_task(serving)
         self.tasks_by_id[order.request] = task
         task.add_done_callback(lambda _: self._end(order.request))
--- a/packages/turmericwharf/src/turmericwharf/coordination/execution/pause_watch.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/pause_detector.py
@@ -9,7 +9,7 @@
 _PAUSE_SECONDS = 0.5
 
 
-class PauseWatch:
+class PauseDetector:
     """Gives the earliest moment at which input that is read now may have arrived.
 
     After a pause the sockets hold input of unknown age. Everything that is read before the loop
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/admission.py
@@ -7,7 +7,7 @@
 from turmericwharf.coordination.configuration.control_log import ControlLog
 from turmericwharf.coordination.routing.dispatching import Dispatcher
 from turmericwharf.coordination.execution.execution import not_run
-from turmericwharf.coordination.execution.pause_watch import PauseWatch
+from turmericwharf.coordination.execution.pause_detector import PauseDetector
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.rates.rate_limits import RateLimiter
 from turmericwharf.coordination.membership.standing import Standing
@@ -69,7 +69,7 @@
         self._limiter = limiter
         self._claims = claims
         self._dispatcher = dispatcher
-        self.pause_watch = PauseWatch(clock)
+        self.pause_detector = PauseDetector(clock)
         self._clock = clock
         self._detached: set[asyncio.Task[Outcome]] = set()
 
@@ -85,7 +85,7 @@
 
     async def serve(self, request: CallerRequest) -> Outcome:
         """Run a caller's request, or refuse it with the reason."""
-        received_at = self.pause_watch.earliest_arrival()
+        received_at = self.pause_detector.earliest_arrival()
         organisation = self._identify(request)
         if isinstance(organisation, RequestFailure):
             return not_run(organisation)
@@ -156,7 +156,7 @@
         serving = asyncio.create_task(self._serve_claimed(admitted))
         self._detached.add(serving)
         serving.add_done_callback(self._detached.discard)
-        serving.add_done_callback(lambda _: self._dispatcher.forget(request))
+        serving.add_done_callback(lambda _: self._dispatcher.discard_cancellation(request))
         try:
             async with asyncio.timeout(admitted.deadline - self._clock.now()):
                 return await asyncio.shield(serving)
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
@@ -93,7 +93,7 @@
         self._cancel_attempt(*attempt)
         return True
 
-    def forget(self, request: RequestId) -> None:
+    def discard_cancellation(self, request: RequestId) -> None:
         """Forget that a request was cancelled, after its end."""
         self._cancelled.discard(request)
 
@@ -102,7 +102,7 @@
             return None
         choice = self._router.choose(admitted, tried)
         if tried and choice is not None:
-            self.budget.spend(admitted.service)
+            self.budget.record_retry(admitted.service)
         return choice
 
     async def _attempt(
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/harm.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/harm.py
@@ -41,7 +41,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Attempt:
+class AttemptTiming:
     """One attempt as the entry node saw it.
 
     Parameters
@@ -88,7 +88,7 @@
         return 0 if logarithm is None else math.exp(logarithm)
 
 
-def excess(seconds: float, typical_seconds: float, target_seconds: float) -> float:
+def latency_harm(seconds: float, typical_seconds: float, target_seconds: float) -> float:
     """Return the share of the target that a time takes beyond ordinary variation."""
     beyond = seconds - typical_seconds * _ORDINARY_RATIO
     return min(max(beyond / target_seconds, 0), 1)
@@ -101,52 +101,52 @@
 
 
 @singledispatch
-def server_harm(outcome: object, attempt: Attempt) -> float | None:
+def server_harm(outcome: object, attempt: AttemptTiming) -> float | None:
     """Return the harm that the server did, or None if the outcome says nothing about it."""
     raise TypeError(f'not an outcome: {outcome!r}')
 
 
 @server_harm.register
-def _(outcome: Answered, attempt: Attempt) -> float | None:
+def _(outcome: Answered, attempt: AttemptTiming) -> float | None:
     if outcome.status >= _SERVER_ERROR:
         return _FAILED
     seconds = max(outcome.first_byte_milliseconds, outcome.server_milliseconds) / _MILLISECONDS
-    return excess(seconds, attempt.typical_seconds, attempt.target_seconds)
+    return latency_harm(seconds, attempt.typical_seconds, attempt.target_seconds)
 
 
 @server_harm.register
-def _(outcome: NotRun, attempt: Attempt) -> float | None:
+def _(outcome: NotRun, attempt: AttemptTiming) -> float | None:
     return _SERVER_HARM_BY_REASON.get(outcome.reason)
 
 
 @server_harm.register
-def _(outcome: OutcomeUnknown, attempt: Attempt) -> float | None:
+def _(outcome: OutcomeUnknown, attempt: AttemptTiming) -> float | None:
     if outcome.reason is Reason.ANSWER_TIMEOUT:
         # A caller with a short deadline of its own is no proof of a slow server.
-        return excess(attempt.seconds, attempt.typical_seconds, attempt.target_seconds)
+        return latency_harm(attempt.seconds, attempt.typical_seconds, attempt.target_seconds)
     return _SERVER_HARM_BY_REASON.get(outcome.reason)
 
 
 @singledispatch
-def path_harm(outcome: object, attempt: Attempt) -> float | None:
+def path_harm(outcome: object, attempt: AttemptTiming) -> float | None:
     """Return the harm that the path did, or None if the outcome says nothing about it."""
     raise TypeError(f'not an outcome: {outcome!r}')
 
 
 @path_harm.register
-def _(outcome: Answered, attempt: Attempt) -> float | None:
+def _(outcome: Answered, attempt: AttemptTiming) -> float | None:
     seconds = path_seconds(attempt.seconds, outcome)
-    return excess(seconds, attempt.typical_path_seconds, attempt.target_seconds)
+    return latency_harm(seconds, attempt.typical_path_seconds, attempt.target_seconds)
 
 
 @path_harm.register
-def _(outcome: NotRun, attempt: Attempt) -> float | None:
+def _(outcome: NotRun, attempt: AttemptTiming) -> float | None:
     return _PATH_HARM_BY_REASON.get(outcome.reason)
 
 
 @path_harm.register
-def _(outcome: OutcomeUnknown, attempt: Attempt) -> float | None:
+def _(outcome: OutcomeUnknown, attempt: AttemptTiming) -> float | None:
     if outcome.reason is Reason.PEER_TIMEOUT:
         # The executing node answers before the deadline if the path lets it.
-        return excess(attempt.seconds, attempt.typical_seconds, attempt.target_seconds)
+        return latency_harm(attempt.seconds, attempt.typical_seconds, attempt.target_seconds)
     return _PATH_HARM_BY_REASON.get(outcome.reason)
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/in_flight.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/in_flight.py
@@ -3,7 +3,7 @@
 import dataclasses
 import itertools
 
-from turmericwharf.coordination.routing.harm import TypicalTimes, excess
+from turmericwharf.coordination.routing.harm import TypicalTimes, latency_harm
 from turmericwharf.state import AdmittedRequest, InstanceId, RouteId, ServerReport
 
 # A younger request proves nothing; this share of the target is far beyond typical times.
@@ -46,7 +46,7 @@
     target_seconds: float
 
 
-class InFlight:
+class InFlightAttempts:
     """Counts attempts for each instance and finds those that take too long."""
 
     def __init__(self) -> None:
@@ -86,7 +86,7 @@
     ) -> list[float]:
         """Return the harm so far of the attempts that take too long."""
         harms = (
-            excess(
+            latency_harm(
                 now - started.choice.started_at,
                 typical_times.seconds(started.route),
                 started.target_seconds,
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/outliers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/outliers.py
@@ -87,7 +87,7 @@
     )
 
 
-def observe_ratio(evidence: Evidence, ratio: float) -> Evidence:
+def observe_latency_ratio(evidence: Evidence, ratio: float) -> Evidence:
     """Return the evidence after a time that was `ratio` times the typical one."""
     logarithm = min(max(math.log(ratio), 0), _USUAL_LIMIT)
     step = _USUAL_WEIGHT * (logarithm - evidence.usual_ratio)
@@ -158,7 +158,7 @@
         """Return the ejections of a service's servers."""
         return [one for one in self._ejections.values() if one.service == service]
 
-    def beliefs(self) -> list[ServerBelief]:
+    def dump_evidence(self) -> list[ServerBelief]:
         """Return all evidence, for the state dump."""
         return [
             ServerBelief(service, instance, subject, evidence)
@@ -179,7 +179,7 @@
         group = self._evidence_by_group.setdefault((report.service, subject), {})
         known = group.get(report.instance, _NO_EVIDENCE)
         others = _others_harm(group, report.instance)
-        evidence = observe_ratio(observe(known, harm, self._healthy_share(others)), ratio)
+        evidence = observe_latency_ratio(observe(known, harm, self._healthy_share(others)), ratio)
         group[report.instance] = evidence
         return self._judge(report, subject, evidence, others, target_seconds)
 
@@ -234,9 +234,9 @@
         passed = dataclasses.replace(ejection, passed=ejection.passed + 1)
         self._ejections[ejection.service, ejection.instance] = passed
         if passed.passed >= _probes_needed(ejection.harm):
-            self.take_back(passed, ReturnCause.PROBES_PASSED)
+            self.reinstate(passed, ReturnCause.PROBES_PASSED)
 
-    def take_back(self, ejection: Ejection, cause: ReturnCause) -> None:
+    def reinstate(self, ejection: Ejection, cause: ReturnCause) -> None:
         """Use a server again, with no evidence against it."""
         key = (ejection.service, ejection.instance)
         self._ejections.pop(key, None)
@@ -250,12 +250,12 @@
             )
         _log(ejection, 'server_returned', cause=cause.value)
 
-    def review(self, service: ServiceId, reports: Sequence[ServerReport]) -> None:
+    def prune(self, service: ServiceId, reports: Sequence[ServerReport]) -> None:
         """Forget what is known of servers that left or were replaced."""
         incarnations_by_id = {report.instance: report.incarnation for report in reports}
         for ejection in self.ejections_of(service):
             if incarnations_by_id.get(ejection.instance) != ejection.incarnation:
-                self.take_back(ejection, ReturnCause.SERVER_REPLACED)
+                self.reinstate(ejection, ReturnCause.SERVER_REPLACED)
                 self._strikes.pop((service, ejection.instance), None)
         for subject in Subject:
             group = self._evidence_by_group.get((service, subject), {})
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/retries.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/retries.py
@@ -72,7 +72,7 @@
             self._refused_by_id[service] += 1
         return is_allowed
 
-    def spend(self, service: ServiceId) -> None:
+    def record_retry(self, service: ServiceId) -> None:
         """Count a retry."""
         self._recent(self._retries_by_id, service).append(self._clock.now())
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/routing.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/routing.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable, Sequence, Set
 
 from turmericwharf.coordination.routing.harm import (
-    Attempt,
+    AttemptTiming,
     TypicalTimes,
     path_harm,
     path_seconds,
     server_harm,
 )
-from turmericwharf.coordination.routing.in_flight import Choice, InFlight
+from turmericwharf.coordination.routing.in_flight import Choice, InFlightAttempts
 from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.routing.outliers import OutlierDetector, within_floor
 from turmericwharf.coordination.ports import Clock, PeerLinks
@@ -83,7 +83,7 @@
         self._detector = OutlierDetector(settings, clock)
         self._times = TypicalTimes()
         self._path_times = TypicalTimes()
-        self._in_flight = InFlight()
+        self._in_flight = InFlightAttempts()
         self._load_by_id: dict[InstanceId, _Load] = {}
         self._checked_at_by_id: dict[ServiceId, float] = {}
         self._probed_at_by_id: dict[InstanceId, float] = {}
@@ -143,7 +143,7 @@
         """Count the end of an attempt whose caller left; it says nothing of the server."""
         self._in_flight.end(choice)
 
-    def belief(self) -> RoutingBelief:
+    def dump(self) -> RoutingBelief:
         """Return what the router believes, for the state dump."""
         return RoutingBelief(
             now=self._clock.now(),
@@ -152,12 +152,12 @@
                 for service in sorted({report.service for report in self._members.reports()})
                 for ejection in self._detector.ejections_of(service)
             ),
-            servers=tuple(self._detector.beliefs()),
+            servers=tuple(self._detector.dump_evidence()),
         )
 
     def _ready(self, service: ServiceId) -> list[ServerReport]:
         reports = self._members.servers_of(service)
-        self._detector.review(service, reports)
+        self._detector.prune(service, reports)
         return [report for report in reports if report.state is ServerState.READY]
 
     def _apply_floor(
@@ -171,7 +171,7 @@
         allowed = within_floor(ready, ejections, self._floor(service))
         for ejection in ejections:
             if ejection.instance not in allowed and _is_among(ready, ejection.instance):
-                self._detector.take_back(ejection, ReturnCause.FLOOR)
+                self._detector.reinstate(ejection, ReturnCause.FLOOR)
         return allowed
 
     def _floor(self, service: ServiceId) -> float:
@@ -254,7 +254,9 @@
                 return report
         return None
 
-    def _measure(self, admitted: AdmittedRequest, choice: Choice, outcome: Outcome) -> Attempt:
+    def _measure(
+        self, admitted: AdmittedRequest, choice: Choice, outcome: Outcome
+    ) -> AttemptTiming:
         service, route = admitted.service, admitted.route
         seconds = self._clock.now() - choice.started_at
         if isinstance(outcome, Answered):
@@ -262,7 +264,7 @@
             if choice.instance != self._members.own.instance:
                 self._path_times.record(route, path_seconds(seconds, outcome))
         usual_ratio = self._detector.evidence(service, Subject.SERVER, choice.instance).usual_ratio
-        return Attempt(
+        return AttemptTiming(
             seconds=seconds,
             target_seconds=admitted.target_seconds,
             typical_seconds=self._times.seconds(route) * math.exp(usual_ratio),
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
@@ -127,12 +127,12 @@
         self._budget.record_request(service)
         # A call does not name the request that makes it.
         if is_call and random.random() < self._repeated_share():
-            self._budget.spend(service)
+            self._budget.record_retry(service)
 
     async def take(self, service: ServiceId) -> bool:
         """Take one retry from the own part, else from the pool; return whether there was one."""
         if self._budget.allows(service):
-            self._budget.spend(service)
+            self._budget.record_retry(service)
             return True
         is_granted = await self._ask(service)
         logger.bind(service=service, granted=is_granted).info('retry_asked')
--- a/packages/turmericwharf/src/turmericwharf/transport/announce_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/announce_server.py
@@ -69,7 +69,9 @@
             return HttpAnswer(_BAD_REQUEST, (), str(error).encode())
         self._announced_at = self._node.clock.now()
         self._backend_server.use_port(announcement.port)
-        self._node.executor.announce(announcement.service, announcement.slots, announcement.state)
+        self._node.executor.record_announcement(
+            announcement.service, announcement.slots, announcement.state
+        )
         return HttpAnswer(_OK, (), b'')
 
     async def _look_up(self, exchange: HttpExchange) -> HttpAnswer:
@@ -97,4 +99,4 @@
         report = self._node.executor.report
         if report is not None and report.state is ServerState.READY:
             logger.bind(service=report.service).warning('announcements_stale')
-            self._node.executor.announce(report.service, report.slots, ServerState.COLD)
+            self._node.executor.record_announcement(report.service, report.slots, ServerState.COLD)
--- a/packages/turmericwharf/src/turmericwharf/transport/operator_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/operator_server.py
@@ -135,7 +135,7 @@
                 'rates': self._node.limiter.counters(),
                 'in_progress': self._node.executor.in_progress,
                 'parts': dump_parts(self._node),
-                'routing': self._node.router.belief(),
+                'routing': self._node.router.dump(),
                 'retries': self._node.retries.reports(),
             },
         )
--- a/packages/turmericwharf/src/turmericwharf/transport/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/process.py
@@ -85,7 +85,7 @@
             asyncio.create_task(self.node.remover.run()),
             asyncio.create_task(self.node.joiner.run()),
             asyncio.create_task(self.node.snapshots.run()),
-            asyncio.create_task(self.node.entry.pause_watch.run()),
+            asyncio.create_task(self.node.entry.pause_detector.run()),
         ]
         await self._wait_until_ready(stopping)
         self._callers.start()
--- a/tests/coordination/execution/test_execution.py
+++ b/tests/coordination/execution/test_execution.py
@@ -36,7 +36,7 @@
             clock=self.clock,
             wall_clock=self.clock,
         )
-        self.executor.announce(ServiceId('bookings'), slots, ServerState.READY)
+        self.executor.record_announcement(ServiceId('bookings'), slots, ServerState.READY)
 
     def execute(self, one) -> asyncio.Task:
         return asyncio.create_task(self.executor.execute(one))
@@ -104,12 +104,12 @@
     assert second.reason is Reason.DUPLICATE_REQUEST
     setup.server.finish('one')
     await first
-    assert setup.executor.remembered == 1
+    assert setup.executor.remembered_request_count == 1
     setup.clock.at += 60
     for number in range(3):
         await setup.executor.execute(order(f'old-{number}', seconds=-1.0))
         setup.clock.at += 60
-    assert setup.executor.remembered == 1
+    assert setup.executor.remembered_request_count == 1
 
 
 async def test_old_work_does_not_run_after_a_pause():
@@ -128,7 +128,7 @@
     """Guards against new work for a server that says it is ready while its node shuts down."""
     setup = Setup()
     setup.executor.drain()
-    setup.executor.announce(ServiceId('bookings'), 1, ServerState.READY)
+    setup.executor.record_announcement(ServiceId('bookings'), 1, ServerState.READY)
     refused = await setup.executor.execute(order('new'))
     assert isinstance(refused, NotRun)
     assert refused.reason is Reason.SERVER_DRAINING
--- a/tests/coordination/membership/test_gossip.py
+++ b/tests/coordination/membership/test_gossip.py
@@ -32,7 +32,7 @@
             assert not replacement.control_log.is_ready
             ready = await fleet.wait(lambda node=replacement: node.standing.has_standing, 5)
             assert ready and replacement.control_log.is_ready
-            replacement.executor.announce(SERVICE, 1, ServerState.READY)
+            replacement.executor.record_announcement(SERVICE, 1, ServerState.READY)
             assert await fleet.wait(lambda name=name: serves(fleet, name), SPREAD_SECONDS)
         fleet.log_away.clear()
         joined = await fleet.wait(
@@ -89,7 +89,7 @@
     async def run():
         fleet = await started()
         old = fleet.nodes['a']
-        old.executor.announce(SERVICE, 1, ServerState.READY)
+        old.executor.record_announcement(SERVICE, 1, ServerState.READY)
         report, answer = old.executor.report, old.gossiper.make_message()
         new = fleet.start('a')
         assert await fleet.wait(lambda: serves_incarnation(fleet, new.members.own.incarnation), 5)
@@ -117,7 +117,7 @@
     async def run():
         fleet = await started()
         fleet.cuts.update((one, 'e') for one in NAMES[:4])
-        fleet.nodes['a'].executor.announce(SERVICE, 1, ServerState.READY)
+        fleet.nodes['a'].executor.record_announcement(SERVICE, 1, ServerState.READY)
         await asyncio.sleep(10)
         fleet.cuts.clear()
         assert await fleet.wait(lambda: serves(fleet, 'a'), SPREAD_SECONDS)
--- a/tests/coordination/routing/test_lookups.py
+++ b/tests/coordination/routing/test_lookups.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from turmericwharf.coordination import RouteIndex, InProgress, LookupService
+from turmericwharf.coordination import RouteIndex, InProgressRequest, LookupService
 from turmericwharf.state import (
     Answered,
     Audience,
@@ -47,7 +47,7 @@
     configuration = Configuration(
         routes_by_id=routes, classes_by_id={'read': WorkClass('read', 1000)}
     )
-    in_progress = {'page-0': InProgress(PAGE, 100.4)}
+    in_progress = {'page-0': InProgressRequest(PAGE, 100.4)}
     service = LookupService(
         control_log=SimpleNamespace(
             configuration=configuration,
--- a/tests/coordination/routing/test_outliers.py
+++ b/tests/coordination/routing/test_outliers.py
@@ -103,7 +103,7 @@
         wanted = detector.record_harm(report, Subject.SERVER, harm, target_seconds=1.0)
         if wanted is not None:
             ejected += 1
-            detector.take_back(wanted, ReturnCause.FLOOR)
+            detector.reinstate(wanted, ReturnCause.FLOOR)
     assert ejected <= requests / bound
 
 
--- a/tests/coordination/routing/test_routing.py
+++ b/tests/coordination/routing/test_routing.py
@@ -8,7 +8,7 @@
 
 def report_state(fleet: SimulatedFleet, number: int, state: ServerState) -> None:
     executor = fleet.node(number).executor
-    executor.announce(SERVICE, executor.report.slots, state)
+    executor.record_announcement(SERVICE, executor.report.slots, state)
     for node in fleet.nodes.values():
         node.members.record_report(executor.report)
 
@@ -22,15 +22,15 @@
         fleet.node(3).server.faults = Faults(half_share=1)
         await fleet.load(20, rate=80, entries=1)
         router = fleet.node(0).router
-        ejected = {one.instance: one for one in router.belief().ejections}
+        ejected = {one.instance: one for one in router.dump().ejections}
         assert set(ejected) == {'node-2', 'node-3'}
         report_state(fleet, 1, ServerState.DRAINING)
         await fleet.load(1, rate=80, entries=1)
         # Of three ready servers with a floor of one half, one may stay ejected: the worst.
-        assert [one.instance for one in router.belief().ejections] == ['node-3']
+        assert [one.instance for one in router.dump().ejections] == ['node-3']
         report_state(fleet, 0, ServerState.DRAINING)
         await fleet.load(1, rate=80, entries=1)
-        assert len(router.belief().ejections) == 1
+        assert len(router.dump().ejections) == 1
 
     run_in_virtual_time(scenario())
 
@@ -65,7 +65,7 @@
         gray.server.faults = Faults(half_share=1)
         await fleet.load(10, rate=80, entries=1)
         first = fleet.node(0)
-        assert [one.instance for one in first.router.belief().ejections] == ['node-1']
+        assert [one.instance for one in first.router.dump().ejections] == ['node-1']
         replaced = dataclasses.replace(gray.executor.report, incarnation='second', sequence=1)
         membership = first.members.membership
         member = dataclasses.replace(gray.member, incarnation='second')
@@ -74,6 +74,6 @@
         first.members.record_report(replaced)
         gray.server.faults = Faults()
         await fleet.load(0.2, rate=80, entries=1)
-        assert not first.router.belief().ejections
+        assert not first.router.dump().ejections
 
     run_in_virtual_time(scenario())
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -188,7 +188,7 @@
         members = {one.member.instance: one.member for one in self.nodes.values()}
         for node in self.nodes.values():
             node.members.apply(Membership(1, members))
-            node.executor.announce(SERVICE, slots, ServerState.READY)
+            node.executor.record_announcement(SERVICE, slots, ServerState.READY)
         for node in self.nodes.values():
             for other in self.nodes.values():
                 node.members.record_heard(other.member.instance, 0)
@@ -251,7 +251,7 @@
         return {
             (node.member.instance, ejection.instance): ejection
             for node in self.nodes.values()
-            for ejection in node.router.belief().ejections
+            for ejection in node.router.dump().ejections
         }
 
 
