--- a/benchmarks/sidecar_slopes.py
+++ b/benchmarks/sidecar_slopes.py
@@ -68,7 +68,7 @@
     encoded = make_configuration(organisations, routes)
     tracemalloc.start()
     holder = ConfigurationHolder(decode_configuration)
-    milliseconds = timed(lambda: holder.offer(encoded, source='benchmark'))
+    milliseconds = timed(lambda: holder.apply_if_newer(encoded, source='benchmark'))
     megabytes = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
     find = timed(lambda: holder.routes.find('h1.example', '/p1/a/b/c'), ROUNDS)
@@ -84,14 +84,14 @@
     tracemalloc.start()
     directory = NodeDirectory(make_entry(0), clock)
     for number in range(1, count):
-        directory.take(StoredEntry(make_entry(number), number), source='benchmark')
+        directory.apply(StoredEntry(make_entry(number), number), source='benchmark')
     kilobytes = tracemalloc.get_traced_memory()[0] / 1e3
     tracemalloc.stop()
     holder = ConfigurationHolder(decode_configuration)
-    holder.offer(make_configuration(45_000, 1), source='benchmark')
+    holder.apply_if_newer(make_configuration(45_000, 1), source='benchmark')
     holders = QuotaHolders(directory, holder, clock)
     holders.refresh()
-    directory.take(StoredEntry(make_entry(count), count), source='benchmark')
+    directory.apply(StoredEntry(make_entry(count), count), source='benchmark')
     refresh = timed(holders.refresh)
     bounds = SidecarBounds(0.2, 64, 10, 6, 5, 0.1, 20)
     buckets = QuotaBuckets(holders, holder, clock, SimpleNamespace(current=bounds))
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.sidecar.own_entry import OwnEntryPublisher
+from turmericwharf.coordination.sidecar.local_entry import LocalEntryPublisher
 from turmericwharf.coordination.sidecar.server_gate import ServerGate
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.state.sidecar import AnnouncedServer, NodeEntry, ServerPhase
@@ -30,7 +30,7 @@
         self,
         record: ServerRecord,
         gate: ServerGate,
-        publisher: OwnEntryPublisher,
+        publisher: LocalEntryPublisher,
     ) -> None:
         self._record = record
         self._gate = gate
@@ -55,7 +55,7 @@
         if self._record.remove(server):
             await self._tell_fleet()
 
-    def remember(self, entry: NodeEntry) -> None:
+    def record_previous_entry(self, entry: NodeEntry) -> None:
         """Note what the process before this one wrote about the server."""
         if self._own_before is not None:
             return
@@ -65,7 +65,7 @@
         if self._record.current.phase is ServerPhase.ABSENT:
             # Kept for the process after this one, in case this one ends before it knows more.
             left = entry.phase is ServerPhase.LEAVING
-            self._publisher.use_server(
+            self._publisher.publish_server(
                 dataclasses.replace(
                     _server_of(entry),
                     phase=ServerPhase.LEAVING if left else ServerPhase.STOPPING,
@@ -74,7 +74,7 @@
         else:
             self._publish()
 
-    def recoverable(self) -> AnnouncedServer | None:
+    def recoverable_server(self) -> AnnouncedServer | None:
         """Return the server that the process before this one gave work to, if none is known."""
         before = self._own_before
         if before is None or self._record.current.phase is not ServerPhase.ABSENT:
@@ -99,7 +99,7 @@
 
     def _publish(self) -> None:
         if not self.is_stopping:
-            self._publisher.use_server(self._record.current)
+            self._publisher.publish_server(self._record.current)
 
 
 def _server_of(entry: NodeEntry) -> AnnouncedServer:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_holder.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_holder.py
@@ -35,7 +35,7 @@
         """Whether any configuration is in force."""
         return self.current.version >= 0
 
-    def offer(self, encoded: bytes, *, source: str) -> bool:
+    def apply_if_newer(self, encoded: bytes, *, source: str) -> bool:
         """Apply a published configuration if it is newer; return whether it was."""
         configuration = self._decode(encoded)
         if configuration is None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/version_spread.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
@@ -21,7 +21,7 @@
 _LOST_PERIOD_SECONDS = 0.4
 
 
-class VersionSpread:
+class ConfigurationSync:
     """Asks a node that named a newer version for it, and random nodes from time to time.
 
     A read of the store may wait on a connection that went silent, so a near node is asked also
@@ -53,7 +53,7 @@
         self._follower = follower
         self._asked: set[asyncio.Task[None]] = set()
 
-    def note(self, instance: InstanceId, version: int) -> None:
+    def record_version(self, instance: InstanceId, version: int) -> None:
         """Note the version that another node knows."""
         entry = self._directory.find(instance)
         if entry is None or version <= self._holder.version or self._asked:
@@ -71,7 +71,7 @@
             await asyncio.gather(*(self._fetch(peer) for peer in self._sample(is_lost=is_lost)))
 
     def _sample(self, *, is_lost: bool) -> list[NodeEntry]:
-        own = self._directory.own
+        own = self._directory.local
         peers = [
             peer
             for peer in self._directory.peers
@@ -83,7 +83,7 @@
         return [random.choice(group) for group in groups if group]
 
     async def _fetch(self, peer: NodeEntry) -> None:
-        reply = await self._links.ask(
+        reply = await self._links.request(
             peer,
             ConfigurationRequest(self._holder.version),
             timeout_seconds=_ASK_SECONDS,
@@ -91,4 +91,4 @@
         if not isinstance(reply, ConfigurationReply):
             logger.bind(instance=peer.instance).debug('configuration_not_fetched')
         elif reply.encoded:
-            self._holder.offer(reply.encoded, source=peer.instance)
+            self._holder.apply_if_newer(reply.encoded, source=peer.instance)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/near_nodes.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/data_centre_ranking.py
@@ -6,7 +6,7 @@
 from turmericwharf.state.sidecar import ServerPhase
 
 
-class NearNodes:
+class DataCentreRanking:
     """The nodes of the own data centre in the order in which they do a duty.
 
     Parameters
@@ -20,19 +20,19 @@
         self._seen = -1
         self._ranked_by_duty: dict[str, list[InstanceId]] = {}
 
-    def ranked(self, duty: str) -> list[InstanceId]:
+    def ranked_nodes(self, duty: str) -> list[InstanceId]:
         """Return the nodes that run and answer, the responsible one first."""
         if self._seen != self._directory.changes:
             self._seen = self._directory.changes
             self._ranked_by_duty.clear()
-        ranked = self._ranked_by_duty.get(duty)
-        if ranked is None:
-            ranked = rank_instances(duty, self._running())
-            self._ranked_by_duty[duty] = ranked
-        return [one for one in ranked if not self._directory.is_suspected(one)]
+        ranked_nodes = self._ranked_by_duty.get(duty)
+        if ranked_nodes is None:
+            ranked_nodes = rank_instances(duty, self._running())
+            self._ranked_by_duty[duty] = ranked_nodes
+        return [one for one in ranked_nodes if not self._directory.is_suspected(one)]
 
     def _running(self) -> list[InstanceId]:
-        own = self._directory.own
+        own = self._directory.local
         return [
             entry.instance
             for entry in self._directory.entries
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
@@ -48,18 +48,18 @@
         self._changed = asyncio.Event()
         self._suspicions_by_id: dict[InstanceId, _Suspicion] = {}
         self._met_by_id: dict[InstanceId, ProcessId] = {}
-        self._own = own
+        self._local = own
         self.changes = 0
 
     @property
-    def own(self) -> NodeEntry:
+    def local(self) -> NodeEntry:
         """The own entry."""
-        return self._own
+        return self._local
 
-    @own.setter
-    def own(self, entry: NodeEntry) -> None:
+    @local.setter
+    def local(self, entry: NodeEntry) -> None:
         """Change the own entry."""
-        self._own = entry
+        self._local = entry
         self._note_change(entry.instance)
 
     @property
@@ -70,13 +70,13 @@
     @property
     def entries(self) -> tuple[NodeEntry, ...]:
         """All nodes with the own one."""
-        return (self.own, *self._entries_by_id.values())
+        return (self.local, *self._entries_by_id.values())
 
     def find(self, instance: InstanceId) -> NodeEntry | None:
         """Return the entry of another node, or None."""
         return self._entries_by_id.get(instance)
 
-    def servers_of(self, service: ServiceId) -> list[NodeEntry]:
+    def nodes_serving(self, service: ServiceId) -> list[NodeEntry]:
         """Return the nodes whose server of a service takes work."""
         return [
             entry
@@ -84,7 +84,7 @@
             if entry.service == service and entry.phase is ServerPhase.READY
         ]
 
-    def changed_after(self, number: int) -> tuple[StoredEntry, ...]:
+    def entries_changed_after(self, number: int) -> tuple[StoredEntry, ...]:
         """Return the entries that changed after this many changes."""
         return tuple(
             StoredEntry(entry, self._positions_by_id.get(entry.instance, NOT_STORED))
@@ -102,7 +102,7 @@
         except TimeoutError:
             logger.debug('directory_unchanged')
 
-    def take(self, stored: StoredEntry, *, source: str) -> None:
+    def apply(self, stored: StoredEntry, *, source: str) -> None:
         """Take an entry that came from the store, directly or over another node.
 
         Entries of one process are ordered by their revision, those of two processes by their
@@ -117,12 +117,12 @@
             return
         self._update(entry, source=source)
 
-    def meet(self, entry: NodeEntry) -> None:
+    def record_connection(self, entry: NodeEntry) -> None:
         """Take the entry of a node that a connection leads to."""
         self._met_by_id[entry.instance] = entry.process
         self._update(entry, source='connection')
 
-    def part(self, instance: InstanceId) -> None:
+    def record_disconnection(self, instance: InstanceId) -> None:
         """Note that the connection to a node ended."""
         self._met_by_id.pop(instance, None)
 
@@ -141,7 +141,7 @@
         self._suspicions_by_id[instance] = _Suspicion(self._clock.now() + seconds, seconds)
         logger.bind(instance=instance, seconds=seconds).info('node_suspected')
 
-    def trust(self, instance: InstanceId) -> None:
+    def clear_suspicion(self, instance: InstanceId) -> None:
         """Note that a node answered."""
         if self._suspicions_by_id.pop(instance, None) is not None:
             logger.bind(instance=instance).info('node_trusted')
@@ -158,7 +158,7 @@
 
     def _update(self, entry: NodeEntry, *, source: str) -> None:
         known = self._entries_by_id.get(entry.instance)
-        if entry.instance == self.own.instance or known == entry:
+        if entry.instance == self.local.instance or known == entry:
             return
         if known is not None and self._is_older(entry, known):
             return
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -61,14 +61,14 @@
         links: FleetLinks,
         store_needed: asyncio.Event,
         follower: TopicFollower,
-        taken: Callable[[], None],
+        on_applied: Callable[[], None],
     ) -> None:
         self._directory = directory
         self._readers = readers
         self._links = links
         self._store_needed = store_needed
         self.follower = follower
-        self._taken = taken
+        self._taken = on_applied
         self._heard_by_id: dict[InstanceId, _Heard] = {}
 
     async def run(self) -> None:
@@ -85,13 +85,13 @@
 
     async def answer(self, request: DirectoryRequest) -> DirectoryReply:
         """Answer another node, as soon as there is news for it."""
-        own = self._directory.own
+        own = self._directory.local
         after = request.after if request.process == own.process else 0
         await self._directory.wait_for_change(after, min(request.wait_seconds, _WAIT_SECONDS))
         return DirectoryReply(
             process=own.process,
             changes=self._directory.changes,
-            nodes=self._directory.changed_after(after),
+            nodes=self._directory.entries_changed_after(after),
             is_current=self._store_needed.is_set() and self.follower.is_connected,
         )
 
@@ -99,7 +99,7 @@
         asked: set[InstanceId] = set()
         while True:
             # A reader that gives no answer is suspected, so that the next one comes in its place.
-            readers = [one for one in self._readers.above_own() if one.instance not in asked]
+            readers = [one for one in self._readers.upstream_readers() if one.instance not in asked]
             if not readers:
                 return False
             asked.add(readers[0].instance)
@@ -119,7 +119,7 @@
     async def _ask(self, peer: NodeEntry, wait_seconds: float) -> bool:
         """Take the news of a node; return whether it reads the store now."""
         heard = self._heard_by_id.get(peer.instance, _Heard(peer.process))
-        reply = await self._links.ask(
+        reply = await self._links.request(
             peer,
             DirectoryRequest(heard.process, heard.changes, wait_seconds),
             timeout_seconds=wait_seconds + _ANSWER_SECONDS,
@@ -129,7 +129,7 @@
             return False
         self._heard_by_id[peer.instance] = _Heard(reply.process, reply.changes)
         for stored in reply.nodes:
-            self._directory.take(stored, source=peer.instance)
+            self._directory.apply(stored, source=peer.instance)
         if reply.nodes:
             self._taken()
         return reply.is_current
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/own_entry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/local_entry.py
@@ -13,7 +13,7 @@
 _RETRY_SECONDS = 0.3
 
 
-class OwnEntryPublisher:
+class LocalEntryPublisher:
     """Writes the own entry when it changes, until the store has taken it.
 
     Parameters
@@ -31,11 +31,11 @@
         self._changed = asyncio.Event()
         self._wrote = asyncio.Event()
 
-    def use_server(self, server: AnnouncedServer) -> None:
+    def publish_server(self, server: AnnouncedServer) -> None:
         """Publish another state of the backend server."""
         self._change(
             dataclasses.replace(
-                self._directory.own,
+                self._directory.local,
                 server=server.server,
                 service=server.service,
                 slots=server.slots,
@@ -44,12 +44,12 @@
             ),
         )
 
-    def use_stop(self) -> None:
+    def publish_stopping(self) -> None:
         """Publish that the node takes no more work."""
-        if self._directory.own.phase is ServerPhase.READY:
-            self._change(dataclasses.replace(self._directory.own, phase=ServerPhase.STOPPING))
+        if self._directory.local.phase is ServerPhase.READY:
+            self._change(dataclasses.replace(self._directory.local, phase=ServerPhase.STOPPING))
 
-    def publish_again(self) -> None:
+    def republish(self) -> None:
         """Write the entry once more, as somebody else has changed or removed it."""
         self._written = None
         self._changed.set()
@@ -60,7 +60,7 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
-            entry = self._directory.own
+            entry = self._directory.local
             if entry == self._written or entry.phase is ServerPhase.ABSENT:
                 # Before its server is known, a node has nothing to tell.
                 continue
@@ -77,7 +77,7 @@
         """Wait until the store has the newest entry; return whether it does."""
         try:
             async with asyncio.timeout(timeout_seconds):
-                while self._written != self._directory.own:
+                while self._written != self._directory.local:
                     self._wrote.clear()
                     await self._wrote.wait()
         except TimeoutError:
@@ -85,7 +85,7 @@
         return True
 
     def _change(self, entry: NodeEntry) -> None:
-        own = self._directory.own
+        own = self._directory.local
         if entry != own:
-            self._directory.own = dataclasses.replace(entry, revision=own.revision + 1)
+            self._directory.local = dataclasses.replace(entry, revision=own.revision + 1)
             self._changed.set()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/membership.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/membership.py
@@ -2,7 +2,7 @@
 
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.own_entry import OwnEntryPublisher
+from turmericwharf.coordination.sidecar.local_entry import LocalEntryPublisher
 from turmericwharf.coordination.sidecar.ports import NodeEntryDecoder
 from turmericwharf.coordination.sidecar.quota import QuotaHolders
 from turmericwharf.state.sidecar import KeyedPage, StoredEntry
@@ -29,7 +29,7 @@
         self,
         directory: NodeDirectory,
         announcements: AnnouncementService,
-        publisher: OwnEntryPublisher,
+        publisher: LocalEntryPublisher,
         decode: NodeEntryDecoder,
         holders: QuotaHolders,
     ) -> None:
@@ -39,7 +39,7 @@
         self._decode = decode
         self._holders = holders
 
-    def take(self, page: KeyedPage) -> None:
+    def apply(self, page: KeyedPage) -> None:
         """Apply a page of entries."""
         for key, record in page.records_by_key.items():
             entry = self._decode(record.encoded) if record.encoded else None
@@ -50,14 +50,14 @@
         self._holders.refresh()
 
     def _apply(self, stored: StoredEntry) -> None:
-        own = self._directory.own
+        own = self._directory.local
         if stored.entry.instance != own.instance:
-            self._directory.take(stored, source='store')
+            self._directory.apply(stored, source='store')
         elif stored.entry.process != own.process:
-            self._announcements.remember(stored.entry)
+            self._announcements.record_previous_entry(stored.entry)
 
     def _remove(self, key: str) -> None:
-        if key == self._directory.own.instance:
-            self._publisher.publish_again()
+        if key == self._directory.local.instance:
+            self._publisher.republish()
         else:
             self._directory.remove(key)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/messages.py
@@ -30,7 +30,7 @@
 
 @answer_peer.register
 async def _(message: WorkOrder, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
-    node.spread.note(peer.instance, message.version)
+    node.spread.record_version(peer.instance, message.version)
     return await node.gate.serve(message, node.holder.version)
 
 
@@ -42,8 +42,8 @@
 
 @answer_peer.register
 async def _(message: Greeting, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
-    node.spread.note(peer.instance, message.version)
-    return Greeting(node.directory.own, node.holder.version)
+    node.spread.record_version(peer.instance, message.version)
+    return Greeting(node.directory.local, node.holder.version)
 
 
 @answer_peer.register
@@ -63,7 +63,7 @@
 
 @answer_peer.register
 async def _(message: TokenRequest, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
-    node.spread.note(peer.instance, message.version)
+    node.spread.record_version(peer.instance, message.version)
     return node.quota.buckets.grant(message.organisation)
 
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -14,9 +14,9 @@
 from turmericwharf.coordination.sidecar.fleet_entry import FleetEntry
 from turmericwharf.coordination.sidecar.membership import FleetMembership
 from turmericwharf.coordination.sidecar.order_checks import OrderChecks
-from turmericwharf.coordination.sidecar.near_nodes import NearNodes
+from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.orders import OrderSender
-from turmericwharf.coordination.sidecar.own_entry import OwnEntryPublisher
+from turmericwharf.coordination.sidecar.local_entry import LocalEntryPublisher
 from turmericwharf.coordination.sidecar.ports import (
     ConfigurationDecoder,
     FleetLinks,
@@ -33,7 +33,7 @@
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
-from turmericwharf.coordination.sidecar.version_spread import VersionSpread
+from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
 from turmericwharf.state.sidecar import (
     KeyedPage,
     NodeEntry,
@@ -74,8 +74,8 @@
     checks: OrderChecks
     record: ServerRecord
     announcements: AnnouncementService
-    publisher: OwnEntryPublisher
-    spread: VersionSpread
+    publisher: LocalEntryPublisher
+    spread: ConfigurationSync
     relay: DirectoryRelay
     configuration_follower: TopicFollower
     membership_follower: TopicFollower
@@ -108,7 +108,7 @@
     quota = QuotaKeeper(
         QuotaBuckets(holders, holder, clock, bounds), ports.links, directory, holder
     )
-    publisher = OwnEntryPublisher(ports.store, directory)
+    publisher = LocalEntryPublisher(ports.store, directory)
     announcements = AnnouncementService(record, gate, publisher)
     membership = FleetMembership(directory, announcements, publisher, ports.decode_entry, holders)
     follower = TopicFollower(
@@ -117,7 +117,7 @@
         lambda page: _offer_configuration(holder, page),
         wait_seconds=_CONFIGURATION_WAIT_SECONDS,
     )
-    near = NearNodes(directory)
+    near = DataCentreRanking(directory)
     relay = _build_relay(ports, directory, near, membership, holders)
     sender = OrderSender(
         gate=gate,
@@ -153,7 +153,7 @@
         record=record,
         announcements=announcements,
         publisher=publisher,
-        spread=VersionSpread(holder, directory, ports.links, follower),
+        spread=ConfigurationSync(holder, directory, ports.links, follower),
         relay=relay,
         configuration_follower=follower,
         membership_follower=relay.follower,
@@ -166,7 +166,7 @@
 def _build_relay(
     ports: SidecarPorts,
     directory: NodeDirectory,
-    near: NearNodes,
+    near: DataCentreRanking,
     membership: FleetMembership,
     holders: QuotaHolders,
 ) -> DirectoryRelay:
@@ -174,10 +174,10 @@
     follower = TopicFollower(
         ports.log,
         StoreTopic.NODES,
-        membership.take,
+        membership.apply,
         wait_seconds=_NODES_WAIT_SECONDS,
-        gather_seconds=_GATHER_SECONDS,
-        needed=store_needed,
+        batch_seconds=_GATHER_SECONDS,
+        enabled=store_needed,
     )
     return DirectoryRelay(
         directory=directory,
@@ -185,11 +185,11 @@
         links=ports.links,
         store_needed=store_needed,
         follower=follower,
-        taken=holders.refresh,
+        on_applied=holders.refresh,
     )
 
 
 def _offer_configuration(holder: ConfigurationHolder, page: KeyedPage) -> None:
     for record in page.records_by_key.values():
         if record.encoded:
-            holder.offer(record.encoded, source='store')
+            holder.apply_if_newer(record.encoded, source='store')
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/orders.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/orders.py
@@ -95,16 +95,16 @@
             raise
 
     async def _send(self, order: WorkOrder, entry: NodeEntry, expires_at: float) -> WorkAnswer:
-        if entry.instance == self._directory.own.instance:
+        if entry.instance == self._directory.local.instance:
             return await self._gate.serve(order, self._holder.version)
         sends = 0
         is_uncertain = False
         while True:
             remaining = expires_at - self._clock.now()
             current = dataclasses.replace(order, remaining_seconds=remaining)
-            answer = await self._links.ask(entry, current, timeout_seconds=remaining)
+            answer = await self._links.request(entry, current, timeout_seconds=remaining)
             if isinstance(answer, WorkAnswer):
-                self._directory.trust(entry.instance)
+                self._directory.clear_suspicion(entry.instance)
                 return _settle(answer, is_uncertain=is_uncertain)
             if isinstance(answer, LinkFailure) and not is_uncertain:
                 self._directory.suspect(entry.instance)
@@ -130,10 +130,10 @@
 
     def _cancel(self, order: WorkOrder, entry: NodeEntry) -> None:
         message = WorkCancel(order.request, order.attempt)
-        if entry.instance == self._directory.own.instance:
+        if entry.instance == self._directory.local.instance:
             self._gate.cancel(message)
         else:
-            self._links.tell(entry, message)
+            self._links.notify(entry, message)
 
     def _make_order(
         self,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
@@ -24,7 +24,7 @@
 class FleetLinks(Protocol):
     """Connections to other nodes."""
 
-    async def ask(
+    async def request(
         self,
         peer: NodeEntry,
         message: FleetMessage,
@@ -39,7 +39,7 @@
             Only if no byte of the message was sent.
         """
 
-    def tell(self, peer: NodeEntry, message: FleetMessage) -> None:
+    def notify(self, peer: NodeEntry, message: FleetMessage) -> None:
         """Send a message without waiting for an answer."""
 
 
@@ -61,10 +61,10 @@
 class KeyedLog(Protocol):
     """Topics of the store that keep the newest record of each key."""
 
-    async def newest(self, topic: StoreTopic) -> KeyedPage | LogFailure:
+    async def read_newest(self, topic: StoreTopic) -> KeyedPage | LogFailure:
         """Read the newest record of each key."""
 
-    async def changes(
+    async def read_changes(
         self,
         topic: StoreTopic,
         *,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -109,7 +109,7 @@
             self._partitions = frozenset(partition_of(name) for name in names)
         self._seen = seen
         self._sort_nodes()
-        own, now = self._directory.own, self._clock.now()
+        own, now = self._directory.local, self._clock.now()
         self._held_since_by_partition = {
             one: self._held_since_by_partition.get(one, now)
             for one in self._partitions
@@ -259,7 +259,7 @@
 
     def _ordered_holders(self, organisation: OrganisationId) -> list[InstanceId]:
         holders = self.buckets.holders.of(organisation)
-        own = self._directory.own.data_centre
+        own = self._directory.local.data_centre
         # The near holders cost no bytes between data centres.
         places = sorted(holders, key=lambda place: (place != own, place))
         return [instance for place in places for instance in holders[place]]
@@ -269,14 +269,14 @@
         instance: InstanceId,
         organisation: OrganisationId,
     ) -> TokenReply | None:
-        own = self._directory.own
+        own = self._directory.local
         if instance == own.instance:
             return self.buckets.grant(organisation)
         entry = self._directory.find(instance)
         if entry is None or self._directory.is_suspected(instance):
             return None
         request = TokenRequest(organisation, own.instance, self._holder.version)
-        reply = await self._links.ask(entry, request, timeout_seconds=_ASK_SECONDS)
+        reply = await self._links.request(entry, request, timeout_seconds=_ASK_SECONDS)
         if isinstance(reply, TokenReply):
             return reply
         logger.bind(instance=instance, organisation=organisation).info('token_holder_silent')
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
@@ -46,7 +46,7 @@
         await asyncio.Event().wait()
 
     async def _try_once(self) -> bool:
-        server = self._announcements.recoverable()
+        server = self._announcements.recoverable_server()
         if server is None:
             return False
         path = self._holder.current.health_paths_by_service.get(server.service)
@@ -55,6 +55,6 @@
         found = await self._server.identify(path, timeout_seconds=_IDENTIFY_SECONDS)
         is_same = found == server.server
         logger.bind(server=server.server, found=found).info('server_identified')
-        if is_same and self._announcements.recoverable() == server:
+        if is_same and self._announcements.recoverable_server() == server:
             await self._announcements.announce(server)
         return True
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
@@ -16,7 +16,7 @@
 from turmericwharf.coordination.routing.retries import RetryBudget, RetryLimits
 from turmericwharf.coordination.sidecar.bounds import BoundsInForce
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.near_nodes import NearNodes
+from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.state import InstanceId, ServiceId
 from turmericwharf.state.sidecar import RetryReply, RetryRequest
@@ -48,7 +48,7 @@
     def __init__(
         self,
         directory: NodeDirectory,
-        near: NearNodes,
+        near: DataCentreRanking,
         bounds: BoundsInForce,
         clock: Clock,
     ) -> None:
@@ -61,12 +61,12 @@
 
     def granting_node(self, service: ServiceId) -> InstanceId:
         """Return the node that grants retries to a service."""
-        ranked = self._near.ranked(f'retries/{service}')
-        return ranked[0] if ranked else self._directory.own.instance
+        ranked = self._near.ranked_nodes(f'retries/{service}')
+        return ranked[0] if ranked else self._directory.local.instance
 
     def grant(self, service: ServiceId) -> bool:
         """Grant one retry if this node is the one to grant it and there is one left."""
-        if self.granting_node(service) != self._directory.own.instance:
+        if self.granting_node(service) != self._directory.local.instance:
             self._held_since_by_service.pop(service, None)
             return False
         now = self._clock.now()
@@ -143,7 +143,9 @@
         entry = self._directory.find(instance)
         if entry is None:
             return self.pool.grant(service)
-        reply = await self._links.ask(entry, RetryRequest(service), timeout_seconds=_ASK_SECONDS)
+        reply = await self._links.request(
+            entry, RetryRequest(service), timeout_seconds=_ASK_SECONDS
+        )
         return isinstance(reply, RetryReply) and reply.granted
 
     def _own_limits(self) -> RetryLimits:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
@@ -51,7 +51,9 @@
     def choose(self, service: ServiceId, excluded: Set[InstanceId]) -> NodeEntry | None:
         """Return the best node, or None if there is none left."""
         usable = [
-            entry for entry in self._directory.servers_of(service) if entry.instance not in excluded
+            entry
+            for entry in self._directory.nodes_serving(service)
+            if entry.instance not in excluded
         ]
         trusted = [one for one in usable if not self._directory.is_suspected(one.instance)]
         wanted = [one for one in trusted if not self._is_avoided(one.instance)]
@@ -92,7 +94,7 @@
         return self._avoided_until_by_id.get(instance, 0) > self._clock.now()
 
     def _cost(self, entry: NodeEntry) -> float:
-        own = self._directory.own
+        own = self._directory.local
         requests = float(self._in_flight_by_id[entry.instance])
         heard = self._load_by_id.get(entry.instance)
         if heard is not None and self._clock.now() - heard.heard_at < _LOAD_SECONDS:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -90,7 +90,7 @@
 
     async def _run(self, order: WorkOrder, version: int) -> WorkAnswer:
         received_at = self._clock.now()
-        refusal = self._checks.refusal(order, self._directory.own)
+        refusal = self._checks.refusal(order, self._directory.local)
         is_trial = self.breaker.is_open
         if refusal is None and not self.breaker.allows(may_try=order.may_try):
             refusal = BREAKER_OPEN
@@ -127,7 +127,7 @@
         is_trial: bool,
     ) -> WorkAnswer:
         # The server may have left, or the key may have been withdrawn, while the order waited.
-        refusal = self._checks.refusal(order, self._directory.own)
+        refusal = self._checks.refusal(order, self._directory.local)
         if refusal is None and self.breaker.is_open and not (is_trial or order.may_try):
             refusal = BREAKER_OPEN
         started_at = self._clock.now()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
@@ -1,7 +1,7 @@
 """Which nodes read the entries of nodes from the store for their data centre."""
 
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.near_nodes import NearNodes
+from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.state.sidecar import NodeEntry
 
 # One reader may be cut off from the store or end at any time.
@@ -23,14 +23,14 @@
         Nodes of the own data centre.
     """
 
-    def __init__(self, directory: NodeDirectory, near: NearNodes) -> None:
+    def __init__(self, directory: NodeDirectory, near: DataCentreRanking) -> None:
         self._directory = directory
         self._near = near
 
-    def above_own(self) -> list[NodeEntry]:
+    def upstream_readers(self) -> list[NodeEntry]:
         """Return the readers to ask, none if this node is a reader itself."""
-        readers = self._near.ranked(_DUTY)[:_READERS]
-        if self._directory.own.instance in readers:
+        readers = self._near.ranked_nodes(_DUTY)[:_READERS]
+        if self._directory.local.instance in readers:
             return []
         found = (self._directory.find(one) for one in readers)
         return [entry for entry in found if entry is not None]
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
@@ -38,18 +38,18 @@
         self,
         log: KeyedLog,
         topic: StoreTopic,
-        take: Callable[[KeyedPage], None],
+        on_page: Callable[[KeyedPage], None],
         *,
         wait_seconds: float,
-        gather_seconds: float = 0.0,
-        needed: asyncio.Event | None = None,
+        batch_seconds: float = 0.0,
+        enabled: asyncio.Event | None = None,
     ) -> None:
         self._log = log
         self._topic = topic
-        self._take = take
+        self._take = on_page
         self._wait_seconds = wait_seconds
-        self._gather_seconds = gather_seconds
-        self._needed = needed
+        self._gather_seconds = batch_seconds
+        self._needed = enabled
         self._next_offset: int | None = None
         self.is_connected = False
         self.has_read = False
@@ -70,9 +70,9 @@
 
     async def _read_once(self) -> bool:
         if self._next_offset is None:
-            page = await self._log.newest(self._topic)
+            page = await self._log.read_newest(self._topic)
         else:
-            page = await self._log.changes(
+            page = await self._log.read_changes(
                 self._topic,
                 offset=self._next_offset,
                 wait_seconds=self._wait_seconds,
--- a/packages/turmericwharf/src/turmericwharf/platform/store.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/store.py
@@ -64,7 +64,7 @@
         self._base = f'http://{address.host}:{address.port}'
         self._client = make_client(_MAX_CLIENTS)
 
-    async def newest(self, topic: StoreTopic) -> KeyedPage | LogFailure:
+    async def read_newest(self, topic: StoreTopic) -> KeyedPage | LogFailure:
         """Read the newest record of each key."""
         records_by_key: dict[str, KeyedRecord] = {}
         query: dict[str, str | int] = {'topic': _TOPICS[topic], 'part': 0}
@@ -83,7 +83,7 @@
                 return KeyedPage(_concerning(topic, records_by_key), end)
             query['after'] = page.items[-1].key
 
-    async def changes(
+    async def read_changes(
         self,
         topic: StoreTopic,
         *,
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
@@ -65,7 +65,7 @@
         """End the connection and its task."""
         self._task.cancel()
 
-    async def ask(
+    async def request(
         self,
         message: FleetMessage,
         timeout_seconds: float,
@@ -78,7 +78,7 @@
             return PEER_UNREACHABLE
         return await self._answers.exchange(channel, message, deadline)
 
-    async def tell(self, message: FleetMessage) -> None:
+    async def notify(self, message: FleetMessage) -> None:
         """Send a message that has no answer."""
         if not self._attempt.done() or self._attempt.result() is None:
             return
@@ -117,11 +117,11 @@
         return was_connected
 
     async def _connect_and_read(self) -> None:
-        async with _open_socket(self._node.directory.own.host, self.peer) as socket:
+        async with _open_socket(self._node.directory.local.host, self.peer) as socket:
             channel = FrameChannel(socket, MOST_FRAME_BYTES)
             async with asyncio.timeout(_CONNECT_SECONDS):
                 await channel.send(
-                    Greeting(self._node.directory.own, self._node.holder.version),
+                    Greeting(self._node.directory.local, self._node.holder.version),
                     timeout_seconds=_CONNECT_SECONDS,
                 )
                 frame = await channel.receive()
@@ -133,9 +133,9 @@
             await self._read_answers(channel)
 
     def _meet(self, greeting: Greeting) -> None:
-        self._node.directory.meet(greeting.node)
-        self._node.directory.trust(greeting.node.instance)
-        self._node.spread.note(greeting.node.instance, greeting.version)
+        self._node.directory.record_connection(greeting.node)
+        self._node.directory.clear_suspicion(greeting.node.instance)
+        self._node.spread.record_version(greeting.node.instance, greeting.version)
 
     async def _read_answers(self, channel: FrameChannel) -> None:
         while True:
@@ -154,7 +154,7 @@
 
     def _give_answer(self, frame: Frame) -> None:
         if isinstance(frame.message, WorkAnswer):
-            self._node.spread.note(self.peer.instance, frame.message.version)
+            self._node.spread.record_version(self.peer.instance, frame.message.version)
         self._answers.give(frame)
 
     async def _receive(self, channel: FrameChannel) -> Frame | ProtocolFailure | None:
@@ -165,7 +165,7 @@
             return None
 
     def _drop(self) -> None:
-        self._node.directory.part(self.peer.instance)
+        self._node.directory.record_disconnection(self.peer.instance)
         if self._attempt.result() is not None:
             self._attempt = self._loop.create_future()
         self._answers.lose_all()
@@ -183,7 +183,7 @@
         """Speak for this node."""
         self._node = node
 
-    async def ask(
+    async def request(
         self,
         peer: NodeEntry,
         message: FleetMessage,
@@ -194,13 +194,13 @@
         link = self._find_link(peer)
         if link is None:
             return PEER_UNREACHABLE
-        return await link.ask(message, timeout_seconds)
+        return await link.request(message, timeout_seconds)
 
-    def tell(self, peer: NodeEntry, message: FleetMessage) -> None:
+    def notify(self, peer: NodeEntry, message: FleetMessage) -> None:
         """Send a message without waiting for an answer."""
         link = self._links_by_id.get(peer.instance)
         if link is not None:
-            task = asyncio.create_task(link.tell(message))
+            task = asyncio.create_task(link.notify(message))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
@@ -62,9 +62,9 @@
             return None
         node = self._node
         peer = frame.message.node
-        node.directory.meet(peer)
-        node.spread.note(peer.instance, frame.message.version)
-        reply = Greeting(node.directory.own, node.holder.version)
+        node.directory.record_connection(peer)
+        node.spread.record_version(peer.instance, frame.message.version)
+        reply = Greeting(node.directory.local, node.holder.version)
         await channel.send(reply, frame.correlation, timeout_seconds=_OPEN_SECONDS)
         return peer
 
@@ -86,7 +86,7 @@
         finally:
             for unanswered in tuple(children):
                 unanswered.cancel()
-            self._node.directory.part(peer.instance)
+            self._node.directory.record_disconnection(peer.instance)
 
     async def _answer(self, channel: FrameChannel, frame: Frame, peer: NodeEntry) -> None:
         try:
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
@@ -79,7 +79,7 @@
             asyncio.create_task(node.relay.run()),
             asyncio.create_task(node.recovery.run()),
         ]
-        logger.bind(instance=node.settings.instance, process=node.directory.own.process).info(
+        logger.bind(instance=node.settings.instance, process=node.directory.local.process).info(
             'node_started',
         )
         await self._wait_for_end(stopping, tasks)
@@ -109,7 +109,7 @@
         logger.bind(in_progress=self._clients.in_progress).info('node_draining')
         node.announcements.is_stopping = True
         node.checks.is_stopping = True
-        node.publisher.use_stop()
+        node.publisher.publish_stopping()
         self._clients.drain()
         deadline = started_at + node.bounds.current.grace_seconds - _EXIT_SECONDS
         await asyncio.sleep(_LINGER_SECONDS)
--- a/tests/coordination/membership/test_gossip.py
+++ b/tests/coordination/membership/test_gossip.py
@@ -25,7 +25,7 @@
 
     async def run():
         fleet = await started()
-        fleet.log_away.update(NAMES)
+        fleet.log_unreachable.update(NAMES)
         await asyncio.sleep(STANDING_SECONDS + 1)
         for name in ('a', 'd'):
             replacement = fleet.start(name, seeds=('b',))
@@ -34,7 +34,7 @@
             assert ready and replacement.control_log.is_ready
             replacement.executor.announce(SERVICE, 1, ServerState.READY)
             assert await fleet.wait(lambda name=name: serves(fleet, name), SPREAD_SECONDS)
-        fleet.log_away.clear()
+        fleet.log_unreachable.clear()
         joined = await fleet.wait(
             lambda: all(node.members.is_joined for node in fleet.nodes.values()), 5
         )
@@ -49,7 +49,7 @@
 
     async def run():
         fleet = VirtualFleet(1, TIMING)
-        fleet.log_away.add('a')
+        fleet.log_unreachable.add('a')
         node = fleet.start('a', seeds=('b', 'nobody'))
         await asyncio.sleep(10)
         assert not node.control_log.is_ready
@@ -64,17 +64,17 @@
 
     async def run():
         fleet = await started()
-        fleet.cut_off('d', 'e')
-        version = fleet.withdraw()
+        fleet.isolate('d', 'e')
+        version = fleet.withdraw_key()
         knowing = [fleet.nodes[name].control_log for name in 'abc']
         assert await fleet.wait(lambda: all(one.state.version >= version for one in knowing), 3)
-        fleet.log_away.update(NAMES)
+        fleet.log_unreachable.update(NAMES)
         fleet.kill('c')
         for name in 'ab':
             fleet.start(name, seeds=('d',))
         # Answers of the killed nodes that wait behind the cut are given up by then.
         await asyncio.sleep(STANDING_SECONDS)
-        fleet.cuts.clear()
+        fleet.partitioned_links.clear()
         for _moment in range(100):
             assert not any(fleet.has_standing().values())
             await asyncio.sleep(0.1)
@@ -116,10 +116,10 @@
 
     async def run():
         fleet = await started()
-        fleet.cuts.update((one, 'e') for one in NAMES[:4])
+        fleet.partitioned_links.update((one, 'e') for one in NAMES[:4])
         fleet.nodes['a'].executor.announce(SERVICE, 1, ServerState.READY)
         await asyncio.sleep(10)
-        fleet.cuts.clear()
+        fleet.partitioned_links.clear()
         assert await fleet.wait(lambda: serves(fleet, 'a'), SPREAD_SECONDS)
         fleet.close()
 
--- a/tests/coordination/membership/test_removal.py
+++ b/tests/coordination/membership/test_removal.py
@@ -14,7 +14,7 @@
 
     async def run():
         fleet = await started()
-        fleet.cut_off('e')
+        fleet.isolate('e')
         view = fleet.nodes['a'].members
         assert await fleet.wait(
             lambda: 'e' not in view.membership.members_by_id, REMOVAL_SECONDS + 4
@@ -24,8 +24,8 @@
         assert [one.instance for one in removals] == ['e']
         assert set(view.membership.members_by_id) == set(NAMES) - {'e'}
         assert not fleet.nodes['e'].standing.has_standing
-        fleet.cuts.clear()
-        fleet.log_away.clear()
+        fleet.partitioned_links.clear()
+        fleet.log_unreachable.clear()
         assert await fleet.wait(lambda: fleet.nodes['e'].members.is_joined, 5)
         assert await fleet.wait(lambda: view.is_alive('e'), 5)
         fleet.close()
@@ -39,11 +39,11 @@
     async def run():
         fleet = await started()
         # 'a' reads the log but hears nobody; 'b' comes back from a long pause.
-        fleet.cuts.update((other, 'a') for other in NAMES[1:])
+        fleet.partitioned_links.update((other, 'a') for other in NAMES[1:])
         fleet.paused.add('b')
         await asyncio.sleep(REMOVAL_SECONDS - 1)
         before = len(fleet.records)
-        fleet.cuts.clear()
+        fleet.partitioned_links.clear()
         fleet.paused.clear()
         await asyncio.sleep(2 * REMOVAL_SECONDS)
         assert not [one for one in fleet.records[before:] if isinstance(one, Removed)]
--- a/tests/coordination/membership/test_standing.py
+++ b/tests/coordination/membership/test_standing.py
@@ -31,25 +31,25 @@
 
 
 def all_away(fleet: VirtualFleet) -> None:
-    fleet.log_away.update(NAMES)
+    fleet.log_unreachable.update(NAMES)
 
 
 def minority_away(fleet: VirtualFleet) -> None:
-    fleet.log_away.update(NAMES[:2])
+    fleet.log_unreachable.update(NAMES[:2])
 
 
 def minority_cut_off(fleet: VirtualFleet) -> None:
-    fleet.cut_off('a', 'b')
+    fleet.isolate('a', 'b')
 
 
 def one_deaf(fleet: VirtualFleet) -> None:
-    fleet.log_away.update(NAMES)
-    fleet.cuts.update((other, 'a') for other in NAMES[1:])
+    fleet.log_unreachable.update(NAMES)
+    fleet.partitioned_links.update((other, 'a') for other in NAMES[1:])
 
 
 def one_mute(fleet: VirtualFleet) -> None:
-    fleet.log_away.update(NAMES)
-    fleet.cuts.update(('a', other) for other in NAMES[1:])
+    fleet.log_unreachable.update(NAMES)
+    fleet.partitioned_links.update(('a', other) for other in NAMES[1:])
 
 
 @pytest.mark.parametrize(
@@ -87,7 +87,7 @@
         fleet.slow.add('a')
         for step in range(1200):
             if step % 19 == 0:
-                fleet.withdraw()
+                fleet.withdraw_key()
             assert fleet.nodes['a'].standing.has_log, step
             await asyncio.sleep(0.05)
         fleet.close()
@@ -100,14 +100,14 @@
 
     async def run():
         fleet = await started()
-        fleet.log_away.update(NAMES)
+        fleet.log_unreachable.update(NAMES)
         await asyncio.sleep(STANDING_SECONDS + 0.1)
-        fleet.cuts.update((other, 'a') for other in NAMES[1:])
+        fleet.partitioned_links.update((other, 'a') for other in NAMES[1:])
         await asyncio.sleep(1.2)
-        fleet.cuts.update(('a', other) for other in NAMES[1:])
+        fleet.partitioned_links.update(('a', other) for other in NAMES[1:])
         asked_last_at = asyncio.get_running_loop().time()
         await asyncio.sleep(1.5)
-        fleet.cuts.difference_update({(other, 'a') for other in NAMES[1:]})
+        fleet.partitioned_links.difference_update({(other, 'a') for other in NAMES[1:]})
         await asyncio.sleep(asked_last_at + STANDING_SECONDS + 0.1 - LoopClock().now())
         assert not fleet.nodes['a'].standing.has_standing
         fleet.close()
@@ -121,14 +121,14 @@
     async def run():
         fleet = await started()
         # 'd' ranks first for the removal of both 'a' and 'e', so that nothing holds it back.
-        fleet.cut_off('a', 'e')
-        fleet.log_away.add('c')
+        fleet.isolate('a', 'e')
+        fleet.log_unreachable.add('c')
         assert await fleet.wait(lambda: len(members_of(fleet, 'd')) < len(NAMES), 30)
         # At the first removal, 'c' changes over to the group that is being removed.
-        fleet.cuts.clear()
-        fleet.cut_off('a', 'c', 'e')
+        fleet.partitioned_links.clear()
+        fleet.isolate('a', 'c', 'e')
         await asyncio.sleep(10)
-        version = fleet.withdraw()
+        version = fleet.withdraw_key()
         in_force_at: dict[int, float] = {}
         for _moment in range(400):
             check(fleet, [version], in_force_at)
@@ -172,14 +172,14 @@
         victims = chance.sample(NAMES, chance.randint(1, 3))
         fleet.slow.update(victims)
         if chance.random() < 0.5:
-            fleet.log_away.update(victims)
+            fleet.log_unreachable.update(victims)
         in_force_at: dict[int, float] = {}
         versions: list[int] = []
         for step in range(200):
             if step % 4 == 0:
                 disturb(fleet, chance, victims)
             if step % 40 == 20:
-                versions.append(fleet.withdraw())
+                versions.append(fleet.withdraw_key())
             check(fleet, versions, in_force_at)
             await asyncio.sleep(0.1)
         fleet.close()
@@ -193,14 +193,14 @@
     outward = {(other, one) for one, other in inward}
     name, other = chance.sample(NAMES, 2)
     faults = (
-        lambda: fleet.cuts.update(inward),
-        lambda: fleet.cuts.update(outward),
-        lambda: fleet.cuts.difference_update(inward),
-        lambda: fleet.cuts.difference_update(outward),
+        lambda: fleet.partitioned_links.update(inward),
+        lambda: fleet.partitioned_links.update(outward),
+        lambda: fleet.partitioned_links.difference_update(inward),
+        lambda: fleet.partitioned_links.difference_update(outward),
         lambda: fleet.paused.update(victims),
         fleet.paused.clear,
-        lambda: fleet.log_away.update(NAMES),
-        lambda: fleet.log_away.difference_update(rest),
+        lambda: fleet.log_unreachable.update(NAMES),
+        lambda: fleet.log_unreachable.difference_update(rest),
         lambda: fleet.start(name, seeds=(other,)),
     )
     chance.choice(faults)()
--- a/tests/coordination/sidecar/test_attempts.py
+++ b/tests/coordination/sidecar/test_attempts.py
@@ -62,7 +62,7 @@
         clock = LoopClock()
         directory = NodeDirectory(make_entry('own'), clock)
         for number in range(servers - 1):
-            directory.take(StoredEntry(make_entry(f'n{number}'), 0), source='test')
+            directory.apply(StoredEntry(make_entry(f'n{number}'), 0), source='test')
         rule = make_route(**route)
         admitted = FleetAdmission(
             request=make_request(),
--- a/tests/coordination/sidecar/test_directory.py
+++ b/tests/coordination/sidecar/test_directory.py
@@ -13,8 +13,8 @@
     return NodeDirectory(make_entry('own'), clock), clock
 
 
-def take(directory, entry, position):
-    directory.take(StoredEntry(entry, position), source='store')
+def apply(directory, entry, position):
+    directory.apply(StoredEntry(entry, position), source='store')
 
 
 def test_older_revision_of_a_process_changes_nothing():
@@ -22,30 +22,30 @@
     directory, _ = make_directory()
     ready = make_entry('peer')
     leaving = dataclasses.replace(ready, phase=ServerPhase.LEAVING, revision=2)
-    take(directory, leaving, 5)
-    take(directory, ready, 4)
-    take(directory, ready, 6)
+    apply(directory, leaving, 5)
+    apply(directory, ready, 4)
+    apply(directory, ready, 6)
     assert directory.find('peer').phase is ServerPhase.LEAVING
-    assert [one.instance for one in directory.servers_of('bookings')] == ['own']
+    assert [one.instance for one in directory.nodes_serving('bookings')] == ['own']
 
 
 def test_process_that_a_connection_leads_to_wins_over_the_store():
     """Orders would go to a process that the store still names after a restart."""
     directory, _ = make_directory()
     old, new = make_entry('peer', process='old'), make_entry('peer', process='new')
-    take(directory, old, 1)
-    directory.meet(new)
-    take(directory, old, 2)
+    apply(directory, old, 1)
+    directory.record_connection(new)
+    apply(directory, old, 2)
     assert directory.find('peer').process == 'new'
-    directory.part('peer')
-    take(directory, make_entry('peer', process='newer'), 3)
+    directory.record_disconnection('peer')
+    apply(directory, make_entry('peer', process='newer'), 3)
     assert directory.find('peer').process == 'newer'
 
 
 def test_suspicion_grows_and_ends_with_an_answer():
     """A node that is down would be asked by each request."""
     directory, clock = make_directory()
-    take(directory, make_entry('peer'), 1)
+    apply(directory, make_entry('peer'), 1)
     directory.suspect('peer')
     assert directory.is_suspected('peer')
     clock.at += 0.3
@@ -53,7 +53,7 @@
     directory.suspect('peer')
     clock.at += 0.3
     assert directory.is_suspected('peer')
-    directory.trust('peer')
+    directory.clear_suspicion('peer')
     assert not directory.is_suspected('peer')
 
 
@@ -61,8 +61,8 @@
     """Second-hand news would replace what the store or a connection said."""
     directory, _ = make_directory()
     known = make_entry('peer')
-    take(directory, known, 0)
-    take(directory, dataclasses.replace(known, process='other'), NOT_STORED)
+    apply(directory, known, 0)
+    apply(directory, dataclasses.replace(known, process='other'), NOT_STORED)
     assert directory.find('peer') == known
 
 
@@ -70,8 +70,8 @@
     """After a change of readers, orders would go to the process before the restart."""
     directory, _ = make_directory()
     old, new = make_entry('peer', process='old'), make_entry('peer', process='new')
-    take(directory, new, 9)
-    take(directory, old, 8)
+    apply(directory, new, 9)
+    apply(directory, old, 8)
     assert directory.find('peer') == new
 
 
@@ -79,8 +79,8 @@
     """A reader's own server would go on getting work after it began to leave."""
     directory, _ = make_directory()
     ready = make_entry('peer')
-    take(directory, ready, 3)
-    take(directory, dataclasses.replace(ready, phase=ServerPhase.LEAVING, revision=1), NOT_STORED)
+    apply(directory, ready, 3)
+    apply(directory, dataclasses.replace(ready, phase=ServerPhase.LEAVING, revision=1), NOT_STORED)
     assert directory.find('peer').phase is ServerPhase.LEAVING
 
 
@@ -89,15 +89,15 @@
 
     async def main():
         directory, _ = make_directory()
-        take(directory, make_entry('a'), 1)
+        apply(directory, make_entry('a'), 1)
         seen = directory.changes
         waiting = asyncio.create_task(directory.wait_for_change(seen, 5))
         await asyncio.sleep(1)
         assert not waiting.done()
-        take(directory, make_entry('b'), 2)
+        apply(directory, make_entry('b'), 2)
         await asyncio.wait_for(waiting, 0.1)
-        assert directory.changed_after(seen) == (StoredEntry(make_entry('b'), 2),)
-        assert not directory.changed_after(directory.changes)
+        assert directory.entries_changed_after(seen) == (StoredEntry(make_entry('b'), 2),)
+        assert not directory.entries_changed_after(directory.changes)
         await asyncio.wait_for(directory.wait_for_change(directory.changes, 1), 1.5)
 
     run_in_virtual_time(main())
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -6,7 +6,7 @@
 from tests.virtual_time import LoopClock, run_in_virtual_time
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.directory_relay import DirectoryRelay
-from turmericwharf.coordination.sidecar.near_nodes import NearNodes
+from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state import PEER_UNREACHABLE
 from turmericwharf.state.sidecar import ServerPhase, StoredEntry
@@ -25,20 +25,20 @@
     def _make_node(self, own):
         directory = NodeDirectory(own, LoopClock())
         for place, other in enumerate(self.entries):
-            directory.take(StoredEntry(other, place), source='store')
+            directory.apply(StoredEntry(other, place), source='store')
         needed = asyncio.Event()
         follower = SimpleNamespace(is_connected=True)
         relay = DirectoryRelay(
             directory=directory,
-            readers=StoreReaders(directory, NearNodes(directory)),
+            readers=StoreReaders(directory, DataCentreRanking(directory)),
             links=self,
             store_needed=needed,
             follower=follower,
-            taken=lambda: self.told.append(own.instance),
+            on_applied=lambda: self.told.append(own.instance),
         )
         return SimpleNamespace(directory=directory, needed=needed, follower=follower, relay=relay)
 
-    async def ask(self, peer, message, *, timeout_seconds):
+    async def request(self, peer, message, *, timeout_seconds):
         if peer.instance in self.down:
             await asyncio.sleep(min(timeout_seconds, 0.5))
             return PEER_UNREACHABLE
@@ -51,14 +51,14 @@
     def change_one(self):
         """Return the changed entry of a node that does not read the store."""
         name = next(name for name in self.nodes_by_id if name not in self.store_readers)
-        own = self.nodes_by_id[name].directory.own
+        own = self.nodes_by_id[name].directory.local
         return dataclasses.replace(own, phase=ServerPhase.LEAVING, revision=1)
 
     async def tell_readers(self, entry, position):
         """Give an entry to the nodes that read the store."""
         for name in self.store_readers:
             stored = StoredEntry(entry, position)
-            self.nodes_by_id[name].directory.take(stored, source='store')
+            self.nodes_by_id[name].directory.apply(stored, source='store')
 
     def know(self, instance, revision):
         return {
@@ -137,7 +137,7 @@
         for node in fleet.nodes_by_id.values():
             node.follower.is_connected = False
         source = fleet.nodes_by_id['n1'].directory
-        source.take(StoredEntry(make_entry('new'), 50), source='store')
+        source.apply(StoredEntry(make_entry('new'), 50), source='store')
         await asyncio.sleep(60)
         assert all(node.directory.find('new') is not None for node in fleet.nodes_by_id.values())
 
--- a/tests/coordination/sidecar/test_order_checks.py
+++ b/tests/coordination/sidecar/test_order_checks.py
@@ -29,7 +29,7 @@
     }
     record.take(AnnouncedServer(**fields))
     holder = ConfigurationHolder(lambda encoded: configuration or make_configuration())
-    holder.offer(b'', source='test')
+    holder.apply_if_newer(b'', source='test')
     return OrderChecks(record, holder, RequestChecks(holder, ManualClock()))
 
 
--- a/tests/coordination/sidecar/test_quota.py
+++ b/tests/coordination/sidecar/test_quota.py
@@ -35,9 +35,9 @@
         for own in entries:
             directory = NodeDirectory(own, self.clock)
             for other in entries:
-                directory.take(StoredEntry(other, 0), source='test')
+                directory.apply(StoredEntry(other, 0), source='test')
             holder = ConfigurationHolder(lambda encoded: make_configuration())
-            holder.offer(b'', source='test')
+            holder.apply_if_newer(b'', source='test')
             holders = QuotaHolders(directory, holder, self.clock)
             holders.refresh()
             self.directories.append(directory)
@@ -105,11 +105,11 @@
     }
     for directory in fleet.directories:
         for gone in nodes:
-            if gone.instance in holders and gone.instance != directory.own.instance:
+            if gone.instance in holders and gone.instance != directory.local.instance:
                 left = dataclasses.replace(gone, phase=ServerPhase.STOPPING, revision=1)
-                directory.take(StoredEntry(left, 0), source='test')
+                directory.apply(StoredEntry(left, 0), source='test')
             elif gone.instance in holders:
-                directory.own = dataclasses.replace(gone, phase=ServerPhase.STOPPING, revision=1)
+                directory.local = dataclasses.replace(gone, phase=ServerPhase.STOPPING, revision=1)
     for buckets in fleet.buckets_by_id.values():
         buckets.holders.refresh()
     assert fleet.drain() == 0
@@ -124,5 +124,5 @@
     rule = OrganisationRule('free', (), 0, 0)
     configuration = make_configuration(6, organisations_by_id={'free': rule})
     buckets._holder._decode = lambda encoded: configuration
-    buckets._holder.offer(b'', source='test')
+    buckets._holder.apply_if_newer(b'', source='test')
     assert not buckets.grant('free').granted
--- a/tests/coordination/sidecar/test_retry_allowance.py
+++ b/tests/coordination/sidecar/test_retry_allowance.py
@@ -4,7 +4,7 @@
 from tests.coordination.fakes import ManualClock
 from tests.coordination.sidecar.samples import make_entry
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.near_nodes import NearNodes
+from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.retry_allowance import RetryAllowance, RetryPool
 from turmericwharf.state import PEER_UNREACHABLE
 from turmericwharf.state.sidecar import RetryReply, SidecarBounds, StoredEntry
@@ -33,12 +33,12 @@
         for own in entries:
             directory = NodeDirectory(own, self.clock)
             for place, other in enumerate(entries):
-                directory.take(StoredEntry(other, place), source='store')
+                directory.apply(StoredEntry(other, place), source='store')
             self.start(own.instance, directory)
 
     def start(self, name, directory):
         bounds = SimpleNamespace(current=BOUNDS)
-        pool = RetryPool(directory, NearNodes(directory), bounds, self.clock)
+        pool = RetryPool(directory, DataCentreRanking(directory), bounds, self.clock)
         self.nodes_by_id[name] = RetryAllowance(
             pool=pool,
             links=self,
@@ -48,7 +48,7 @@
             repeated_share=lambda: self.repeated_share,
         )
 
-    async def ask(self, peer, message, *, timeout_seconds):
+    async def request(self, peer, message, *, timeout_seconds):
         if peer.instance in self.cut:
             return PEER_UNREACHABLE
         return RetryReply(self.nodes_by_id[peer.instance].pool.grant(message.service))
--- a/tests/coordination/sidecar/test_store_readers.py
+++ b/tests/coordination/sidecar/test_store_readers.py
@@ -3,7 +3,7 @@
 from tests.coordination.fakes import ManualClock
 from tests.coordination.sidecar.samples import make_entry
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.near_nodes import NearNodes
+from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state.sidecar import ServerPhase, StoredEntry
 
@@ -14,17 +14,17 @@
     for own in entries:
         directory = NodeDirectory(own, ManualClock())
         for other in entries:
-            directory.take(StoredEntry(other, 0), source='store')
+            directory.apply(StoredEntry(other, 0), source='store')
         directories_by_id[own.instance] = directory
     return directories_by_id
 
 
 def make_readers(directory):
-    return StoreReaders(directory, NearNodes(directory))
+    return StoreReaders(directory, DataCentreRanking(directory))
 
 
 def names(readers):
-    return {entry.instance for entry in readers.above_own()}
+    return {entry.instance for entry in readers.upstream_readers()}
 
 
 def test_two_nodes_of_each_data_centre_read_and_the_others_agree_on_them():
@@ -34,8 +34,8 @@
     own_readers = {name for name, asked in asked_by_id.items() if not asked}
     assert len(own_readers) == 6
     for name, asked in asked_by_id.items():
-        place = directories_by_id[name].own.data_centre
-        near = {one for one in own_readers if directories_by_id[one].own.data_centre == place}
+        place = directories_by_id[name].local.data_centre
+        near = {one for one in own_readers if directories_by_id[one].local.data_centre == place}
         assert asked in (set(), near)
 
 
@@ -49,7 +49,7 @@
     assert first not in names(readers_by_id[other])
     entry = directories_by_id[other].find(second)
     stopping = dataclasses.replace(entry, phase=ServerPhase.STOPPING, revision=1)
-    directories_by_id[other].take(StoredEntry(stopping, 1), source='store')
+    directories_by_id[other].apply(StoredEntry(stopping, 1), source='store')
     assert second not in names(readers_by_id[other])
 
 
--- a/tests/coordination/sidecar/test_topic_follower.py
+++ b/tests/coordination/sidecar/test_topic_follower.py
@@ -15,10 +15,10 @@
         self.pages = list(pages)
         self.calls = []
 
-    async def newest(self, topic):
+    async def read_newest(self, topic):
         return await self._next('newest')
 
-    async def changes(self, topic, *, offset, wait_seconds):
+    async def read_changes(self, topic, *, offset, wait_seconds):
         return await self._next(offset)
 
     async def _next(self, call):
@@ -28,11 +28,11 @@
         return self.pages.pop(0)
 
 
-def follow(log, seconds, *, needed=None):
+def follow(log, seconds, *, enabled=None):
     async def main():
         pages = []
-        event = needed() if needed else None
-        follower = TopicFollower(log, StoreTopic.NODES, pages.append, wait_seconds=5, needed=event)
+        event = enabled() if enabled else None
+        follower = TopicFollower(log, StoreTopic.NODES, pages.append, wait_seconds=5, enabled=event)
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(seconds)
         task.cancel()
@@ -67,5 +67,5 @@
 def test_topic_is_not_read_while_others_tell_of_it():
     """Nodes that hear from a reader would read the store all the same."""
     log = Log(PAGE)
-    follow(log, 5, needed=asyncio.Event)
+    follow(log, 5, enabled=asyncio.Event)
     assert not log.calls
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -77,8 +77,8 @@
         self.timing = timing
         self.nodes: dict[InstanceId, Node] = {}
         self.records: list[Any] = []
-        self.log_away: set[InstanceId] = set()
-        self.cuts: set[tuple[InstanceId, InstanceId]] = set()
+        self.log_unreachable: set[InstanceId] = set()
+        self.partitioned_links: set[tuple[InstanceId, InstanceId]] = set()
         self.paused: set[InstanceId] = set()
         self.loss = 0.0
         self.delay_seconds = 0.0
@@ -128,19 +128,19 @@
         for task in self._tasks.pop(name, ()):
             task.cancel()
 
-    def withdraw(self) -> int:
+    def withdraw_key(self) -> int:
         """Append the withdrawal of a key; return its version."""
         number = len(self.records)
         key = Key('k', KeyDigest('d'), 'org', withdrawn=True)
         self.records.append(Publish(f'p{number}', number, 'operator', keys=(key,)))
         return number
 
-    def cut_off(self, *names: str) -> None:
+    def isolate(self, *names: str) -> None:
         """Separate some nodes from all others and from the log."""
-        self.log_away.update(names)
+        self.log_unreachable.update(names)
         rest = self.nodes.keys() - set(names)
-        self.cuts.update((one, other) for one in names for other in rest)
-        self.cuts.update((other, one) for one in names for other in rest)
+        self.partitioned_links.update((one, other) for one in names for other in rest)
+        self.partitioned_links.update((other, one) for one in names for other in rest)
 
     def has_standing(self) -> dict[str, bool]:
         return {name: node.standing.has_standing for name, node in self.nodes.items()}
@@ -157,13 +157,16 @@
         longest = self.delay_seconds if self.slow.intersection(names) else 0.0
         return self.random.uniform(0.001, 0.002 + longest)
 
-    async def carry(self, source: InstanceId, destination: InstanceId) -> bool:
+    async def transmit(self, source: InstanceId, destination: InstanceId) -> bool:
         """Take one frame over a link; return False if it is lost."""
         if self.random.random() < self.loss:
             return False
         await asyncio.sleep(self.draw_delay(source, destination))
         # A frame behind a cut or in front of a paused process waits, as in a TCP buffer.
-        while (source, destination) in self.cuts or self.paused & {source, destination}:
+        while (source, destination) in self.partitioned_links or self.paused & {
+            source,
+            destination,
+        }:
             await asyncio.sleep(POLL_SECONDS)
         return True
 
@@ -188,20 +191,20 @@
     async def _exchange(self, instance, message):
         fleet = self._fleet
         fleet.bytes_sent += len(encode_frame(Frame(1, message)))
-        if not await fleet.carry(self._own.instance, instance):
+        if not await fleet.transmit(self._own.instance, instance):
             return PEER_TIMEOUT
         node = fleet.nodes.get(instance)
         if node is None or node.members.is_outdated(self._own.instance, self._own.incarnation):
             return PEER_UNREACHABLE
         answer = encode_frame(Frame(1, await handle_message(message, node)))
         fleet.bytes_sent += len(answer)
-        if not await fleet.carry(instance, self._own.instance):
+        if not await fleet.transmit(instance, self._own.instance):
             return PEER_TIMEOUT
         return decode_frame(answer).message
 
     async def meet(self, seed):
         node = self._fleet.nodes.get(seed.instance)
-        if node is None or not await self._fleet.carry(
+        if node is None or not await self._fleet.transmit(
             self._own.instance, node.members.own.instance
         ):
             return PEER_UNREACHABLE
@@ -239,4 +242,4 @@
         await asyncio.sleep(self._fleet.draw_delay(self._own.instance))
         while self._own.instance in self._fleet.paused:
             await asyncio.sleep(POLL_SECONDS)
-        return self._own.instance not in self._fleet.log_away
+        return self._own.instance not in self._fleet.log_unreachable
