Rename the request path of the sidecar to usual terms

ServerSelector (was ServerChoice) selects a server, RequestEntryPoint (FleetEntry) receives client requests, ReloadableBounds (BoundsInForce) holds limits that the settings file can change, QuotaLimiter (QuotaKeeper) acquires rate tokens, and classify_answer (judge_answer) turns a server response into an outcome. ServerRecord.take and .remove become apply and mark_leaving, the take methods of the limiter and of the retry allowance become acquire, OrderChecks.refusal becomes find_refusal, OrderTable.mark_at_server becomes mark_sent, and is_call becomes is_server_call. The old names were figurative or did not say what the code does. Behaviour is unchanged.

--- a/benchmarks/sidecar_slopes.py
+++ b/benchmarks/sidecar_slopes.py
@@ -11,7 +11,7 @@
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders
-from turmericwharf.coordination.sidecar.server_choice import ServerChoice
+from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.platform.configuration import decode_configuration
 from turmericwharf.protocol import encode_node_entry
 from turmericwharf.state.sidecar import NodeEntry, ServerPhase, SidecarBounds, StoredEntry
@@ -96,12 +96,12 @@
     bounds = SidecarBounds(0.2, 64, 10, 6, 5, 0.1, 20)
     buckets = QuotaBuckets(holders, holder, clock, SimpleNamespace(current=bounds))
     grant = timed(lambda: buckets.grant('t1'), ROUNDS)
-    choice = ServerChoice(directory, clock)
-    choose = timed(lambda: choice.choose('service-0', frozenset()), ROUNDS)
+    selector = ServerSelector(directory, clock)
+    select = timed(lambda: selector.select('service-0', frozenset()), ROUNDS)
     return (
         f'{count} nodes: directory {kilobytes:.0f} kB, '
         f'holders of 45,000 rates {refresh:.0f} ms after a change, token {grant * 1000:.1f} us, '
-        f'choice {choose * 1000:.1f} us, entry {len(encode_node_entry(make_entry(1)))} bytes'
+        f'choice {select * 1000:.1f} us, entry {len(encode_node_entry(make_entry(1)))} bytes'
     )
 
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/__init__.py
@@ -4,7 +4,7 @@
 beside it, which alone decides whether and when the request runs.
 """
 
-from turmericwharf.coordination.sidecar.fleet_entry import name_outcome
+from turmericwharf.coordination.sidecar.entry_point import name_outcome
 from turmericwharf.coordination.sidecar.messages import answer_peer
 from turmericwharf.coordination.sidecar.node import (
     SidecarNode,
@@ -19,7 +19,7 @@
     NodeStore,
     ServerConnection,
 )
-from turmericwharf.coordination.sidecar.server_answers import judge_answer
+from turmericwharf.coordination.sidecar.server_answers import classify_answer
 
 __all__ = (
     'ConfigurationDecoder',
@@ -32,6 +32,6 @@
     'SidecarPorts',
     'answer_peer',
     'build_sidecar_node',
-    'judge_answer',
+    'classify_answer',
     'name_outcome',
 )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
@@ -48,7 +48,7 @@
     version: int
 
     @property
-    def is_call(self) -> bool:
+    def is_server_call(self) -> bool:
         """Whether a server made the request while it runs another one."""
         return self.organisation == NO_ORGANISATION
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -43,7 +43,7 @@
         if self._was_leaving(server):
             server = dataclasses.replace(server, phase=ServerPhase.LEAVING)
         before = self._record.current
-        if not self._record.take(server):
+        if not self._record.apply(server):
             return
         if (before.server, before.born) != (server.server, server.born):
             self._gate.breaker.reset()
@@ -52,7 +52,7 @@
 
     async def leave(self, server: AnnouncedServer) -> None:
         """Take the notice that a server is gone or about to go."""
-        if self._record.remove(server):
+        if self._record.mark_leaving(server):
             await self._tell_fleet()
 
     def remember(self, entry: NodeEntry) -> None:
@@ -61,7 +61,7 @@
             return
         self._own_before = entry
         if self._was_leaving(self._record.current):
-            self._record.remove(self._record.current)
+            self._record.mark_leaving(self._record.current)
         if self._record.current.phase is ServerPhase.ABSENT:
             # Kept for the process after this one, in case this one ends before it knows more.
             left = entry.phase is ServerPhase.LEAVING
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -9,7 +9,7 @@
 from turmericwharf.coordination.sidecar.admission import FleetAdmission
 from turmericwharf.coordination.sidecar.orders import OrderSender
 from turmericwharf.coordination.sidecar.retry_allowance import RetryAllowance
-from turmericwharf.coordination.sidecar.server_choice import ServerChoice
+from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.state import (
     DEADLINE_PASSED,
     NO_CAPACITY,
@@ -82,23 +82,23 @@
     def __init__(
         self,
         *,
-        choice: ServerChoice,
+        selector: ServerSelector,
         sender: OrderSender,
         allowance: RetryAllowance,
         clock: Clock,
     ) -> None:
-        self._choice = choice
+        self._selector = selector
         self._sender = sender
         self._allowance = allowance
         self._clock = clock
 
     async def run(self, admitted: FleetAdmission) -> Outcome:
         """Return the final outcome of a request."""
-        self._allowance.record_request(admitted.service, is_call=admitted.is_call)
+        self._allowance.record_request(admitted.service, is_server_call=admitted.is_server_call)
         progress = _Progress()
         is_final = False
         while not is_final and self._left(admitted) > _LEAST_SECONDS:
-            entry = self._choice.choose(admitted.service, progress.excluded)
+            entry = self._selector.select(admitted.service, progress.excluded)
             if entry is None:
                 is_final = not await self._pause(admitted, progress)
             else:
@@ -143,7 +143,7 @@
         finally:
             for one in attempts:
                 one.task.cancel()
-                self._choice.end(one.entry.instance)
+                self._selector.end(one.entry.instance)
 
     def _start(
         self,
@@ -155,7 +155,7 @@
     ) -> _Attempt:
         progress.number += 1
         progress.excluded.add(entry.instance)
-        self._choice.start(entry.instance)
+        self._selector.start(entry.instance)
         # A second server must not be one that fails.
         may_try = not at_work and self._has_more(admitted, progress, at_work=1)
         sending = self._sender.send(
@@ -167,12 +167,12 @@
             may_try=may_try and admitted.route.idempotent,
             is_repeat=progress.arrivals + at_work > 0,
         )
-        load, load_age = self._choice.known_load(entry.instance)
+        load, load_age = self._selector.last_reported_load(entry.instance)
         return _Attempt(entry, progress.number, load, load_age, asyncio.create_task(sending))
 
     def _target_seconds(self, admitted: FleetAdmission) -> float:
         # The server that makes a call holds a slot for it, so a call waits for as long as it may.
-        target_at = admitted.deadline if admitted.is_call else admitted.target_at
+        target_at = admitted.deadline if admitted.is_server_call else admitted.target_at
         return max(target_at - self._clock.now(), 0)
 
     async def _hedge(
@@ -186,8 +186,8 @@
         await asyncio.wait([first.task], timeout=self._left(admitted) * _HEDGE_SHARE)
         if first.task.done():
             return
-        self._choice.avoid(first.entry.instance)
-        entry = self._choice.choose(admitted.service, progress.excluded)
+        self._selector.avoid(first.entry.instance)
+        entry = self._selector.select(admitted.service, progress.excluded)
         if entry is not None and await self._pays(admitted, progress, at_work=1):
             progress.runs += 1
             attempts.append(self._start(admitted, entry, progress, at_work=1))
@@ -226,7 +226,7 @@
         at_work: int,
     ) -> bool:
         answer = ended.task.result()
-        self._choice.record_answer(ended.entry.instance, answer)
+        self._selector.record_answer(ended.entry.instance, answer)
         outcome = _outcome_of(answer)
         progress.arrivals += answer.reached_server
         progress.runs += not isinstance(outcome, NotRun)
@@ -278,7 +278,7 @@
         """Whether the request may reach one more server; what was paid holds until it does."""
         if progress.paid >= progress.arrivals + at_work:
             return True
-        is_paid = await self._allowance.take(admitted.service)
+        is_paid = await self._allowance.acquire(admitted.service)
         progress.paid += is_paid
         return is_paid
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/bounds.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/bounds.py
@@ -7,7 +7,7 @@
 from turmericwharf.state.sidecar import SidecarBounds, SidecarSettings
 
 
-class BoundsInForce:
+class ReloadableBounds:
     """Bounds that a changed settings file replaces while the node runs.
 
     Parameters
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/fleet_entry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/entry_point.py
@@ -7,13 +7,13 @@
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, RequestChecks
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
-from turmericwharf.coordination.sidecar.quota import QuotaKeeper
+from turmericwharf.coordination.sidecar.quota import QuotaLimiter
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import SHUTDOWN, Answered, NotRun, OrganisationId, Outcome, RequestFailure
 from turmericwharf.state.sidecar import EntryDump, FleetRequest
 
 
-class FleetEntry:
+class RequestEntryPoint:
     """Serves requests of the clients and the backend server on the own machine.
 
     Parameters
@@ -31,7 +31,7 @@
     def __init__(
         self,
         checks: RequestChecks,
-        quota: QuotaKeeper,
+        quota: QuotaLimiter,
         attempts: AttemptRunner,
         clock: Clock,
     ) -> None:
@@ -57,7 +57,7 @@
         admitted = SHUTDOWN if self.is_closed else self._checks.admit(request)
         if isinstance(admitted, RequestFailure):
             return _refuse(request, admitted, NO_ORGANISATION)
-        refusal = await self._quota.take(admitted)
+        refusal = await self._quota.acquire(admitted)
         if refusal is not None:
             return _refuse(request, refusal, admitted.organisation)
         outcome = await self._attempts.run(admitted)
@@ -97,5 +97,5 @@
 
 
 @describe.register
-def _(part: FleetEntry) -> EntryDump:
+def _(part: RequestEntryPoint) -> EntryDump:
     return EntryDump(in_progress=part.in_progress, outcomes_total=dict(part.outcomes_by_name))
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -7,11 +7,11 @@
 from turmericwharf.coordination.sidecar.admission import RequestChecks
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
-from turmericwharf.coordination.sidecar.bounds import BoundsInForce
+from turmericwharf.coordination.sidecar.bounds import ReloadableBounds
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.directory_relay import DirectoryRelay
-from turmericwharf.coordination.sidecar.fleet_entry import FleetEntry
+from turmericwharf.coordination.sidecar.entry_point import RequestEntryPoint
 from turmericwharf.coordination.sidecar.membership import FleetMembership
 from turmericwharf.coordination.sidecar.order_checks import OrderChecks
 from turmericwharf.coordination.sidecar.near_nodes import NearNodes
@@ -25,10 +25,10 @@
     NodeStore,
     ServerConnection,
 )
-from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders, QuotaKeeper
+from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders, QuotaLimiter
 from turmericwharf.coordination.sidecar.recovery import ServerRecovery
 from turmericwharf.coordination.sidecar.retry_allowance import RetryAllowance, RetryPool
-from turmericwharf.coordination.sidecar.server_choice import ServerChoice
+from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.coordination.sidecar.server_gate import ServerGate
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
@@ -67,9 +67,9 @@
     settings: SidecarSettings
     directory: NodeDirectory
     holder: ConfigurationHolder
-    entry: FleetEntry
+    entry: RequestEntryPoint
     gate: ServerGate
-    quota: QuotaKeeper
+    quota: QuotaLimiter
     allowance: RetryAllowance
     checks: OrderChecks
     record: ServerRecord
@@ -80,7 +80,7 @@
     configuration_follower: TopicFollower
     membership_follower: TopicFollower
     recovery: ServerRecovery
-    bounds: BoundsInForce
+    bounds: ReloadableBounds
     clock: Clock
 
     @property
@@ -97,7 +97,7 @@
 ) -> SidecarNode:
     """Wire the decisions of one node to what the other layers give."""
     clock = ports.clock
-    bounds = BoundsInForce(settings)
+    bounds = ReloadableBounds(settings)
     directory = NodeDirectory(own, clock)
     holder = ConfigurationHolder(ports.decode_configuration)
     request_checks = RequestChecks(holder, clock)
@@ -105,7 +105,7 @@
     checks = OrderChecks(record, holder, request_checks)
     gate = ServerGate(server=ports.server, checks=checks, directory=directory, clock=clock)
     holders = QuotaHolders(directory, holder, clock)
-    quota = QuotaKeeper(
+    quota = QuotaLimiter(
         QuotaBuckets(holders, holder, clock, bounds), ports.links, directory, holder
     )
     publisher = OwnEntryPublisher(ports.store, directory)
@@ -136,7 +136,7 @@
         repeated_share=lambda: gate.repeated_share,
     )
     attempts = AttemptRunner(
-        choice=ServerChoice(directory, clock),
+        selector=ServerSelector(directory, clock),
         sender=sender,
         allowance=allowance,
         clock=clock,
@@ -145,7 +145,7 @@
         settings=settings,
         directory=directory,
         holder=holder,
-        entry=FleetEntry(request_checks, quota, attempts, clock),
+        entry=RequestEntryPoint(request_checks, quota, attempts, clock),
         gate=gate,
         quota=quota,
         allowance=allowance,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_checks.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_checks.py
@@ -43,7 +43,7 @@
         self._checks = checks
         self.is_stopping = False
 
-    def refusal(self, order: WorkOrder, own: NodeEntry) -> RequestFailure | None:
+    def find_refusal(self, order: WorkOrder, own: NodeEntry) -> RequestFailure | None:
         """Return why an order must not run now, or None."""
         server = self._record.current
         rules = (
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_table.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_table.py
@@ -81,7 +81,7 @@
         finally:
             known.callers -= 1
 
-    def mark_at_server(self, order: WorkOrder) -> None:
+    def mark_sent(self, order: WorkOrder) -> None:
         """Note that an order is about to be sent to the server."""
         known = self._orders_by_key.get(_key_of(order))
         if known is not None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -15,7 +15,7 @@
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.membership.rendezvous import partition_of, rank_instances
 from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, FleetAdmission
-from turmericwharf.coordination.sidecar.bounds import BoundsInForce
+from turmericwharf.coordination.sidecar.bounds import ReloadableBounds
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import FleetLinks
@@ -156,7 +156,7 @@
         holders: QuotaHolders,
         holder: ConfigurationHolder,
         clock: Clock,
-        bounds: BoundsInForce,
+        bounds: ReloadableBounds,
     ) -> None:
         self._bounds = bounds
         self._started_at = clock.now()
@@ -194,7 +194,7 @@
         return (allowed * bounds.rate_overage + bounds.rate_slack) * _START_SHARE
 
 
-class QuotaKeeper:
+class QuotaLimiter:
     """Takes tokens for admitted requests.
 
     Parameters
@@ -221,7 +221,7 @@
         self._directory = directory
         self._holder = holder
 
-    async def take(self, admitted: FleetAdmission) -> RequestFailure | None:
+    async def acquire(self, admitted: FleetAdmission) -> RequestFailure | None:
         """Return None with a token, or why the request is refused."""
         if admitted.organisation == NO_ORGANISATION:
             return None
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
@@ -14,7 +14,7 @@
 
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.routing.retries import RetryBudget, RetryLimits
-from turmericwharf.coordination.sidecar.bounds import BoundsInForce
+from turmericwharf.coordination.sidecar.bounds import ReloadableBounds
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.near_nodes import NearNodes
 from turmericwharf.coordination.sidecar.ports import FleetLinks
@@ -49,7 +49,7 @@
         self,
         directory: NodeDirectory,
         near: NearNodes,
-        bounds: BoundsInForce,
+        bounds: ReloadableBounds,
         clock: Clock,
     ) -> None:
         self._directory = directory
@@ -111,7 +111,7 @@
         pool: RetryPool,
         links: FleetLinks,
         directory: NodeDirectory,
-        bounds: BoundsInForce,
+        bounds: ReloadableBounds,
         clock: Clock,
         repeated_share: Callable[[], float],
     ) -> None:
@@ -122,14 +122,14 @@
         self._budget = RetryBudget(self._own_limits, clock)
         self._repeated_share = repeated_share
 
-    def record_request(self, service: ServiceId, *, is_call: bool) -> None:
+    def record_request(self, service: ServiceId, *, is_server_call: bool) -> None:
         """Count a request of the own clients or of the own server."""
         self._budget.record_request(service)
         # A call does not name the request that makes it.
-        if is_call and random.random() < self._repeated_share():
+        if is_server_call and random.random() < self._repeated_share():
             self._budget.spend(service)
 
-    async def take(self, service: ServiceId) -> bool:
+    async def acquire(self, service: ServiceId) -> bool:
         """Take one retry from the own part, else from the pool; return whether there was one."""
         if self._budget.allows(service):
             self._budget.spend(service)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_answers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_answers.py
@@ -8,7 +8,7 @@
 _LAST_SUCCESS = 299
 
 
-def judge_answer(request: RequestId, answer: ServerAnswer) -> Outcome:
+def classify_answer(request: RequestId, answer: ServerAnswer) -> Outcome:
     """Return the outcome of a request whose answer came whole."""
     if answer.request is not None and answer.request != request:
         return OutcomeUnknown(Reason.ANSWER_FOREIGN, f'the answer is for {answer.request}')
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -90,7 +90,7 @@
 
     async def _run(self, order: WorkOrder, version: int) -> WorkAnswer:
         received_at = self._clock.now()
-        refusal = self._checks.refusal(order, self._directory.own)
+        refusal = self._checks.find_refusal(order, self._directory.own)
         is_trial = self.breaker.is_open
         if refusal is None and not self.breaker.allows(may_try=order.may_try):
             refusal = BREAKER_OPEN
@@ -127,7 +127,7 @@
         is_trial: bool,
     ) -> WorkAnswer:
         # The server may have left, or the key may have been withdrawn, while the order waited.
-        refusal = self._checks.refusal(order, self._directory.own)
+        refusal = self._checks.find_refusal(order, self._directory.own)
         if refusal is None and self.breaker.is_open and not (is_trial or order.may_try):
             refusal = BREAKER_OPEN
         started_at = self._clock.now()
@@ -137,7 +137,7 @@
             refusal = DEADLINE_PASSED
         if refusal is not None:
             return self._refuse(order, refusal, version)
-        self.orders.mark_at_server(order)
+        self.orders.mark_sent(order)
         with self.backlog.running(self._times.usual(order.route)), self._count(order):
             outcome = await self._run_on_server(order, remaining)
         ran_seconds = self._clock.now() - started_at
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_record.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_record.py
@@ -12,7 +12,7 @@
     def __init__(self) -> None:
         self.current = AnnouncedServer()
 
-    def take(self, announced: AnnouncedServer) -> bool:
+    def apply(self, announced: AnnouncedServer) -> bool:
         """Take an announcement; return whether it changed what the fleet must know."""
         current = self.current
         if self._is_late(announced):
@@ -42,7 +42,7 @@
             ).info('server_changed')
         return before != after
 
-    def remove(self, leaving: AnnouncedServer) -> bool:
+    def mark_leaving(self, leaving: AnnouncedServer) -> bool:
         """Take the notice that a server leaves; return whether it is the known one."""
         current = self.current
         if current.server not in {leaving.server, NO_SERVER}:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
@@ -30,7 +30,7 @@
     heard_at: float
 
 
-class ServerChoice:
+class ServerSelector:
     """Chooses by requests in flight and reported load; near servers come first.
 
     Parameters
@@ -48,7 +48,7 @@
         self._load_by_id: dict[InstanceId, _HeardLoad] = {}
         self._avoided_until_by_id: dict[InstanceId, float] = {}
 
-    def choose(self, service: ServiceId, excluded: Set[InstanceId]) -> NodeEntry | None:
+    def select(self, service: ServiceId, excluded: Set[InstanceId]) -> NodeEntry | None:
         """Return the best node, or None if there is none left."""
         usable = [
             entry for entry in self._directory.servers_of(service) if entry.instance not in excluded
@@ -57,7 +57,7 @@
         wanted = [one for one in trusted if not self._is_avoided(one.instance)]
         return min(wanted or trusted or usable, key=self._cost, default=None)
 
-    def known_load(self, instance: InstanceId) -> tuple[int, float | None]:
+    def last_reported_load(self, instance: InstanceId) -> tuple[int, float | None]:
         """Return the requests at a server as last heard, and the age of that in seconds."""
         heard = self._load_by_id.get(instance)
         if heard is None:
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.sidecar import judge_answer
+from turmericwharf.coordination.sidecar import classify_answer
 from turmericwharf.protocol import HttpResponse, ResponseReader
 from turmericwharf.state import (
     Headers,
@@ -65,7 +65,7 @@
             return OutcomeUnknown(Reason.ANSWER_TIMEOUT, 'the backend server did not answer')
         if isinstance(response, NotRun | OutcomeUnknown):
             return response
-        return judge_answer(order.request, self._dialect.read_answer(response))
+        return classify_answer(order.request, self._dialect.read_answer(response))
 
     async def identify(self, path: str, *, timeout_seconds: float) -> str | None:
         """Return the identifier that a healthy server gives at its health path, else None."""
--- a/tests/coordination/sidecar/test_attempts.py
+++ b/tests/coordination/sidecar/test_attempts.py
@@ -7,7 +7,7 @@
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.orders import refused_answer, unknown_answer
-from turmericwharf.coordination.sidecar.server_choice import ServerChoice
+from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.state import Answered, NotRun, OutcomeUnknown, Reason
 from turmericwharf.state.sidecar import StoredEntry, WorkAnswer
 
@@ -49,10 +49,10 @@
     def __init__(self, retries) -> None:
         self.left = retries
 
-    def record_request(self, service, *, is_call) -> None:
+    def record_request(self, service, *, is_server_call) -> None:
         """Requests allow no retries here."""
 
-    async def take(self, service):
+    async def acquire(self, service):
         self.left -= 1
         return self.left >= 0
 
@@ -76,7 +76,7 @@
             version=5,
         )
         runner = AttemptRunner(
-            choice=ServerChoice(directory, clock),
+            selector=ServerSelector(directory, clock),
             sender=sender,
             allowance=Allowance(retries),
             clock=clock,
--- a/tests/coordination/sidecar/test_order_table.py
+++ b/tests/coordination/sidecar/test_order_table.py
@@ -59,7 +59,7 @@
     table, runs, order = OrderTable(ManualClock()), Runs(), make_order(idempotent=False)
     joined = asyncio.create_task(table.join(order, runs.run))
     await asyncio.sleep(0.001)
-    table.mark_at_server(order)
+    table.mark_sent(order)
     table.cancel((order.request, order.attempt))
     await asyncio.sleep(0.001)
     assert not runs.was_cancelled
@@ -74,7 +74,7 @@
     joined = asyncio.create_task(table.join(order, runs.run))
     await asyncio.sleep(0.001)
     if at_server:
-        table.mark_at_server(order)
+        table.mark_sent(order)
     table.cancel((order.request, order.attempt))
     assert await joined is None
     assert runs.was_cancelled
--- a/tests/coordination/sidecar/test_retry_allowance.py
+++ b/tests/coordination/sidecar/test_retry_allowance.py
@@ -59,7 +59,7 @@
         async def main():
             taken = 0
             for name in names or self.nodes_by_id:
-                while await self.nodes_by_id[name].take('bookings'):
+                while await self.nodes_by_id[name].acquire('bookings'):
                     taken += 1
             return taken
 
@@ -82,7 +82,7 @@
     requests = 0
     for number, allowance in enumerate(fleet.nodes_by_id.values()):
         for _ in range(10 * number):
-            allowance.record_request('bookings', is_call=False)
+            allowance.record_request('bookings', is_server_call=False)
             requests += 1
     taken = fleet.take_all()
     assert 0.5 * EXTRA < taken <= EXTRA + RATIO * requests
@@ -120,10 +120,10 @@
     fleet.clock.at += WINDOW_SECONDS + 1
     fleet.repeated_share = 1.0
     for _ in range(100):
-        allowance.record_request('bookings', is_call=True)
+        allowance.record_request('bookings', is_server_call=True)
     # All of the ratio is used, and the calls of clients' requests use nothing.
     assert fleet.take_all() <= EXTRA
     fleet.clock.at += WINDOW_SECONDS + 1
     for _ in range(100):
-        allowance.record_request('bookings', is_call=False)
+        allowance.record_request('bookings', is_server_call=False)
     assert fleet.take_all() > 0.5 * RATIO * 100 + 0.5 * EXTRA
