--- a/benchmarks/gossip_bytes.py
+++ b/benchmarks/gossip_bytes.py
@@ -55,7 +55,7 @@
         peer = self.gossipers.get(instance)
         if peer is None:
             return PEER_UNREACHABLE
-        handlers = {GossipRequest: peer.make_message, ReportsRequest: None}
+        handlers = {GossipRequest: peer.make_gossip, ReportsRequest: None}
         handler = handlers[type(message)] or (lambda: peer.answer_reports(message))
         encoded = encode_frame(Frame(100_000, message)), encode_frame(Frame(100_000, handler()))
         self.payload_bytes += sum(map(len, encoded))
@@ -84,7 +84,7 @@
         standing = Standing(timing, clock)
         log = ControlLog(log=None, standing=standing, members=view, timing=timing, clock=clock)
         view.apply(Membership(1, members))
-        view.is_informed = True
+        view.is_caught_up = True
         for number in range(reports):
             view.report_table.put(report(member(number), 1), 0.0)
         views[instance] = view
@@ -125,7 +125,7 @@
         if round_number >= WARM_UP_ROUNDS:
             for watched in list(views.values())[:20]:
                 alive += len(watched.live_members()) / nodes
-                heard_at = watched.majority_heard_at()
+                heard_at = watched.majority_contact_at()
                 standing_count += clock.now() - heard_at <= timing.standing_seconds
                 oldest = max(oldest, clock.now() - heard_at)
                 samples += 1
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -45,7 +45,7 @@
     'late first byte, 0.3 s': (Faults(first_byte_seconds=0.3), 0),
     'no first byte': (Faults(first_byte_seconds=5), 0),
     'trickled body, 0.5 s': (Faults(trickle_seconds=0.5), 0),
-    'half answers': (Faults(half_share=1), 0),
+    'half answers': (Faults(truncated_share=1), 0),
     'a fifth errors': (Faults(error_share=0.2), 0),
     'flapping, 5 s': (Faults(error_share=1, flap_seconds=5), 0),
     'path slow from one side': (Faults(), 0.5),
@@ -166,12 +166,12 @@
             node.server.faults = Faults(first_byte_seconds=0.3)
     await fleet.load(FAULT_SECONDS, **traffic)
     names = {node.member.instance for node in gray} if case.kind in KINDS else set()
-    found = [one.since for (_, name), one in fleet.history.items() if name in names]
+    found = [one.since for (_, name), one in fleet.first_ejections.items() if name in names]
     results = [one for one in fleet.results if one.at >= began]
     missed = [one for one in results if not one.good or one.seconds > TARGET_SECONDS]
     return Finding(
         seconds=min(found) - began if found else None,
-        false_ejections=sum(name not in names for _, name in fleet.history),
+        false_ejections=sum(name not in names for _, name in fleet.first_ejections),
         requests=len(results),
         missed=len(missed),
     )
--- a/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
@@ -29,7 +29,7 @@
 )
 from turmericwharf.coordination.configuration.control_fold import (
     fold_record,
-    judge_change,
+    evaluate_change,
     merge_change,
 )
 from turmericwharf.coordination.configuration.control_log import (
@@ -90,7 +90,7 @@
 from turmericwharf.coordination.configuration.object_references import (
     FIELDS_BY_KIND,
     find_object,
-    find_user,
+    find_referrer,
     objects_by_name,
 )
 from turmericwharf.coordination.routing.outcome_counts import (
@@ -170,7 +170,7 @@
     read_newest_snapshot,
 )
 from turmericwharf.coordination.configuration.snapshots import (
-    SnapshotKeeper,
+    SnapshotWriter,
 )
 from turmericwharf.coordination.membership.standing import (
     Standing,
@@ -235,7 +235,7 @@
     'ShareLoans',
     'SlotView',
     'SnapshotCodec',
-    'SnapshotKeeper',
+    'SnapshotWriter',
     'Standing',
     'TypicalTimes',
     'WallClock',
@@ -248,13 +248,13 @@
     'fill_bucket',
     'find_object',
     'find_problems',
-    'find_user',
+    'find_referrer',
     'fingerprint_of',
     'fold_claim',
     'fold_record',
     'hold_seconds_of',
     'is_retryable',
-    'judge_change',
+    'evaluate_change',
     'merge_change',
     'not_run',
     'object_name',
--- a/packages/turmericwharf/src/turmericwharf/coordination/assembly.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/assembly.py
@@ -32,7 +32,7 @@
 from turmericwharf.coordination.routing.routing import Router
 from turmericwharf.coordination.execution.run_check import RunCheck
 from turmericwharf.coordination.rates.share_loans import ShareLoans
-from turmericwharf.coordination.configuration.snapshots import SnapshotKeeper
+from turmericwharf.coordination.configuration.snapshots import SnapshotWriter
 from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import Member, NodeSettings, ServiceId
 
@@ -125,7 +125,7 @@
         members=members,
         standing=standing,
         control_log=control_log,
-        snapshots=SnapshotKeeper(
+        snapshots=SnapshotWriter(
             log=ports.log,
             codec=ports.codec,
             control_log=control_log,
--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/change_checks.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/change_checks.py
@@ -8,7 +8,10 @@
 from typing import TypeAlias
 
 from turmericwharf.coordination.configuration.object_names import changed_objects, object_name
-from turmericwharf.coordination.configuration.object_references import find_user, objects_by_name
+from turmericwharf.coordination.configuration.object_references import (
+    find_referrer,
+    objects_by_name,
+)
 from turmericwharf.state import (
     Configuration,
     Key,
@@ -140,7 +143,7 @@
 def _(changed: Removal, context: _Context) -> Iterator[_Fault]:
     known = objects_by_name(changed.kind, context.before)
     yield from _reference_faults('name', changed.name, known)
-    user = find_user(changed.kind, changed.name, context.after)
+    user = find_referrer(changed.kind, changed.name, context.after)
     if user is not None:
         yield 'name', changed.name, f'an object that is not in use; {user} uses it'
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/control_fold.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/control_fold.py
@@ -80,7 +80,7 @@
     return _without_removed(record, merged)
 
 
-def judge_change(
+def evaluate_change(
     record: Publish,
     configuration: Configuration,
     version: int,
@@ -114,7 +114,7 @@
     configuration = state.configuration
     if record.publish_id in configuration.receipts_by_publish_id:
         return state
-    receipt, configuration = judge_change(record, configuration, offset)
+    receipt, configuration = evaluate_change(record, configuration, offset)
     receipts = {**configuration.receipts_by_publish_id, record.publish_id: receipt}
     if len(receipts) > _KEPT_RECEIPTS:
         receipts.pop(next(iter(receipts)))
--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/control_log.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/control_log.py
@@ -108,8 +108,8 @@
         self._state = state
         self._applied_at = self._clock.now()
         self._members.apply(state.membership)
-        self._standing.record_applied(state.version)
-        self._standing.record_majority(self._members.majority_heard_at())
+        self._standing.record_applied_version(state.version)
+        self._standing.record_majority_contact(self._members.majority_contact_at())
         if self._members.superseded_by is not None:
             self._standing.end()
         self._notify_waiting()
@@ -123,7 +123,7 @@
             else:
                 is_at_tail = await self._read_once(is_at_tail)
 
-    async def announce(
+    async def append_record(
         self,
         record: Joined | Left | Removed | SnapshotWritten,
     ) -> int | LogFailure:
@@ -185,7 +185,7 @@
         for stored in page.records:
             state = fold_record(state, stored)
             # Each membership in between counts when a membership is confirmed.
-            self._members.apply(state.membership, follows=True)
+            self._members.apply(state.membership, is_consecutive=True)
         # Records that could not be decoded also count, or they would be read again and again.
         version = max(state.version, page.next_offset - 1)
         if version > self._state.version:
@@ -193,7 +193,7 @@
             return False
         # An empty page means that the tail was reached at the moment of asking or later.
         self._standing.record_log_read(asked_at)
-        self._members.is_informed = True
+        self._members.is_caught_up = True
         self.is_ready = True
         self._notify_waiting()
         return True
--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/in_force.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/in_force.py
@@ -51,13 +51,13 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + _IN_FORCE_SECONDS
         while True:
-            in_force = await self.look(version)
+            in_force = await self.query_members(version)
             awaited = set(in_force.not_confirmed) & set(self._members.live_members())
             if (in_force.accepted and not awaited) or loop.time() > deadline:
                 return in_force
             await asyncio.sleep(_POLL_SECONDS)
 
-    async def look(self, version: int) -> InForce:
+    async def query_members(self, version: int) -> InForce:
         """Ask each member once."""
         members = sorted(self._members.membership.members_by_id)
         answers = await asyncio.gather(*(self._ask_version(one) for one in members))
--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/object_references.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/object_references.py
@@ -35,7 +35,7 @@
     return objects_by_name(ObjectKind(kind), configuration).get(rest)
 
 
-def find_user(kind: ObjectKind, name: str, configuration: Configuration) -> str | None:
+def find_referrer(kind: ObjectKind, name: str, configuration: Configuration) -> str | None:
     """Return the name of an object that refers to another, or None."""
     return next(_USERS_BY_KIND[kind](name, configuration), None)
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/publishing.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/publishing.py
@@ -1,6 +1,6 @@
 """Publishes operators' changes of the configuration."""
 
-from turmericwharf.coordination.configuration.control_fold import judge_change
+from turmericwharf.coordination.configuration.control_fold import evaluate_change
 from turmericwharf.coordination.configuration.control_log import ControlLog
 from turmericwharf.coordination.ports import Clock, LogService
 from turmericwharf.coordination.membership.standing import Standing
@@ -50,10 +50,10 @@
         self._timing = timing
         self._clock = clock
 
-    def judge(self, publish: Publish) -> PublishReceipt:
+    def dry_run(self, publish: Publish) -> PublishReceipt:
         """Return what would become of a change if it were the next record."""
         state = self._control_log.state
-        return judge_change(publish, state.configuration, state.version + 1)[0]
+        return evaluate_change(publish, state.configuration, state.version + 1)[0]
 
     async def publish(self, publish: Publish) -> PublishReceipt | PublishFailure:
         """Append a change and return what the log's order made of it.
@@ -88,7 +88,7 @@
             wait_seconds,
         )
         receipt = self._receipt_of(publish)
-        if receipt is not None or self.judge(publish).accepted:
+        if receipt is not None or self.dry_run(publish).accepted:
             return receipt
         # Only the whole log tells that the change was not appended and cannot be accepted.
         is_whole = await self._control_log.wait_until(
@@ -99,7 +99,7 @@
         return self._receipt_of(publish) or rejection
 
     def _rejection_of(self, publish: Publish) -> PublishReceipt | None:
-        judged = self.judge(publish)
+        judged = self.dry_run(publish)
         return None if judged.accepted else judged
 
     async def _wait_for_receipt(self, publish: Publish) -> PublishReceipt | None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/snapshots.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/snapshots.py
@@ -27,7 +27,7 @@
 _RETRY_SECONDS = 1.0
 
 
-class SnapshotKeeper:
+class SnapshotWriter:
     """Appends a snapshot when the last one is old; two nodes that do it at once do no harm.
 
     Parameters
@@ -89,4 +89,4 @@
                 return False
         logger.bind(version=state.version).info('snapshot_written')
         record = SnapshotWritten(snapshot, state.version, written_at)
-        return not isinstance(await self._control_log.announce(record), LogFailure)
+        return not isinstance(await self._control_log.append_record(record), LogFailure)
--- a/packages/turmericwharf/src/turmericwharf/coordination/membership/gossip.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/gossip.py
@@ -74,9 +74,9 @@
                 if peer is not None:
                     pulls.create_task(self.pull(peer))
                 # The jitter keeps the rounds of nodes that start together apart.
-                await asyncio.sleep(self.pull_seconds() * random.uniform(0.8, 1.2))
+                await asyncio.sleep(self.pull_interval_seconds() * random.uniform(0.8, 1.2))
 
-    def pull_seconds(self) -> float:
+    def pull_interval_seconds(self) -> float:
         """Return the time between two questions.
 
         They are spread evenly: knowledge that comes with one goes on with the next, so it
@@ -113,25 +113,25 @@
             return
         await self.receive(answer, asked_at)
 
-    def send_to_all(self) -> None:
+    def broadcast_local_report(self) -> None:
         """Send the own report to every peer, for news that must not wait for the next rounds."""
         own = self._members.report_table.get(self._members.own.instance)
         if own is not None:
             for peer in self._members.peers():
                 self._links.notify(peer, Reports((own,)))
 
-    def make_message(self) -> Gossip:
+    def make_gossip(self) -> Gossip:
         """Return the answer to a peer that asks."""
         now = self._clock.now()
         members = self._members
         ages = bytes(
-            _encode_age(now - members.vouched_at(instance))
+            _encode_age(now - members.quorum_contact_at(instance))
             for instance in members.ordered_instances
         )
         return Gossip(
             instance=members.own.instance,
             incarnation=members.own.incarnation,
-            informed=members.is_informed,
+            informed=members.is_caught_up,
             membership_version=members.membership.version,
             ages=ages,
             newest_version=self._standing.newest_version,
@@ -144,7 +144,7 @@
     def answer_reports(self, request: ReportsRequest) -> Reports:
         """Return the reports in which the asking peer differs."""
         table = self._members.report_table
-        return Reports(table.differing(request.bucket_digests, _EXCHANGE_COUNT))
+        return Reports(table.reports_differing_from(request.bucket_digests, _EXCHANGE_COUNT))
 
     def merge_reports(self, reports: tuple[ServerReport, ...]) -> None:
         """Take over the reports that are newer than the known ones."""
@@ -166,7 +166,7 @@
             self._merge_introduction(introduction, asked_at)
         self.merge_reports(message.reports)
         self._members.settling.confirm(message.confirmed_version)
-        self._standing.record_named(message.newest_version)
+        self._standing.record_peer_version(message.newest_version)
         self.refresh_standing()
         if message.newest_version > self._control_log.state.version:
             await self._fetch_snapshot(message.instance)
@@ -175,10 +175,10 @@
     def refresh_standing(self) -> None:
         """Work out the votes of a majority, and whether they inform a new incarnation."""
         self._check_own_slot()
-        self._standing.record_majority(self._members.majority_heard_at())
-        if self._standing.has_standing and not self._members.is_informed:
+        self._standing.record_majority_contact(self._members.majority_contact_at())
+        if self._standing.has_standing and not self._members.is_caught_up:
             # The state of a majority without this node holds every version in force at one.
-            self._members.is_informed = True
+            self._members.is_caught_up = True
             self._control_log.is_ready = True
 
     def _check_own_slot(self) -> None:
@@ -189,23 +189,26 @@
         members = self._members
         is_same = message.membership_version == members.membership.version
         if message.informed:
-            members.record_heard(message.instance, asked_at, vouched=is_same)
+            members.record_contact(message.instance, asked_at, counts_for_quorum=is_same)
         if not is_same:
             return
         for instance, age in zip(members.ordered_instances, message.ages, strict=False):
             if age < _AGE_UNKNOWN and instance != members.own.instance:
-                members.record_heard(instance, asked_at - age * _AGE_UNIT_SECONDS, vouched=True)
+                members.record_contact(
+                    instance, asked_at - age * _AGE_UNIT_SECONDS, counts_for_quorum=True
+                )
 
     def _make_introductions(self, now: float) -> tuple[Introduction, ...]:
         members = self._members
-        live = [one for one in members.introduced() if members.is_alive(one.instance)]
+        live = [one for one in members.introduced_members() if members.is_alive(one.instance)]
         chosen = random.sample(live, min(len(live), _INTRODUCTION_COUNT))
         introductions = [
-            Introduction(one, _encode_age(now - members.heard_at(one.instance))) for one in chosen
+            Introduction(one, _encode_age(now - members.last_contact_at(one.instance)))
+            for one in chosen
         ]
         if not members.is_joined:
             # An uninformed node is named, so that its predecessor stops, but gets no work yet.
-            own_age = 1 if members.is_informed else _AGE_UNKNOWN
+            own_age = 1 if members.is_caught_up else _AGE_UNKNOWN
             introductions.append(Introduction(members.own, own_age))
         return tuple(introductions)
 
@@ -214,8 +217,8 @@
         if not self.introduce(member) or member.instance == self._members.own.instance:
             return
         if introduction.age < _AGE_UNKNOWN:
-            heard_at = asked_at - introduction.age * _AGE_UNIT_SECONDS
-            self._members.record_heard(member.instance, heard_at)
+            last_contact_at = asked_at - introduction.age * _AGE_UNIT_SECONDS
+            self._members.record_contact(member.instance, last_contact_at)
 
     async def _compare_reports(self, message: Gossip) -> None:
         table = self._members.report_table
--- a/packages/turmericwharf/src/turmericwharf/coordination/membership/joining.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/joining.py
@@ -52,7 +52,7 @@
 
     async def _join_by_log(self) -> None:
         # A node that was removed while it was silent joins again in the same way.
-        answer = await self._control_log.announce(Joined(self._members.own))
+        answer = await self._control_log.append_record(Joined(self._members.own))
         if isinstance(answer, LogFailure):
             logger.bind(detail=answer.detail).debug('join_not_confirmed')
         await self._control_log.wait_until(lambda: self._members.is_joined, _IN_FORCE_SECONDS)
@@ -66,7 +66,7 @@
 
     async def _meet_seeds(self) -> None:
         for seed in self._settings.seeds:
-            met = await self._links.meet(seed)
+            met = await self._links.connect_to_seed(seed)
             if isinstance(met, Member):
                 self._gossiper.introduce(met)
             else:
--- a/packages/turmericwharf/src/turmericwharf/coordination/membership/membership.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/membership.py
@@ -26,7 +26,7 @@
 class _Sign:
     """When a peer was last known to be alive, and since when without a gap."""
 
-    heard_at: float
+    last_contact_at: float
     alive_since: float
 
 
@@ -46,14 +46,14 @@
     def __init__(self, own: Member, timing: TimingSettings, clock: Clock) -> None:
         super().__init__(own, timing, clock)
         self.settling = MembershipSettling(own, timing, clock)
-        self.is_informed = False
+        self.is_caught_up = False
         self.report_table = ReportTable()
         self._signs_by_id: dict[InstanceId, _Sign] = {}
         self._unreachable_at_by_id: dict[InstanceId, float] = {}
         # Signs of life given while both sides knew the membership in force here.
         self._vouched_at_by_id: dict[InstanceId, float] = {}
 
-    def apply(self, membership: Membership, *, follows: bool = False) -> None:
+    def apply(self, membership: Membership, *, is_consecutive: bool = False) -> None:
         """Take over a newer membership from the log or from a peer.
 
         Parameters
@@ -65,7 +65,7 @@
             return
         before = {peer: self.find_member(peer) for peer in self.peers()}
         super().apply(membership)
-        self.settling.take_over(membership, follows=follows)
+        self.settling.take_over(membership, is_consecutive=is_consecutive)
         # A majority of this membership is heard only through signs given under it. Otherwise
         # majorities of two memberships that share no node could both vouch.
         self._vouched_at_by_id.clear()
@@ -81,16 +81,18 @@
             self._forget_incarnation(member.instance)
         return is_latest
 
-    def introduced(self) -> list[Member]:
+    def introduced_members(self) -> list[Member]:
         """Return the nodes that the log does not name; those long silent are dropped."""
         silent_since = self._clock.now() - self._timing.removal_seconds
         for instance, introduced_at in tuple(self._introduced_at_by_id.items()):
-            if max(introduced_at, self.heard_at(instance)) < silent_since:
+            if max(introduced_at, self.last_contact_at(instance)) < silent_since:
                 self._forget_introduction(instance)
                 self._forget_incarnation(instance)
         return list(self._introduced_by_id.values())
 
-    def record_heard(self, instance: InstanceId, heard_at: float, *, vouched: bool = False) -> None:
+    def record_contact(
+        self, instance: InstanceId, last_contact_at: float, *, counts_for_quorum: bool = False
+    ) -> None:
         """Note that an instance was alive at a moment on the own clock.
 
         Parameters
@@ -98,14 +100,14 @@
         vouched
             Whether the instance knew the membership in force here and was informed.
         """
-        sign = self._signs_by_id.get(instance) or _Sign(_NEVER, heard_at)
-        if heard_at > sign.heard_at:
-            is_gap = heard_at - sign.heard_at > self._timing.alive_seconds
-            alive_since = heard_at if is_gap else sign.alive_since
-            self._signs_by_id[instance] = _Sign(heard_at, alive_since)
-        if vouched:
+        sign = self._signs_by_id.get(instance) or _Sign(_NEVER, last_contact_at)
+        if last_contact_at > sign.last_contact_at:
+            is_gap = last_contact_at - sign.last_contact_at > self._timing.alive_seconds
+            alive_since = last_contact_at if is_gap else sign.alive_since
+            self._signs_by_id[instance] = _Sign(last_contact_at, alive_since)
+        if counts_for_quorum:
             latest = self._vouched_at_by_id.get(instance, _NEVER)
-            self._vouched_at_by_id[instance] = max(latest, heard_at)
+            self._vouched_at_by_id[instance] = max(latest, last_contact_at)
 
     def record_unreachable(self, instance: InstanceId) -> None:
         """Note that no connection to an instance could be made just now.
@@ -115,36 +117,36 @@
         """
         self._unreachable_at_by_id[instance] = self._clock.now()
 
-    def heard_at(self, instance: InstanceId) -> float:
+    def last_contact_at(self, instance: InstanceId) -> float:
         """Return the latest moment at which an instance is known to have been alive."""
         if instance == self.own.instance:
             return self._clock.now()
         sign = self._signs_by_id.get(instance)
-        return sign.heard_at if sign else _NEVER
+        return sign.last_contact_at if sign else _NEVER
 
-    def vouched_at(self, instance: InstanceId) -> float:
+    def quorum_contact_at(self, instance: InstanceId) -> float:
         """Return the latest sign of life that counts towards a majority."""
         if instance == self.own.instance:
-            return self._clock.now() if self.is_informed else _NEVER
+            return self._clock.now() if self.is_caught_up else _NEVER
         return self._vouched_at_by_id.get(instance, _NEVER)
 
     def is_alive(self, instance: InstanceId) -> bool:
         """Whether an instance was heard from lately, and after the last failure to connect."""
-        heard_at = self.heard_at(instance)
-        if heard_at <= self._unreachable_at_by_id.get(instance, _NEVER):
+        last_contact_at = self.last_contact_at(instance)
+        if last_contact_at <= self._unreachable_at_by_id.get(instance, _NEVER):
             return False
-        return self._clock.now() - heard_at <= self._timing.alive_seconds
+        return self._clock.now() - last_contact_at <= self._timing.alive_seconds
 
     def live_members(self) -> list[InstanceId]:
         """Return the members that were heard from lately."""
         return [one for one in self._membership.members_by_id if self.is_alive(one)]
 
-    def majority_heard_at(self) -> float:
+    def majority_contact_at(self) -> float:
         """Return the moment since which a majority of the members vouched."""
-        moments = sorted((self.vouched_at(one) for one in self._ordered), reverse=True)
+        moments = sorted((self.quorum_contact_at(one) for one in self._ordered), reverse=True)
         return moments[len(moments) // 2] if moments else _NEVER
 
-    def hears_majority(self) -> bool:
+    def has_live_majority(self) -> bool:
         """Whether a majority of the members is alive, under whichever membership they know."""
         return 2 * len(self.live_members()) > len(self._ordered)
 
@@ -166,15 +168,15 @@
         """Return the latest report of each instance."""
         return self.report_table.reports()
 
-    def servers_of(self, service: ServiceId) -> list[ServerReport]:
+    def live_servers_for(self, service: ServiceId) -> list[ServerReport]:
         """Return the reports of a service's backend servers whose nodes are alive."""
         return [
             report
-            for report in self.report_table.of_service(service)
+            for report in self.report_table.for_service(service)
             if self.is_alive(report.instance)
         ]
 
-    def beliefs(self) -> dict[InstanceId, PeerBelief]:
+    def dump_peers(self) -> dict[InstanceId, PeerBelief]:
         """Return what the node believes of each peer."""
         members_by_id = {peer: self.find_member(peer) for peer in self.peers()}
         return {
@@ -189,17 +191,17 @@
         alive = self.is_alive(member.instance)
         since = None
         if sign is not None:
-            silent_from = sign.heard_at + self._timing.alive_seconds
+            silent_from = sign.last_contact_at + self._timing.alive_seconds
             changed_at = sign.alive_since if alive else silent_from
             since = now - changed_at
-        vouched_at = self._vouched_at_by_id.get(member.instance)
+        quorum_contact_at = self._vouched_at_by_id.get(member.instance)
         return PeerBelief(
             member=member,
             by_log=self._membership.members_by_id.get(member.instance) == member,
             alive=alive,
             since_seconds=since,
-            heard_seconds_ago=None if sign is None else now - sign.heard_at,
-            vouched_seconds_ago=None if vouched_at is None else now - vouched_at,
+            heard_seconds_ago=None if sign is None else now - sign.last_contact_at,
+            vouched_seconds_ago=None if quorum_contact_at is None else now - quorum_contact_at,
         )
 
     def _forget_incarnation(self, instance: InstanceId) -> None:
@@ -210,14 +212,16 @@
 
 @describe.register
 def _(part: MembershipView) -> MembersDump:
-    now = part.heard_at(part.own.instance)
+    now = part.last_contact_at(part.own.instance)
     members_by_id = part.membership.members_by_id
     return MembersDump(
         own=part.own,
         membership_version=part.membership.version,
         is_settled=part.settling.is_settled,
         members_by_id=members_by_id,
-        heard_seconds_by_id={one: seconds_since(now, part.heard_at(one)) for one in members_by_id},
-        beliefs_by_id=part.beliefs(),
+        heard_seconds_by_id={
+            one: seconds_since(now, part.last_contact_at(one)) for one in members_by_id
+        },
+        beliefs_by_id=part.dump_peers(),
         reports=tuple(part.reports()),
     )
--- a/packages/turmericwharf/src/turmericwharf/coordination/membership/removal.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/removal.py
@@ -42,9 +42,9 @@
         """Look for silent members for as long as the node runs."""
         while True:
             await asyncio.sleep(_POLL_SECONDS)
-            await self.remove_one()
+            await self.remove_most_overdue()
 
-    async def remove_one(self) -> Member | None:
+    async def remove_most_overdue(self) -> Member | None:
         """Remove the member that is overdue for longest; return it if there is one."""
         self._refresh_attention()
         overdue = self._overdue_members()
@@ -54,7 +54,7 @@
         member = min(overdue, key=lambda one: self._last_sign_of(one.instance))
         logger.bind(instance=member.instance).info('member_removed')
         version = self._members.membership.version
-        answer = await self._control_log.announce(
+        answer = await self._control_log.append_record(
             Removed(member.instance, member.incarnation, self._members.own.instance, version),
         )
         if isinstance(answer, LogFailure):
@@ -64,7 +64,7 @@
     def _refresh_attention(self) -> None:
         now = self._clock.now()
         was_paused = now - self._checked_at > self._timing.standing_seconds
-        if was_paused or not self._standing.has_log or not self._members.hears_majority():
+        if was_paused or not self._standing.has_log or not self._members.has_live_majority():
             self._attentive_since = now
         self._checked_at = now
 
@@ -90,4 +90,4 @@
 
     def _last_sign_of(self, instance: InstanceId) -> float:
         # A member that was never heard from is given the removal time from its join on.
-        return max(self._members.first_seen_at(instance), self._members.heard_at(instance))
+        return max(self._members.first_seen_at(instance), self._members.last_contact_at(instance))
--- a/packages/turmericwharf/src/turmericwharf/coordination/membership/report_table.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/report_table.py
@@ -48,7 +48,7 @@
         """Return all reports."""
         return self._reports_by_id.values()
 
-    def of_service(self, service: ServiceId) -> Collection[ServerReport]:
+    def for_service(self, service: ServiceId) -> Collection[ServerReport]:
         """Return the reports of one service's backend servers."""
         return self._reports_by_service.get(service, {}).values()
 
@@ -56,8 +56,8 @@
         """Replace the report of an instance."""
         self.discard(report.instance)
         self._reports_by_id[report.instance] = report
-        of_service = self._reports_by_service.setdefault(report.service, {})
-        of_service[report.instance] = report
+        for_service = self._reports_by_service.setdefault(report.service, {})
+        for_service[report.instance] = report
         self._changed_at_by_id[report.instance] = changed_at
         self._toggle(report)
 
@@ -73,10 +73,10 @@
         """Return the reports that changed after a moment, the latest first, at most `limit`."""
         return tuple(self._iterate_changed(moment, limit))
 
-    def differing(self, bucket_digests: bytes, limit: int) -> tuple[ServerReport, ...]:
+    def reports_differing_from(self, bucket_digests: bytes, limit: int) -> tuple[ServerReport, ...]:
         """Return reports of the buckets whose digests differ, at most `limit`."""
         own = self.bucket_digests
-        differing = {
+        reports_differing_from = {
             number
             for number in range(BUCKET_COUNT)
             if _part(own, number) != _part(bucket_digests, number)
@@ -84,7 +84,7 @@
         chosen = [
             report
             for report in self._reports_by_id.values()
-            if _bucket_of(report.instance) in differing
+            if _bucket_of(report.instance) in reports_differing_from
         ]
         return tuple(chosen[:limit])
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/membership/standing.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/standing.py
@@ -72,21 +72,21 @@
         """Note that the whole log up to the moment `asked_at` was read."""
         self._log_read_at = max(self._log_read_at, asked_at)
 
-    def record_applied(self, version: int) -> None:
+    def record_applied_version(self, version: int) -> None:
         """Note the control version that the node applies."""
         self._applied_version = max(self._applied_version, version)
 
-    def record_named(self, version: int) -> None:
+    def record_peer_version(self, version: int) -> None:
         """Note a control version that a peer names."""
         self._newest_version = max(self._newest_version, version)
 
-    def record_majority(self, heard_at: float) -> None:
+    def record_majority_contact(self, last_contact_at: float) -> None:
         """Note the moment since which a majority of the membership in force vouched.
 
         The moment may be earlier than the one noted before: a new membership asks for the
         votes of a majority of its own.
         """
-        self._majority_heard_at = heard_at
+        self._majority_heard_at = last_contact_at
 
     def end(self) -> None:
         """Note that another incarnation runs in the node's slot; standing never returns."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/node.py
@@ -20,7 +20,7 @@
 from turmericwharf.coordination.membership.removal import Remover
 from turmericwharf.coordination.routing.retries import RetryBudget
 from turmericwharf.coordination.routing.routing import Router
-from turmericwharf.coordination.configuration.snapshots import SnapshotKeeper
+from turmericwharf.coordination.configuration.snapshots import SnapshotWriter
 from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import NodeSettings
 
@@ -34,7 +34,7 @@
     members: MembershipView
     standing: Standing
     control_log: ControlLog
-    snapshots: SnapshotKeeper
+    snapshots: SnapshotWriter
     gossiper: Gossiper
     joiner: Joiner
     remover: Remover
--- a/packages/turmericwharf/src/turmericwharf/coordination/ports.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/ports.py
@@ -85,7 +85,7 @@
             `LinkFailure` only if no byte of the message was written.
         """
 
-    async def meet(self, seed: SeedSettings) -> Member | LinkFailure:
+    async def connect_to_seed(self, seed: SeedSettings) -> Member | LinkFailure:
         """Connect to a seed and return the authenticated node that listens there."""
 
     def notify(self, instance: InstanceId, message: Message) -> None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/settling.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/settling.py
@@ -92,10 +92,10 @@
         removed = [one for one, version in self._removed_version_by_id.items() if version > settled]
         return [*self._membership.members_by_id, *removed]
 
-    def take_over(self, membership: Membership, *, follows: bool) -> None:
+    def take_over(self, membership: Membership, *, is_consecutive: bool) -> None:
         """Take over a newer membership; `follows` if none between it and the present was missed."""
         self._replace(membership)
-        if follows:
+        if is_consecutive:
             self._unconfirmed = (*self._unconfirmed, membership)
             return
         self._unconfirmed = (membership,)
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/routing.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/routing.py
@@ -135,7 +135,7 @@
 
     def receive_hint(self, hint: OutlierHint) -> None:
         """Note that a peer ejected a server."""
-        reports = self._members.servers_of(hint.service)
+        reports = self._members.live_servers_for(hint.service)
         if _is_among(reports, hint.instance):
             self._detector.record_hint(hint)
 
@@ -156,7 +156,7 @@
         )
 
     def _ready(self, service: ServiceId) -> list[ServerReport]:
-        reports = self._members.servers_of(service)
+        reports = self._members.live_servers_for(service)
         self._detector.review(service, reports)
         return [report for report in reports if report.state is ServerState.READY]
 
--- a/packages/turmericwharf/src/turmericwharf/protocol/dispatch.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/dispatch.py
@@ -100,7 +100,7 @@
 
 @handle_message.register
 async def _(message: GossipRequest, node: Node) -> Gossip:
-    return node.gossiper.make_message()
+    return node.gossiper.make_gossip()
 
 
 @handle_message.register
--- a/packages/turmericwharf/src/turmericwharf/transport/operator_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/operator_server.py
@@ -96,7 +96,7 @@
 
     async def _show_in_force(self, exchange: HttpExchange, operator: str) -> HttpAnswer:
         version = self._node.control_log.configuration.version
-        return to_page(await self._node.in_force.look(version))
+        return to_page(await self._node.in_force.query_members(version))
 
     async def _show_metrics(self, exchange: HttpExchange, operator: str) -> HttpAnswer:
         return render_metrics(self._node)
@@ -105,7 +105,7 @@
         change = decode_change(exchange.body, operator)
         if isinstance(change, PublishFailure):
             return to_page(change)
-        receipt = self._node.publisher.judge(change)
+        receipt = self._node.publisher.dry_run(change)
         return to_page(receipt) if receipt.accepted else show_rejection(receipt)
 
     async def _publish(self, exchange: HttpExchange, operator: str) -> HttpAnswer:
@@ -129,7 +129,7 @@
                 'has_log': self._node.standing.has_log,
                 'membership': members.membership,
                 'live_members': members.live_members(),
-                'informed': members.is_informed,
+                'informed': members.is_caught_up,
                 'superseded_by': members.superseded_by,
                 'reports': list(members.reports()),
                 'rates': self._node.limiter.counters(),
--- a/packages/turmericwharf/src/turmericwharf/transport/peer_link.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/peer_link.py
@@ -221,7 +221,7 @@
             return PEER_UNREACHABLE
         return await link.request(message, timeout_seconds)
 
-    async def meet(self, seed: SeedSettings) -> Member | LinkFailure:
+    async def connect_to_seed(self, seed: SeedSettings) -> Member | LinkFailure:
         """Connect to a seed and return the authenticated node that listens there."""
         try:
             met = await self._meet(seed.host, seed.port)
--- a/packages/turmericwharf/src/turmericwharf/transport/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/process.py
@@ -128,7 +128,7 @@
         started_at = loop.time()
         self.node.executor.drain()
         # Peers must not learn from a later gossip round that this server takes no work.
-        self.node.gossiper.send_to_all()
+        self.node.gossiper.broadcast_local_report()
         await self._callers.drain()
         shutdown_seconds = self._settings.limits.shutdown_seconds
         deadline = started_at + max(shutdown_seconds - _STOP_SECONDS, _LINGER_SECONDS)
@@ -140,7 +140,7 @@
         self._callers.abort()
         await _wait_while(lambda: bool(self._callers.in_progress), deadline + _ABORT_SECONDS)
         own = self.node.members.own
-        await self.node.control_log.announce(Left(own.instance, own.incarnation))
+        await self.node.control_log.append_record(Left(own.instance, own.incarnation))
 
     def _is_busy(self) -> bool:
         node = self.node
--- a/tests/coordination/claims/test_claim_ledger.py
+++ b/tests/coordination/claims/test_claim_ledger.py
@@ -34,7 +34,7 @@
 async def test_one_grant_for_each_key_with_lost_answers_and_two_coordinators(seed):
     """Guards against two claimers that are both told that they came first."""
     log, clock = MemoryLog(seed), ManualClock()
-    log.lose, log.fail, log.fail_reads = 0.3, 0.1, 0.2
+    log.lost_append_share, log.failed_append_share, log.failed_read_share = 0.3, 0.1, 0.2
     ledgers = [_ledger(log, clock), _ledger(log, clock)]
     granted_by_key: dict[str, list] = {}
 
@@ -64,7 +64,7 @@
     assert all(isinstance(one, ClaimGranted) for one in answers)
     # The clock stands still, so that only the first turn and one more can have come.
     assert log.appends <= 2
-    assert log.most_in_flight == 1
+    assert log.max_in_flight == 1
 
 
 async def test_outcome_is_waited_for_and_a_released_key_is_free():
--- a/tests/coordination/claims/test_claims.py
+++ b/tests/coordination/claims/test_claims.py
@@ -49,13 +49,13 @@
     """Guards against a key that stays taken because one append failed."""
     setup = Setup()
     assert isinstance(await setup.claim('first'), ClaimGranted)
-    setup.log.fail = 1.0
+    setup.log.failed_append_share = 1.0
     setup.claims.release(ClaimReference('key', 'first'))
     await asyncio.sleep(0.4)
-    setup.log.fail = 0
+    setup.log.failed_append_share = 0
     await setup.wait_until_recorded()
     assert isinstance(await setup.claim('second'), ClaimGranted)
-    setup.log.lose = 1.0
+    setup.log.lost_append_share = 1.0
     setup.claims.finish(ClaimReference('key', 'second'), Answered(201, (), b'done'))
     await setup.wait_until_recorded()
     records = setup.log.records_by_stream[f'claims-{partition_of("key")}']
@@ -66,9 +66,9 @@
 async def test_claim_without_an_answer_holds_the_key_for_nobody():
     """Guards against a key that stays taken by a request that was refused."""
     setup = Setup()
-    setup.log.fail_reads = 1.0
+    setup.log.failed_read_share = 1.0
     assert isinstance(await setup.claim('refused'), ClaimFailed)
-    setup.log.fail_reads = 0
+    setup.log.failed_read_share = 0
     await setup.wait_until_recorded()
     assert isinstance(await setup.claim('next'), ClaimGranted)
 
--- a/tests/coordination/configuration/test_snapshots.py
+++ b/tests/coordination/configuration/test_snapshots.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from tests.coordination.configuration.test_control_fold import start
-from turmericwharf.coordination import SnapshotKeeper, read_newest_snapshot
+from turmericwharf.coordination import SnapshotWriter, read_newest_snapshot
 from turmericwharf.protocol import SnapshotEncoding
 from turmericwharf.protocol import snapshots as encoding
 from turmericwharf.state import (
@@ -46,7 +46,7 @@
     state: ControlState
     is_ready: bool = True
 
-    async def announce(self, record):
+    async def append_record(self, record):
         return await self.log.append(CONTROL_STREAM, (record,))
 
 
@@ -56,7 +56,7 @@
 
 
 def make_keeper(log, state, *, now=0.0, has_log=True):
-    return SnapshotKeeper(
+    return SnapshotWriter(
         log=log,
         codec=SnapshotEncoding(),
         control_log=FakeControlLog(log, state),
--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -24,7 +24,7 @@
     TimingSettings,
 )
 
-AWAY = LogFailure(Reason.LOG_UNAVAILABLE, 'away')
+LOG_FAILURE = LogFailure(Reason.LOG_UNAVAILABLE, 'away')
 
 
 class ManualClock:
@@ -40,30 +40,30 @@
 
     def __init__(self, seed: int = 0) -> None:
         self.random = random.Random(seed)
-        self.lose = self.fail = self.fail_reads = 0.0
+        self.lost_append_share = self.failed_append_share = self.failed_read_share = 0.0
         self.records_by_stream: dict[str, list] = {}
         self.appends = 0
-        self.most_in_flight = 0
+        self.max_in_flight = 0
         self._in_flight = 0
 
     async def append(self, stream, records):
         self._in_flight += 1
-        self.most_in_flight = max(self.most_in_flight, self._in_flight)
+        self.max_in_flight = max(self.max_in_flight, self._in_flight)
         await asyncio.sleep(self.random.random() / 500)
         self._in_flight -= 1
-        if self.random.random() < self.fail:
-            return AWAY
+        if self.random.random() < self.failed_append_share:
+            return LOG_FAILURE
         stored = self.records_by_stream.setdefault(stream, [])
         first = len(stored)
         stored.extend(StoredRecord(first + place, one) for place, one in enumerate(records))
         self.appends += 1
         await asyncio.sleep(self.random.random() / 500)
-        return AWAY if self.random.random() < self.lose else first
+        return LOG_FAILURE if self.random.random() < self.lost_append_share else first
 
     async def read(self, stream, *, offset, wait_seconds):
         await asyncio.sleep(self.random.random() / 500)
-        if self.random.random() < self.fail_reads:
-            return AWAY
+        if self.random.random() < self.failed_read_share:
+            return LOG_FAILURE
         stored = self.records_by_stream.get(stream, [])
         return LogPage(tuple(stored[offset:]), 0, max(offset, len(stored)))
 
--- a/tests/coordination/membership/test_gossip.py
+++ b/tests/coordination/membership/test_gossip.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.coordination.membership.test_standing import NAMES, STANDING_SECONDS, TIMING, started
+from tests.coordination.membership.test_standing import NAMES, STANDING_SECONDS, TIMING, start_fleet
 from tests.virtual_fleet import VirtualFleet, run_virtual
 from turmericwharf.state import ServerState, ServiceId
 
@@ -15,7 +15,7 @@
     own = fleet.nodes[name].members.own
     return all(
         (own.instance, own.incarnation)
-        in {(one.instance, one.incarnation) for one in node.members.servers_of(SERVICE)}
+        in {(one.instance, one.incarnation) for one in node.members.live_servers_for(SERVICE)}
         for node in fleet.nodes.values()
     )
 
@@ -24,7 +24,7 @@
     """Guards against a slot that stays lost until the log is back."""
 
     async def run():
-        fleet = await started()
+        fleet = await start_fleet()
         fleet.log_away.update(NAMES)
         await asyncio.sleep(STANDING_SECONDS + 1)
         for name in ('a', 'd'):
@@ -63,7 +63,7 @@
     """Guards against a withdrawal undone when the nodes that knew of it are replaced."""
 
     async def run():
-        fleet = await started()
+        fleet = await start_fleet()
         fleet.cut_off('d', 'e')
         version = fleet.withdraw()
         knowing = [fleet.nodes[name].control_log for name in 'abc']
@@ -87,18 +87,18 @@
     """Guards against two incarnations that serve one slot."""
 
     async def run():
-        fleet = await started()
+        fleet = await start_fleet()
         old = fleet.nodes['a']
         old.executor.announce(SERVICE, 1, ServerState.READY)
-        report, answer = old.executor.report, old.gossiper.make_message()
+        report, answer = old.executor.report, old.gossiper.make_gossip()
         new = fleet.start('a')
         assert await fleet.wait(lambda: serves_incarnation(fleet, new.members.own.incarnation), 5)
         old.gossiper.introduce(new.members.own)
         assert not old.standing.has_standing
         peer = fleet.nodes['b']
-        heard_at = peer.members.heard_at('a')
+        last_contact_at = peer.members.last_contact_at('a')
         await peer.gossiper.receive(answer, asyncio.get_running_loop().time())
-        assert peer.members.heard_at('a') == heard_at
+        assert peer.members.last_contact_at('a') == last_contact_at
         assert not peer.members.record_report(report)
         fleet.close()
 
@@ -115,7 +115,7 @@
     """Guards against a server that stays unknown when the news of it was lost."""
 
     async def run():
-        fleet = await started()
+        fleet = await start_fleet()
         fleet.cuts.update((one, 'e') for one in NAMES[:4])
         fleet.nodes['a'].executor.announce(SERVICE, 1, ServerState.READY)
         await asyncio.sleep(10)
--- a/tests/coordination/membership/test_removal.py
+++ b/tests/coordination/membership/test_removal.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.coordination.membership.test_standing import NAMES, STANDING_SECONDS, TIMING, started
+from tests.coordination.membership.test_standing import NAMES, STANDING_SECONDS, TIMING, start_fleet
 from tests.virtual_fleet import run_virtual
 from turmericwharf.state import Removed
 
@@ -13,7 +13,7 @@
     """Guards against members that stay after a crash, and against one that stays removed."""
 
     async def run():
-        fleet = await started()
+        fleet = await start_fleet()
         fleet.cut_off('e')
         view = fleet.nodes['a'].members
         assert await fleet.wait(
@@ -37,7 +37,7 @@
     """Guards against a node that blames the others for its own silence."""
 
     async def run():
-        fleet = await started()
+        fleet = await start_fleet()
         # 'a' reads the log but hears nobody; 'b' comes back from a long pause.
         fleet.cuts.update((other, 'a') for other in NAMES[1:])
         fleet.paused.add('b')
--- a/tests/coordination/membership/test_report_table.py
+++ b/tests/coordination/membership/test_report_table.py
@@ -11,10 +11,10 @@
     table = ReportTable()
     first = ServerReport('node-1', 'a', 1, 'catalogue', 4, ServerState.READY)
     table.put(first, 0.0)
-    assert list(table.of_service('catalogue')) == [first]
+    assert list(table.for_service('catalogue')) == [first]
     second = dataclasses.replace(first, sequence=2, service='bookings')
     table.put(second, 1.0)
-    assert not table.of_service('catalogue')
-    assert list(table.of_service('bookings')) == [second]
+    assert not table.for_service('catalogue')
+    assert list(table.for_service('bookings')) == [second]
     table.discard('node-1')
-    assert not table.of_service('bookings')
+    assert not table.for_service('bookings')
--- a/tests/coordination/membership/test_standing.py
+++ b/tests/coordination/membership/test_standing.py
@@ -15,7 +15,7 @@
 STANDING_SECONDS = TIMING.standing_seconds
 
 
-async def started(seed: int = 1, names: tuple[str, ...] = NAMES) -> VirtualFleet:
+async def start_fleet(seed: int = 1, names: tuple[str, ...] = NAMES) -> VirtualFleet:
     fleet = VirtualFleet(seed, TIMING)
     for name in names:
         fleet.start(name)
@@ -66,7 +66,7 @@
     """Guards against a fleet that stops in a log outage, or a minority that goes on alone."""
 
     async def run():
-        fleet = await started()
+        fleet = await start_fleet()
         fault(fleet)
         await asyncio.sleep(STANDING_SECONDS + 0.01)
         for _moment in range(300):
@@ -82,7 +82,7 @@
     """Guards against a log that is read all the time and counts as away between two records."""
 
     async def run():
-        fleet = await started(names=('a',))
+        fleet = await start_fleet(names=('a',))
         fleet.delay_seconds = 0.1
         fleet.slow.add('a')
         for step in range(1200):
@@ -99,7 +99,7 @@
     """Guards against answers that wait behind a one-way cut and then make old ages look new."""
 
     async def run():
-        fleet = await started()
+        fleet = await start_fleet()
         fleet.log_away.update(NAMES)
         await asyncio.sleep(STANDING_SECONDS + 0.1)
         fleet.cuts.update((other, 'a') for other in NAMES[1:])
@@ -119,7 +119,7 @@
     """Guards against two removals at once, after which two groups could each have a majority."""
 
     async def run():
-        fleet = await started()
+        fleet = await start_fleet()
         # 'd' ranks first for the removal of both 'a' and 'e', so that nothing holds it back.
         fleet.cut_off('a', 'e')
         fleet.log_away.add('c')
@@ -146,7 +146,7 @@
     """Guards against a paused process that serves callers from before it noticed the pause."""
 
     async def run():
-        fleet = await started()
+        fleet = await start_fleet()
         fleet.paused.add('a')
         await asyncio.sleep(STANDING_SECONDS + 0.5)
         fleet.paused.clear()
@@ -166,7 +166,7 @@
     """
 
     async def run():
-        fleet = await started(seed)
+        fleet = await start_fleet(seed)
         chance = random.Random(seed)
         fleet.loss, fleet.delay_seconds = loss, delay_seconds
         victims = chance.sample(NAMES, chance.randint(1, 3))
--- a/tests/coordination/rates/test_settling.py
+++ b/tests/coordination/rates/test_settling.py
@@ -19,7 +19,7 @@
 def _settling(clock):
     own = Member('a', 'a-1', '127.0.0.1', 1, 'dc-1')
     settling = MembershipSettling(own, TimingSettings(), clock)
-    settling.take_over(_membership(0, 'abc'), follows=True)
+    settling.take_over(_membership(0, 'abc'), is_consecutive=True)
     settling.confirm(0)
     return settling
 
@@ -27,8 +27,8 @@
 def test_each_membership_since_the_last_confirmed_needs_a_majority():
     """Guards against a majority of the newest membership only: it may lack all older members."""
     settling = _settling(_Clock())
-    settling.take_over(_membership(1, 'abcde'), follows=True)
-    settling.take_over(_membership(2, 'ade'), follows=True)
+    settling.take_over(_membership(1, 'abcde'), is_consecutive=True)
+    settling.take_over(_membership(2, 'ade'), is_consecutive=True)
     assert not settling.is_confirmed_by(frozenset('ade'))
     assert settling.is_confirmed_by(frozenset('abde'))
 
@@ -36,7 +36,7 @@
 def test_state_with_a_gap_is_not_confirmed_here():
     """Guards against memberships that this node has not seen and cannot ask about."""
     settling = _settling(_Clock())
-    settling.take_over(_membership(5, 'abc'), follows=False)
+    settling.take_over(_membership(5, 'abc'), is_consecutive=False)
     assert not settling.is_confirmed_by(frozenset('abc'))
     assert not settling.is_settled
 
@@ -45,7 +45,7 @@
     """Guards against a share that is divided while the removed member still uses its part."""
     clock = _Clock()
     settling = _settling(clock)
-    settling.take_over(_membership(1, 'ab'), follows=True)
+    settling.take_over(_membership(1, 'ab'), is_consecutive=True)
     clock.moment += 1000
     assert sorted(settling.counted_members()) == ['a', 'b', 'c']
     settling.confirm(1)
--- a/tests/coordination/routing/test_outliers.py
+++ b/tests/coordination/routing/test_outliers.py
@@ -136,7 +136,7 @@
     [
         (Faults(first_byte_seconds=5), False),
         (Faults(trickle_seconds=0.5), False),
-        (Faults(half_share=1), False),
+        (Faults(truncated_share=1), False),
         (Faults(error_share=0.3), False),
         (Faults(), True),
     ],
@@ -148,13 +148,13 @@
     async def scenario() -> None:
         fleet = SimulatedFleet(6, slots=3, seed=3)
         await fleet.load(4, rate=60, slow_share=0.05)
-        assert not fleet.history
+        assert not fleet.first_ejections
         entry, gray = fleet.node(0).member.instance, fleet.node(1).member.instance
         fleet.node(1).server.faults = faults
         if delayed:
             fleet.delays[entry, gray] = 0.5
         await fleet.load(25, rate=60, slow_share=0.05)
-        ejections = fleet.history
+        ejections = fleet.first_ejections
         assert {server for _, server in ejections} == {gray}
         nodes = {node for node, _ in ejections}
         if delayed:
@@ -180,7 +180,7 @@
     async def harmed(outliers: OutlierSettings) -> int:
         fleet = SimulatedFleet(8, slots=3, seed=3, outliers=outliers)
         await fleet.load(10, rate=100)
-        fleet.node(0).server.faults = Faults(half_share=1)
+        fleet.node(0).server.faults = Faults(truncated_share=1)
         began = fleet.node(0).server.attempts
         await fleet.load(10, rate=100)
         return fleet.node(0).server.attempts - began
--- a/tests/coordination/routing/test_retries.py
+++ b/tests/coordination/routing/test_retries.py
@@ -8,7 +8,11 @@
 
 @pytest.mark.parametrize(
     'faults',
-    [Faults(half_share=1), Faults(half_share=1, first_byte_seconds=0.3), Faults(unreachable=True)],
+    [
+        Faults(truncated_share=1),
+        Faults(truncated_share=1, first_byte_seconds=0.3),
+        Faults(unreachable=True),
+    ],
     ids=['half answers', 'slow half answers', 'unreachable'],
 )
 def test_no_retry_storm_when_every_server_is_gray(faults):
--- a/tests/coordination/routing/test_routing.py
+++ b/tests/coordination/routing/test_routing.py
@@ -18,8 +18,8 @@
 
     async def scenario() -> None:
         fleet = SimulatedFleet(4, slots=3, seed=2)
-        fleet.node(2).server.faults = Faults(half_share=0.6)
-        fleet.node(3).server.faults = Faults(half_share=1)
+        fleet.node(2).server.faults = Faults(truncated_share=0.6)
+        fleet.node(3).server.faults = Faults(truncated_share=1)
         await fleet.load(20, rate=80, entries=1)
         router = fleet.node(0).router
         ejected = {one.instance: one for one in router.belief().ejections}
@@ -39,7 +39,7 @@
     """Guards against work for servers that cannot take it, and against herding onto one."""
 
     async def scenario() -> None:
-        fleet = SimulatedFleet(6, slots=3, seed=2, usual_seconds=0.05)
+        fleet = SimulatedFleet(6, slots=3, seed=2, median_seconds=0.05)
         report_state(fleet, 1, ServerState.COLD)
         report_state(fleet, 2, ServerState.DRAINING)
         await fleet.load(10, rate=150, entries=1)
@@ -62,7 +62,7 @@
     async def scenario() -> None:
         fleet = SimulatedFleet(4, slots=3, seed=2)
         gray = fleet.node(1)
-        gray.server.faults = Faults(half_share=1)
+        gray.server.faults = Faults(truncated_share=1)
         await fleet.load(10, rate=80, entries=1)
         first = fleet.node(0)
         assert [one.instance for one in first.router.belief().ejections] == ['node-1']
--- a/tests/coordination/sidecar/test_topic_follower.py
+++ b/tests/coordination/sidecar/test_topic_follower.py
@@ -1,6 +1,6 @@
 import asyncio
 
-from tests.coordination.fakes import AWAY
+from tests.coordination.fakes import LOG_FAILURE
 from tests.virtual_time import run_in_virtual_time
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.state.sidecar import HISTORY_GONE, KeyedPage, KeyedRecord, StoreTopic
@@ -58,7 +58,7 @@
 
 def test_lost_store_is_asked_less_and_less_often():
     """Calls to a store that is down are counted and priced like others."""
-    log = Log(*[AWAY] * 100)
+    log = Log(*[LOG_FAILURE] * 100)
     follower, _ = follow(log, 16)
     assert not follower.is_connected
     assert 8 <= len(log.calls) <= 30
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -50,7 +50,7 @@
 class Faults:
     first_byte_seconds: float = 0.0
     trickle_seconds: float = 0.0
-    half_share: float = 0.0
+    truncated_share: float = 0.0
     error_share: float = 0.0
     unreachable: bool = False
     flap_seconds: float = 0.0
@@ -64,9 +64,9 @@
 class FakeServer:
     """Answers in log-normal time; routes named `slow-...` take ten times as long."""
 
-    def __init__(self, generator: random.Random, usual_seconds: float) -> None:
+    def __init__(self, generator: random.Random, median_seconds: float) -> None:
         self.random = generator
-        self.usual_seconds = usual_seconds
+        self.median_seconds = median_seconds
         self.faults = Faults()
         self.attempts = 0
 
@@ -76,14 +76,14 @@
         if faults.unreachable:
             return NotRun(Reason.SERVER_UNREACHABLE)
         factor = 10 if order.target.startswith('/slow') else 1
-        first = self.random.lognormvariate(0, 0.4) * self.usual_seconds * factor
+        first = self.random.lognormvariate(0, 0.4) * self.median_seconds * factor
         first += faults.first_byte_seconds
         whole = first + faults.trickle_seconds
         if whole > remaining_seconds:
             await asyncio.sleep(max(remaining_seconds, 0))
             return OutcomeUnknown(Reason.ANSWER_TIMEOUT)
         await asyncio.sleep(whole)
-        if self.random.random() < faults.half_share:
+        if self.random.random() < faults.truncated_share:
             return OutcomeUnknown(Reason.ANSWER_INCOMPLETE)
         return Answered(
             status=500 if self.random.random() < faults.error_share else 200,
@@ -118,7 +118,7 @@
         asyncio.get_running_loop().call_later(PATH_SECONDS, receive, message)
 
 
-class NoCheck:
+class NoRunCheck:
     """Simulated requests come with no key that could be withdrawn."""
 
     def refusal(self, order: Any) -> None: ...
@@ -137,7 +137,7 @@
         self.executor = Executor(
             server=server,
             members=self.members,
-            check=NoCheck(),
+            check=NoRunCheck(),
             claims=None,
             limits=limits,
             clock=clock,
@@ -166,7 +166,7 @@
         slots: int,
         seed: int,
         floor: float = 0.5,
-        usual_seconds: float = 0.02,
+        median_seconds: float = 0.02,
         outliers: OutlierSettings | None = None,
         router: Callable[..., Any] = Router,
     ) -> None:
@@ -177,13 +177,13 @@
         self.delays: dict[tuple[InstanceId, InstanceId], float] = {}
         self.results: list[Result] = []
         # First ejection of each (entry node, backend server).
-        self.history: dict[tuple[InstanceId, InstanceId], Any] = {}
+        self.first_ejections: dict[tuple[InstanceId, InstanceId], Any] = {}
         logger.disable('turmericwharf.coordination.routing.dispatching')
         self.nodes: dict[InstanceId, SimulatedNode] = {}
         for number in range(servers):
             instance = InstanceId(f'node-{number}')
             member = Member(instance, IncarnationId(f'first-{number}'), '127.0.0.1', 1, 'dc')
-            server = FakeServer(random.Random(seed * 1000 + number), usual_seconds)
+            server = FakeServer(random.Random(seed * 1000 + number), median_seconds)
             self.nodes[instance] = SimulatedNode(self, member, server, router)
         members = {one.member.instance: one.member for one in self.nodes.values()}
         for node in self.nodes.values():
@@ -191,7 +191,7 @@
             node.executor.announce(SERVICE, slots, ServerState.READY)
         for node in self.nodes.values():
             for other in self.nodes.values():
-                node.members.record_heard(other.member.instance, 0)
+                node.members.record_contact(other.member.instance, 0)
                 node.members.record_report(other.executor.report)
 
     def node(self, number: int) -> SimulatedNode:
@@ -243,7 +243,7 @@
 
     async def _watch(self) -> None:
         while True:
-            self.history = {**self.ejections(), **self.history}
+            self.first_ejections = {**self.ejections(), **self.first_ejections}
             await asyncio.sleep(WATCH_SECONDS)
 
     def ejections(self) -> dict[tuple[InstanceId, InstanceId], Any]:
--- a/tests/simulated_rates.py
+++ b/tests/simulated_rates.py
@@ -149,7 +149,7 @@
             peer = gossiper.choose_peer()
             if peer is not None:
                 self.tasks.append(asyncio.create_task(gossiper.pull(peer)))
-            await self._sleep(gossiper.pull_seconds())
+            await self._sleep(gossiper.pull_interval_seconds())
 
     async def _confirm(self) -> None:
         while True:
--- a/tests/transport/test_peer_link.py
+++ b/tests/transport/test_peer_link.py
@@ -203,10 +203,10 @@
     """Guards against work for a killed node until its last sign of life is old."""
     async with linked(OWN, PEER) as links:
         members = links._members
-        members.record_heard(PEER.instance, BootClock().now())
+        members.record_contact(PEER.instance, BootClock().now())
         assert members.is_alive(PEER.instance)
         answer = await links.request(PEER.instance, GossipRequest(), timeout_seconds=2)
         assert isinstance(answer, LinkFailure)
         assert not members.is_alive(PEER.instance)
-        members.record_heard(PEER.instance, BootClock().now())
+        members.record_contact(PEER.instance, BootClock().now())
         assert members.is_alive(PEER.instance)
--- a/tests/transport/test_peer_server.py
+++ b/tests/transport/test_peer_server.py
@@ -165,10 +165,11 @@
             assert isinstance(answer, LinkFailure)
         async with linked(HEALTHY) as links:
             assert (
-                await links.meet(SeedSettings(SERVER.instance, SERVER.host, SERVER.port)) == SERVER
+                await links.connect_to_seed(SeedSettings(SERVER.instance, SERVER.host, SERVER.port))
+                == SERVER
             )
             assert isinstance(
-                await links.meet(
+                await links.connect_to_seed(
                     SeedSettings(SERVER.instance, SERVER.host, free_port(SERVER.host))
                 ),
                 LinkFailure,
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -199,7 +199,7 @@
             return PEER_TIMEOUT
         return decode_frame(answer).message
 
-    async def meet(self, seed):
+    async def connect_to_seed(self, seed):
         node = self._fleet.nodes.get(seed.instance)
         if node is None or not await self._fleet.carry(
             self._own.instance, node.members.own.instance
