--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/settling.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/settling.py
@@ -101,18 +101,18 @@
         ]
         return [*self._membership.members_by_id, *removed]
 
-    def apply_membership(self, membership: Membership, *, follows: bool) -> None:
+    def apply_membership(self, membership: Membership, *, is_consecutive: bool) -> None:
         """Replace the membership by a newer one.
 
         Parameters
         ----------
         membership
             The newer membership.
-        follows
+        is_consecutive
             Whether no version between the current membership and the newer one was missed.
         """
         self._replace(membership)
-        if follows:
+        if is_consecutive:
             self._unconfirmed = (*self._unconfirmed, membership)
             return
         self._unconfirmed = (membership,)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -7,16 +7,16 @@
 from turmericwharf.coordination.sidecar.admission import RequestChecks
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
-from turmericwharf.coordination.sidecar.bounds import BoundsInForce
+from turmericwharf.coordination.sidecar.bounds import ReloadableBounds
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.directory_relay import DirectoryRelay
-from turmericwharf.coordination.sidecar.fleet_entry import FleetEntry
+from turmericwharf.coordination.sidecar.entry_point import RequestEntryPoint
 from turmericwharf.coordination.sidecar.membership import FleetMembership
 from turmericwharf.coordination.sidecar.order_checks import OrderChecks
-from turmericwharf.coordination.sidecar.near_nodes import NearNodes
+from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.orders import OrderSender
-from turmericwharf.coordination.sidecar.own_entry import OwnEntryPublisher
+from turmericwharf.coordination.sidecar.local_entry import LocalEntryPublisher
 from turmericwharf.coordination.sidecar.ports import (
     ConfigurationDecoder,
     FleetLinks,
@@ -25,15 +25,15 @@
     NodeStore,
     ServerConnection,
 )
-from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders, QuotaKeeper
+from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders, QuotaLimiter
 from turmericwharf.coordination.sidecar.recovery import ServerRecovery
 from turmericwharf.coordination.sidecar.retry_allowance import RetryAllowance, RetryPool
-from turmericwharf.coordination.sidecar.server_choice import ServerChoice
+from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.coordination.sidecar.server_gate import ServerGate
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
-from turmericwharf.coordination.sidecar.version_spread import VersionSpread
+from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
 from turmericwharf.state.sidecar import (
     KeyedPage,
     NodeEntry,
@@ -67,20 +67,20 @@
     settings: SidecarSettings
     directory: NodeDirectory
     holder: ConfigurationHolder
-    entry: FleetEntry
+    entry: RequestEntryPoint
     gate: ServerGate
-    quota: QuotaKeeper
+    quota: QuotaLimiter
     allowance: RetryAllowance
     checks: OrderChecks
     record: ServerRecord
     announcements: AnnouncementService
-    publisher: OwnEntryPublisher
-    spread: VersionSpread
+    publisher: LocalEntryPublisher
+    spread: ConfigurationSync
     relay: DirectoryRelay
     configuration_follower: TopicFollower
     membership_follower: TopicFollower
     recovery: ServerRecovery
-    bounds: BoundsInForce
+    bounds: ReloadableBounds
     clock: Clock
 
     @property
@@ -97,7 +97,7 @@
 ) -> SidecarNode:
     """Wire the decisions of one node to what the other layers give."""
     clock = ports.clock
-    bounds = BoundsInForce(settings)
+    bounds = ReloadableBounds(settings)
     directory = NodeDirectory(own, clock)
     holder = ConfigurationHolder(ports.decode_configuration)
     request_checks = RequestChecks(holder, clock)
@@ -105,10 +105,10 @@
     checks = OrderChecks(record, holder, request_checks)
     gate = ServerGate(server=ports.server, checks=checks, directory=directory, clock=clock)
     holders = QuotaHolders(directory, holder, clock)
-    quota = QuotaKeeper(
+    quota = QuotaLimiter(
         QuotaBuckets(holders, holder, clock, bounds), ports.links, directory, holder
     )
-    publisher = OwnEntryPublisher(ports.store, directory)
+    publisher = LocalEntryPublisher(ports.store, directory)
     announcements = AnnouncementService(record, gate, publisher)
     membership = FleetMembership(directory, announcements, publisher, ports.decode_entry, holders)
     follower = TopicFollower(
@@ -117,7 +117,7 @@
         lambda page: _offer_configuration(holder, page),
         wait_seconds=_CONFIGURATION_WAIT_SECONDS,
     )
-    near = NearNodes(directory)
+    near = DataCentreRanking(directory)
     relay = _build_relay(ports, directory, near, membership, holders)
     sender = OrderSender(
         gate=gate,
@@ -136,7 +136,7 @@
         repeated_share=lambda: gate.repeated_share,
     )
     attempts = AttemptRunner(
-        choice=ServerChoice(directory, clock),
+        selector=ServerSelector(directory, clock),
         sender=sender,
         allowance=allowance,
         clock=clock,
@@ -145,7 +145,7 @@
         settings=settings,
         directory=directory,
         holder=holder,
-        entry=FleetEntry(request_checks, quota, attempts, clock),
+        entry=RequestEntryPoint(request_checks, quota, attempts, clock),
         gate=gate,
         quota=quota,
         allowance=allowance,
@@ -153,7 +153,7 @@
         record=record,
         announcements=announcements,
         publisher=publisher,
-        spread=VersionSpread(holder, directory, ports.links, follower),
+        spread=ConfigurationSync(holder, directory, ports.links, follower),
         relay=relay,
         configuration_follower=follower,
         membership_follower=relay.follower,
@@ -166,7 +166,7 @@
 def _build_relay(
     ports: SidecarPorts,
     directory: NodeDirectory,
-    near: NearNodes,
+    near: DataCentreRanking,
     membership: FleetMembership,
     holders: QuotaHolders,
 ) -> DirectoryRelay:
@@ -174,10 +174,10 @@
     follower = TopicFollower(
         ports.log,
         StoreTopic.NODES,
-        membership.take,
+        membership.apply,
         wait_seconds=_NODES_WAIT_SECONDS,
-        gather_seconds=_GATHER_SECONDS,
-        needed=store_needed,
+        batch_seconds=_GATHER_SECONDS,
+        enabled=store_needed,
     )
     return DirectoryRelay(
         directory=directory,
@@ -185,11 +185,11 @@
         links=ports.links,
         store_needed=store_needed,
         follower=follower,
-        taken=holders.refresh,
+        on_applied=holders.refresh,
     )
 
 
 def _offer_configuration(holder: ConfigurationHolder, page: KeyedPage) -> None:
     for record in page.records_by_key.values():
         if record.encoded:
-            holder.offer(record.encoded, source='store')
+            holder.apply_if_newer(record.encoded, source='store')
--- a/tests/coordination/sidecar/test_retry_allowance.py
+++ b/tests/coordination/sidecar/test_retry_allowance.py
@@ -4,7 +4,7 @@
 from tests.coordination.fakes import ManualClock
 from tests.coordination.sidecar.samples import make_entry
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.near_nodes import NearNodes
+from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.retry_allowance import RetryAllowance, RetryPool
 from turmericwharf.state import PEER_UNREACHABLE
 from turmericwharf.state.sidecar import RetryReply, SidecarBounds, StoredEntry
@@ -33,12 +33,12 @@
         for own in entries:
             directory = NodeDirectory(own, self.clock)
             for place, other in enumerate(entries):
-                directory.take(StoredEntry(other, place), source='store')
+                directory.apply(StoredEntry(other, place), source='store')
             self.start(own.instance, directory)
 
     def start(self, name, directory):
         bounds = SimpleNamespace(current=BOUNDS)
-        pool = RetryPool(directory, NearNodes(directory), bounds, self.clock)
+        pool = RetryPool(directory, DataCentreRanking(directory), bounds, self.clock)
         self.nodes_by_id[name] = RetryAllowance(
             pool=pool,
             links=self,
@@ -48,7 +48,7 @@
             repeated_share=lambda: self.repeated_share,
         )
 
-    async def ask(self, peer, message, *, timeout_seconds):
+    async def request(self, peer, message, *, timeout_seconds):
         if peer.instance in self.cut:
             return PEER_UNREACHABLE
         return RetryReply(self.nodes_by_id[peer.instance].pool.grant(message.service))
@@ -59,7 +59,7 @@
         async def main():
             taken = 0
             for name in names or self.nodes_by_id:
-                while await self.nodes_by_id[name].take('bookings'):
+                while await self.nodes_by_id[name].acquire('bookings'):
                     taken += 1
             return taken
 
@@ -82,7 +82,7 @@
     requests = 0
     for number, allowance in enumerate(fleet.nodes_by_id.values()):
         for _ in range(10 * number):
-            allowance.record_request('bookings', is_call=False)
+            allowance.record_request('bookings', is_server_call=False)
             requests += 1
     taken = fleet.take_all()
     assert 0.5 * EXTRA < taken <= EXTRA + RATIO * requests
@@ -120,10 +120,10 @@
     fleet.clock.at += WINDOW_SECONDS + 1
     fleet.repeated_share = 1.0
     for _ in range(100):
-        allowance.record_request('bookings', is_call=True)
+        allowance.record_request('bookings', is_server_call=True)
     # All of the ratio is used, and the calls of clients' requests use nothing.
     assert fleet.take_all() <= EXTRA
     fleet.clock.at += WINDOW_SECONDS + 1
     for _ in range(100):
-        allowance.record_request('bookings', is_call=False)
+        allowance.record_request('bookings', is_server_call=False)
     assert fleet.take_all() > 0.5 * RATIO * 100 + 0.5 * EXTRA
