Reword test descriptions and test names of the sidecar request path

Each description states the failure that the test guards against. Assertions, literal values and parameters are unchanged. Names of tests and fakes follow the terms of the code.

--- a/tests/coordination/sidecar/samples.py
+++ b/tests/coordination/sidecar/samples.py
@@ -1,4 +1,4 @@
-"""Values that the tests of the sidecar decisions share."""
+"""Sample values for the unit tests of the sidecar."""
 
 import dataclasses
 
--- a/tests/coordination/sidecar/test_breaker.py
+++ b/tests/coordination/sidecar/test_breaker.py
@@ -15,14 +15,14 @@
 
 
 def test_opens_at_the_first_broken_connection():
-    """More requests that cannot repeat would be lost to a server that resets connections."""
+    """A server that resets connections must not receive more non-idempotent requests."""
     breaker = open_breaker(ManualClock())
     assert breaker.is_open
     assert not breaker.allows(may_try=False)
 
 
-def test_trials_are_single_and_only_of_requests_that_can_go_elsewhere():
-    """A trial would lose a request that has no other server left."""
+def test_only_single_requests_with_an_alternative_server_are_trials():
+    """A failed trial would lose a request that cannot be sent to another server."""
     clock = ManualClock()
     breaker = open_breaker(clock)
     clock.at += 1
@@ -31,8 +31,8 @@
     assert not breaker.allows(may_try=True)
 
 
-def test_closes_after_successes_in_a_row():
-    """A server that answers one request in seven would get all its work back."""
+def test_closes_after_consecutive_successes():
+    """One answer in seven requests must not close the breaker of a failing server."""
     breaker = open_breaker(ManualClock())
     breaker.record(SUCCESS, is_overdue=False)
     breaker.record(SUCCESS, is_overdue=False)
@@ -44,8 +44,8 @@
     assert not breaker.is_open
 
 
-def test_single_errors_and_usual_timeouts_keep_it_closed():
-    """A sound server would lose its work because a route has a short time limit."""
+def test_stays_closed_on_single_errors_and_expected_timeouts():
+    """A healthy server must stay in use when a route has a short timeout."""
     breaker = CircuitBreaker(ManualClock())
     for _ in range(20):
         breaker.record(TIMEOUT, is_overdue=False)
@@ -58,7 +58,7 @@
 
 
 def test_opens_when_most_answers_fail():
-    """A server whose health check is good but whose answers are errors would keep its work."""
+    """A server that passes its health check but answers with errors must not stay in use."""
     breaker = CircuitBreaker(ManualClock())
     for _ in range(4):
         breaker.record(ERROR, is_overdue=False)
@@ -66,7 +66,7 @@
 
 
 def test_opens_when_requests_hang():
-    """A server that never answers would keep its work."""
+    """A server that never answers must not stay in use."""
     breaker = CircuitBreaker(ManualClock())
     for _ in range(4):
         breaker.record(TIMEOUT, is_overdue=True)
@@ -76,23 +76,23 @@
 SHED = NotRun(Reason.SERVER_SHED)
 
 
-def test_opens_when_the_server_rejects_what_it_is_sent():
-    """Rejections of a server that takes nothing would use up the retries of its service."""
+def test_opens_when_the_server_rejects_all_requests():
+    """Rejections by a server that accepts nothing would use up the retries of its service."""
     clock = ManualClock()
     breaker = CircuitBreaker(clock)
     for _ in range(10):
         breaker.record(SHED, is_overdue=False)
     assert breaker.is_open
     clock.at += 1
-    # A rejected request has not run, so any request may try.
+    # A rejected request has not run, so any request may be a trial.
     assert breaker.allows(may_try=False)
     assert not breaker.allows(may_try=False)
     breaker.record(SUCCESS, is_overdue=False)
     assert not breaker.is_open
 
 
-def test_server_that_rejects_two_of_three_keeps_its_work():
-    """A third of the capacity of a service that rejects in part would be lost as well."""
+def test_stays_closed_when_the_server_rejects_two_of_three_requests():
+    """An open breaker would remove the remaining third of the capacity of the server."""
     breaker = CircuitBreaker(ManualClock())
     for _ in range(20):
         breaker.record(SHED, is_overdue=False)
@@ -101,8 +101,8 @@
         assert not breaker.is_open
 
 
-def test_rejecting_server_that_breaks_a_connection_is_tried_with_idempotent_requests_only():
-    """A booking would be lost as the trial of a server that resets connections."""
+def test_trials_must_be_idempotent_after_a_rejecting_server_breaks_a_connection():
+    """A booking must not be lost as a trial of a server that resets connections."""
     clock = ManualClock()
     breaker = CircuitBreaker(clock)
     for _ in range(10):
--- a/tests/coordination/sidecar/test_order_checks.py
+++ b/tests/coordination/sidecar/test_order_checks.py
@@ -14,13 +14,13 @@
 from turmericwharf.state import Reason
 from turmericwharf.state.sidecar import AnnouncedServer, Destination, ServerPhase
 
-OWN = make_entry()
+LOCAL = make_entry()
 
 
 def make_checks(configuration=None, **server_changes):
     record = ServerRecord()
     fields = {
-        'server': OWN.server,
+        'server': LOCAL.server,
         'service': 'bookings',
         'slots': 3,
         'phase': ServerPhase.READY,
@@ -33,9 +33,9 @@
     return OrderChecks(record, holder, RequestChecks(holder, ManualClock()))
 
 
-def test_order_for_the_known_server_passes():
-    """All requests would be refused."""
-    assert make_checks().find_refusal(make_order(), OWN) is None
+def test_order_for_the_current_server_passes():
+    """Guards against refusing all orders."""
+    assert make_checks().find_refusal(make_order(), LOCAL) is None
 
 
 @pytest.mark.parametrize(
@@ -47,38 +47,38 @@
     ],
 )
 def test_order_for_another_server_is_refused(changes, reason):
-    """A request would run on the server that took over an address."""
-    assert make_checks().find_refusal(make_order(**changes), OWN).reason is reason
+    """A request must not run on another server that has taken over the address."""
+    assert make_checks().find_refusal(make_order(**changes), LOCAL).reason is reason
 
 
-def test_leaving_server_gets_no_work():
-    """A server that said that it leaves would get requests from nodes that do not know it."""
+def test_order_for_a_leaving_server_is_refused():
+    """A server that announced that it is leaving must not receive orders from outdated nodes."""
     checks = make_checks(phase=ServerPhase.LEAVING)
-    assert checks.find_refusal(make_order(), OWN).reason is Reason.SERVER_DRAINING
+    assert checks.find_refusal(make_order(), LOCAL).reason is Reason.SERVER_DRAINING
 
 
-def test_stopping_node_takes_no_work():
-    """A graceful shutdown would cut work that began after it."""
+def test_stopping_node_refuses_orders():
+    """Work that starts after a graceful shutdown has begun would be interrupted."""
     checks = make_checks()
     checks.is_stopping = True
-    assert checks.find_refusal(make_order(), OWN).reason is Reason.SERVER_DRAINING
+    assert checks.find_refusal(make_order(), LOCAL).reason is Reason.SERVER_DRAINING
 
 
-def test_key_that_a_newer_configuration_lacks_is_refused():
-    """A withdrawn key would work through a node that has not read the configuration."""
+def test_key_missing_from_a_newer_configuration_is_refused():
+    """A withdrawn key must not work through a node with an older configuration."""
     checks = make_checks(make_configuration(9, organisations_by_id={}))
-    assert checks.find_refusal(make_order(version=5), OWN).reason is Reason.KEY_WITHDRAWN
+    assert checks.find_refusal(make_order(version=5), LOCAL).reason is Reason.KEY_WITHDRAWN
 
 
 def test_route_that_moved_is_refused():
-    """A request would run on the old service through a node with an old configuration."""
+    """A request must not run on the former service of a route through an outdated node."""
     moved = make_route(destinations=(Destination('records'),))
     checks = make_checks(make_configuration(9, routes=(moved,)))
-    refusal = checks.find_refusal(make_order(version=5), OWN)
+    refusal = checks.find_refusal(make_order(version=5), LOCAL)
     assert refusal.reason is Reason.CONFIGURATION_OUTDATED
 
 
-def test_order_by_a_newer_configuration_passes():
-    """A new key would be refused by nodes that read the configuration a moment later."""
+def test_order_with_a_newer_configuration_version_passes():
+    """A new key must not be refused by a node that reads the configuration later."""
     checks = make_checks(make_configuration(4, organisations_by_id={}))
-    assert checks.find_refusal(make_order(version=5), OWN) is None
+    assert checks.find_refusal(make_order(version=5), LOCAL) is None
--- a/tests/coordination/sidecar/test_order_table.py
+++ b/tests/coordination/sidecar/test_order_table.py
@@ -12,7 +12,7 @@
 ANSWER = WorkAnswer(Answered(200, (), b'x'), None, None, True, 0, 0, 5)
 
 
-class Runs:
+class ScriptedRun:
     def __init__(self) -> None:
         self.count = 0
         self.ended = asyncio.Event()
@@ -28,76 +28,86 @@
         return ANSWER
 
 
-async def test_order_that_comes_twice_runs_once():
-    """A request that was sent again after a lost connection would run a second time."""
-    table, runs = OrderTable(ManualClock()), Runs()
-    first = asyncio.create_task(table.join(make_order(), runs.run))
-    second = asyncio.create_task(table.join(make_order(), runs.run))
+async def test_repeated_order_runs_once():
+    """An order that is sent again after a lost connection must not run a second time."""
+    table, scripted_run = OrderTable(ManualClock()), ScriptedRun()
+    first = asyncio.create_task(table.join(make_order(), scripted_run.run))
+    second = asyncio.create_task(table.join(make_order(), scripted_run.run))
     await asyncio.sleep(0.001)
-    runs.ended.set()
+    scripted_run.ended.set()
     assert await first == await second == ANSWER
-    assert await table.join(make_order(), runs.run) == ANSWER
-    assert runs.count == 1
+    assert await table.join(make_order(), scripted_run.run) == ANSWER
+    assert scripted_run.count == 1
 
 
-async def test_run_goes_on_when_its_caller_is_cut_off():
-    """A reset of the connection between two nodes would lose a command that runs."""
-    table, runs = OrderTable(ManualClock()), Runs()
-    first = asyncio.create_task(table.join(make_order(), runs.run))
+async def test_run_continues_when_its_caller_is_disconnected():
+    """A connection reset between two nodes must not cancel a running command."""
+    table, scripted_run = OrderTable(ManualClock()), ScriptedRun()
+    first = asyncio.create_task(table.join(make_order(), scripted_run.run))
     await asyncio.sleep(0.001)
     first.cancel()
     await asyncio.gather(first, return_exceptions=True)
-    again = asyncio.create_task(table.join(make_order(), runs.run))
+    again = asyncio.create_task(table.join(make_order(), scripted_run.run))
     await asyncio.sleep(0.001)
-    runs.ended.set()
+    scripted_run.ended.set()
     assert await again == ANSWER
-    assert runs.count == 1
+    assert scripted_run.count == 1
 
 
-async def test_running_work_that_must_not_repeat_is_not_cut():
-    """A cancelled command would be broken off in the middle."""
-    table, runs, order = OrderTable(ManualClock()), Runs(), make_order(idempotent=False)
-    joined = asyncio.create_task(table.join(order, runs.run))
+async def test_sent_non_idempotent_order_is_not_cancelled():
+    """Cancelling a command that was sent to the server would interrupt it halfway."""
+    table, scripted_run, order = (
+        OrderTable(ManualClock()),
+        ScriptedRun(),
+        make_order(idempotent=False),
+    )
+    joined = asyncio.create_task(table.join(order, scripted_run.run))
     await asyncio.sleep(0.001)
     table.mark_sent(order)
     table.cancel((order.request, order.attempt))
     await asyncio.sleep(0.001)
-    assert not runs.was_cancelled
-    runs.ended.set()
+    assert not scripted_run.was_cancelled
+    scripted_run.ended.set()
     assert await joined == ANSWER
 
 
 @pytest.mark.parametrize(('idempotent', 'at_server'), [(True, True), (False, False)])
-async def test_other_work_of_a_caller_that_left_is_stopped(idempotent, at_server):
-    """Servers would work for callers that are gone."""
-    table, runs, order = OrderTable(ManualClock()), Runs(), make_order(idempotent=idempotent)
-    joined = asyncio.create_task(table.join(order, runs.run))
+async def test_idempotent_or_unsent_order_is_cancelled_when_its_caller_leaves(
+    idempotent, at_server
+):
+    """Servers must not work for callers that have left."""
+    table, scripted_run, order = (
+        OrderTable(ManualClock()),
+        ScriptedRun(),
+        make_order(idempotent=idempotent),
+    )
+    joined = asyncio.create_task(table.join(order, scripted_run.run))
     await asyncio.sleep(0.001)
     if at_server:
         table.mark_sent(order)
     table.cancel((order.request, order.attempt))
     assert await joined is None
-    assert runs.was_cancelled
+    assert scripted_run.was_cancelled
 
 
-async def test_orphan_is_stopped_after_a_while(monkeypatch):
-    """Work whose node never asks again would keep its slot."""
+async def test_orphaned_order_is_cancelled_after_a_timeout(monkeypatch):
+    """An order that its entry node never sends again must not keep its slot."""
     monkeypatch.setattr(order_table, '_ORPHAN_TIMEOUT_SECONDS', 0.01)
-    table, runs = OrderTable(ManualClock()), Runs()
-    joined = asyncio.create_task(table.join(make_order(idempotent=True), runs.run))
+    table, scripted_run = OrderTable(ManualClock()), ScriptedRun()
+    joined = asyncio.create_task(table.join(make_order(idempotent=True), scripted_run.run))
     await asyncio.sleep(0.001)
     joined.cancel()
     await asyncio.sleep(0.05)
-    assert runs.was_cancelled
+    assert scripted_run.was_cancelled
 
 
-async def test_answers_are_dropped_after_their_time():
-    """The kept answers would fill the memory."""
+async def test_answers_are_evicted_after_the_retention_time():
+    """Retained answers must not fill the memory."""
     clock = ManualClock()
-    table, runs = OrderTable(clock), Runs()
-    runs.ended.set()
-    await table.join(make_order(), runs.run)
+    table, scripted_run = OrderTable(clock), ScriptedRun()
+    scripted_run.ended.set()
+    await table.join(make_order(), scripted_run.run)
     clock.at += 60
-    await table.join(make_order(request='r2'), runs.run)
-    await table.join(make_order(), runs.run)
-    assert runs.count == 3
+    await table.join(make_order(request='r2'), scripted_run.run)
+    await table.join(make_order(), scripted_run.run)
+    assert scripted_run.count == 3
--- a/tests/coordination/sidecar/test_quota.py
+++ b/tests/coordination/sidecar/test_quota.py
@@ -26,7 +26,7 @@
 
 
 class Fleet:
-    """Quota buckets of nodes that all see the same entries."""
+    """Quota buckets of nodes that all know the same entries."""
 
     def __init__(self, entries, *, overage=0.0, slack=0.0) -> None:
         self.clock = ManualClock()
@@ -48,8 +48,8 @@
                 make_bounds(overage=overage, slack=slack),
             )
 
-    def drain(self) -> int:
-        """Take tokens at all nodes until none has one; return how many there were."""
+    def drain_tokens(self) -> int:
+        """Take tokens from all nodes until none is left; return their number."""
         taken = 0
         for buckets in self.buckets_by_id.values():
             while buckets.grant('cafe').granted:
@@ -57,68 +57,70 @@
         return taken
 
 
-def make_nodes(count: int = 9, places: int = 3):
-    return [make_entry(f'n{n}', data_centre=f'place-{n % places}') for n in range(count)]
+def make_nodes(count: int = 9, data_centres: int = 3):
+    return [make_entry(f'n{n}', data_centre=f'place-{n % data_centres}') for n in range(count)]
 
 
-def test_all_parts_together_keep_to_rate_and_burst():
-    """The parts of the data centres would add up to more than the rate."""
+def test_shares_of_all_nodes_stay_within_rate_and_burst():
+    """The shares of the data centres must not add up to more than the rate."""
     fleet = Fleet(make_nodes())
     fleet.clock.at += 60
-    assert fleet.drain() == RATE
+    assert fleet.drain_tokens() == RATE
     fleet.clock.at += 1
-    assert RATE - 3 <= fleet.drain() <= RATE
+    assert RATE - 3 <= fleet.drain_tokens() <= RATE
 
 
-def test_restart_does_not_grant_the_burst_again():
-    """A holder that restarts would give its organisation a second burst."""
+def test_restart_does_not_grant_a_second_burst():
+    """A holder that restarts must not grant its organisation another burst."""
     fleet = Fleet(make_nodes())
-    assert fleet.drain() == 0
+    assert fleet.drain_tokens() == 0
 
 
-def test_two_restarts_of_all_stay_inside_what_may_run_beyond_the_rate():
-    """All processes killed twice in a window would grant an organisation too much."""
+def test_two_restarts_of_all_nodes_stay_within_the_permitted_overage():
+    """Killing all processes twice in one rate window must not exceed the permitted overage."""
     overage, slack = 0.1, 20
     allowed = (RATE * WINDOW_SECONDS + RATE) * (1 + overage) + slack
     fleet = Fleet(make_nodes(), overage=overage, slack=slack)
     fleet.clock.at += 60
-    ran = fleet.drain()
+    ran = fleet.drain_tokens()
     for _ in range(2):
         restarted = Fleet(make_nodes(), overage=overage, slack=slack)
-        first = restarted.drain()
-        assert first > 10
+        granted_at_start = restarted.drain_tokens()
+        assert granted_at_start > 10
         restarted.clock.at += WINDOW_SECONDS / 2
-        ran += first + restarted.drain()
+        ran += granted_at_start + restarted.drain_tokens()
     assert ran <= allowed
 
 
-def test_new_holder_starts_empty():
-    """A change of holders would grant the burst of a part twice in one window."""
+def test_new_holder_starts_with_an_empty_bucket():
+    """A change of holders must not grant the burst of a share twice in one window."""
     nodes = make_nodes()
     fleet = Fleet(nodes)
     fleet.clock.at += 60
-    fleet.drain()
+    fleet.drain_tokens()
     holders = {
-        one.instance
-        for one in nodes
-        if fleet.buckets_by_id[one.instance].holders.held_since('cafe') is not None
+        node.instance
+        for node in nodes
+        if fleet.buckets_by_id[node.instance].holders.held_since('cafe') is not None
     }
     for directory in fleet.directories:
-        for gone in nodes:
-            if gone.instance in holders and gone.instance != directory.local.instance:
-                left = dataclasses.replace(gone, phase=ServerPhase.STOPPING, revision=1)
-                directory.apply(StoredEntry(left, 0), source='test')
-            elif gone.instance in holders:
-                directory.local = dataclasses.replace(gone, phase=ServerPhase.STOPPING, revision=1)
+        for leaving in nodes:
+            if leaving.instance in holders and leaving.instance != directory.local.instance:
+                stopping = dataclasses.replace(leaving, phase=ServerPhase.STOPPING, revision=1)
+                directory.apply(StoredEntry(stopping, 0), source='test')
+            elif leaving.instance in holders:
+                directory.local = dataclasses.replace(
+                    leaving, phase=ServerPhase.STOPPING, revision=1
+                )
     for buckets in fleet.buckets_by_id.values():
         buckets.holders.refresh()
-    assert fleet.drain() == 0
+    assert fleet.drain_tokens() == 0
     fleet.clock.at += 0.5
-    assert 1 <= fleet.drain() <= RATE / 2
+    assert 1 <= fleet.drain_tokens() <= RATE / 2
 
 
-def test_unlimited_organisation_has_no_part():
-    """A rate of 0 would divide by zero."""
+def test_unlimited_organisation_has_no_bucket():
+    """Guards against a division by zero for a rate of 0."""
     fleet = Fleet(make_nodes())
     buckets = fleet.buckets_by_id['n0']
     rule = OrganisationRule('free', (), 0, 0)
--- a/tests/coordination/sidecar/test_retry_allowance.py
+++ b/tests/coordination/sidecar/test_retry_allowance.py
@@ -22,18 +22,20 @@
 
 
 class Fleet:
-    """Allowances of nodes that reach each other in memory."""
+    """Retry allowances of nodes that are connected in memory."""
 
-    def __init__(self, count=9, places=3) -> None:
+    def __init__(self, count=9, data_centres=3) -> None:
         self.clock = ManualClock()
-        self.cut = set()
+        self.unreachable = set()
         self.repeated_share = 0.0
-        entries = [make_entry(f'n{n}', data_centre=f'place-{n % places}') for n in range(count)]
+        entries = [
+            make_entry(f'n{n}', data_centre=f'place-{n % data_centres}') for n in range(count)
+        ]
         self.nodes_by_id = {}
         for own in entries:
             directory = NodeDirectory(own, self.clock)
-            for place, other in enumerate(entries):
-                directory.apply(StoredEntry(other, place), source='store')
+            for position, other in enumerate(entries):
+                directory.apply(StoredEntry(other, position), source='store')
             self.start(own.instance, directory)
 
     def start(self, name, directory):
@@ -49,12 +51,12 @@
         )
 
     async def request(self, peer, message, *, timeout_seconds):
-        if peer.instance in self.cut:
+        if peer.instance in self.unreachable:
             return PEER_UNREACHABLE
         return RetryReply(self.nodes_by_id[peer.instance].pool.grant(message.service))
 
     def take_all(self, names=None) -> int:
-        """Take retries at some nodes until none has one; return how many there were."""
+        """Take retries at the named nodes until none is left; return their number."""
 
         async def main():
             taken = 0
@@ -66,16 +68,16 @@
         return asyncio.run(main())
 
 
-def test_one_node_may_use_what_its_data_centre_has():
-    """A node whose calls meet a failing server would run out while the fleet has retries left."""
+def test_one_node_may_use_all_extra_retries_of_its_data_centre():
+    """A node that calls a failing server must not run out while its data centre has retries."""
     fleet = Fleet()
     fleet.take_all()
     fleet.clock.at += WINDOW_SECONDS + 1
     assert fleet.take_all(['n0']) == EXTRA / 3 * 0.6
 
 
-def test_all_nodes_together_keep_to_the_budget():
-    """Retries would multiply the load on a service that fails as a whole."""
+def test_all_nodes_together_stay_within_the_budget():
+    """Retries must not multiply the load on a service that fails as a whole."""
     fleet = Fleet()
     fleet.take_all()
     fleet.clock.at += WINDOW_SECONDS + 1
@@ -90,8 +92,8 @@
     assert fleet.take_all() == 0
 
 
-def test_change_of_the_granting_nodes_stays_inside_the_budget():
-    """Each new process would grant the whole part again in the same window."""
+def test_change_of_the_granting_nodes_stays_within_the_budget():
+    """A new process must not grant the whole share again in the same window."""
     fleet = Fleet()
     fleet.take_all()
     fleet.clock.at += WINDOW_SECONDS + 1
@@ -102,26 +104,26 @@
     assert taken <= EXTRA
 
 
-def test_node_that_is_not_the_granting_one_refuses():
-    """Nodes with different views would each grant a part."""
-    fleet = Fleet(count=4, places=1)
+def test_only_the_granting_node_grants_retries():
+    """Nodes with different views of the fleet must not each grant a full share."""
+    fleet = Fleet(count=4, data_centres=1)
     granting = fleet.nodes_by_id['n0'].pool.granting_node('bookings')
     others = [name for name in fleet.nodes_by_id if name != granting]
     assert not any(fleet.nodes_by_id[name].pool.grant('bookings') for name in others)
-    fleet.cut.add(granting)
+    fleet.unreachable.add(granting)
     assert fleet.take_all(others) == 0
 
 
-def test_calls_of_repeated_requests_count_as_repeats():
-    """Pages that are repeated call other services again, beyond the budget of those services."""
-    fleet = Fleet(count=1, places=1)
+def test_calls_of_retried_requests_count_as_retries():
+    """Retried pages call other services again, which must stay within those services' budgets."""
+    fleet = Fleet(count=1, data_centres=1)
     allowance = fleet.nodes_by_id['n0']
     fleet.take_all()
     fleet.clock.at += WINDOW_SECONDS + 1
     fleet.repeated_share = 1.0
     for _ in range(100):
         allowance.record_request('bookings', is_server_call=True)
-    # All of the ratio is used, and the calls of clients' requests use nothing.
+    # The sampled calls have used up the ratio; client requests use nothing.
     assert fleet.take_all() <= EXTRA
     fleet.clock.at += WINDOW_SECONDS + 1
     for _ in range(100):
