--- a/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
@@ -21,7 +21,7 @@
 )
 from turmericwharf.coordination.claims.claims import (
     ClaimClient,
-    content_of,
+    content_digest_of,
     fingerprint_of,
 )
 from turmericwharf.coordination.membership.confirmation import (
@@ -29,7 +29,7 @@
 )
 from turmericwharf.coordination.configuration.control_fold import (
     fold_record,
-    judge_change,
+    evaluate_change,
     merge_change,
 )
 from turmericwharf.coordination.configuration.control_log import (
@@ -90,7 +90,7 @@
 from turmericwharf.coordination.configuration.object_references import (
     FIELDS_BY_KIND,
     find_object,
-    find_user,
+    find_referrer,
     objects_by_name,
 )
 from turmericwharf.coordination.routing.outcome_counts import (
@@ -118,7 +118,7 @@
 )
 from turmericwharf.coordination.rates.rate_buckets import (
     RateBuckets,
-    fill_bucket,
+    refill_bucket,
 )
 from turmericwharf.coordination.rates.rate_limits import (
     RateLimiter,
@@ -170,7 +170,7 @@
     read_newest_snapshot,
 )
 from turmericwharf.coordination.configuration.snapshots import (
-    SnapshotKeeper,
+    SnapshotWriter,
 )
 from turmericwharf.coordination.membership.standing import (
     Standing,
@@ -235,26 +235,26 @@
     'ShareLoans',
     'SlotView',
     'SnapshotCodec',
-    'SnapshotKeeper',
+    'SnapshotWriter',
     'Standing',
     'TypicalTimes',
     'WallClock',
     'build_node',
     'changed_objects',
-    'content_of',
+    'content_digest_of',
     'describe',
     'dump_parts',
     'latency_harm',
-    'fill_bucket',
+    'refill_bucket',
     'find_object',
     'find_problems',
-    'find_user',
+    'find_referrer',
     'fingerprint_of',
     'fold_claim',
     'fold_record',
     'hold_seconds_of',
     'is_retryable',
-    'judge_change',
+    'evaluate_change',
     'merge_change',
     'not_run',
     'object_name',
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -208,7 +208,7 @@
     ) -> bool:
         """Record answers as they arrive; return whether the outcome is final."""
         if len(attempts) > 1:
-            # Each recorded attempt counts itself; the hedge had counted the first one in advance.
+            # Both attempts are counted when they end; undo the count from the start of the hedge.
             progress.runs -= 1
         attempts_by_task = {attempt.task: attempt for attempt in attempts}
         is_final = False
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/entry_point.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/entry_point.py
@@ -97,5 +97,7 @@
 
 
 @describe.register
-def _(part: RequestEntryPoint) -> EntryDump:
-    return EntryDump(in_progress=part.in_progress, outcomes_total=dict(part.outcomes_by_name))
+def _(entry_point: RequestEntryPoint) -> EntryDump:
+    return EntryDump(
+        in_progress=entry_point.in_progress, outcomes_total=dict(entry_point.outcomes_by_name)
+    )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
@@ -37,7 +37,7 @@
     ----------
     directory
         Known nodes.
-    near
+    ranking
         Ranks the nodes of the local data centre.
     bounds
         Limits of the retry budget.
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
@@ -212,10 +212,10 @@
 
 
 @describe.register
-def _(part: ServerGate) -> GateDump:
+def _(gate: ServerGate) -> GateDump:
     return GateDump(
-        running=part.queue.in_progress,
-        waiting=part.queue.waiting,
-        orders_in_progress=part.orders.in_progress,
-        breaker_open=part.breaker.is_open,
+        running=gate.queue.in_progress,
+        waiting=gate.queue.waiting,
+        orders_in_progress=gate.orders.in_progress,
+        breaker_open=gate.breaker.is_open,
     )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_record.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_record.py
@@ -73,5 +73,5 @@
 
 
 @describe.register
-def _(part: ServerRecord) -> RecordDump:
-    return RecordDump(server=part.current)
+def _(record: ServerRecord) -> RecordDump:
+    return RecordDump(server=record.current)
--- a/tests/coordination/sidecar/test_quota.py
+++ b/tests/coordination/sidecar/test_quota.py
@@ -32,8 +32,8 @@
         self.clock = ManualClock()
         self.buckets_by_id = {}
         self.directories = []
-        for own in entries:
-            directory = NodeDirectory(own, self.clock)
+        for local in entries:
+            directory = NodeDirectory(local, self.clock)
             for other in entries:
                 directory.apply(StoredEntry(other, 0), source='test')
             holder = ConfigurationHolder(lambda encoded: make_configuration())
@@ -41,7 +41,7 @@
             holders = QuotaHolders(directory, holder, self.clock)
             holders.refresh()
             self.directories.append(directory)
-            self.buckets_by_id[own.instance] = QuotaBuckets(
+            self.buckets_by_id[local.instance] = QuotaBuckets(
                 holders,
                 holder,
                 self.clock,
--- a/tests/coordination/sidecar/test_retry_allowance.py
+++ b/tests/coordination/sidecar/test_retry_allowance.py
@@ -32,11 +32,11 @@
             make_entry(f'n{n}', data_centre=f'place-{n % data_centres}') for n in range(count)
         ]
         self.nodes_by_id = {}
-        for own in entries:
-            directory = NodeDirectory(own, self.clock)
+        for local in entries:
+            directory = NodeDirectory(local, self.clock)
             for position, other in enumerate(entries):
                 directory.apply(StoredEntry(other, position), source='store')
-            self.start(own.instance, directory)
+            self.start(local.instance, directory)
 
     def start(self, name, directory):
         bounds = SimpleNamespace(current=BOUNDS)
