Reword the fleet membership and store modules of the sidecar

Comments, doc comments and private names use the usual terms: local entry, suspicion, long poll, batch and backoff instead of own entry, left out, asking, gathering and pauses.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/__init__.py
@@ -1,7 +1,7 @@
-"""Decisions of a node that runs beside one backend server.
+"""Coordination logic of a sidecar node, which runs next to one backend server.
 
-Nodes find each other through the platform's store. Every request for a server passes the node
-beside it, which alone decides whether and when the request runs.
+Nodes discover each other through the platform's store. Every request to a backend server goes
+through its sidecar node, which alone decides whether and when the request runs.
 """
 
 from turmericwharf.coordination.sidecar.fleet_entry import name_outcome
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -1,4 +1,4 @@
-"""Takes what the backend server beside the node says of itself."""
+"""Applies the announcements of the local backend server."""
 
 import dataclasses
 
@@ -9,21 +9,22 @@
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.state.sidecar import AnnouncedServer, NodeEntry, ServerPhase
 
-# An acknowledgement that comes later than a second does not count, so the store gets less.
-_WRITE_SECONDS = 0.5
+# An acknowledgement does not count if it takes longer than 1 s, so the write to the store gets
+# less than that.
+_WRITE_TIMEOUT_SECONDS = 0.5
 
 
 class AnnouncementService:
-    """Applies announcements before they are acknowledged.
+    """Applies announcements of the backend server before they are acknowledged.
 
     Parameters
     ----------
     record
-        The backend server as it is known.
+        Current state of the backend server.
     gate
-        Gives work to the server.
+        Dispatches work to the server.
     publisher
-        Tells the fleet.
+        Publishes the local entry to the fleet.
     """
 
     def __init__(
@@ -35,66 +36,73 @@
         self._record = record
         self._gate = gate
         self._publisher = publisher
-        self._own_before: NodeEntry | None = None
+        self._previous_entry: NodeEntry | None = None
         self.is_stopping = False
 
     async def announce(self, server: AnnouncedServer) -> None:
-        """Take an announcement; on return it may be acknowledged."""
+        """Apply an announcement; the caller may acknowledge it after this returns."""
         if self._was_leaving(server):
             server = dataclasses.replace(server, phase=ServerPhase.LEAVING)
-        before = self._record.current
+        previous = self._record.current
         if not self._record.take(server):
             return
-        if (before.server, before.born) != (server.server, server.born):
+        if (previous.server, previous.born) != (server.server, server.born):
             self._gate.breaker.reset()
         self._gate.queue.resize(max(server.slots, 1))
-        await self._tell_fleet()
+        await self._publish_and_confirm()
 
     async def leave(self, server: AnnouncedServer) -> None:
-        """Take the notice that a server is gone or about to go."""
+        """Apply the notice that a server has stopped or is about to stop."""
         if self._record.remove(server):
-            await self._tell_fleet()
+            await self._publish_and_confirm()
 
     def record_previous_entry(self, entry: NodeEntry) -> None:
-        """Note what the process before this one wrote about the server."""
-        if self._own_before is not None:
+        """Record the entry that the previous process of this node published."""
+        if self._previous_entry is not None:
             return
-        self._own_before = entry
+        self._previous_entry = entry
         if self._was_leaving(self._record.current):
             self._record.remove(self._record.current)
         if self._record.current.phase is ServerPhase.ABSENT:
-            # Kept for the process after this one, in case this one ends before it knows more.
-            left = entry.phase is ServerPhase.LEAVING
+            # Published again for the next process, in case this one ends before the server
+            # announces itself.
+            has_left = entry.phase is ServerPhase.LEAVING
             self._publisher.publish_server(
                 dataclasses.replace(
-                    _server_of(entry),
-                    phase=ServerPhase.LEAVING if left else ServerPhase.STOPPING,
+                    _server_from_entry(entry),
+                    phase=ServerPhase.LEAVING if has_left else ServerPhase.STOPPING,
                 ),
             )
         else:
             self._publish()
 
     def recoverable_server(self) -> AnnouncedServer | None:
-        """Return the server that the process before this one gave work to, if none is known."""
-        before = self._own_before
-        if before is None or self._record.current.phase is not ServerPhase.ABSENT:
+        """Return the server that the previous process served.
+
+        Returns
+        -------
+        None
+            If no previous entry or a newer announcement is known, or if the server was leaving.
+        """
+        previous = self._previous_entry
+        if previous is None or self._record.current.phase is not ServerPhase.ABSENT:
             return None
-        return None if before.phase is ServerPhase.LEAVING else _server_of(before)
+        return None if previous.phase is ServerPhase.LEAVING else _server_from_entry(previous)
 
     def _was_leaving(self, server: AnnouncedServer) -> bool:
-        # A server that left while the process before this one ran is not ready again.
-        before = self._own_before
+        # A server that began to leave under the previous process must not become ready again.
+        previous = self._previous_entry
         return (
-            before is not None
-            and before.phase is ServerPhase.LEAVING
-            and (before.server, before.born) == (server.server, server.born)
+            previous is not None
+            and previous.phase is ServerPhase.LEAVING
+            and (previous.server, previous.born) == (server.server, server.born)
             and server.phase is ServerPhase.READY
         )
 
-    async def _tell_fleet(self) -> None:
+    async def _publish_and_confirm(self) -> None:
         self._publish()
         is_leaving = self._record.current.phase is ServerPhase.LEAVING
-        if is_leaving and not await self._publisher.wait_until_written(_WRITE_SECONDS):
+        if is_leaving and not await self._publisher.wait_until_written(_WRITE_TIMEOUT_SECONDS):
             logger.bind(server=self._record.current.server).warning('leaving_not_written')
 
     def _publish(self) -> None:
@@ -102,7 +110,7 @@
             self._publisher.publish_server(self._record.current)
 
 
-def _server_of(entry: NodeEntry) -> AnnouncedServer:
+def _server_from_entry(entry: NodeEntry) -> AnnouncedServer:
     return AnnouncedServer(
         server=entry.server,
         service=entry.service,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_holder.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_holder.py
@@ -1,4 +1,4 @@
-"""The configuration that is in force at a node."""
+"""Holds the configuration that is in force at a node."""
 
 from loguru import logger
 
@@ -10,12 +10,12 @@
 
 
 class ConfigurationHolder:
-    """Holds the newest configuration; it never goes back to an older version.
+    """Holds the newest known configuration; never reverts to an older version.
 
     Parameters
     ----------
     decode
-        Reads a configuration as it was published.
+        Decodes a published configuration.
     """
 
     def __init__(self, decode: ConfigurationDecoder) -> None:
@@ -27,7 +27,7 @@
 
     @property
     def version(self) -> int:
-        """Version in force; negative if none is known."""
+        """Version in force; negative if no configuration is known."""
         return self.current.version
 
     @property
@@ -36,7 +36,7 @@
         return self.current.version >= 0
 
     def apply_if_newer(self, encoded: bytes, *, source: str) -> bool:
-        """Apply a published configuration if it is newer; return whether it was."""
+        """Apply a published configuration if it is newer; return whether it was applied."""
         configuration = self._decode(encoded)
         if configuration is None:
             logger.bind(source=source, size_bytes=len(encoded)).warning('configuration_unreadable')
@@ -60,7 +60,7 @@
         return True
 
     def find_organisation(self, digest: KeyDigest) -> OrganisationRule | None:
-        """Return the organisation that holds a key, or None."""
+        """Return the organisation that owns a key, or None."""
         return self._organisations_by_key.get(digest)
 
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
@@ -1,4 +1,4 @@
-"""Gets newer configurations from other nodes, for when the store cannot be read."""
+"""Fetches newer configurations from other nodes, in case the store cannot be read."""
 
 import asyncio
 import random
@@ -16,26 +16,26 @@
     NodeEntry,
 )
 
-_ASK_SECONDS = 0.5
-_PERIOD_SECONDS = 1.0
-_LOST_PERIOD_SECONDS = 0.4
+_REQUEST_TIMEOUT_SECONDS = 0.5
+_INTERVAL_SECONDS = 1.0
+_OFFLINE_INTERVAL_SECONDS = 0.4
 
 
 class ConfigurationSync:
-    """Asks a node that named a newer version for it, and random nodes from time to time.
+    """Fetches the configuration from nodes that report a newer version, and polls random nodes.
 
-    A read of the store may wait on a connection that went silent, so a near node is asked also
-    while the store answers. A whole data centre may lose the store, so a far one is asked too
-    while it does not.
+    A read of the store may hang on a connection that went silent, so a node of the local data
+    centre is polled even while the store answers. A whole data centre may lose the store, so a
+    node of another data centre is polled too while the store is unreachable.
 
     Parameters
     ----------
     holder
-        Configuration in force.
+        Holds the configuration in force.
     directory
         Known nodes.
     links
-        Connections to them.
+        Connections to other nodes.
     follower
         Reads configurations from the store.
     """
@@ -51,42 +51,44 @@
         self._directory = directory
         self._links = links
         self._follower = follower
-        self._asked: set[asyncio.Task[None]] = set()
+        self._fetches: set[asyncio.Task[None]] = set()
 
     def record_version(self, instance: InstanceId, version: int) -> None:
-        """Note the version that another node knows."""
+        """Record the version that another node has; fetch it if it is newer."""
         entry = self._directory.find(instance)
-        if entry is None or version <= self._holder.version or self._asked:
+        if entry is None or version <= self._holder.version or self._fetches:
             return
         task = asyncio.create_task(self._fetch(entry))
-        self._asked.add(task)
-        task.add_done_callback(self._asked.discard)
+        self._fetches.add(task)
+        task.add_done_callback(self._fetches.discard)
 
     async def run(self) -> None:
-        """Ask around until cancelled, more often while the store is lost."""
+        """Poll random nodes until cancelled, more often while the store is unreachable."""
         while True:
-            is_lost = not self._follower.is_connected
-            pause_seconds = _LOST_PERIOD_SECONDS if is_lost else _PERIOD_SECONDS
-            await asyncio.sleep(pause_seconds * random.uniform(0.8, 1.2))
-            await asyncio.gather(*(self._fetch(peer) for peer in self._sample(is_lost=is_lost)))
+            is_offline = not self._follower.is_connected
+            interval_seconds = _OFFLINE_INTERVAL_SECONDS if is_offline else _INTERVAL_SECONDS
+            await asyncio.sleep(interval_seconds * random.uniform(0.8, 1.2))
+            await asyncio.gather(
+                *(self._fetch(peer) for peer in self._choose_peers(is_offline=is_offline))
+            )
 
-    def _sample(self, *, is_lost: bool) -> list[NodeEntry]:
-        own = self._directory.local
+    def _choose_peers(self, *, is_offline: bool) -> list[NodeEntry]:
+        local = self._directory.local
         peers = [
             peer
             for peer in self._directory.peers
             if not self._directory.is_suspected(peer.instance)
         ]
-        near = [peer for peer in peers if peer.data_centre == own.data_centre]
-        far = [peer for peer in peers if peer.data_centre != own.data_centre]
-        groups = (near, far) if is_lost else (near or far,)
+        local_peers = [peer for peer in peers if peer.data_centre == local.data_centre]
+        remote_peers = [peer for peer in peers if peer.data_centre != local.data_centre]
+        groups = (local_peers, remote_peers) if is_offline else (local_peers or remote_peers,)
         return [random.choice(group) for group in groups if group]
 
     async def _fetch(self, peer: NodeEntry) -> None:
         reply = await self._links.request(
             peer,
             ConfigurationRequest(self._holder.version),
-            timeout_seconds=_ASK_SECONDS,
+            timeout_seconds=_REQUEST_TIMEOUT_SECONDS,
         )
         if not isinstance(reply, ConfigurationReply):
             logger.bind(instance=peer.instance).debug('configuration_not_fetched')
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/data_centre_ranking.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/data_centre_ranking.py
@@ -1,4 +1,4 @@
-"""Ranks the nodes of the own data centre, so that they divide duties without agreement."""
+"""Ranks the nodes of the local data centre, which assigns roles without coordination."""
 
 from turmericwharf.coordination.membership.rendezvous import rank_instances
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
@@ -7,7 +7,7 @@
 
 
 class DataCentreRanking:
-    """The nodes of the own data centre in the order in which they do a duty.
+    """Rendezvous ranking of the nodes of the local data centre for each role.
 
     Parameters
     ----------
@@ -17,24 +17,24 @@
 
     def __init__(self, directory: NodeDirectory) -> None:
         self._directory = directory
-        self._seen = -1
-        self._ranked_by_duty: dict[str, list[InstanceId]] = {}
+        self._ranked_at_change = -1
+        self._ranked_by_role: dict[str, list[InstanceId]] = {}
 
-    def ranked_nodes(self, duty: str) -> list[InstanceId]:
-        """Return the nodes that run and answer, the responsible one first."""
-        if self._seen != self._directory.changes:
-            self._seen = self._directory.changes
-            self._ranked_by_duty.clear()
-        ranked_nodes = self._ranked_by_duty.get(duty)
-        if ranked_nodes is None:
-            ranked_nodes = rank_instances(duty, self._running())
-            self._ranked_by_duty[duty] = ranked_nodes
-        return [one for one in ranked_nodes if not self._directory.is_suspected(one)]
+    def ranked_nodes(self, role: str) -> list[InstanceId]:
+        """Return the running, unsuspected nodes, the one responsible for a role first."""
+        if self._ranked_at_change != self._directory.changes:
+            self._ranked_at_change = self._directory.changes
+            self._ranked_by_role.clear()
+        ranked = self._ranked_by_role.get(role)
+        if ranked is None:
+            ranked = rank_instances(role, self._running_nodes())
+            self._ranked_by_role[role] = ranked
+        return [instance for instance in ranked if not self._directory.is_suspected(instance)]
 
-    def _running(self) -> list[InstanceId]:
-        own = self._directory.local
+    def _running_nodes(self) -> list[InstanceId]:
+        local = self._directory.local
         return [
             entry.instance
             for entry in self._directory.entries
-            if entry.data_centre == own.data_centre and entry.phase is not ServerPhase.STOPPING
+            if entry.data_centre == local.data_centre and entry.phase is not ServerPhase.STOPPING
         ]
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -1,7 +1,8 @@
-"""Gets the entries of nodes from a reader of the own data centre.
+"""Fetches the entries of nodes from a store reader in the same data centre.
 
-With each node reading the store, the calls grow with the square of the nodes: each change is read
-by each node. Two readers a data centre read it, and the others wait for their answers.
+If every node read the store, the number of calls would grow with the square of the number of
+nodes, because each change is read by each node. Therefore two nodes per data centre read the
+store, and the others long-poll them.
 """
 
 import asyncio
@@ -18,39 +19,39 @@
 from turmericwharf.state import InstanceId
 from turmericwharf.state.sidecar import DirectoryReply, DirectoryRequest, NodeEntry, ProcessId
 
-_WAIT_SECONDS = 3.0
-_ANSWER_SECONDS = 0.5
-# Pause between two questions, so that changes that come together are told together.
-_GATHER_SECONDS = 0.1
-# Pause before readers are asked again, while this node reads the store itself.
-_OWN_SECONDS = 1.0
+_LONG_POLL_SECONDS = 3.0
+_REPLY_MARGIN_SECONDS = 0.5
+# Delay between two polls, so that changes close together arrive in one reply.
+_BATCH_SECONDS = 0.1
+# Delay before the readers are polled again while this node reads the store itself.
+_READER_RETRY_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Heard:
-    """Up to where a process has told its changes."""
+class _ChangeCursor:
+    """Last change number received from a process."""
 
     process: ProcessId
     changes: int = 0
 
 
 class DirectoryRelay:
-    """Asks the readers; while none of them is current, the node reads the store itself.
+    """Polls the readers; the node reads the store itself while no reader is up to date.
 
     Parameters
     ----------
     directory
         Known nodes.
     readers
-        Whom to ask.
+        Selects the nodes to poll.
     links
-        Connections to them.
+        Connections to other nodes.
     store_needed
         Set while this node reads the store itself.
     follower
         Reads the entries from the store.
-    taken
-        Called after entries of another node were taken.
+    on_applied
+        Called after entries from another node were applied.
     """
 
     def __init__(
@@ -68,77 +69,81 @@
         self._links = links
         self._store_needed = store_needed
         self.follower = follower
-        self._taken = on_applied
-        self._heard_by_id: dict[InstanceId, _Heard] = {}
+        self._on_applied = on_applied
+        self._cursors_by_id: dict[InstanceId, _ChangeCursor] = {}
 
     async def run(self) -> None:
-        """Ask until cancelled."""
+        """Poll until cancelled."""
         self._store_needed.set()
         while True:
-            if await self._ask_readers():
-                self._use(store=False)
-                await asyncio.sleep(_GATHER_SECONDS)
+            if await self._poll_readers():
+                self._switch_source(to_store=False)
+                await asyncio.sleep(_BATCH_SECONDS)
             else:
-                self._use(store=True)
-                await self._ask_anyone()
-                await asyncio.sleep(_OWN_SECONDS * random.uniform(0.7, 1.3))
+                self._switch_source(to_store=True)
+                await self._poll_random_peer()
+                await asyncio.sleep(_READER_RETRY_SECONDS * random.uniform(0.7, 1.3))
 
     async def answer(self, request: DirectoryRequest) -> DirectoryReply:
-        """Answer another node, as soon as there is news for it."""
-        own = self._directory.local
-        after = request.after if request.process == own.process else 0
-        await self._directory.wait_for_change(after, min(request.wait_seconds, _WAIT_SECONDS))
+        """Answer the poll of another node once there are changes, or after the timeout."""
+        local = self._directory.local
+        after = request.after if request.process == local.process else 0
+        await self._directory.wait_for_change(after, min(request.wait_seconds, _LONG_POLL_SECONDS))
         return DirectoryReply(
-            process=own.process,
+            process=local.process,
             changes=self._directory.changes,
             nodes=self._directory.entries_changed_after(after),
             is_current=self._store_needed.is_set() and self.follower.is_connected,
         )
 
-    async def _ask_readers(self) -> bool:
-        asked: set[InstanceId] = set()
+    async def _poll_readers(self) -> bool:
+        polled: set[InstanceId] = set()
         while True:
-            # A reader that gives no answer is suspected, so that the next one comes in its place.
-            readers = [one for one in self._readers.upstream_readers() if one.instance not in asked]
+            # A reader that does not answer becomes suspected, so the next node replaces it.
+            readers = [
+                reader
+                for reader in self._readers.upstream_readers()
+                if reader.instance not in polled
+            ]
             if not readers:
                 return False
-            asked.add(readers[0].instance)
-            if await self._ask(readers[0], _WAIT_SECONDS):
+            polled.add(readers[0].instance)
+            if await self._poll(readers[0], _LONG_POLL_SECONDS):
                 return True
 
-    async def _ask_anyone(self) -> None:
-        """Learn from a random node while the store does not answer."""
+    async def _poll_random_peer(self) -> None:
+        """Fetch entries from a random node while the store is unreachable."""
         peers = [
             peer
             for peer in self._directory.peers
             if not self._directory.is_suspected(peer.instance)
         ]
         if peers and not self.follower.is_connected:
-            await self._ask(random.choice(peers), 0)
+            await self._poll(random.choice(peers), 0)
 
-    async def _ask(self, peer: NodeEntry, wait_seconds: float) -> bool:
-        """Take the news of a node; return whether it reads the store now."""
-        heard = self._heard_by_id.get(peer.instance, _Heard(peer.process))
+    async def _poll(self, peer: NodeEntry, wait_seconds: float) -> bool:
+        """Apply the changes that a node reports; return whether it reads the store now."""
+        cursor = self._cursors_by_id.get(peer.instance, _ChangeCursor(peer.process))
         reply = await self._links.request(
             peer,
-            DirectoryRequest(heard.process, heard.changes, wait_seconds),
-            timeout_seconds=wait_seconds + _ANSWER_SECONDS,
+            DirectoryRequest(cursor.process, cursor.changes, wait_seconds),
+            timeout_seconds=wait_seconds + _REPLY_MARGIN_SECONDS,
         )
         if not isinstance(reply, DirectoryReply):
             self._directory.suspect(peer.instance)
             return False
-        self._heard_by_id[peer.instance] = _Heard(reply.process, reply.changes)
+        self._cursors_by_id[peer.instance] = _ChangeCursor(reply.process, reply.changes)
         for stored in reply.nodes:
             self._directory.apply(stored, source=peer.instance)
         if reply.nodes:
-            self._taken()
+            self._on_applied()
         return reply.is_current
 
-    def _use(self, *, store: bool) -> None:
-        if store == self._store_needed.is_set():
+    def _switch_source(self, *, to_store: bool) -> None:
+        if to_store == self._store_needed.is_set():
             return
-        logger.bind(own_reads=store).info('directory_source_changed')
-        if store:
+        logger.bind(own_reads=to_store).info('directory_source_changed')
+        if to_store:
             self._store_needed.set()
         else:
             self._store_needed.clear()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/local_entry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/local_entry.py
@@ -1,4 +1,4 @@
-"""Keeps the own entry on the store in step with the backend server beside the node."""
+"""Publishes the entry of this node to the store when its backend server changes."""
 
 import asyncio
 import dataclasses
@@ -10,18 +10,18 @@
 from turmericwharf.state import LogFailure
 from turmericwharf.state.sidecar import AnnouncedServer, NodeEntry, ServerPhase
 
-_RETRY_SECONDS = 0.3
+_RETRY_DELAY_SECONDS = 0.3
 
 
 class LocalEntryPublisher:
-    """Writes the own entry when it changes, until the store has taken it.
+    """Writes the local entry when it changes, and retries until the store accepts it.
 
     Parameters
     ----------
     store
-        Entries of all nodes.
+        Store of the entries of all nodes.
     directory
-        Holds the own entry.
+        Holds the local entry.
     """
 
     def __init__(self, store: NodeStore, directory: NodeDirectory) -> None:
@@ -29,11 +29,11 @@
         self._directory = directory
         self._written: NodeEntry | None = None
         self._changed = asyncio.Event()
-        self._wrote = asyncio.Event()
+        self._write_completed = asyncio.Event()
 
     def publish_server(self, server: AnnouncedServer) -> None:
-        """Publish another state of the backend server."""
-        self._change(
+        """Publish a new state of the backend server."""
+        self._update(
             dataclasses.replace(
                 self._directory.local,
                 server=server.server,
@@ -45,47 +45,47 @@
         )
 
     def publish_stopping(self) -> None:
-        """Publish that the node takes no more work."""
+        """Publish that the node accepts no more work."""
         if self._directory.local.phase is ServerPhase.READY:
-            self._change(dataclasses.replace(self._directory.local, phase=ServerPhase.STOPPING))
+            self._update(dataclasses.replace(self._directory.local, phase=ServerPhase.STOPPING))
 
     def republish(self) -> None:
-        """Write the entry once more, as somebody else has changed or removed it."""
+        """Write the entry again after another writer changed or removed it."""
         self._written = None
         self._changed.set()
 
     async def run(self) -> None:
-        """Write changes until cancelled."""
+        """Write pending changes until cancelled."""
         self._changed.set()
         while True:
             await self._changed.wait()
             self._changed.clear()
             entry = self._directory.local
             if entry == self._written or entry.phase is ServerPhase.ABSENT:
-                # Before its server is known, a node has nothing to tell.
+                # A node has nothing to publish before its server is known.
                 continue
             failure = await self._store.publish(entry)
             if isinstance(failure, LogFailure):
                 logger.bind(detail=failure.detail).info('own_entry_not_written')
                 self._changed.set()
-                await asyncio.sleep(_RETRY_SECONDS)
+                await asyncio.sleep(_RETRY_DELAY_SECONDS)
                 continue
             self._written = entry
-            self._wrote.set()
+            self._write_completed.set()
 
     async def wait_until_written(self, timeout_seconds: float) -> bool:
-        """Wait until the store has the newest entry; return whether it does."""
+        """Wait until the newest entry is stored; return whether it was within the timeout."""
         try:
             async with asyncio.timeout(timeout_seconds):
                 while self._written != self._directory.local:
-                    self._wrote.clear()
-                    await self._wrote.wait()
+                    self._write_completed.clear()
+                    await self._write_completed.wait()
         except TimeoutError:
             return False
         return True
 
-    def _change(self, entry: NodeEntry) -> None:
-        own = self._directory.local
-        if entry != own:
-            self._directory.local = dataclasses.replace(entry, revision=own.revision + 1)
+    def _update(self, entry: NodeEntry) -> None:
+        local = self._directory.local
+        if entry != local:
+            self._directory.local = dataclasses.replace(entry, revision=local.revision + 1)
             self._changed.set()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/membership.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/membership.py
@@ -9,20 +9,20 @@
 
 
 class FleetMembership:
-    """Follows the nodes' topic.
+    """Applies pages of the nodes topic.
 
     Parameters
     ----------
     directory
         Known nodes.
     announcements
-        Learns what the process before this one wrote.
+        Receives the entry that the previous process of this node published.
     publisher
-        Writes the own entry again if somebody else changed it.
+        Publishes the local entry again if it was removed from the store.
     decode
-        Reads an entry.
+        Decodes an entry.
     holders
-        Holders of rates, which follow the nodes.
+        Quota holders, refreshed whenever the set of nodes may have changed.
     """
 
     def __init__(
@@ -50,10 +50,10 @@
         self._holders.refresh()
 
     def _apply(self, stored: StoredEntry) -> None:
-        own = self._directory.local
-        if stored.entry.instance != own.instance:
+        local = self._directory.local
+        if stored.entry.instance != local.instance:
             self._directory.apply(stored, source='store')
-        elif stored.entry.process != own.process:
+        elif stored.entry.process != local.process:
             self._announcements.record_previous_entry(stored.entry)
 
     def _remove(self, key: str) -> None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/messages.py
@@ -1,4 +1,4 @@
-"""Answers messages of other nodes."""
+"""Handles messages from other nodes."""
 
 from functools import singledispatch
 
@@ -24,8 +24,8 @@
     node: SidecarNode,
     peer: NodeEntry,
 ) -> FleetMessage | None:
-    """Return the answer to a message of another node, None if it has none."""
-    raise TypeError(f'{type(message).__name__} is no message that a node answers')
+    """Handle a message from another node; return its answer, or None if it has none."""
+    raise TypeError(f'{type(message).__name__} is not a message that a node can answer')
 
 
 @answer_peer.register
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -1,4 +1,4 @@
-"""The objects of one sidecar node, and how they are wired."""
+"""Builds a sidecar node from its components."""
 
 import asyncio
 import dataclasses
@@ -41,15 +41,15 @@
     StoreTopic,
 )
 
-_GATHER_SECONDS = 0.3
-_NODES_WAIT_SECONDS = 5.0
-# Other nodes tell of newer configurations, so that a long wait on a silent connection does no harm.
-_CONFIGURATION_WAIT_SECONDS = 20.0
+_NODES_BATCH_SECONDS = 0.3
+_NODES_LONG_POLL_SECONDS = 5.0
+# A long poll on a silent connection does no harm, since other nodes report newer configurations.
+_CONFIGURATION_LONG_POLL_SECONDS = 20.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SidecarPorts:
-    """What other layers give to the decisions of one node."""
+    """Implementations that other layers provide for one node."""
 
     clock: Clock
     log: KeyedLog
@@ -62,7 +62,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SidecarNode:
-    """The objects of one node that others use."""
+    """Components of one node that other layers use."""
 
     settings: SidecarSettings
     directory: NodeDirectory
@@ -92,13 +92,13 @@
 
 def build_sidecar_node(
     settings: SidecarSettings,
-    own: NodeEntry,
+    local: NodeEntry,
     ports: SidecarPorts,
 ) -> SidecarNode:
-    """Wire the decisions of one node to what the other layers give."""
+    """Connect the components of one node to the implementations of the other layers."""
     clock = ports.clock
     bounds = BoundsInForce(settings)
-    directory = NodeDirectory(own, clock)
+    directory = NodeDirectory(local, clock)
     holder = ConfigurationHolder(ports.decode_configuration)
     request_checks = RequestChecks(holder, clock)
     record = ServerRecord()
@@ -114,11 +114,11 @@
     follower = TopicFollower(
         ports.log,
         StoreTopic.CONFIGURATION,
-        lambda page: _offer_configuration(holder, page),
-        wait_seconds=_CONFIGURATION_WAIT_SECONDS,
+        lambda page: _apply_configurations(holder, page),
+        wait_seconds=_CONFIGURATION_LONG_POLL_SECONDS,
     )
-    near = DataCentreRanking(directory)
-    relay = _build_relay(ports, directory, near, membership, holders)
+    ranking = DataCentreRanking(directory)
+    relay = _build_relay(ports, directory, ranking, membership, holders)
     sender = OrderSender(
         gate=gate,
         links=ports.links,
@@ -128,7 +128,7 @@
         caller_service=settings.service,
     )
     allowance = RetryAllowance(
-        pool=RetryPool(directory, near, bounds, clock),
+        pool=RetryPool(directory, ranking, bounds, clock),
         links=ports.links,
         directory=directory,
         bounds=bounds,
@@ -166,7 +166,7 @@
 def _build_relay(
     ports: SidecarPorts,
     directory: NodeDirectory,
-    near: DataCentreRanking,
+    ranking: DataCentreRanking,
     membership: FleetMembership,
     holders: QuotaHolders,
 ) -> DirectoryRelay:
@@ -175,13 +175,13 @@
         ports.log,
         StoreTopic.NODES,
         membership.apply,
-        wait_seconds=_NODES_WAIT_SECONDS,
-        batch_seconds=_GATHER_SECONDS,
+        wait_seconds=_NODES_LONG_POLL_SECONDS,
+        batch_seconds=_NODES_BATCH_SECONDS,
         enabled=store_needed,
     )
     return DirectoryRelay(
         directory=directory,
-        readers=StoreReaders(directory, near),
+        readers=StoreReaders(directory, ranking),
         links=ports.links,
         store_needed=store_needed,
         follower=follower,
@@ -189,7 +189,7 @@
     )
 
 
-def _offer_configuration(holder: ConfigurationHolder, page: KeyedPage) -> None:
+def _apply_configurations(holder: ConfigurationHolder, page: KeyedPage) -> None:
     for record in page.records_by_key.values():
         if record.encoded:
             holder.apply_if_newer(record.encoded, source='store')
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces of a sidecar node that other layers implement."""
+"""Interfaces that other layers implement for a sidecar node."""
 
 from typing import Protocol
 
@@ -44,7 +44,7 @@
 
 
 class ServerConnection(Protocol):
-    """The backend server beside the node."""
+    """Connection to the local backend server."""
 
     async def run(
         self,
@@ -52,10 +52,10 @@
         *,
         remaining_seconds: float,
     ) -> Answered | NotRun | OutcomeUnknown:
-        """Send the request to the server; a cancellation closes the connection."""
+        """Send the request to the server; cancellation closes the connection."""
 
     async def identify(self, path: str, *, timeout_seconds: float) -> str | None:
-        """Return the identifier that a healthy server gives at its health path, else None."""
+        """Return the identifier that a healthy server reports at its health path, or None."""
 
 
 class KeyedLog(Protocol):
@@ -71,31 +71,31 @@
         offset: int,
         wait_seconds: float,
     ) -> KeyedPage | LogFailure:
-        """Read records from an offset on; wait for one if there is none yet.
+        """Read records from an offset onwards; wait if there are none yet.
 
         Returns
         -------
         LogFailure
-            `HISTORY_GONE` if the store no longer has the records.
+            `HISTORY_GONE` if the store no longer retains the records at the offset.
         """
 
 
 class NodeStore(Protocol):
-    """Entries of all nodes on the store."""
+    """Store of the entries of all nodes."""
 
     async def publish(self, entry: NodeEntry) -> LogFailure | None:
         """Write the entry of a node."""
 
 
 class ConfigurationDecoder(Protocol):
-    """Reads a configuration as it was published."""
+    """Decodes a published configuration."""
 
     def __call__(self, encoded: bytes) -> FleetConfiguration | None:
-        """Return the configuration, or None if it cannot be read."""
+        """Return the configuration, or None if it cannot be decoded."""
 
 
 class NodeEntryDecoder(Protocol):
-    """Reads the entry of a node."""
+    """Decodes the entry of a node."""
 
     def __call__(self, encoded: bytes) -> NodeEntry | None:
-        """Return the entry, or None if it cannot be read."""
+        """Return the entry, or None if it cannot be decoded."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
@@ -1,4 +1,4 @@
-"""Finds the backend server again after a restart of the node beside it."""
+"""Rediscovers the local backend server after a restart of the node."""
 
 import asyncio
 
@@ -8,23 +8,23 @@
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.ports import ServerConnection
 
-_POLL_SECONDS = 0.1
-# After this time the server has announced itself.
-_LIMIT_SECONDS = 3.0
-_IDENTIFY_SECONDS = 0.5
+_POLL_INTERVAL_SECONDS = 0.1
+# A running server has announced itself again by this time.
+_RECOVERY_TIMEOUT_SECONDS = 3.0
+_IDENTIFY_TIMEOUT_SECONDS = 0.5
 
 
 class ServerRecovery:
-    """Asks the server who it is, instead of waiting for its next announcement.
+    """Identifies the server actively instead of waiting for its next announcement.
 
     Parameters
     ----------
     announcements
-        Knows what the process before this one wrote.
+        Holds the entry that the previous process of this node published.
     holder
-        Configuration with the health path of the service.
+        Holds the configuration with the health path of the service.
     server
-        The backend server.
+        Connection to the backend server.
     """
 
     def __init__(
@@ -38,11 +38,11 @@
         self._server = server
 
     async def run(self) -> None:
-        """Try until the server is known or has had time to announce itself, then wait."""
+        """Identify the server once its health path is known, within a time limit, then wait."""
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + _LIMIT_SECONDS
+        deadline = loop.time() + _RECOVERY_TIMEOUT_SECONDS
         while loop.time() < deadline and not await self._try_once():
-            await asyncio.sleep(_POLL_SECONDS)
+            await asyncio.sleep(_POLL_INTERVAL_SECONDS)
         await asyncio.Event().wait()
 
     async def _try_once(self) -> bool:
@@ -52,9 +52,9 @@
         path = self._holder.current.health_paths_by_service.get(server.service)
         if path is None:
             return False
-        found = await self._server.identify(path, timeout_seconds=_IDENTIFY_SECONDS)
-        is_same = found == server.server
-        logger.bind(server=server.server, found=found).info('server_identified')
+        identifier = await self._server.identify(path, timeout_seconds=_IDENTIFY_TIMEOUT_SECONDS)
+        is_same = identifier == server.server
+        logger.bind(server=server.server, found=identifier).info('server_identified')
         if is_same and self._announcements.recoverable_server() == server:
             await self._announcements.announce(server)
         return True
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
@@ -1,36 +1,36 @@
-"""Which nodes read the entries of nodes from the store for their data centre."""
+"""Selects the nodes that read the entries of nodes from the store for their data centre."""
 
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.state.sidecar import NodeEntry
 
-# One reader may be cut off from the store or end at any time.
-_READERS = 2
-_DUTY = 'store-readers'
+# Two, because a reader may lose the store or stop at any time.
+_READER_COUNT = 2
+_ROLE = 'store-readers'
 
 
 class StoreReaders:
-    """Ranks the nodes of the own data centre; the first ones that answer are its readers.
+    """Selects the highest-ranked nodes of the local data centre as its readers.
 
-    Views of two nodes may differ for a while. Each node that is not a reader asks only nodes that
-    rank above it, so that no two nodes wait for each other.
+    The views of two nodes may differ temporarily. A node that is not a reader polls only nodes
+    ranked above it, so that no two nodes wait for each other.
 
     Parameters
     ----------
     directory
         Known nodes.
-    near
-        Nodes of the own data centre.
+    ranking
+        Ranking of the nodes of the local data centre.
     """
 
-    def __init__(self, directory: NodeDirectory, near: DataCentreRanking) -> None:
+    def __init__(self, directory: NodeDirectory, ranking: DataCentreRanking) -> None:
         self._directory = directory
-        self._near = near
+        self._ranking = ranking
 
     def upstream_readers(self) -> list[NodeEntry]:
-        """Return the readers to ask, none if this node is a reader itself."""
-        readers = self._near.ranked_nodes(_DUTY)[:_READERS]
+        """Return the readers to poll; empty if this node is a reader itself."""
+        readers = self._ranking.ranked_nodes(_ROLE)[:_READER_COUNT]
         if self._directory.local.instance in readers:
             return []
-        found = (self._directory.find(one) for one in readers)
-        return [entry for entry in found if entry is not None]
+        entries = (self._directory.find(instance) for instance in readers)
+        return [entry for entry in entries if entry is not None]
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
@@ -1,4 +1,4 @@
-"""Follows a topic of the store by its newest records and then its changes."""
+"""Follows a topic of the store: reads its newest records, then its changes."""
 
 import asyncio
 import random
@@ -11,27 +11,27 @@
 from turmericwharf.state import LogFailure
 from turmericwharf.state.sidecar import HISTORY_GONE, FollowerDump, KeyedPage, StoreTopic
 
-_FIRST_PAUSE_SECONDS = 0.1
-_LAST_PAUSE_SECONDS = 1.6
+_MIN_BACKOFF_SECONDS = 0.1
+_MAX_BACKOFF_SECONDS = 1.6
 
 
 class TopicFollower:
-    """Reads one topic for as long as the node runs.
+    """Reads one topic continuously.
 
     Parameters
     ----------
     log
         The platform's store.
     topic
-        What to follow.
-    take
+        Topic to follow.
+    on_page
         Called with each page.
     wait_seconds
-        How long one read waits for a change.
-    gather_seconds
-        Pause after a page, so that changes that come together are read together.
-    needed
-        Set while the topic is to be read; it is always read if None.
+        Longest time that one read waits for a change.
+    batch_seconds
+        Delay after a page, so that changes close together arrive in one page.
+    enabled
+        Set while the topic is to be read; if None, it is always read.
     """
 
     def __init__(
@@ -46,27 +46,27 @@
     ) -> None:
         self._log = log
         self._topic = topic
-        self._take = on_page
+        self._on_page = on_page
         self._wait_seconds = wait_seconds
-        self._gather_seconds = batch_seconds
-        self._needed = enabled
+        self._batch_seconds = batch_seconds
+        self._enabled = enabled
         self._next_offset: int | None = None
         self.is_connected = False
         self.has_read = False
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
-        pause_seconds = _FIRST_PAUSE_SECONDS
+        backoff_seconds = _MIN_BACKOFF_SECONDS
         while True:
-            if self._needed is not None:
-                await self._needed.wait()
+            if self._enabled is not None:
+                await self._enabled.wait()
             if await self._read_once():
-                pause_seconds = _FIRST_PAUSE_SECONDS
-                await asyncio.sleep(self._gather_seconds)
+                backoff_seconds = _MIN_BACKOFF_SECONDS
+                await asyncio.sleep(self._batch_seconds)
             else:
-                # Jitter keeps the nodes apart when the store comes back for all of them.
-                await asyncio.sleep(pause_seconds * random.uniform(0.5, 1.0))
-                pause_seconds = min(pause_seconds * 2, _LAST_PAUSE_SECONDS)
+                # Jitter keeps the nodes from retrying all at once when the store recovers.
+                await asyncio.sleep(backoff_seconds * random.uniform(0.5, 1.0))
+                backoff_seconds = min(backoff_seconds * 2, _MAX_BACKOFF_SECONDS)
 
     async def _read_once(self) -> bool:
         if self._next_offset is None:
@@ -82,21 +82,21 @@
             self._next_offset = None
             return True
         if isinstance(page, LogFailure):
-            self._note_lost(page)
+            self._record_failure(page)
             return False
-        self._note_read()
+        self._record_success()
         self._next_offset = page.next_offset
-        self._take(page)
+        self._on_page(page)
         return True
 
-    def _note_lost(self, failure: LogFailure) -> None:
-        # The newest records are read again, since the store may have dropped what was missed.
+    def _record_failure(self, failure: LogFailure) -> None:
+        # Restart from the newest records, since the store may have dropped the missed changes.
         self._next_offset = None
         if self.is_connected or not self.has_read:
             logger.bind(topic=self._topic.value, detail=failure.detail).warning('store_lost')
         self.is_connected = False
 
-    def _note_read(self) -> None:
+    def _record_success(self) -> None:
         if not self.is_connected:
             logger.bind(topic=self._topic.value).info('store_reached')
         self.is_connected = True
