--- a/tests/coordination/sidecar/test_directory.py
+++ b/tests/coordination/sidecar/test_directory.py
@@ -18,7 +18,7 @@
 
 
 def test_older_revision_of_a_process_changes_nothing():
-    """A late record would bring a leaving server back."""
+    """Guards against a late record making a leaving server ready again."""
     directory, _ = make_directory()
     ready = make_entry('peer')
     leaving = dataclasses.replace(ready, phase=ServerPhase.LEAVING, revision=2)
@@ -26,11 +26,14 @@
     apply(directory, ready, 4)
     apply(directory, ready, 6)
     assert directory.find('peer').phase is ServerPhase.LEAVING
-    assert [one.instance for one in directory.nodes_serving('bookings')] == ['own']
+    assert [entry.instance for entry in directory.nodes_serving('bookings')] == ['own']
 
 
-def test_process_that_a_connection_leads_to_wins_over_the_store():
-    """Orders would go to a process that the store still names after a restart."""
+def test_connected_process_takes_precedence_over_the_store():
+    """Guards against orders to a process that no longer runs.
+
+    After a restart the store may still list the previous process.
+    """
     directory, _ = make_directory()
     old, new = make_entry('peer', process='old'), make_entry('peer', process='new')
     apply(directory, old, 1)
@@ -42,8 +45,8 @@
     assert directory.find('peer').process == 'newer'
 
 
-def test_suspicion_grows_and_ends_with_an_answer():
-    """A node that is down would be asked by each request."""
+def test_suspicion_backs_off_and_ends_with_an_answer():
+    """Guards against every request trying a node that is down."""
     directory, clock = make_directory()
     apply(directory, make_entry('peer'), 1)
     directory.suspect('peer')
@@ -58,7 +61,7 @@
 
 
 def test_entry_without_a_position_does_not_replace_a_known_process():
-    """Second-hand news would replace what the store or a connection said."""
+    """Guards against a relayed entry overriding one from the store or a connection."""
     directory, _ = make_directory()
     known = make_entry('peer')
     apply(directory, known, 0)
@@ -66,8 +69,8 @@
     assert directory.find('peer') == known
 
 
-def test_reader_that_is_behind_does_not_bring_an_earlier_process_back():
-    """After a change of readers, orders would go to the process before the restart."""
+def test_stale_reader_does_not_restore_an_earlier_process():
+    """Guards against orders to the process before a restart, after a switch to a stale reader."""
     directory, _ = make_directory()
     old, new = make_entry('peer', process='old'), make_entry('peer', process='new')
     apply(directory, new, 9)
@@ -75,8 +78,8 @@
     assert directory.find('peer') == new
 
 
-def test_newer_revision_is_taken_before_the_store_has_it():
-    """A reader's own server would go on getting work after it began to leave."""
+def test_newer_revision_is_applied_before_it_is_stored():
+    """Guards against work for the server of a store reader after it began to leave."""
     directory, _ = make_directory()
     ready = make_entry('peer')
     apply(directory, ready, 3)
@@ -84,8 +87,8 @@
     assert directory.find('peer').phase is ServerPhase.LEAVING
 
 
-def test_changes_are_told_once_and_awaited():
-    """Each question of a node would be answered with all entries, or too late."""
+def test_changes_are_reported_once_and_awaited():
+    """Guards against replies that repeat all entries or come late."""
 
     async def main():
         directory, _ = make_directory()
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -13,30 +13,32 @@
 
 
 class Fleet:
-    """Relays of nodes that reach each other in memory; `down` nodes answer nobody."""
+    """Relays of nodes connected in memory; nodes in `down` do not answer."""
 
     def __init__(self, count=6) -> None:
         self.down = set()
-        self.told = []
+        self.notified = []
         self.entries = [make_entry(f'n{n}') for n in range(count)]
-        self.nodes_by_id = {one.instance: self._make_node(one) for one in self.entries}
-        self.tasks = [asyncio.create_task(one.relay.run()) for one in self.nodes_by_id.values()]
+        self.nodes_by_id = {entry.instance: self._make_node(entry) for entry in self.entries}
+        self.tasks = [asyncio.create_task(node.relay.run()) for node in self.nodes_by_id.values()]
 
     def _make_node(self, own):
         directory = NodeDirectory(own, LoopClock())
-        for place, other in enumerate(self.entries):
-            directory.apply(StoredEntry(other, place), source='store')
-        needed = asyncio.Event()
+        for position, other in enumerate(self.entries):
+            directory.apply(StoredEntry(other, position), source='store')
+        store_needed = asyncio.Event()
         follower = SimpleNamespace(is_connected=True)
         relay = DirectoryRelay(
             directory=directory,
             readers=StoreReaders(directory, DataCentreRanking(directory)),
             links=self,
-            store_needed=needed,
+            store_needed=store_needed,
             follower=follower,
-            on_applied=lambda: self.told.append(own.instance),
+            on_applied=lambda: self.notified.append(own.instance),
+        )
+        return SimpleNamespace(
+            directory=directory, store_needed=store_needed, follower=follower, relay=relay
         )
-        return SimpleNamespace(directory=directory, needed=needed, follower=follower, relay=relay)
 
     async def request(self, peer, message, *, timeout_seconds):
         if peer.instance in self.down:
@@ -46,21 +48,21 @@
 
     @property
     def store_readers(self):
-        return {name for name, node in self.nodes_by_id.items() if node.needed.is_set()}
+        return {name for name, node in self.nodes_by_id.items() if node.store_needed.is_set()}
 
-    def change_one(self):
-        """Return the changed entry of a node that does not read the store."""
+    def make_change(self):
+        """Return a changed entry for a node that does not read the store."""
         name = next(name for name in self.nodes_by_id if name not in self.store_readers)
         own = self.nodes_by_id[name].directory.local
         return dataclasses.replace(own, phase=ServerPhase.LEAVING, revision=1)
 
-    async def tell_readers(self, entry, position):
-        """Give an entry to the nodes that read the store."""
+    async def apply_at_readers(self, entry, position):
+        """Apply an entry at the nodes that read the store."""
         for name in self.store_readers:
             stored = StoredEntry(entry, position)
             self.nodes_by_id[name].directory.apply(stored, source='store')
 
-    def know(self, instance, revision):
+    def nodes_with_revision(self, instance, revision):
         return {
             name
             for name, node in self.nodes_by_id.items()
@@ -68,7 +70,7 @@
         }
 
 
-def play(scenario):
+def run_scenario(scenario):
     async def main():
         fleet = Fleet()
         await asyncio.sleep(0.5)
@@ -81,40 +83,40 @@
     run_in_virtual_time(main())
 
 
-def test_two_nodes_read_the_store_and_all_hear_of_a_change_at_once():
-    """Each node would read each change from the store, or hear of it too late."""
+def test_two_nodes_read_the_store_and_all_receive_a_change_at_once():
+    """Guards against every node reading each change from the store, and against late changes."""
 
     async def scenario(fleet):
         assert len(fleet.store_readers) == 2
-        changed = fleet.change_one()
-        fleet.told.clear()
-        await fleet.tell_readers(changed, 100)
+        changed = fleet.make_change()
+        fleet.notified.clear()
+        await fleet.apply_at_readers(changed, 100)
         await asyncio.sleep(0.2)
-        assert len(fleet.know(changed.instance, 1)) == 5
-        # Parts of rates begin with the change, not with the first request after it.
-        assert set(fleet.told) == set(fleet.nodes_by_id) - fleet.store_readers
+        assert len(fleet.nodes_with_revision(changed.instance, 1)) == 5
+        # Quota shares must start at the change, not at the first request after it.
+        assert set(fleet.notified) == set(fleet.nodes_by_id) - fleet.store_readers
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_dead_readers_are_replaced():
-    """A data centre would hear nothing after both of its readers were killed."""
+    """Guards against a data centre without updates after both of its readers are killed."""
 
     async def scenario(fleet):
         fleet.down = fleet.store_readers
         await asyncio.sleep(5)
         assert fleet.store_readers - fleet.down
-        changed = fleet.change_one()
-        await fleet.tell_readers(changed, 100)
+        changed = fleet.make_change()
+        await fleet.apply_at_readers(changed, 100)
         await asyncio.sleep(3)
         others = set(fleet.nodes_by_id) - fleet.down - {changed.instance}
-        assert fleet.know(changed.instance, 1) >= others
+        assert fleet.nodes_with_revision(changed.instance, 1) >= others
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_nodes_read_the_store_while_readers_have_lost_it_and_stop_when_they_are_back():
-    """A node would go on with old entries, or all would read the store for ever after."""
+def test_nodes_read_the_store_only_while_the_readers_are_disconnected_from_it():
+    """Guards against stale entries, and against all nodes reading the store indefinitely."""
 
     async def scenario(fleet):
         readers = fleet.store_readers
@@ -127,11 +129,11 @@
         await asyncio.sleep(3)
         assert fleet.store_readers == readers
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_node_that_the_store_turns_away_learns_from_other_nodes():
-    """A node without the store and without readers would know no new process."""
+def test_node_that_cannot_read_the_store_fetches_entries_from_other_nodes():
+    """Guards against a node that misses new processes while the store and readers are lost."""
 
     async def scenario(fleet):
         for node in fleet.nodes_by_id.values():
@@ -141,11 +143,14 @@
         await asyncio.sleep(60)
         assert all(node.directory.find('new') is not None for node in fleet.nodes_by_id.values())
 
-    play(scenario)
+    run_scenario(scenario)
+
 
+def test_reply_of_a_new_process_contains_all_entries():
+    """Guards against missed changes after the restart of a reader.
 
-def test_answer_of_a_new_process_starts_from_the_beginning():
-    """After the restart of a reader, its changes would be counted with those before."""
+    Change numbers start over with each process, so those of the previous one do not apply.
+    """
 
     async def scenario(fleet):
         name = next(iter(fleet.store_readers))
@@ -155,4 +160,4 @@
         assert len(reply.nodes) == 5
         assert reply.process == f'process-of-{name}'
 
-    play(scenario)
+    run_scenario(scenario)
--- a/tests/coordination/sidecar/test_store_readers.py
+++ b/tests/coordination/sidecar/test_store_readers.py
@@ -8,8 +8,8 @@
 from turmericwharf.state.sidecar import ServerPhase, StoredEntry
 
 
-def make_fleet(count=9, places=1):
-    entries = [make_entry(f'n{n}', data_centre=f'place-{n % places}') for n in range(count)]
+def make_fleet(count=9, data_centres=1):
+    entries = [make_entry(f'n{n}', data_centre=f'place-{n % data_centres}') for n in range(count)]
     directories_by_id = {}
     for own in entries:
         directory = NodeDirectory(own, ManualClock())
@@ -23,43 +23,51 @@
     return StoreReaders(directory, DataCentreRanking(directory))
 
 
-def names(readers):
+def reader_names(readers):
     return {entry.instance for entry in readers.upstream_readers()}
 
 
-def test_two_nodes_of_each_data_centre_read_and_the_others_agree_on_them():
-    """Each node would read the store, or a data centre would depend on another one."""
-    directories_by_id = make_fleet(count=12, places=3)
-    asked_by_id = {name: names(make_readers(one)) for name, one in directories_by_id.items()}
-    own_readers = {name for name, asked in asked_by_id.items() if not asked}
-    assert len(own_readers) == 6
-    for name, asked in asked_by_id.items():
-        place = directories_by_id[name].local.data_centre
-        near = {one for one in own_readers if directories_by_id[one].local.data_centre == place}
-        assert asked in (set(), near)
+def test_each_data_centre_has_two_readers_that_its_other_nodes_agree_on():
+    """Guards against every node reading the store, and against dependence between data centres."""
+    directories_by_id = make_fleet(count=12, data_centres=3)
+    polled_by_id = {
+        name: reader_names(make_readers(directory)) for name, directory in directories_by_id.items()
+    }
+    all_readers = {name for name, polled in polled_by_id.items() if not polled}
+    assert len(all_readers) == 6
+    for name, polled in polled_by_id.items():
+        data_centre = directories_by_id[name].local.data_centre
+        local_readers = {
+            reader
+            for reader in all_readers
+            if directories_by_id[reader].local.data_centre == data_centre
+        }
+        assert polled in (set(), local_readers)
 
 
 def test_next_node_reads_when_a_reader_is_suspected_or_stops():
-    """A data centre would hear nothing after its readers have ended."""
+    """Guards against a data centre without updates after its readers stop."""
     directories_by_id = make_fleet()
-    readers_by_id = {name: make_readers(one) for name, one in directories_by_id.items()}
-    first, second = (name for name, one in readers_by_id.items() if not names(one))
-    other = next(name for name, one in readers_by_id.items() if names(one))
+    readers_by_id = {name: make_readers(directory) for name, directory in directories_by_id.items()}
+    first, second = (name for name, readers in readers_by_id.items() if not reader_names(readers))
+    other = next(name for name, readers in readers_by_id.items() if reader_names(readers))
     directories_by_id[other].suspect(first)
-    assert first not in names(readers_by_id[other])
+    assert first not in reader_names(readers_by_id[other])
     entry = directories_by_id[other].find(second)
     stopping = dataclasses.replace(entry, phase=ServerPhase.STOPPING, revision=1)
     directories_by_id[other].apply(StoredEntry(stopping, 1), source='store')
-    assert second not in names(readers_by_id[other])
+    assert second not in reader_names(readers_by_id[other])
 
 
-def test_no_two_nodes_wait_for_each_other_whatever_they_suspect():
-    """Two nodes that ask each other would both stop to read the store."""
+def test_no_two_nodes_poll_each_other_whichever_nodes_they_suspect():
+    """Guards against two nodes that poll each other, since neither would read the store."""
     directories_by_id = make_fleet(count=5)
     for number, (name, directory) in enumerate(directories_by_id.items()):
         for other in list(directories_by_id)[number : number + 2]:
             if other != name:
                 directory.suspect(other)
-    asked_by_id = {name: names(make_readers(one)) for name, one in directories_by_id.items()}
-    for name, asked in asked_by_id.items():
-        assert all(name not in asked_by_id[other] for other in asked)
+    polled_by_id = {
+        name: reader_names(make_readers(directory)) for name, directory in directories_by_id.items()
+    }
+    for name, polled in polled_by_id.items():
+        assert all(name not in polled_by_id[other] for other in polled)
--- a/tests/coordination/sidecar/test_topic_follower.py
+++ b/tests/coordination/sidecar/test_topic_follower.py
@@ -9,7 +9,7 @@
 
 
 class Log:
-    """Gives scripted pages, then waits; counts the calls."""
+    """Returns scripted pages, then blocks; records the calls."""
 
     def __init__(self, *pages) -> None:
         self.pages = list(pages)
@@ -41,8 +41,8 @@
     return run_in_virtual_time(main())
 
 
-def test_changes_are_read_from_where_the_last_page_ended():
-    """A change would be missed, or all records would be read again and again."""
+def test_changes_are_read_from_the_end_of_the_last_page():
+    """Guards against missed changes and against reading all records repeatedly."""
     log = Log(PAGE, KeyedPage({}, 7))
     follower, pages = follow(log, 1)
     assert log.calls == ['newest', 5, 7]
@@ -50,22 +50,22 @@
 
 
 def test_newest_records_are_read_again_when_history_is_gone():
-    """A node would wait for ever for records that the store has dropped."""
+    """Guards against waiting indefinitely for records that the store has dropped."""
     log = Log(PAGE, HISTORY_GONE, PAGE)
     follow(log, 1)
     assert log.calls == ['newest', 5, 'newest', 5]
 
 
-def test_lost_store_is_asked_less_and_less_often():
-    """Calls to a store that is down are counted and priced like others."""
+def test_reads_of_an_unreachable_store_back_off():
+    """Guards against frequent retries: calls to a store that is down count and cost like others."""
     log = Log(*[AWAY] * 100)
     follower, _ = follow(log, 16)
     assert not follower.is_connected
     assert 8 <= len(log.calls) <= 30
 
 
-def test_topic_is_not_read_while_others_tell_of_it():
-    """Nodes that hear from a reader would read the store all the same."""
+def test_topic_is_not_read_while_disabled():
+    """Guards against reads of the store by nodes that get the entries from a reader."""
     log = Log(PAGE)
     follow(log, 5, enabled=asyncio.Event)
     assert not log.calls
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -1,6 +1,7 @@
-"""A fleet whose nodes run the real decisions on virtual time, over faulty links and a log.
+"""A simulated fleet: real coordination code on virtual time, over faulty links and a log.
 
-Frames pass the real codec, so that their bytes can be counted. Time jumps from timer to timer.
+Frames go through the real codec, so that their bytes can be counted. Time jumps from timer to
+timer.
 """
 
 import asyncio
@@ -40,7 +41,7 @@
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """Event loop that does not wait for timers but advances its time to them."""
+    """Event loop that advances its time to the next timer instead of waiting."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -68,11 +69,11 @@
 
 
 class VirtualFleet:
-    """Nodes by name, the log and the faults between them."""
+    """Nodes by name, the log, and the faults injected between them."""
 
     def __init__(self, seed: int, timing: TimingSettings) -> None:
         self.random = random.Random(seed)
-        # The decisions draw from the module's generator.
+        # The coordination code draws from the module-level generator.
         random.seed(seed)
         self.timing = timing
         self.nodes: dict[InstanceId, Node] = {}
@@ -82,7 +83,7 @@
         self.paused: set[InstanceId] = set()
         self.loss = 0.0
         self.delay_seconds = 0.0
-        # Nodes whose frames and log answers are late; the others are fast.
+        # Nodes whose frames and log replies are delayed; the others are fast.
         self.slow: set[InstanceId] = set()
         self.bytes_sent = 0
         self._starts = 0
@@ -117,26 +118,27 @@
         )
         self.nodes[instance] = node
         self._tasks[instance] = [
-            asyncio.create_task(part.run()) for part in (node.gossiper, node.joiner, node.remover)
+            asyncio.create_task(component.run())
+            for component in (node.gossiper, node.joiner, node.remover)
         ]
         self._tasks[instance].append(asyncio.create_task(node.control_log.follow()))
         return node
 
     def kill(self, name: str) -> None:
-        """End a node without a word."""
+        """Stop a node without notice."""
         self.nodes.pop(name, None)
         for task in self._tasks.pop(name, ()):
             task.cancel()
 
     def withdraw_key(self) -> int:
-        """Append the withdrawal of a key; return its version."""
+        """Append the withdrawal of a key to the log; return its version."""
         number = len(self.records)
         key = Key('k', KeyDigest('d'), 'org', withdrawn=True)
         self.records.append(Publish(f'p{number}', number, 'operator', keys=(key,)))
         return number
 
     def isolate(self, *names: str) -> None:
-        """Separate some nodes from all others and from the log."""
+        """Partition nodes from all others and from the log."""
         self.log_unreachable.update(names)
         rest = self.nodes.keys() - set(names)
         self.partitioned_links.update((one, other) for one in names for other in rest)
@@ -154,15 +156,15 @@
         return True
 
     def draw_delay(self, *names: InstanceId) -> float:
-        longest = self.delay_seconds if self.slow.intersection(names) else 0.0
-        return self.random.uniform(0.001, 0.002 + longest)
+        max_delay = self.delay_seconds if self.slow.intersection(names) else 0.0
+        return self.random.uniform(0.001, 0.002 + max_delay)
 
     async def transmit(self, source: InstanceId, destination: InstanceId) -> bool:
-        """Take one frame over a link; return False if it is lost."""
+        """Transmit one frame over a link; return False if it is lost."""
         if self.random.random() < self.loss:
             return False
         await asyncio.sleep(self.draw_delay(source, destination))
-        # A frame behind a cut or in front of a paused process waits, as in a TCP buffer.
+        # A frame on a partitioned link or for a paused process waits, as in a TCP buffer.
         while (source, destination) in self.partitioned_links or self.paused & {
             source,
             destination,
@@ -222,23 +224,25 @@
         self._own = own
 
     async def append(self, stream, records):
-        if not await self._carry():
+        if not await self._transmit():
             return LOG_UNAVAILABLE
         first = len(self._fleet.records)
         self._fleet.records.extend(records)
         return first
 
     async def read(self, stream, *, offset, wait_seconds):
-        if not await self._carry():
+        if not await self._transmit():
             return LOG_UNAVAILABLE
         await self._fleet.wait(lambda: len(self._fleet.records) > offset, wait_seconds)
-        page = [StoredRecord(at, one) for at, one in enumerate(self._fleet.records)][offset:]
-        # The answer may wait on the way, too.
-        if not await self._carry():
+        page = [
+            StoredRecord(position, record) for position, record in enumerate(self._fleet.records)
+        ][offset:]
+        # The reply may be delayed or lost, too.
+        if not await self._transmit():
             return LOG_UNAVAILABLE
         return LogPage(tuple(page), 0, offset + len(page))
 
-    async def _carry(self) -> bool:
+    async def _transmit(self) -> bool:
         await asyncio.sleep(self._fleet.draw_delay(self._own.instance))
         while self._own.instance in self._fleet.paused:
             await asyncio.sleep(POLL_SECONDS)
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -1,4 +1,4 @@
-"""An asyncio loop whose clock jumps to the next timer instead of waiting."""
+"""An asyncio event loop whose clock jumps to the next timer instead of waiting."""
 
 import asyncio
 import selectors
@@ -13,7 +13,7 @@
 
     def select(self, timeout: float | None = None) -> list:
         if timeout is None:
-            raise RuntimeError('every task waits and no timer is set')
+            raise RuntimeError('deadlock: every task is waiting and no timer is set')
         self.now += max(timeout, 0)
         return super().select(0)
 
@@ -28,13 +28,13 @@
 
 
 class LoopClock:
-    """The clock of the nodes that run in the current loop."""
+    """Clock that reads the time of the running event loop."""
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
 
 
 def run_in_virtual_time(main: Coroutine[Any, Any, Any]) -> Any:
-    """Run a coroutine to its end; sleeping takes no wall-clock time."""
+    """Run a coroutine to completion; sleeping takes no wall-clock time."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(main)
