--- a/tests/coordination/sidecar/test_directory.py
+++ b/tests/coordination/sidecar/test_directory.py
@@ -46,7 +46,7 @@
 
 
 def test_suspicion_backs_off_and_ends_with_an_answer():
-    """Guards against every request trying a node that is down."""
+    """Guards against each request trying a node that is down."""
     directory, clock = make_directory()
     apply(directory, make_entry('peer'), 1)
     directory.suspect('peer')
@@ -79,7 +79,10 @@
 
 
 def test_newer_revision_is_applied_before_it_is_stored():
-    """Guards against work for the server of a store reader after it began to leave."""
+    """Guards against work for the server of a store reader after it began to leave.
+
+    A reader reports the change of its own entry before the store has it.
+    """
     directory, _ = make_directory()
     ready = make_entry('peer')
     apply(directory, ready, 3)
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -22,8 +22,8 @@
         self.nodes_by_id = {entry.instance: self._make_node(entry) for entry in self.entries}
         self.tasks = [asyncio.create_task(node.relay.run()) for node in self.nodes_by_id.values()]
 
-    def _make_node(self, own):
-        directory = NodeDirectory(own, LoopClock())
+    def _make_node(self, local):
+        directory = NodeDirectory(local, LoopClock())
         for position, other in enumerate(self.entries):
             directory.apply(StoredEntry(other, position), source='store')
         store_needed = asyncio.Event()
@@ -34,7 +34,7 @@
             links=self,
             store_needed=store_needed,
             follower=follower,
-            on_applied=lambda: self.notified.append(own.instance),
+            on_applied=lambda: self.notified.append(local.instance),
         )
         return SimpleNamespace(
             directory=directory, store_needed=store_needed, follower=follower, relay=relay
@@ -53,8 +53,8 @@
     def make_change(self):
         """Return a changed entry for a node that does not read the store."""
         name = next(name for name in self.nodes_by_id if name not in self.store_readers)
-        own = self.nodes_by_id[name].directory.local
-        return dataclasses.replace(own, phase=ServerPhase.LEAVING, revision=1)
+        local = self.nodes_by_id[name].directory.local
+        return dataclasses.replace(local, phase=ServerPhase.LEAVING, revision=1)
 
     async def apply_at_readers(self, entry, position):
         """Apply an entry at the nodes that read the store."""
--- a/tests/coordination/sidecar/test_store_readers.py
+++ b/tests/coordination/sidecar/test_store_readers.py
@@ -11,11 +11,11 @@
 def make_fleet(count=9, data_centres=1):
     entries = [make_entry(f'n{n}', data_centre=f'place-{n % data_centres}') for n in range(count)]
     directories_by_id = {}
-    for own in entries:
-        directory = NodeDirectory(own, ManualClock())
+    for local in entries:
+        directory = NodeDirectory(local, ManualClock())
         for other in entries:
             directory.apply(StoredEntry(other, 0), source='store')
-        directories_by_id[own.instance] = directory
+        directories_by_id[local.instance] = directory
     return directories_by_id
 
 
