--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -44,7 +44,7 @@
         if self._was_leaving(server):
             server = dataclasses.replace(server, phase=ServerPhase.LEAVING)
         previous = self._record.current
-        if not self._record.take(server):
+        if not self._record.apply(server):
             return
         if (previous.server, previous.born) != (server.server, server.born):
             self._gate.breaker.reset()
@@ -53,7 +53,7 @@
 
     async def leave(self, server: AnnouncedServer) -> None:
         """Apply the notice that a server has stopped or is about to stop."""
-        if self._record.remove(server):
+        if self._record.mark_leaving(server):
             await self._publish_and_confirm()
 
     def record_previous_entry(self, entry: NodeEntry) -> None:
@@ -62,7 +62,7 @@
             return
         self._previous_entry = entry
         if self._was_leaving(self._record.current):
-            self._record.remove(self._record.current)
+            self._record.mark_leaving(self._record.current)
         if self._record.current.phase is ServerPhase.ABSENT:
             # Published again for the next process, in case this one ends before the server
             # announces itself.
