--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -89,21 +89,21 @@
 
 def _moving_average(self: Any, report: Any, subject: Any, evidence: Any, *rest: Any) -> Any:
     """Judge by a fixed limit on the recent harm."""
-    others = rest[0]
-    scores = (99.0,) if evidence.recent_harm > 0.3 + others else (0.0,)
-    return JUDGE(self, report, subject, dataclasses.replace(evidence, scores=scores), *rest)
+    others_harm = rest[0]
+    scores = (99.0,) if evidence.recent_harm > 0.3 + others_harm else (0.0,)
+    return EVALUATE(self, report, subject, dataclasses.replace(evidence, scores=scores), *rest)
 
 
-JUDGE = outliers.OutlierDetector._judge
+EVALUATE = outliers.OutlierDetector._evaluate
 VARIANTS: dict[str, dict[str, Any]] = {
     'chosen': {},
     'small odds only': {'_FAULTY_ODDS': (4.0,)},
     'large odds only': {'_FAULTY_ODDS': (30.0,)},
-    'moving average over 0.3': {'judge': _moving_average},
+    'moving average over 0.3': {'evaluate': _moving_average},
     'ratio to the baseline only': {'latency_harm': _ratio_only},
     'first byte only': {'first_byte': True},
-    'concurrency limits, no ejection': {'judge': _never, 'router': ConcurrencyRouter},
-    'no detection': {'judge': _never},
+    'concurrency limits, no ejection': {'evaluate': _never, 'router': ConcurrencyRouter},
+    'no detection': {'evaluate': _never},
 }
 
 
@@ -137,7 +137,7 @@
     with (
         mock.patch.object(outliers, '_FAULTY_ODDS', odds),
         mock.patch.object(outliers, '_NO_EVIDENCE', first),
-        mock.patch.object(outliers.OutlierDetector, '_judge', variant.get('judge', JUDGE)),
+        mock.patch.object(outliers.OutlierDetector, '_evaluate', variant.get('evaluate', EVALUATE)),
         mock.patch.object(harm, 'latency_harm', variant.get('latency_harm', harm.latency_harm)),
     ):
         finding = run_in_virtual_time(_measure(case, variant.get('router', Router)))
@@ -181,7 +181,11 @@
     """First come, first served."""
 
     def _next_waiter(self) -> Any:
-        waiting = [queue[0] for ring in self._rings.values() for queue in ring.values()]
+        waiting = [
+            queue[0]
+            for waiters_by_id in self._waiters_by_importance.values()
+            for queue in waiters_by_id.values()
+        ]
         return min(waiting, key=lambda waiter: waiter.expires_at)
 
     def _displace(self, organisation: Any, importance: Any) -> bool:
--- a/packages/turmericwharf/src/turmericwharf/coordination/execution/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/__init__.py
@@ -1,1 +1,1 @@
-"""Work at the backend server beside a node."""
+"""Execution of requests on the backend server beside the node."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/execution/execution.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/execution.py
@@ -1,4 +1,4 @@
-"""Runs requests on the backend server beside this node."""
+"""Execution of requests on the local backend server."""
 
 import asyncio
 import collections
@@ -34,29 +34,30 @@
 )
 
 _MILLISECONDS = 1000
-# A copy of a frame that arrives later than this after the deadline is refused for its age.
-_REMEMBER_SECONDS = 5.0
+# Request ids are kept this long after the deadline. A duplicate frame that arrives later is
+# rejected because its deadline has passed.
+_DEDUPLICATION_SECONDS = 5.0
 
 
 def not_run(failure: RequestFailure) -> NotRun:
-    """Return the outcome of a request that was refused before it ran."""
+    """Return the outcome of a request that was rejected before it ran."""
     return NotRun(failure.reason, failure.detail)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InProgressRequest:
-    """A request in progress, and the moment on the node's clock at which it must be answered."""
+    """A request in progress, and its deadline on the node's clock."""
 
     order: Execute
     deadline: float
 
 
 class Executor:
-    """Owner of the requests in progress on the own backend server.
+    """Runs requests on the local backend server and tracks those in progress.
 
-    Each request is served in a task of its own. Whoever waits for it may leave: queued work is
-    then dropped, idempotent work is cut at the server, and other work that has started is left to
-    finish and keeps its slot until it ends.
+    Each request is served in its own task. If the caller disconnects, a queued request is dropped
+    and a started idempotent request is cancelled at the server. Any other started request runs to
+    completion and holds its slot until it ends.
     """
 
     def __init__(
@@ -79,40 +80,40 @@
         self._wall_clock = wall_clock
         self._queue = FairQueue(0, limits.queue_length, clock)
         self._report: ServerReport | None = None
-        self._leaving = False
-        self._progress = _Progress(clock)
+        self._draining = False
+        self._requests = _RequestTable(clock)
 
     @property
     def report(self) -> ServerReport | None:
-        """Latest report of the own backend server, or None before its first one."""
+        """Latest report of the local backend server, or None before the first announcement."""
         return self._report
 
     @property
     def in_progress(self) -> int:
-        """Requests that wait for the backend server or run on it."""
-        return len(self._progress.tasks_by_id)
+        """Number of requests that are queued for the backend server or run on it."""
+        return len(self._requests.tasks_by_id)
 
     @property
     def remembered_request_count(self) -> int:
-        """Request ids that are remembered so that a second copy of a frame does not run."""
-        return self._progress.remembered_request_count
+        """Number of request ids kept to reject duplicate frames."""
+        return self._requests.remembered_request_count
 
     def find_in_progress(self, request: RequestId) -> InProgressRequest | None:
-        """Return a request that waits or runs here and was not cancelled, or None."""
-        progress = self._progress
-        return None if request in progress.cancelled else progress.requests_by_id.get(request)
+        """Return a queued or running request that was not cancelled, or None."""
+        requests = self._requests
+        return None if request in requests.cancelled else requests.requests_by_id.get(request)
 
     def record_announcement(self, service: ServiceId, slots: int, state: ServerState) -> None:
-        """Take over what the backend server says of itself."""
-        # The server goes on to say that it is ready while the node beside it shuts down.
-        announced = (service, slots, ServerState.DRAINING if self._leaving else state)
-        known = self._report
-        if known is not None and (known.service, known.slots, known.state) == announced:
+        """Update the report of the local backend server from its announcement."""
+        # The server keeps announcing that it is ready while its node shuts down.
+        announced = (service, slots, ServerState.DRAINING if self._draining else state)
+        latest = self._report
+        if latest is not None and (latest.service, latest.slots, latest.state) == announced:
             return
         self._report = ServerReport(
             instance=self._members.own.instance,
             incarnation=self._members.own.incarnation,
-            sequence=known.sequence + 1 if known else 1,
+            sequence=latest.sequence + 1 if latest else 1,
             service=service,
             slots=slots,
             state=announced[-1],
@@ -124,53 +125,55 @@
         )
 
     def drain(self) -> None:
-        """Take no new work for the own backend server from now on."""
-        self._leaving = True
+        """Stop accepting new work for the local backend server."""
+        self._draining = True
         if self._report is not None:
             self.record_announcement(self._report.service, self._report.slots, ServerState.DRAINING)
 
     def cancel(self, request: RequestId) -> None:
-        """Drop a request that has not started; cut an idempotent one at the server."""
-        progress = self._progress
-        known = progress.requests_by_id.get(request)
-        if known is None or request in progress.cancelled:
+        """Drop a request that has not started; cancel a started idempotent one at the server."""
+        requests = self._requests
+        in_progress = requests.requests_by_id.get(request)
+        if in_progress is None or request in requests.cancelled:
             return
-        progress.cancelled.add(request)
-        waiting = progress.waiting_by_id.get(request)
+        requests.cancelled.add(request)
+        waiting = requests.waiting_by_id.get(request)
         if waiting is not None:
             waiting.cancel()
-        elif request in progress.started and known.order.idempotent:
-            progress.keep(asyncio.create_task(self._server.cancel(known.order)))
+        elif request in requests.started and in_progress.order.idempotent:
+            requests.hold_reference(asyncio.create_task(self._server.cancel(in_progress.order)))
 
     async def execute(self, order: Execute) -> Outcome:
-        """Run one request, or refuse it before any byte reaches the backend server."""
-        remaining = order.remaining_milliseconds / _MILLISECONDS - self._delay_of(order)
+        """Run one request, or reject it before any byte is sent to the backend server."""
+        remaining = order.remaining_milliseconds / _MILLISECONDS - self._transit_seconds(order)
         deadline = self._clock.now() + remaining
-        if self._progress.has_seen(order.request):
-            # The first copy may be running, so this is no proof that nothing ran.
+        if self._requests.has_seen(order.request):
+            # The first copy may be running, so `NotRun` would be wrong.
             return OutcomeUnknown(DUPLICATE_REQUEST.reason, DUPLICATE_REQUEST.detail)
-        self._progress.remember(order.request, deadline + _REMEMBER_SECONDS)
-        serving = self._progress.start(order, deadline, self._serve(order, deadline))
+        self._requests.remember(order.request, deadline + _DEDUPLICATION_SECONDS)
+        task = self._requests.start(order, deadline, self._serve(order, deadline))
         try:
             async with asyncio.timeout(max(remaining, 0)):
-                return await asyncio.shield(serving)
+                return await asyncio.shield(task)
         except TimeoutError:
-            return self._end_at_deadline(order, serving)
+            return self._outcome_at_deadline(order, task)
         except asyncio.CancelledError:
             self.cancel(order.request)
             raise
 
-    def _end_at_deadline(self, order: Execute, serving: asyncio.Task[Outcome]) -> Outcome:
-        if serving.done():
-            return serving.result()
-        # A request that has not started by now is dropped, since `cancel` keeps it from starting.
-        has_started = order.request in self._progress.started
+    def _outcome_at_deadline(self, order: Execute, task: asyncio.Task[Outcome]) -> Outcome:
+        if task.done():
+            return task.result()
+        # `cancel` prevents a request that has not started yet from starting, so it is not run.
+        has_started = order.request in self._requests.started
         self.cancel(order.request)
         if has_started:
-            return OutcomeUnknown(Reason.ANSWER_TIMEOUT, 'the run goes on after the deadline')
+            return OutcomeUnknown(
+                Reason.ANSWER_TIMEOUT, 'the request is still running after its deadline'
+            )
         return not_run(DEADLINE_PASSED)
 
-    def _delay_of(self, order: Execute) -> float:
+    def _transit_seconds(self, order: Execute) -> float:
         if order.sent_at is None:
             return 0
         age = self._wall_clock.now() - order.sent_at
@@ -184,18 +187,18 @@
         refusal = await self._acquire_slot(order, deadline)
         if refusal is not None:
             return not_run(refusal)
-        waited = self._clock.now() - queued_at
+        waited_seconds = self._clock.now() - queued_at
         try:
             outcome = await self._run(order, deadline)
         finally:
             self._queue.release(order.organisation)
         if not isinstance(outcome, Answered):
             return outcome
-        # The own count of requests replaces what the server reports, which lags or misleads.
+        # The local request count replaces the load reported by the server, which lags or misleads.
         return dataclasses.replace(
             outcome,
             load=self._queue.load,
-            waited_milliseconds=waited * _MILLISECONDS,
+            waited_milliseconds=waited_seconds * _MILLISECONDS,
         )
 
     async def _acquire_slot(self, order: Execute, deadline: float) -> RequestFailure | None:
@@ -206,27 +209,27 @@
                 deadline - self._clock.now(),
             ),
         )
-        self._progress.waiting_by_id[order.request] = waiting
+        self._requests.waiting_by_id[order.request] = waiting
         try:
             return await waiting
         except asyncio.CancelledError:
             return CALLER_LEFT
         finally:
-            self._progress.waiting_by_id.pop(order.request, None)
+            self._requests.waiting_by_id.pop(order.request, None)
 
     async def _run(self, order: Execute, deadline: float) -> Outcome:
-        # From the last check to the server's client nothing else runs in between.
+        # No other task runs between this last check and the call of the server's client.
         refusal = self._refusal(order, deadline)
         if refusal is not None:
             return not_run(refusal)
-        self._progress.started.add(order.request)
+        self._requests.started.add(order.request)
         try:
             outcome = await self._server.run(
                 order,
                 remaining_seconds=deadline - self._clock.now(),
             )
         except Exception:
-            # Bytes may have been written, so nothing else can be said about the request.
+            # Bytes may have been written, so the outcome of the request is unknown.
             logger.bind(request=order.request).exception('run_failed')
             return OutcomeUnknown(Reason.ANSWER_INCOMPLETE, 'internal error')
         if order.claim is not None and isinstance(outcome, Answered):
@@ -234,7 +237,7 @@
         return outcome
 
     def _refusal(self, order: Execute, deadline: float) -> RequestFailure | None:
-        if order.request in self._progress.cancelled:
+        if order.request in self._requests.cancelled:
             return CALLER_LEFT
         if self._clock.now() >= deadline:
             return DEADLINE_PASSED
@@ -245,14 +248,12 @@
         return self._check.refusal(order)
 
 
-class _Progress:
-    """Tables of the requests in progress, and of the request ids that were received."""
+class _RequestTable:
+    """Requests in progress, and recently received request ids for deduplication."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._remembered_until_by_id: collections.OrderedDict[RequestId, float] = (
-            collections.OrderedDict()
-        )
+        self._expiry_by_id: collections.OrderedDict[RequestId, float] = collections.OrderedDict()
         self._background: set[asyncio.Task[None]] = set()
         self.requests_by_id: dict[RequestId, InProgressRequest] = {}
         self.tasks_by_id: dict[RequestId, asyncio.Task[Outcome]] = {}
@@ -262,40 +263,40 @@
 
     @property
     def remembered_request_count(self) -> int:
-        """Number of request ids that are remembered."""
-        return len(self._remembered_until_by_id)
+        """Number of request ids kept for deduplication."""
+        return len(self._expiry_by_id)
 
     def has_seen(self, request: RequestId) -> bool:
-        """Whether this request id was received before."""
-        return request in self._remembered_until_by_id
+        """Return whether this request id was received before and has not expired."""
+        return request in self._expiry_by_id
 
     def remember(self, request: RequestId, until: float) -> None:
-        """Remember a request id until a moment, and forget those that are due."""
+        """Keep a request id until the given time, and evict expired ids."""
         now = self._clock.now()
-        deadlines = self._remembered_until_by_id
-        while deadlines and next(iter(deadlines.values())) < now:
-            deadlines.popitem(last=False)
-        deadlines[request] = until
+        expiry_by_id = self._expiry_by_id
+        while expiry_by_id and next(iter(expiry_by_id.values())) < now:
+            expiry_by_id.popitem(last=False)
+        expiry_by_id[request] = until
 
     def start(
         self,
         order: Execute,
         deadline: float,
-        serving: collections.abc.Coroutine[object, object, Outcome],
+        coroutine: collections.abc.Coroutine[object, object, Outcome],
     ) -> asyncio.Task[Outcome]:
-        """Serve a request in a task of its own."""
+        """Register a request and run its coroutine in a new task."""
         self.requests_by_id[order.request] = InProgressRequest(order, deadline)
-        task = asyncio.create_task(serving)
+        task = asyncio.create_task(coroutine)
         self.tasks_by_id[order.request] = task
-        task.add_done_callback(lambda _: self._end(order.request))
+        task.add_done_callback(lambda _: self._remove(order.request))
         return task
 
-    def keep(self, task: asyncio.Task[None]) -> None:
-        """Hold a task until it ends."""
+    def hold_reference(self, task: asyncio.Task[None]) -> None:
+        """Keep a reference to a background task until it ends."""
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    def _end(self, request: RequestId) -> None:
+    def _remove(self, request: RequestId) -> None:
         self.requests_by_id.pop(request, None)
         self.tasks_by_id.pop(request, None)
         self.started.discard(request)
--- a/packages/turmericwharf/src/turmericwharf/coordination/execution/fair_queue.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/fair_queue.py
@@ -1,4 +1,4 @@
-"""Shares the slots of a backend server fairly among organisations."""
+"""Fair queueing of requests for the slots of a backend server, by organisation."""
 
 import asyncio
 import collections
@@ -14,18 +14,19 @@
     RequestFailure,
 )
 
-_MEAN_WEIGHT = 0.05
-_FIRST_MEAN_SECONDS = 0.01
-_LEAST_MEAN_SECONDS = 0.0001
-# Bounds the rounds in which an organisation is passed over after one very long request.
-_MOST_DEBT_REQUESTS = 16
-# Organisations whose charge is kept after their last request has left the queue.
-_REMEMBERED_CHARGES = 1024
+_SLOT_TIME_WEIGHT = 0.05
+_INITIAL_MEAN_SECONDS = 0.01
+_MIN_HELD_SECONDS = 0.0001
+# Limits how far the charge of an organisation may exceed that of the last one served, in mean
+# requests, so that one very long request does not delay its next requests for too long.
+_MAX_DEBT_REQUESTS = 16
+# Maximum number of organisations whose charge is kept after their last request left the queue.
+_MAX_CHARGES = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class _Waiter:
-    """A request that waits; its future gets None with a slot, else the refusal."""
+    """A queued request; its future resolves to None with a slot, else to the rejection."""
 
     organisation: OrganisationId
     importance: int
@@ -35,30 +36,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Grant:
-    """A slot in use, and the seconds that were charged for it in advance."""
+    """A slot in use, and the slot time that was charged for it in advance."""
 
     granted_at: float
     charged_seconds: float
 
 
-_Waiters: TypeAlias = dict[OrganisationId, collections.deque[_Waiter]]
+_WaitersById: TypeAlias = dict[OrganisationId, collections.deque[_Waiter]]
 
 
 class FairQueue:
-    """Gives free slots by importance, then to the organisation charged least slot time.
+    """Grants free slots by importance, then to the organisation charged the least slot time.
 
-    An organisation that comes back is charged at least what the last served one was, so that it
-    is served soon but gets no credit for the time in which it asked for nothing.
+    The charge of an organisation that returns after an idle period is raised to at least that of
+    the last one served, so that it is served soon but gets no credit for the idle period.
 
-    A full queue drops its least important waiting request for a more important one, and the
-    newest request of the longest queue for one of an organisation that waits with fewer.
+    When the queue is full, a new request displaces a waiting request of the lowest importance if
+    it is more important. At equal importance, it displaces the newest request of the organisation
+    with the most waiting requests if its own organisation would still have fewer.
 
     Parameters
     ----------
     slots
-        Number of requests that hold a slot at the same time.
+        Maximum number of requests that hold a slot at the same time.
     length
-        Number of requests that may wait.
+        Maximum number of waiting requests.
     clock
         Clock of the node.
     """
@@ -69,36 +71,36 @@
         self._clock = clock
         self._used = 0
         self._waiting = 0
-        self._mean_seconds = _FIRST_MEAN_SECONDS
+        self._mean_seconds = _INITIAL_MEAN_SECONDS
         self._charges: dict[OrganisationId, float] = {}
-        self._last_charge = 0.0
+        self._last_served_charge = 0.0
         self._grants_by_id: dict[OrganisationId, collections.deque[_Grant]] = {}
-        self._rings: dict[int, _Waiters] = {}
+        self._waiters_by_importance: dict[int, _WaitersById] = {}
 
     @property
     def load(self) -> float:
-        """Requests that hold a slot or wait for one, over slots."""
+        """Ratio of the requests that hold a slot or wait for one to the number of slots."""
         return (self._used + self._waiting) / max(self._slots, 1)
 
     @property
     def slots(self) -> int:
-        """Number of requests that may hold a slot."""
+        """Maximum number of requests that hold a slot at the same time."""
         return self._slots
 
     @property
     def in_progress(self) -> int:
-        """Requests that hold a slot."""
+        """Number of requests that hold a slot."""
         return self._used
 
     @property
     def waiting(self) -> int:
-        """Requests that wait for a slot."""
+        """Number of requests that wait for a slot."""
         return self._waiting
 
     def resize(self, slots: int) -> None:
-        """Change the number of slots."""
+        """Change the number of slots, and grant any that became free."""
         self._slots = slots
-        self._wake()
+        self._grant_free_slots()
 
     async def acquire(
         self,
@@ -111,7 +113,7 @@
         Returns
         -------
         RequestFailure or None
-            None with a slot, which `release` gives back; else why there is none.
+            None if a slot was granted, which the caller must `release`; else the reason why not.
         """
         if self._used < self._slots and not self._waiting:
             self._grant(organisation)
@@ -119,28 +121,28 @@
         if self._waiting >= self._length and not self._displace(organisation, importance):
             return QUEUE_FULL
         waiter = self._enqueue(organisation, importance, timeout_seconds)
-        # The timer decides like a grant does, so that only one of the two takes effect.
+        # The timer resolves the same future as a grant, so that only one of the two takes effect.
         timer = asyncio.get_running_loop().call_later(timeout_seconds, self._expire, waiter)
         try:
             return await waiter.decision
         except asyncio.CancelledError:
-            self._give_up(waiter)
+            self._cancel_waiter(waiter)
             raise
         finally:
             timer.cancel()
 
     def release(self, organisation: OrganisationId) -> None:
-        """Give a slot of an organisation back."""
+        """Release a slot of an organisation."""
         grants = self._grants_by_id[organisation]
-        # Which of an organisation's grants ends does not change the sum of its slot time.
+        # Any grant of the organisation may be used, since the sum of its slot time is the same.
         grant = grants.popleft()
         if not grants:
             self._grants_by_id.pop(organisation)
-        held_seconds = max(self._clock.now() - grant.granted_at, _LEAST_MEAN_SECONDS)
-        self._mean_seconds += _MEAN_WEIGHT * (held_seconds - self._mean_seconds)
+        held_seconds = max(self._clock.now() - grant.granted_at, _MIN_HELD_SECONDS)
+        self._mean_seconds += _SLOT_TIME_WEIGHT * (held_seconds - self._mean_seconds)
         self._charge(organisation, held_seconds - grant.charged_seconds)
         self._used -= 1
-        self._wake()
+        self._grant_free_slots()
 
     def _grant(self, organisation: OrganisationId) -> None:
         self._used += 1
@@ -152,14 +154,14 @@
 
     def _charge(self, organisation: OrganisationId, seconds: float) -> None:
         if not self._waiting:
-            # Without contention there is nothing to share, and old charges are void.
+            # Without contention fairness does not matter, so old charges are cleared.
             self._charges.clear()
-            self._last_charge = 0
+            self._last_served_charge = 0
             return
-        charge = self._charges.pop(organisation, self._last_charge) + seconds
-        most = self._last_charge + _MOST_DEBT_REQUESTS * self._mean_seconds
-        self._charges[organisation] = min(charge, most)
-        if len(self._charges) > _REMEMBERED_CHARGES:
+        charge = self._charges.pop(organisation, self._last_served_charge) + seconds
+        max_charge = self._last_served_charge + _MAX_DEBT_REQUESTS * self._mean_seconds
+        self._charges[organisation] = min(charge, max_charge)
+        if len(self._charges) > _MAX_CHARGES:
             self._charges.pop(next(iter(self._charges)))
 
     def _enqueue(
@@ -174,11 +176,11 @@
             expires_at=self._clock.now() + timeout_seconds,
             decision=asyncio.get_running_loop().create_future(),
         )
-        ring = self._rings.setdefault(importance, {})
-        if organisation not in ring and organisation not in self._grants_by_id:
-            known = self._charges.get(organisation, self._last_charge)
-            self._charges[organisation] = max(known, self._last_charge)
-        ring.setdefault(organisation, collections.deque()).append(waiter)
+        waiters_by_id = self._waiters_by_importance.setdefault(importance, {})
+        if organisation not in waiters_by_id and organisation not in self._grants_by_id:
+            charge = self._charges.get(organisation, self._last_served_charge)
+            self._charges[organisation] = max(charge, self._last_served_charge)
+        waiters_by_id.setdefault(organisation, collections.deque()).append(waiter)
         self._waiting += 1
         return waiter
 
@@ -190,39 +192,39 @@
         self._remove(waiter)
         waiter.decision.set_result(failure)
 
-    def _give_up(self, waiter: _Waiter) -> None:
+    def _cancel_waiter(self, waiter: _Waiter) -> None:
         decision = waiter.decision
         if decision.cancelled() or not decision.done():
             self._remove(waiter)
         elif decision.result() is None:
-            # The slot was granted in the same moment as the cancellation.
+            # The slot was granted at the same time as the cancellation.
             self.release(waiter.organisation)
 
     def _remove(self, waiter: _Waiter) -> None:
-        ring = self._rings.get(waiter.importance, {})
-        queue = ring.get(waiter.organisation)
+        waiters_by_id = self._waiters_by_importance.get(waiter.importance, {})
+        queue = waiters_by_id.get(waiter.organisation)
         if queue is None or waiter not in queue:
             return
         queue.remove(waiter)
         self._waiting -= 1
         if not queue:
-            ring.pop(waiter.organisation)
-        if not ring:
-            self._rings.pop(waiter.importance)
+            waiters_by_id.pop(waiter.organisation)
+        if not waiters_by_id:
+            self._waiters_by_importance.pop(waiter.importance)
 
     def _displace(self, organisation: OrganisationId, importance: int) -> bool:
-        lowest = min(self._rings, default=None)
-        if lowest is None or lowest > importance:
+        lowest_importance = min(self._waiters_by_importance, default=None)
+        if lowest_importance is None or lowest_importance > importance:
             return False
-        ring = self._rings[lowest]
-        longest = max(ring.values(), key=len)
-        own_length = len(ring.get(organisation, ()))
-        if lowest == importance and len(longest) <= own_length + 1:
+        waiters_by_id = self._waiters_by_importance[lowest_importance]
+        longest_queue = max(waiters_by_id.values(), key=len)
+        organisation_length = len(waiters_by_id.get(organisation, ()))
+        if lowest_importance == importance and len(longest_queue) <= organisation_length + 1:
             return False
-        self._refuse(longest[-1], QUEUE_DISPLACED)
+        self._refuse(longest_queue[-1], QUEUE_DISPLACED)
         return True
 
-    def _wake(self) -> None:
+    def _grant_free_slots(self) -> None:
         while self._used < self._slots and self._waiting:
             waiter = self._next_waiter()
             if waiter.decision.done():
@@ -235,11 +237,11 @@
                 waiter.decision.set_result(None)
 
     def _next_waiter(self) -> _Waiter:
-        ring = self._rings[max(self._rings)]
+        waiters_by_id = self._waiters_by_importance[max(self._waiters_by_importance)]
         charges = {
-            organisation: self._charges.get(organisation, self._last_charge)
-            for organisation in ring
+            organisation: self._charges.get(organisation, self._last_served_charge)
+            for organisation in waiters_by_id
         }
         organisation = min(charges, key=charges.__getitem__)
-        self._last_charge = max(self._last_charge, charges[organisation])
-        return ring[organisation][0]
+        self._last_served_charge = max(self._last_served_charge, charges[organisation])
+        return waiters_by_id[organisation][0]
--- a/packages/turmericwharf/src/turmericwharf/coordination/execution/run_check.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/run_check.py
@@ -1,4 +1,4 @@
-"""The last check of a request before it runs: standing, and the key once more."""
+"""Final check of a request before it runs: standing of the node and validity of the API key."""
 
 from turmericwharf.coordination.configuration.control_log import ControlLog
 from turmericwharf.state import (
@@ -12,34 +12,35 @@
 
 
 class RunCheck:
-    """Checks at the executing node what may have changed since the entry node checked it.
+    """Repeats, at the executing node, the checks whose result may have changed since admission.
 
     Parameters
     ----------
     control_log
-        Configuration in force at this node, and whether it is fresh; after a pause it may be old,
-        and a withdrawn key would still look valid.
+        Configuration in force at this node, and whether it is up to date. After a pause it may be
+        stale, so that a withdrawn key would still appear valid.
     """
 
     def __init__(self, control_log: ControlLog) -> None:
         self._control_log = control_log
 
     def refusal(self, order: Execute) -> RequestFailure | None:
-        """Return why a request must not run now, or None."""
+        """Return the reason why a request must not run, or None if it may run."""
         if not order.organisation:
-            # A lookup that serves no request runs for no organisation, so no key can be withdrawn.
+            # A background lookup has no organisation, so there is no key that can be withdrawn.
             return None
         if not self._control_log.is_ready:
-            # A new incarnation may get work before it knows any key; another node runs it.
+            # A new incarnation may receive requests before it has loaded any keys. The rejected
+            # request is retried on another node.
             return NOT_READY
         if not self._control_log.has_standing:
             return NO_STANDING
-        # Other lookups come without a key, for a request that was checked.
+        # Other lookups carry no key; the request that they serve has been checked.
         if not order.key_digest:
             return None
         key = self._control_log.configuration.keys_by_digest.get(order.key_digest)
         if key is None:
-            # The entry node knows a newer configuration; this is no withdrawal.
+            # The entry node has a newer configuration; the key has not been withdrawn.
             return KEY_UNKNOWN
         if key.withdrawn or key.organisation != order.organisation:
             return KEY_WITHDRAWN
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/__init__.py
@@ -1,1 +1,1 @@
-"""The way of a request: admission, choice of a server, attempts, ejection."""
+"""Request routing: admission, server selection, attempts with retries, and outlier ejection."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/admission.py
@@ -1,4 +1,4 @@
-"""Checks of the entry node: who calls, which route, and whether inside the rate."""
+"""Admission at the entry node: authentication, route lookup and rate limiting."""
 
 import asyncio
 import dataclasses
@@ -46,13 +46,15 @@
 )
 
 _MILLISECONDS = 1000
-_CLAIM_ATTEMPTS = 3
+_MAX_CLAIM_ATTEMPTS = 3
 _IN_PROGRESS = not_run(CLAIM_IN_PROGRESS)
-_CLAIM_AGAIN = NotRun(Reason.CLAIM_RELEASED, 'the claim that held the key was given back')
+_CLAIM_RELEASED = NotRun(
+    Reason.CLAIM_RELEASED, 'the claim that held the idempotency key was released'
+)
 
 
 class EntryService:
-    """Serves callers' requests from the first check to the outcome."""
+    """Handles callers' requests from admission to the outcome."""
 
     def __init__(
         self,
@@ -71,22 +73,22 @@
         self._dispatcher = dispatcher
         self.pause_detector = PauseDetector(clock)
         self._clock = clock
-        self._detached: set[asyncio.Task[Outcome]] = set()
+        self._detached_tasks: set[asyncio.Task[Outcome]] = set()
 
     @property
     def in_progress(self) -> int:
-        """Claimed requests in progress, also those whose callers have left."""
-        return len(self._detached)
+        """Number of claimed requests in progress, including those whose callers disconnected."""
+        return len(self._detached_tasks)
 
     @property
     def is_ready(self) -> bool:
-        """Whether the node has a configuration and standing."""
+        """Whether the node has loaded a configuration and has standing."""
         return self._control_log.is_ready and self._standing.has_standing
 
     async def serve(self, request: CallerRequest) -> Outcome:
-        """Run a caller's request, or refuse it with the reason."""
+        """Run a caller's request, or return the reason why it was rejected."""
         received_at = self.pause_detector.earliest_arrival()
-        organisation = self._identify(request)
+        organisation = self._authenticate(request)
         if isinstance(organisation, RequestFailure):
             return not_run(organisation)
         route = self._control_log.routes.find(request.method, request.target)
@@ -99,13 +101,13 @@
         return await self.serve_admitted(self._admit(request, organisation, route, received_at))
 
     async def serve_admitted(self, admitted: AdmittedRequest) -> Outcome:
-        """Run a request that passed all checks, under a claim if it must not run twice."""
+        """Run an admitted request, under a claim if it must run at most once."""
         idempotency_key = admitted.request.idempotency_key
         if idempotency_key is None or admitted.idempotent:
             return await self._dispatcher.dispatch(admitted)
         return await self._serve_detached(admitted)
 
-    def _identify(self, request: CallerRequest) -> Organisation | RequestFailure:
+    def _authenticate(self, request: CallerRequest) -> Organisation | RequestFailure:
         refusal = self._refusal(request)
         if refusal is not None:
             return refusal
@@ -135,9 +137,9 @@
         received_at: float,
     ) -> AdmittedRequest:
         work_class = self._control_log.configuration.classes_by_id[route.work_class]
-        allowed = float(work_class.answer_within_milliseconds)
+        allowed_milliseconds = float(work_class.answer_within_milliseconds)
         if request.remaining_milliseconds is not None:
-            allowed = min(allowed, request.remaining_milliseconds)
+            allowed_milliseconds = min(allowed_milliseconds, request.remaining_milliseconds)
         return AdmittedRequest(
             request=request,
             organisation=organisation.organisation,
@@ -145,25 +147,27 @@
             service=route.service,
             importance=work_class.importance,
             idempotent=RunTarget.AT_MOST_ONCE not in {work_class.run, request.run},
-            deadline=received_at + allowed / _MILLISECONDS,
+            deadline=received_at + allowed_milliseconds / _MILLISECONDS,
             target_seconds=work_class.answer_within_milliseconds / _MILLISECONDS,
         )
 
     async def _serve_detached(self, admitted: AdmittedRequest) -> Outcome:
-        # It goes on after the caller left or the deadline passed, so that a refusal which comes
-        # late still gives the claim back.
+        # The task continues after the caller disconnects or the deadline expires, so that a late
+        # rejection still releases the claim.
         request = admitted.request.request
-        serving = asyncio.create_task(self._serve_claimed(admitted))
-        self._detached.add(serving)
-        serving.add_done_callback(self._detached.discard)
-        serving.add_done_callback(lambda _: self._dispatcher.discard_cancellation(request))
+        serving_task = asyncio.create_task(self._serve_claimed(admitted))
+        self._detached_tasks.add(serving_task)
+        serving_task.add_done_callback(self._detached_tasks.discard)
+        serving_task.add_done_callback(lambda _: self._dispatcher.discard_cancellation(request))
         try:
             async with asyncio.timeout(admitted.deadline - self._clock.now()):
-                return await asyncio.shield(serving)
+                return await asyncio.shield(serving_task)
         except TimeoutError:
-            # What has not been sent by now is not sent any more.
+            # Cancelling prevents an attempt that has not been sent yet from being sent.
             if self._dispatcher.cancel(request):
-                return OutcomeUnknown(Reason.ANSWER_TIMEOUT, 'no answer came before the deadline')
+                return OutcomeUnknown(
+                    Reason.ANSWER_TIMEOUT, 'no answer was received before the deadline'
+                )
             return not_run(DEADLINE_PASSED)
         except asyncio.CancelledError:
             self._dispatcher.cancel(request)
@@ -173,7 +177,7 @@
         key = admitted.request.idempotency_key or ''
         fingerprint = fingerprint_of(admitted.organisation, admitted.route, key)
         outcome: Outcome = not_run(CLAIM_IN_PROGRESS)
-        for _attempt in range(_CLAIM_ATTEMPTS):
+        for _attempt in range(_MAX_CLAIM_ATTEMPTS):
             claim = ClaimReference(fingerprint, ClaimId(new_identifier()))
             remaining = admitted.deadline - self._clock.now()
             answer = await self._claims.claim(claim, content_of(admitted.request), remaining)
@@ -181,8 +185,8 @@
                 return await self._run_claimed(admitted, claim)
             if isinstance(answer, ClaimFailed):
                 return not_run(CLAIM_LOG_UNAVAILABLE)
-            outcome = await self._answer_taken(admitted, fingerprint, answer)
-            if outcome != _CLAIM_AGAIN:
+            outcome = await self._resolve_existing_claim(admitted, fingerprint, answer)
+            if outcome != _CLAIM_RELEASED:
                 break
         return outcome
 
@@ -192,21 +196,21 @@
             self._claims.release(claim)
         return outcome
 
-    async def _answer_taken(
+    async def _resolve_existing_claim(
         self,
         admitted: AdmittedRequest,
         fingerprint: str,
-        taken: ClaimTaken,
+        existing: ClaimTaken,
     ) -> Outcome:
-        # This request does not run; the earlier one with the same key may have.
-        if taken.content != content_of(admitted.request):
+        # This request does not run, but the earlier one with the same key may have run.
+        if existing.content != content_of(admitted.request):
             return not_run(IDEMPOTENCY_KEY_REUSED)
-        answer: ClaimTaken | ClaimFailed = taken
-        if taken.status is None:
+        answer: ClaimTaken | ClaimFailed = existing
+        if existing.status is None:
             remaining = admitted.deadline - self._clock.now()
             answer = await self._claims.wait_for_outcome(fingerprint, remaining)
         if isinstance(answer, ClaimFailed):
-            return _CLAIM_AGAIN if answer.reason is Reason.CLAIM_RELEASED else _IN_PROGRESS
+            return _CLAIM_RELEASED if answer.reason is Reason.CLAIM_RELEASED else _IN_PROGRESS
         if answer.status is None:
             return _IN_PROGRESS
         return await self._claims.fetch_answer(answer) or not_run(ALREADY_RUN)
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
@@ -1,4 +1,4 @@
-"""Sends admitted requests to executing nodes, with retries where they are safe."""
+"""Dispatch of admitted requests to executing nodes, with retries where they are safe."""
 
 import asyncio
 
@@ -32,13 +32,14 @@
 )
 
 _MILLISECONDS = 1000
-_PROBE_SHARE_OF_DEADLINE = 0.5
-# The executing node gives up first, so that its answer tells a slow server from a bad path.
-_EXECUTION_SHARE_OF_DEADLINE = 0.95
+_PROBE_TIMEOUT_FRACTION = 0.5
+# The executing node times out before the entry node, so that its answer distinguishes a slow
+# server from a faulty network path.
+_EXECUTION_TIMEOUT_FRACTION = 0.95
 
 
 class Dispatcher:
-    """Owner of the attempts of one node's requests."""
+    """Runs and tracks the attempts of the requests that this node admitted."""
 
     def __init__(
         self,
@@ -63,7 +64,7 @@
         self.budget = RetryBudget(lambda: RetryLimits(limits.retry_fraction), clock)
 
     async def dispatch(self, admitted: AdmittedRequest) -> Outcome:
-        """Try a request on one server after another, as far as that is safe."""
+        """Send a request to one server after another while a retry is safe and within budget."""
         tried: set[InstanceId] = set()
         outcome: Outcome = not_run(NO_CAPACITY)
         self.budget.record_request(admitted.service)
@@ -73,18 +74,19 @@
                 break
             tried.add(choice.instance)
             latest = await self._attempt(admitted, choice, attempt)
-            outcome = _combine(outcome, latest)
+            outcome = _merge_outcomes(outcome, latest)
             if not is_retryable(latest, idempotent=admitted.idempotent):
                 break
         return outcome
 
     def cancel(self, request: RequestId) -> bool:
-        """Start no further attempt of a request, and cancel the one that is under way.
+        """Cancel the attempt in flight, if any, and prevent further attempts of the request.
 
         Returns
         -------
         bool
-            Whether an attempt is under way; without one the request does not run any more.
+            Whether an attempt was in flight. If not, the request is guaranteed not to run
+            after this call.
         """
         self._cancelled.add(request)
         attempt = self._attempts_by_id.get(request)
@@ -94,7 +96,7 @@
         return True
 
     def discard_cancellation(self, request: RequestId) -> None:
-        """Forget that a request was cancelled, after its end."""
+        """Remove the cancellation mark of a request that has ended."""
         self._cancelled.discard(request)
 
     def _choose(self, admitted: AdmittedRequest, tried: set[InstanceId]) -> Choice | None:
@@ -113,7 +115,7 @@
     ) -> Outcome:
         outcome: Outcome | None = None
         try:
-            outcome = await self._send_in_time(admitted, choice, attempt)
+            outcome = await self._send_before_deadline(admitted, choice, attempt)
         finally:
             if outcome is None:
                 self._router.record_abandoned(choice)
@@ -127,7 +129,7 @@
         ).debug('request_attempted')
         return outcome
 
-    async def _send_in_time(
+    async def _send_before_deadline(
         self,
         admitted: AdmittedRequest,
         choice: Choice,
@@ -140,34 +142,34 @@
         if remaining <= 0:
             return not_run(DEADLINE_PASSED)
         if choice.probe:
-            # Leaves time for another server after a probe that gets no answer.
-            remaining *= _PROBE_SHARE_OF_DEADLINE
-        order = self._make_order(admitted, remaining * _EXECUTION_SHARE_OF_DEADLINE, attempt)
+            # Leaves time to try another server if the probe is not answered.
+            remaining *= _PROBE_TIMEOUT_FRACTION
+        order = self._make_order(admitted, remaining * _EXECUTION_TIMEOUT_FRACTION, attempt)
         self._attempts_by_id[request] = (choice.instance, order.request)
         try:
             return await self._send(
                 choice.instance,
                 order,
-                self._wait_seconds(admitted, remaining),
+                self._timeout_seconds(admitted, remaining),
             )
         finally:
             self._attempts_by_id.pop(request, None)
 
-    async def _send(self, instance: InstanceId, order: Execute, wait_seconds: float) -> Outcome:
+    async def _send(self, instance: InstanceId, order: Execute, timeout_seconds: float) -> Outcome:
         if instance == self._members.own.instance:
             return await self._executor.execute(order)
         try:
-            answer = await self._links.request(instance, order, timeout_seconds=wait_seconds)
+            answer = await self._links.request(instance, order, timeout_seconds=timeout_seconds)
         except asyncio.CancelledError:
             self._cancel_attempt(instance, order.request)
             raise
         if isinstance(answer, LinkUncertain):
             self._cancel_attempt(instance, order.request)
-        return _as_outcome(answer)
+        return _to_outcome(answer)
 
-    def _wait_seconds(self, admitted: AdmittedRequest, remaining: float) -> float:
-        # A claimed request is waited for after its deadline, when its caller has been answered:
-        # a late refusal frees the key for the next try.
+    def _timeout_seconds(self, admitted: AdmittedRequest, remaining: float) -> float:
+        # A claimed request is awaited beyond its deadline, although its caller has been answered
+        # by then: a late rejection releases the idempotency key for the next retry.
         return remaining if admitted.claim is None else remaining + self._limits.finish_seconds
 
     def _cancel_attempt(self, instance: InstanceId, request: RequestId) -> None:
@@ -184,7 +186,7 @@
     ) -> Execute:
         request = admitted.request
         return Execute(
-            # Each attempt has an id of its own, so that a late answer reaches no other attempt.
+            # Each attempt has its own id, so that a late answer is not taken for another attempt.
             request=RequestId(f'{request.request}-{attempt}'),
             organisation=admitted.organisation,
             key_digest=request.key_digest or KeyDigest(''),
@@ -201,14 +203,14 @@
         )
 
 
-def _combine(earlier: Outcome, latest: Outcome) -> Outcome:
-    # An attempt that may have run is not undone by a later one that did not.
+def _merge_outcomes(earlier: Outcome, latest: Outcome) -> Outcome:
+    # If an earlier attempt may have run, a later one that did not run does not change that.
     if isinstance(earlier, OutcomeUnknown) and isinstance(latest, NotRun):
         return earlier
     return latest
 
 
-def _as_outcome(answer: Message | LinkFailure | LinkUncertain) -> Outcome:
+def _to_outcome(answer: Message | LinkFailure | LinkUncertain) -> Outcome:
     if isinstance(answer, Answered | NotRun | OutcomeUnknown):
         return answer
     if isinstance(answer, LinkFailure):
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/harm.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/harm.py
@@ -1,8 +1,8 @@
-"""How much one attempt hurt its caller, apart for the server and for the path to it.
+"""Harm of one attempt to its caller, attributed separately to the server and the network path.
 
-Harm is between 0 and 1: the share of the target of the class that the attempt took beyond the
-typical time of its route, and 1 for an attempt that failed. A target of the class thus decides
-how many slow answers weigh as much as a failed one.
+Harm is between 0 and 1. A failed attempt has harm 1. For a slow attempt, harm is the time beyond
+normal variation around the typical time of its route, as a fraction of the latency target of the
+work class. The target thus determines how many slow answers weigh as much as one failure.
 """
 
 import collections
@@ -15,45 +15,46 @@
 
 _MILLISECONDS = 1000
 _SERVER_ERROR = 500
-# A time below this multiple of the typical time is ordinary variation.
-_ORDINARY_RATIO = 2.0
+# Latencies up to this multiple of the typical time count as normal variation.
+_NORMAL_LATENCY_RATIO = 2.0
 _MEDIAN_STEP = 0.1
-_SHORTEST_SECONDS = 0.0001
-# One node sees the routes of the services in front of it; 4,500 are expected in the whole fleet.
-_ROUTES_REMEMBERED = 4096
-_FAILED = 1.0
-# Shedding is a fault only of a server that sheds while the others do not.
-_SHED = 0.5
+_MIN_SECONDS = 0.0001
+# A node records only the routes of the services it sends requests to; 4,500 routes are expected in
+# the whole fleet.
+_MAX_ROUTES = 4096
+_FAILURE_HARM = 1.0
+# Load shedding indicates a faulty server only if the other servers do not shed.
+_SHED_HARM = 0.5
 
 _SERVER_HARM_BY_REASON = MappingProxyType(
     {
-        Reason.SERVER_UNREACHABLE: _FAILED,
-        Reason.SERVER_SHED: _SHED,
-        Reason.ANSWER_INCOMPLETE: _FAILED,
+        Reason.SERVER_UNREACHABLE: _FAILURE_HARM,
+        Reason.SERVER_SHED: _SHED_HARM,
+        Reason.ANSWER_INCOMPLETE: _FAILURE_HARM,
     }
 )
 _PATH_HARM_BY_REASON = MappingProxyType(
     {
-        Reason.PEER_UNREACHABLE: _FAILED,
-        Reason.PEER_LINK_LOST: _FAILED,
+        Reason.PEER_UNREACHABLE: _FAILURE_HARM,
+        Reason.PEER_LINK_LOST: _FAILURE_HARM,
     }
 )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptTiming:
-    """One attempt as the entry node saw it.
+    """Timing of one attempt as measured by the entry node.
 
     Parameters
     ----------
     seconds
         Time from sending to the outcome.
     target_seconds
-        Target of the class of work.
+        Latency target of the work class.
     typical_seconds
-        Typical time of the route at a server.
+        Typical time that a server takes for the route.
     typical_path_seconds
-        Typical time between the entry node and executing nodes of the service.
+        Typical network time between the entry node and the executing nodes of the service.
     """
 
     seconds: float
@@ -63,53 +64,54 @@
 
 
 class TypicalTimes:
-    """Running medians of the time that each route takes.
+    """Running median of the time that each route takes.
 
-    A median of all answers stays with the healthy majority while a third of the servers is slow.
+    The median over the answers of all servers still reflects the healthy majority while a third
+    of the servers is slow.
     """
 
     def __init__(self) -> None:
-        self._logarithm_by_route: collections.OrderedDict[RouteId, float] = (
+        self._log_median_by_route: collections.OrderedDict[RouteId, float] = (
             collections.OrderedDict()
         )
 
     def record(self, route: RouteId, seconds: float) -> None:
-        """Move the median of a route one step towards a time."""
-        logarithm = math.log(max(seconds, _SHORTEST_SECONDS))
-        known = self._logarithm_by_route.pop(route, logarithm)
-        step = min(_MEDIAN_STEP, abs(logarithm - known))
-        self._logarithm_by_route[route] = known + math.copysign(step, logarithm - known)
-        if len(self._logarithm_by_route) > _ROUTES_REMEMBERED:
-            self._logarithm_by_route.popitem(last=False)
+        """Move the running median of a route one step towards a new measurement."""
+        logarithm = math.log(max(seconds, _MIN_SECONDS))
+        median = self._log_median_by_route.pop(route, logarithm)
+        step = min(_MEDIAN_STEP, abs(logarithm - median))
+        self._log_median_by_route[route] = median + math.copysign(step, logarithm - median)
+        if len(self._log_median_by_route) > _MAX_ROUTES:
+            self._log_median_by_route.popitem(last=False)
 
     def seconds(self, route: RouteId) -> float:
         """Return the typical time of a route, or zero if none is known."""
-        logarithm = self._logarithm_by_route.get(route)
+        logarithm = self._log_median_by_route.get(route)
         return 0 if logarithm is None else math.exp(logarithm)
 
 
 def latency_harm(seconds: float, typical_seconds: float, target_seconds: float) -> float:
-    """Return the share of the target that a time takes beyond ordinary variation."""
-    beyond = seconds - typical_seconds * _ORDINARY_RATIO
-    return min(max(beyond / target_seconds, 0), 1)
+    """Return the time beyond normal variation as a fraction of the target, between 0 and 1."""
+    excess_seconds = seconds - typical_seconds * _NORMAL_LATENCY_RATIO
+    return min(max(excess_seconds / target_seconds, 0), 1)
 
 
 def path_seconds(seconds: float, answer: Answered) -> float:
-    """Return the part of an attempt's time that passed neither in the queue nor at the server."""
-    beside_server = answer.waited_milliseconds + answer.server_milliseconds
-    return max(seconds - beside_server / _MILLISECONDS, 0)
+    """Return the time of an attempt spent neither in the queue nor at the server."""
+    executing_milliseconds = answer.waited_milliseconds + answer.server_milliseconds
+    return max(seconds - executing_milliseconds / _MILLISECONDS, 0)
 
 
 @singledispatch
 def server_harm(outcome: object, attempt: AttemptTiming) -> float | None:
-    """Return the harm that the server did, or None if the outcome says nothing about it."""
+    """Return the harm caused by the server, or None if the outcome is no evidence about it."""
     raise TypeError(f'not an outcome: {outcome!r}')
 
 
 @server_harm.register
 def _(outcome: Answered, attempt: AttemptTiming) -> float | None:
     if outcome.status >= _SERVER_ERROR:
-        return _FAILED
+        return _FAILURE_HARM
     seconds = max(outcome.first_byte_milliseconds, outcome.server_milliseconds) / _MILLISECONDS
     return latency_harm(seconds, attempt.typical_seconds, attempt.target_seconds)
 
@@ -122,14 +124,14 @@
 @server_harm.register
 def _(outcome: OutcomeUnknown, attempt: AttemptTiming) -> float | None:
     if outcome.reason is Reason.ANSWER_TIMEOUT:
-        # A caller with a short deadline of its own is no proof of a slow server.
+        # A timeout caused by a short deadline of the caller is no evidence of a slow server.
         return latency_harm(attempt.seconds, attempt.typical_seconds, attempt.target_seconds)
     return _SERVER_HARM_BY_REASON.get(outcome.reason)
 
 
 @singledispatch
 def path_harm(outcome: object, attempt: AttemptTiming) -> float | None:
-    """Return the harm that the path did, or None if the outcome says nothing about it."""
+    """Return the harm caused by the path, or None if the outcome is no evidence about it."""
     raise TypeError(f'not an outcome: {outcome!r}')
 
 
@@ -147,6 +149,6 @@
 @path_harm.register
 def _(outcome: OutcomeUnknown, attempt: AttemptTiming) -> float | None:
     if outcome.reason is Reason.PEER_TIMEOUT:
-        # The executing node answers before the deadline if the path lets it.
+        # The executing node answers before the deadline unless the path prevents it.
         return latency_harm(attempt.seconds, attempt.typical_seconds, attempt.target_seconds)
     return _PATH_HARM_BY_REASON.get(outcome.reason)
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/in_flight.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/in_flight.py
@@ -1,4 +1,4 @@
-"""Attempts of one node that have no outcome so far."""
+"""Tracking of the attempts of this node that are still in flight."""
 
 import dataclasses
 import itertools
@@ -6,24 +6,25 @@
 from turmericwharf.coordination.routing.harm import TypicalTimes, latency_harm
 from turmericwharf.state import AdmittedRequest, InstanceId, RouteId, ServerReport
 
-# A younger request proves nothing; this share of the target is far beyond typical times.
-_OVERDUE_HARM = 0.1
+# Attempts that are in flight for a shorter time are no evidence. This fraction of the target is
+# far beyond typical times.
+_MIN_OVERDUE_HARM = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """Where one attempt goes.
+    """Server selected for one attempt.
 
     Parameters
     ----------
     number
-        Unique within the node.
+        Number of the attempt, unique within the node.
     report
-        The server as it was known when it was chosen.
+        Report of the server at the time of the selection.
     started_at
-        Moment of the choice on the node's clock.
+        Time of the selection on the node's clock.
     probe
-        Whether the server is ejected and the attempt tries it again.
+        Whether the attempt probes an ejected server.
     """
 
     number: int
@@ -33,13 +34,13 @@
 
     @property
     def instance(self) -> InstanceId:
-        """The node that executes the attempt."""
+        """Instance of the node that executes the attempt."""
         return self.report.instance
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Started:
-    """An attempt without an outcome so far."""
+class _StartedAttempt:
+    """An attempt in flight, with the data needed to compute its harm."""
 
     choice: Choice
     route: RouteId
@@ -47,11 +48,11 @@
 
 
 class InFlightAttempts:
-    """Counts attempts for each instance and finds those that take too long."""
+    """Tracks the attempts in flight to each instance and finds overdue ones."""
 
     def __init__(self) -> None:
         self._numbers = itertools.count()
-        self._started_by_id: dict[InstanceId, dict[int, _Started]] = {}
+        self._started_by_id: dict[InstanceId, dict[int, _StartedAttempt]] = {}
 
     def start(
         self,
@@ -61,14 +62,14 @@
         *,
         probe: bool,
     ) -> Choice:
-        """Count an attempt that starts."""
+        """Register a new attempt as in flight."""
         choice = Choice(next(self._numbers), report, now, probe)
         started = self._started_by_id.setdefault(report.instance, {})
-        started[choice.number] = _Started(choice, admitted.route, admitted.target_seconds)
+        started[choice.number] = _StartedAttempt(choice, admitted.route, admitted.target_seconds)
         return choice
 
     def end(self, choice: Choice) -> None:
-        """Count an attempt that ended."""
+        """Remove an attempt that has ended."""
         started = self._started_by_id.get(choice.instance, {})
         started.pop(choice.number, None)
         if not started:
@@ -84,7 +85,7 @@
         typical_times: TypicalTimes,
         now: float,
     ) -> list[float]:
-        """Return the harm so far of the attempts that take too long."""
+        """Return the harm so far of each overdue attempt to an instance."""
         harms = (
             latency_harm(
                 now - started.choice.started_at,
@@ -93,4 +94,4 @@
             )
             for started in self._started_by_id.get(instance, {}).values()
         )
-        return [harm for harm in harms if harm > _OVERDUE_HARM]
+        return [harm for harm in harms if harm > _MIN_OVERDUE_HARM]
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/lookups.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/lookups.py
@@ -1,4 +1,4 @@
-"""Serves lookups that a backend server sends to other services through its own node."""
+"""Handling of lookups that a backend server sends to other services through the local node."""
 
 import dataclasses
 
@@ -31,7 +31,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Origin:
-    """For whom a lookup runs, and until when."""
+    """Organisation, importance and deadline that a lookup inherits."""
 
     organisation: OrganisationId
     importance: Importance
@@ -39,11 +39,12 @@
 
 
 class LookupService:
-    """Runs lookups for the request that they serve; the rate is charged to that request only.
+    """Runs lookups on behalf of the requests that they serve.
 
-    A lookup that names a request in progress on the own backend server inherits its
-    organisation, importance and deadline. Any other lookup runs as background work for no
-    organisation, on routes between services only.
+    A lookup that names a request in progress on the local backend server inherits its
+    organisation, importance and deadline. Any other lookup runs as background work without an
+    organisation, and only on internal routes between services. Lookups are not rate limited; only
+    the original request counts towards the rate.
     """
 
     def __init__(
@@ -62,7 +63,7 @@
         self._clock = clock
 
     async def serve(self, request: CallerRequest) -> Outcome:
-        """Run a lookup, or refuse it with the reason."""
+        """Run a lookup, or return the reason why it was rejected."""
         route = self._control_log.routes.find(request.method, request.target)
         if route is None:
             return not_run(ROUTE_UNKNOWN)
@@ -106,19 +107,19 @@
         work_class = self._control_log.configuration.classes_by_id[route.work_class]
         target_seconds = work_class.answer_within_milliseconds / _MILLISECONDS
         now = self._clock.now()
-        allowed = target_seconds
+        allowed_seconds = target_seconds
         if request.remaining_milliseconds is not None:
-            allowed = min(allowed, request.remaining_milliseconds / _MILLISECONDS)
+            allowed_seconds = min(allowed_seconds, request.remaining_milliseconds / _MILLISECONDS)
         if origin is None:
-            origin = _Origin(_NO_ORGANISATION, Importance.BACKGROUND, now + allowed)
+            origin = _Origin(_NO_ORGANISATION, Importance.BACKGROUND, now + allowed_seconds)
         return AdmittedRequest(
-            # The server has no key, and a key that it sends counts for nothing.
+            # A backend server has no API key of its own; a key that it sends is ignored.
             request=dataclasses.replace(request, key_digest=None),
             organisation=origin.organisation,
             route=route.route,
             service=route.service,
             importance=origin.importance,
             idempotent=RunTarget.AT_MOST_ONCE not in {work_class.run, request.run},
-            deadline=min(origin.deadline, now + allowed),
+            deadline=min(origin.deadline, now + allowed_seconds),
             target_seconds=target_seconds,
         )
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/outcome_counts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/outcome_counts.py
@@ -1,4 +1,4 @@
-"""Counts the answers to callers."""
+"""Counters of the outcomes returned to callers."""
 
 import collections
 from functools import singledispatch
@@ -8,17 +8,17 @@
 
 
 class OutcomeCounts:
-    """Number of requests by outcome and reason since the node started."""
+    """Counts requests by outcome and reason since the node started."""
 
     def __init__(self) -> None:
         self._counts: collections.Counter[str] = collections.Counter()
 
     def record(self, outcome: Outcome) -> None:
-        """Count one answer."""
+        """Count the outcome of one request."""
         self._counts[_label(outcome)] += 1
 
     def dump(self) -> OutcomesDump:
-        """Return the counts."""
+        """Return the counters for the state dump."""
         return OutcomesDump(dict(self._counts))
 
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/outliers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/outliers.py
@@ -1,10 +1,10 @@
-"""Finds backend servers that do worse than the others of their service, and ejects them.
+"""Detection and ejection of backend servers that perform worse than their service's others.
 
-Each request adds to a cumulative sum of log-likelihood ratios: harm as of a healthy server
-against harm as of a faulty one. For harm between 0 and 1 with a mean of at most the healthy
-share, the sum passes the logarithm of N at most once in N requests on average, whatever the
-distribution of the harm. The healthy share rises with the median harm of the other servers, so
-load on all of them ejects none.
+The detector is a sequential test (CUSUM). Each request adds the log-likelihood ratio of its harm
+under a faulty server against a healthy server to a cumulative sum. For harm between 0 and 1 with
+a mean of at most the healthy share, the sum exceeds log(N) at most once in N requests on average,
+whatever the distribution of the harm. The healthy share rises with the median harm of the other
+servers, so that load on all servers of a service ejects none of them.
 """
 
 import dataclasses
@@ -30,22 +30,25 @@
     Subject,
 )
 
-# Odds of harm at a faulty server over those at a healthy one. The small one finds rare errors,
-# the large one total failure; docs/decisions/outlier-detection.md has the figures.
+# Ratio of the odds of harm at a faulty server to those at a healthy server, one for each test. The
+# small ratio detects rare errors, the large one total failure; see
+# docs/decisions/outlier-detection.md for the measurements.
 _FAULTY_ODDS = (4.0, 30.0)
-_HARM_WEIGHT = 0.1
-_USUAL_WEIGHT = 0.01
-_USUAL_LIMIT = math.log(2)
-_OTHERS_FACTOR = 1.25
-_MOST_TOLERATED = 0.9
-# An ejected server must do clearly worse than the others, not only pass the test.
+_RECENT_HARM_WEIGHT = 0.1
+_USUAL_RATIO_WEIGHT = 0.01
+_MAX_USUAL_RATIO = math.log(2)
+_OTHERS_HARM_FACTOR = 1.25
+_MAX_HEALTHY_SHARE = 0.9
+# Besides failing the test, an ejected server must be clearly worse than the others: its recent harm
+# must reach the median harm of the others times this factor, plus this constant.
 _CLEARLY_WORSE_FACTOR = 2.0
 _CLEARLY_WORSE_HARM = 0.04
-# Harm of unanswered requests counts from here on, so that young requests prove nothing.
-_OVERDUE_HARM = 0.1
-_MOST_DOUBLINGS = 16
-_UNDETECTED_SHARE = 0.05
-_LEAST_PROBED_HARM = 0.1
+# A probe fails if its harm exceeds this. Unanswered requests count from the same harm on, so that
+# recently sent requests are no evidence.
+_PROBE_FAILURE_HARM = 0.1
+_MAX_HOLD_DOUBLINGS = 16
+_FALSE_PASS_PROBABILITY = 0.05
+_MIN_PROBED_HARM = 0.1
 
 _GroupKey: TypeAlias = tuple[ServiceId, Subject]
 _EjectionKey: TypeAlias = tuple[ServiceId, InstanceId]
@@ -55,7 +58,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Hint:
-    """A peer ejected this incarnation of a server."""
+    """Ejection of one incarnation of a server by a peer."""
 
     incarnation: IncarnationId
     expires_at: float
@@ -63,7 +66,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Strikes:
-    """Ejections of one server in short succession, and when the last one ended."""
+    """Number of ejections of one server in short succession, and the end of the last one."""
 
     count: int
     returned_at: float
@@ -71,9 +74,9 @@
 
 
 def observe(evidence: Evidence, harm: float, healthy_share: float) -> Evidence:
-    """Return the evidence after one more request."""
+    """Return the evidence updated with the harm of one request."""
     scores = tuple(
-        max(score + _log_ratio(harm, healthy_share, odds), 0)
+        max(score + _log_likelihood_ratio(harm, healthy_share, odds), 0)
         for score, odds in zip(evidence.scores, _FAULTY_ODDS, strict=True)
     )
     is_suspect = any(scores)
@@ -82,15 +85,15 @@
         scores=scores,
         run_harm=evidence.run_harm + harm if is_suspect else 0,
         run_requests=evidence.run_requests + 1 if is_suspect else 0,
-        recent_harm=evidence.recent_harm + _HARM_WEIGHT * (harm - evidence.recent_harm),
+        recent_harm=evidence.recent_harm + _RECENT_HARM_WEIGHT * (harm - evidence.recent_harm),
         requests=evidence.requests + 1,
     )
 
 
 def observe_latency_ratio(evidence: Evidence, ratio: float) -> Evidence:
-    """Return the evidence after a time that was `ratio` times the typical one."""
-    logarithm = min(max(math.log(ratio), 0), _USUAL_LIMIT)
-    step = _USUAL_WEIGHT * (logarithm - evidence.usual_ratio)
+    """Return the evidence updated with a latency of `ratio` times the typical one."""
+    logarithm = min(max(math.log(ratio), 0), _MAX_USUAL_RATIO)
+    step = _USUAL_RATIO_WEIGHT * (logarithm - evidence.usual_ratio)
     return dataclasses.replace(evidence, usual_ratio=evidence.usual_ratio + step)
 
 
@@ -99,25 +102,27 @@
     ejections: Iterable[Ejection],
     floor_fraction: float,
 ) -> frozenset[InstanceId]:
-    """Return the ejected instances that the floor allows, the worst ones first.
+    """Return the instances that may be ejected without violating the floor.
+
+    Servers with more harm take precedence.
 
     Parameters
     ----------
     ready
-        Servers that are warm and not draining, in the own view.
+        Servers that are warm and not draining, in the view of this node.
     ejections
-        Wanted ejections.
+        Current and proposed ejections.
     floor_fraction
-        Share of the ready slots that must stay in use.
+        Fraction of the ready slots that must stay in use.
     """
     slots_by_id = {report.instance: report.slots for report in ready}
     capacity = sum(slots_by_id.values())
     spare = capacity - capacity * floor_fraction
     allowed: set[InstanceId] = set()
     relevant = [ejection for ejection in ejections if ejection.instance in slots_by_id]
-    for ejection in sorted(relevant, key=_badness, reverse=True):
+    for ejection in sorted(relevant, key=_severity, reverse=True):
         slots = slots_by_id[ejection.instance]
-        # One server stays even without a floor, since an empty set serves nobody.
+        # One server stays in use even if the floor is zero; otherwise no request could be served.
         if slots <= spare and len(allowed) + 1 < len(slots_by_id):
             spare -= slots
             allowed.add(ejection.instance)
@@ -125,12 +130,12 @@
 
 
 class OutlierDetector:
-    """Owner of one node's evidence and ejections.
+    """Keeps the evidence about backend servers and the ejections of one node.
 
     Parameters
     ----------
     settings
-        Bounds of the detection.
+        Settings of outlier detection.
     clock
         Clock of the node.
     """
@@ -146,20 +151,20 @@
         self._strikes: dict[_EjectionKey, _Strikes] = {}
 
     def evidence(self, service: ServiceId, subject: Subject, instance: InstanceId) -> Evidence:
-        """Return what is known about one subject."""
+        """Return the evidence about one subject at one instance."""
         group = self._evidence_by_group.get((service, subject), {})
         return group.get(instance, _NO_EVIDENCE)
 
     def find_ejection(self, service: ServiceId, instance: InstanceId) -> Ejection | None:
-        """Return the ejection of a server, or None."""
+        """Return the ejection of a server, or None if it is not ejected."""
         return self._ejections.get((service, instance))
 
     def ejections_of(self, service: ServiceId) -> list[Ejection]:
-        """Return the ejections of a service's servers."""
-        return [one for one in self._ejections.values() if one.service == service]
+        """Return the current ejections of a service."""
+        return [ejection for ejection in self._ejections.values() if ejection.service == service]
 
     def dump_evidence(self) -> list[ServerBelief]:
-        """Return all evidence, for the state dump."""
+        """Return the evidence about all servers, for the state dump."""
         return [
             ServerBelief(service, instance, subject, evidence)
             for (service, subject), group in self._evidence_by_group.items()
@@ -175,13 +180,15 @@
         ratio: float = 1.0,
         target_seconds: float,
     ) -> Ejection | None:
-        """Add one request to the evidence; return an ejection that it calls for."""
+        """Add the harm of one request to the evidence; return the ejection it justifies, if any."""
         group = self._evidence_by_group.setdefault((report.service, subject), {})
-        known = group.get(report.instance, _NO_EVIDENCE)
-        others = _others_harm(group, report.instance)
-        evidence = observe_latency_ratio(observe(known, harm, self._healthy_share(others)), ratio)
+        previous = group.get(report.instance, _NO_EVIDENCE)
+        others_harm = _median_harm_of_others(group, report.instance)
+        evidence = observe_latency_ratio(
+            observe(previous, harm, self._healthy_share(others_harm)), ratio
+        )
         group[report.instance] = evidence
-        return self._judge(report, subject, evidence, others, target_seconds)
+        return self._evaluate(report, subject, evidence, others_harm, target_seconds)
 
     def record_overdue(
         self,
@@ -189,69 +196,73 @@
         harms_by_id: dict[InstanceId, list[float]],
         target_seconds: float,
     ) -> list[Ejection]:
-        """Return the ejections that unanswered requests call for, without keeping the evidence."""
+        """Return the ejections justified by unanswered requests, without storing their evidence."""
         group = {
-            report.instance: self._with_overdue(report, harms_by_id.get(report.instance, []))
+            report.instance: self._evidence_with_overdue(
+                report, harms_by_id.get(report.instance, [])
+            )
             for report in reports
         }
-        wanted = []
+        proposed = []
         for report in reports:
             if harms_by_id.get(report.instance):
-                others = _others_harm(group, report.instance)
+                others_harm = _median_harm_of_others(group, report.instance)
                 evidence = group[report.instance]
-                wanted.append(
-                    self._judge(report, Subject.UNANSWERED, evidence, others, target_seconds),
+                proposed.append(
+                    self._evaluate(
+                        report, Subject.UNANSWERED, evidence, others_harm, target_seconds
+                    ),
                 )
-        return [ejection for ejection in wanted if ejection is not None]
+        return [ejection for ejection in proposed if ejection is not None]
 
     def record_hint(self, hint: OutlierHint) -> None:
-        """Ask for less evidence against a server that a peer has ejected."""
+        """Lower the threshold for ejecting a server that a peer has ejected."""
         expires_at = self._clock.now() + self._settings.most_hold_seconds
         self._hints[hint.service, hint.instance] = _Hint(hint.incarnation, expires_at)
 
     def eject(self, ejection: Ejection) -> None:
-        """Keep a server out of the choice until its hold has passed and its probes pass."""
+        """Exclude a server from selection until its hold time has expired and its probes pass."""
         key = (ejection.service, ejection.instance)
         self._ejections[key] = ejection
-        _log(ejection, 'server_ejected', hold_seconds=ejection.until - ejection.since)
+        _log_ejection(ejection, 'server_ejected', hold_seconds=ejection.until - ejection.since)
 
     def record_probe(self, ejection: Ejection, harm: float) -> None:
-        """Count a probe; a bad one starts another hold, enough good ones return the server."""
-        others = ejection.others_harm
-        if harm > max(_OVERDUE_HARM, others):
+        """Record a probe: a failure doubles the hold, enough successes reinstate the server."""
+        others_harm = ejection.others_harm
+        if harm > max(_PROBE_FAILURE_HARM, others_harm):
             now = self._clock.now()
-            doubled = (ejection.until - ejection.since) * 2
-            again = dataclasses.replace(
+            doubled_seconds = (ejection.until - ejection.since) * 2
+            extended = dataclasses.replace(
                 ejection,
                 strikes=ejection.strikes + 1,
-                until=now + min(doubled, self._settings.most_hold_seconds),
+                until=now + min(doubled_seconds, self._settings.most_hold_seconds),
                 since=now,
                 harm=max(harm, ejection.harm),
                 passed=0,
             )
-            self.eject(again)
+            self.eject(extended)
             return
-        passed = dataclasses.replace(ejection, passed=ejection.passed + 1)
-        self._ejections[ejection.service, ejection.instance] = passed
-        if passed.passed >= _probes_needed(ejection.harm):
-            self.reinstate(passed, ReturnCause.PROBES_PASSED)
+        updated = dataclasses.replace(ejection, passed=ejection.passed + 1)
+        self._ejections[ejection.service, ejection.instance] = updated
+        if updated.passed >= _probes_needed(ejection.harm):
+            self.reinstate(updated, ReturnCause.PROBES_PASSED)
 
     def reinstate(self, ejection: Ejection, cause: ReturnCause) -> None:
-        """Use a server again, with no evidence against it."""
+        """Return a server to selection and reset the evidence about it."""
         key = (ejection.service, ejection.instance)
         self._ejections.pop(key, None)
         hold_seconds = ejection.until - ejection.since
         self._strikes[key] = _Strikes(ejection.strikes, self._clock.now(), hold_seconds)
         for subject in Subject:
             group = self._evidence_by_group.get((ejection.service, subject), {})
-            known = group.pop(ejection.instance, _NO_EVIDENCE)
+            previous = group.pop(ejection.instance, _NO_EVIDENCE)
             group[ejection.instance] = dataclasses.replace(
-                _NO_EVIDENCE, usual_ratio=known.usual_ratio
+                _NO_EVIDENCE, usual_ratio=previous.usual_ratio
             )
-        _log(ejection, 'server_returned', cause=cause.value)
+        _log_ejection(ejection, 'server_returned', cause=cause.value)
 
     def prune(self, service: ServiceId, reports: Sequence[ServerReport]) -> None:
-        """Forget what is known of servers that left or were replaced."""
+        """Drop evidence and ejections of servers that have left or been replaced."""
         incarnations_by_id = {report.instance: report.incarnation for report in reports}
         for ejection in self.ejections_of(service):
             if incarnations_by_id.get(ejection.instance) != ejection.incarnation:
@@ -259,31 +270,33 @@
                 self._strikes.pop((service, ejection.instance), None)
         for subject in Subject:
             group = self._evidence_by_group.get((service, subject), {})
-            for gone in group.keys() - incarnations_by_id.keys():
-                group.pop(gone)
-                self._strikes.pop((service, gone), None)
-                self._hints.pop((service, gone), None)
-
-    def _healthy_share(self, others: float) -> float:
-        return min(self._settings.tolerated_harm + _OTHERS_FACTOR * others, _MOST_TOLERATED)
+            for departed in group.keys() - incarnations_by_id.keys():
+                group.pop(departed)
+                self._strikes.pop((service, departed), None)
+                self._hints.pop((service, departed), None)
+
+    def _healthy_share(self, others_harm: float) -> float:
+        return min(
+            self._settings.tolerated_harm + _OTHERS_HARM_FACTOR * others_harm, _MAX_HEALTHY_SHARE
+        )
 
-    def _with_overdue(self, report: ServerReport, harms: list[float]) -> Evidence:
+    def _evidence_with_overdue(self, report: ServerReport, harms: list[float]) -> Evidence:
         evidence = self.evidence(report.service, Subject.SERVER, report.instance)
         for harm in harms:
             evidence = observe(evidence, harm, self._settings.tolerated_harm)
         return evidence
 
-    def _judge(
+    def _evaluate(
         self,
         report: ServerReport,
         subject: Subject,
         evidence: Evidence,
-        others: float,
+        others_harm: float,
         target_seconds: float,
     ) -> Ejection | None:
-        clearly_worse = _CLEARLY_WORSE_FACTOR * others + _CLEARLY_WORSE_HARM
+        clearly_worse = _CLEARLY_WORSE_FACTOR * others_harm + _CLEARLY_WORSE_HARM
         if (
-            max(evidence.scores) < self._needed(report, subject)
+            max(evidence.scores) < self._required_score(report, subject)
             or evidence.recent_harm < clearly_worse
         ):
             return None
@@ -295,14 +308,14 @@
             service=report.service,
             subject=subject,
             since=now,
-            until=now + self._hold(strikes, target_seconds),
+            until=now + self._hold_seconds(strikes, target_seconds),
             harm=evidence.run_harm / evidence.run_requests,
-            others_harm=others,
+            others_harm=others_harm,
             requests=evidence.requests,
             strikes=strikes + 1,
         )
 
-    def _needed(self, report: ServerReport, subject: Subject) -> float:
+    def _required_score(self, report: ServerReport, subject: Subject) -> float:
         hint = self._hints.get((report.service, report.instance))
         if hint is None or subject is Subject.PATH or hint.incarnation != report.incarnation:
             return self._threshold
@@ -314,20 +327,20 @@
         strikes = self._strikes.get((report.service, report.instance))
         if strikes is None:
             return 0
-        # One strike is forgiven for each hold time that passed without an ejection.
+        # Each hold time that passes without an ejection clears one strike.
         forgiven = int((now - strikes.returned_at) / strikes.hold_seconds)
         return max(strikes.count - forgiven, 0)
 
-    def _hold(self, strikes: int, target_seconds: float) -> float:
-        first = max(
+    def _hold_seconds(self, strikes: int, target_seconds: float) -> float:
+        first_seconds = max(
             self._settings.hold_targets * target_seconds,
             self._settings.least_hold_seconds,
         )
-        doubled = math.ldexp(first, min(strikes, _MOST_DOUBLINGS))
-        return min(doubled, self._settings.most_hold_seconds)
+        doubled_seconds = math.ldexp(first_seconds, min(strikes, _MAX_HOLD_DOUBLINGS))
+        return min(doubled_seconds, self._settings.most_hold_seconds)
 
 
-def _log_ratio(harm: float, healthy_share: float, odds: float) -> float:
+def _log_likelihood_ratio(harm: float, healthy_share: float, odds: float) -> float:
     faulty_share = odds * healthy_share / (1 + (odds - 1) * healthy_share)
     harmed = math.log(faulty_share / healthy_share)
     unharmed = math.log((1 - faulty_share) / (1 - healthy_share))
@@ -335,20 +348,20 @@
 
 
 def _probes_needed(harm: float) -> int:
-    # With fewer probes, a server with the same harm as before passes in one of 20 trials.
-    return math.ceil(-math.log(_UNDETECTED_SHARE) / max(harm, _LEAST_PROBED_HARM))
+    # With fewer probes, a server with unchanged harm would pass in more than one of 20 trials.
+    return math.ceil(-math.log(_FALSE_PASS_PROBABILITY) / max(harm, _MIN_PROBED_HARM))
 
 
-def _others_harm(group: dict[InstanceId, Evidence], instance: InstanceId) -> float:
+def _median_harm_of_others(group: dict[InstanceId, Evidence], instance: InstanceId) -> float:
     harms = [evidence.recent_harm for other, evidence in group.items() if other != instance]
     return statistics.median(harms) if harms else 0
 
 
-def _badness(ejection: Ejection) -> tuple[float, InstanceId]:
+def _severity(ejection: Ejection) -> tuple[float, InstanceId]:
     return ejection.harm, ejection.instance
 
 
-def _log(ejection: Ejection, event: str, **figures: object) -> None:
+def _log_ejection(ejection: Ejection, event: str, **figures: object) -> None:
     logger.bind(
         service=ejection.service,
         instance=ejection.instance,
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/retries.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/retries.py
@@ -1,4 +1,4 @@
-"""Which outcomes may be tried again, and how often."""
+"""Retry policy: which outcomes may be retried, and within which budget."""
 
 import collections
 import dataclasses
@@ -8,31 +8,33 @@
 from turmericwharf.state import Answered, NotRun, Outcome, Reason, RetryReport, ServiceId
 
 
-# Refusals that every other server would repeat.
-_FINAL_REASONS = frozenset((Reason.DEADLINE_PASSED, Reason.KEY_WITHDRAWN, Reason.CALLER_LEFT))
+# Rejections that every other server would return as well.
+_NON_RETRYABLE_REASONS = frozenset(
+    (Reason.DEADLINE_PASSED, Reason.KEY_WITHDRAWN, Reason.CALLER_LEFT)
+)
 
 
 def is_retryable(outcome: Outcome, *, idempotent: bool) -> bool:
-    """Whether a request with this outcome may be sent to another server."""
+    """Return whether a request with this outcome may be retried on another server."""
     if isinstance(outcome, Answered):
         return False
     if isinstance(outcome, NotRun):
-        return outcome.reason not in _FINAL_REASONS
+        return outcome.reason not in _NON_RETRYABLE_REASONS
     return idempotent
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryLimits:
-    """How many retries a node may make to one service.
+    """Limits of the retries that a node makes to one service.
 
     Parameters
     ----------
     fraction
-        Retries over the requests of a window.
+        Maximum ratio of retries to requests in a window.
     minimum
-        Retries that are allowed in a window whatever the requests.
+        Retries that are always allowed in a window, regardless of the number of requests.
     window_seconds
-        Length of the window that ends now.
+        Length of the sliding window.
     """
 
     fraction: float
@@ -41,12 +43,12 @@
 
 
 class RetryBudget:
-    """Bounds retries to a fraction of the recent requests of a service.
+    """Limits retries to a fraction of the recent requests of a service.
 
     Parameters
     ----------
     limits
-        Returns the limits in force.
+        Returns the current limits.
     clock
         Clock of the node.
     """
@@ -60,12 +62,12 @@
 
     def record_request(self, service: ServiceId) -> None:
         """Count a first attempt."""
-        self._recent(self._requests_by_id, service).append(self._clock.now())
+        self._recent_timestamps(self._requests_by_id, service).append(self._clock.now())
 
     def allows(self, service: ServiceId) -> bool:
-        """Whether one more retry is inside the budget."""
-        requests = self._recent(self._requests_by_id, service)
-        retries = self._recent(self._retries_by_id, service)
+        """Return whether the budget allows one more retry; count a denial if not."""
+        requests = self._recent_timestamps(self._requests_by_id, service)
+        retries = self._recent_timestamps(self._retries_by_id, service)
         limits = self._limits()
         is_allowed = len(retries) + 1 <= len(requests) * limits.fraction + limits.minimum
         if not is_allowed:
@@ -73,28 +75,28 @@
         return is_allowed
 
     def record_retry(self, service: ServiceId) -> None:
-        """Count a retry."""
-        self._recent(self._retries_by_id, service).append(self._clock.now())
+        """Count a retry against the budget."""
+        self._recent_timestamps(self._retries_by_id, service).append(self._clock.now())
 
     def reports(self) -> list[RetryReport]:
-        """Return the attempts of each service, for the state dump."""
+        """Return the request and retry counts of each service, for the state dump."""
         return [
             RetryReport(
                 service=service,
-                requests=len(self._recent(self._requests_by_id, service)),
-                retries=len(self._recent(self._retries_by_id, service)),
+                requests=len(self._recent_timestamps(self._requests_by_id, service)),
+                retries=len(self._recent_timestamps(self._retries_by_id, service)),
                 refused=self._refused_by_id[service],
             )
             for service in sorted(self._requests_by_id)
         ]
 
-    def _recent(
+    def _recent_timestamps(
         self,
-        moments_by_id: dict[ServiceId, collections.deque[float]],
+        timestamps_by_id: dict[ServiceId, collections.deque[float]],
         service: ServiceId,
     ) -> collections.deque[float]:
-        moments = moments_by_id.setdefault(service, collections.deque())
+        timestamps = timestamps_by_id.setdefault(service, collections.deque())
         oldest = self._clock.now() - self._limits().window_seconds
-        while moments and moments[0] < oldest:
-            moments.popleft()
-        return moments
+        while timestamps and timestamps[0] < oldest:
+            timestamps.popleft()
+        return timestamps
