--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -1,7 +1,8 @@
-"""Measures detection time, false ejections and the worst-served organisation.
+"""Benchmark of outlier detection and fair queueing in a simulated fleet.
 
-Run as `python -m benchmarks.policy`; all parts run the real decisions in virtual time before
-fake servers, with fixed seeds. The findings are in docs/decisions/outlier-detection.md.
+Measures the detection time, the false ejections and the worst-served organisation. Run with
+`python -m benchmarks.policy`. The production decision code runs in virtual time against fake
+servers, with fixed seeds. The results are in docs/decisions/outlier-detection.md.
 """
 
 import asyncio
@@ -28,20 +29,20 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Layout:
+class FleetLayout:
     name: str
     servers: int
     slots: int
 
 
 LAYOUTS = (
-    Layout('3 data centres, 6 servers, 3 slots', 6, 3),
-    Layout('3 data centres, 12 servers, 3 slots', 12, 3),
-    Layout('4 data centres, 8 servers, 4 slots', 8, 4),
+    FleetLayout('3 data centres, 6 servers, 3 slots', 6, 3),
+    FleetLayout('3 data centres, 12 servers, 3 slots', 12, 3),
+    FleetLayout('4 data centres, 8 servers, 4 slots', 8, 4),
 )
 DAY_RATE = 80.0
 NIGHT_RATE = 4.0
-KINDS: dict[str, tuple[Faults, float]] = {
+FAULTS_BY_KIND: dict[str, tuple[Faults, float]] = {
     'late first byte, 0.3 s': (Faults(first_byte_seconds=0.3), 0),
     'no first byte': (Faults(first_byte_seconds=5), 0),
     'trickled body, 0.5 s': (Faults(trickle_seconds=0.5), 0),
@@ -53,7 +54,7 @@
 
 
 class ConcurrencyRouter(Router):
-    """Additive increase and multiplicative decrease of the concurrency, without ejection."""
+    """AIMD concurrency limits (additive increase, multiplicative decrease) without ejection."""
 
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
@@ -61,10 +62,10 @@
 
     def record_outcome(self, admitted: Any, choice: Any, outcome: Any) -> None:
         seconds = self._clock.now() - choice.started_at
-        good = isinstance(outcome, Answered) and outcome.status < 500
-        good = good and seconds < admitted.target_seconds / 4
+        is_good = isinstance(outcome, Answered) and outcome.status < 500
+        is_good = is_good and seconds < admitted.target_seconds / 4
         limit = self.limits[choice.instance]
-        self.limits[choice.instance] = min(limit + 0.1, 8) if good else max(limit / 2, 0.1)
+        self.limits[choice.instance] = min(limit + 0.1, 8) if is_good else max(limit / 2, 0.1)
         super().record_outcome(admitted, choice, outcome)
 
     def _cost(self, report: Any) -> tuple[float, float]:
@@ -83,18 +84,20 @@
     return float(seconds > 4 * typical_seconds > 0)
 
 
-def _never(*arguments: Any) -> None:
+def _never_eject(*arguments: Any) -> None:
     return None
 
 
 def _moving_average(self: Any, report: Any, subject: Any, evidence: Any, *rest: Any) -> Any:
-    """Judge by a fixed limit on the recent harm."""
+    """Eject by a fixed threshold on the recent harm."""
     others_harm = rest[0]
     scores = (99.0,) if evidence.recent_harm > 0.3 + others_harm else (0.0,)
-    return EVALUATE(self, report, subject, dataclasses.replace(evidence, scores=scores), *rest)
+    return DEFAULT_EVALUATE(
+        self, report, subject, dataclasses.replace(evidence, scores=scores), *rest
+    )
 
 
-EVALUATE = outliers.OutlierDetector._evaluate
+DEFAULT_EVALUATE = outliers.OutlierDetector._evaluate
 VARIANTS: dict[str, dict[str, Any]] = {
     'chosen': {},
     'small odds only': {'_FAULTY_ODDS': (4.0,)},
@@ -102,83 +105,91 @@
     'moving average over 0.3': {'evaluate': _moving_average},
     'ratio to the baseline only': {'latency_harm': _ratio_only},
     'first byte only': {'first_byte': True},
-    'concurrency limits, no ejection': {'evaluate': _never, 'router': ConcurrencyRouter},
-    'no detection': {'evaluate': _never},
+    'concurrency limits, no ejection': {'evaluate': _never_eject, 'router': ConcurrencyRouter},
+    'no detection': {'evaluate': _never_eject},
 }
 
 
 @dataclasses.dataclass(frozen=True)
 class Case:
-    layout: Layout
+    layout: FleetLayout
     rate: float
     kind: str
     seed: int
     variant: str = 'chosen'
-    gray: int = 1
+    gray_servers: int = 1
 
 
 @dataclasses.dataclass(frozen=True)
-class Finding:
+class Measurement:
     seconds: float | None
     false_ejections: int
     requests: int
     missed: int
 
 
-def measure(case: Case) -> Finding:
+def measure(case: Case) -> Measurement:
     logger.remove()
     variant = VARIANTS[case.variant]
     odds = variant.get('_FAULTY_ODDS', outliers._FAULTY_ODDS)
-    first = dataclasses.replace(outliers._NO_EVIDENCE, scores=tuple(0 for _ in odds))
+    initial_evidence = dataclasses.replace(outliers._NO_EVIDENCE, scores=tuple(0 for _ in odds))
     handlers = harm.server_harm.registry
-    answered = _first_byte_only if 'first_byte' in variant else handlers[Answered]
-    original = handlers[Answered]
-    harm.server_harm.register(Answered, answered)
+    answered_handler = _first_byte_only if 'first_byte' in variant else handlers[Answered]
+    original_handler = handlers[Answered]
+    harm.server_harm.register(Answered, answered_handler)
     with (
         mock.patch.object(outliers, '_FAULTY_ODDS', odds),
-        mock.patch.object(outliers, '_NO_EVIDENCE', first),
-        mock.patch.object(outliers.OutlierDetector, '_evaluate', variant.get('evaluate', EVALUATE)),
+        mock.patch.object(outliers, '_NO_EVIDENCE', initial_evidence),
+        mock.patch.object(
+            outliers.OutlierDetector, '_evaluate', variant.get('evaluate', DEFAULT_EVALUATE)
+        ),
         mock.patch.object(harm, 'latency_harm', variant.get('latency_harm', harm.latency_harm)),
     ):
-        finding = run_in_virtual_time(_measure(case, variant.get('router', Router)))
-    harm.server_harm.register(Answered, original)
-    return finding
+        measurement = run_in_virtual_time(_measure(case, variant.get('router', Router)))
+    harm.server_harm.register(Answered, original_handler)
+    return measurement
 
 
-async def _measure(case: Case, router: Any) -> Finding:
+async def _measure(case: Case, router: Any) -> Measurement:
     layout = case.layout
     fleet = SimulatedFleet(layout.servers, slots=layout.slots, seed=case.seed, router=router)
     traffic = {'rate': case.rate, 'target_seconds': TARGET_SECONDS, 'slow_share': 0.05}
     for node in fleet.nodes.values():
         node.server.faults = Faults(error_share=0.005)
     await fleet.load(WARM_SECONDS, **traffic)
-    began = asyncio.get_running_loop().time()
-    faults, delay = KINDS.get(case.kind, (Faults(error_share=0.005), 0))
-    gray = [fleet.node(number) for number in range(case.gray)]
-    for node in gray if case.kind in KINDS else ():
+    fault_started_at = asyncio.get_running_loop().time()
+    faults, delay = FAULTS_BY_KIND.get(case.kind, (Faults(error_share=0.005), 0))
+    gray_servers = [fleet.node(number) for number in range(case.gray_servers)]
+    for node in gray_servers if case.kind in FAULTS_BY_KIND else ():
         node.server.faults = faults
     if delay:
         for number in range(1, layout.servers):
             entry = fleet.node(number).member.instance
-            fleet.delays[entry, gray[0].member.instance] = delay if number == 1 else 0
+            fleet.delays[entry, gray_servers[0].member.instance] = delay if number == 1 else 0
     if case.kind == 'all servers slow':
         for node in fleet.nodes.values():
             node.server.faults = Faults(first_byte_seconds=0.3)
     await fleet.load(FAULT_SECONDS, **traffic)
-    names = {node.member.instance for node in gray} if case.kind in KINDS else set()
-    found = [one.since for (_, name), one in fleet.history.items() if name in names]
-    results = [one for one in fleet.results if one.at >= began]
-    missed = [one for one in results if not one.good or one.seconds > TARGET_SECONDS]
-    return Finding(
-        seconds=min(found) - began if found else None,
-        false_ejections=sum(name not in names for _, name in fleet.history),
+    gray_instances = (
+        {node.member.instance for node in gray_servers} if case.kind in FAULTS_BY_KIND else set()
+    )
+    detected_at = [
+        ejection.since
+        for (_, server), ejection in fleet.history.items()
+        if server in gray_instances
+    ]
+    results = [result for result in fleet.results if result.at >= fault_started_at]
+    missed = [result for result in results if not result.good or result.seconds > TARGET_SECONDS]
+    return Measurement(
+        seconds=min(detected_at) - fault_started_at if detected_at else None,
+        false_ejections=sum(server not in gray_instances for _, server in fleet.history),
         requests=len(results),
         missed=len(missed),
     )
 
 
 class FirstComeQueue(FairQueue):
-    """First come, first served."""
+    """Grants slots first come, first served, regardless of importance and organisation."""
 
     def _next_waiter(self) -> Any:
         waiting = [
@@ -193,91 +204,99 @@
 
 
 class RequestCountQueue(FairQueue):
-    """Charges each request the same, whatever slot time it takes."""
+    """Charges each request the same, regardless of the slot time that it takes."""
 
     def _charge(self, organisation: Any, seconds: float) -> None:
         super()._charge(organisation, seconds if seconds == self._mean_seconds else 0)
 
 
-async def _serve_organisations(queue_type: Any, slots: int) -> dict[str, float]:
-    queue = queue_type(slots, 256, LoopClock())
+async def _serve_organisations(queue_class: Any, slots: int) -> dict[str, float]:
+    queue = queue_class(slots, 256, LoopClock())
     generator = random.Random(4)
-    asked: collections.Counter[str] = collections.Counter()
+    requested: collections.Counter[str] = collections.Counter()
     served: collections.Counter[str] = collections.Counter()
-    usual_seconds = 0.05
-    capacity = slots / usual_seconds
-    # Two organisations ask for more than there is; one small one has long requests.
+    mean_seconds = 0.05
+    capacity = slots / mean_seconds
+    # The two large organisations together exceed the capacity; one small one sends long requests.
     shares = {'large-1': 0.7, 'large-2': 0.5, 'long': 0.008}
     shares.update({f'small-{number}': 0.03 for number in range(5)})
 
     async def request(organisation: str) -> None:
-        asked[organisation] += 1
+        requested[organisation] += 1
         if await queue.acquire(organisation, Importance.NORMAL, TARGET_SECONDS) is None:
             factor = 10 if organisation == 'long' else 1
-            await asyncio.sleep(generator.expovariate(1 / (usual_seconds * factor)))
+            await asyncio.sleep(generator.expovariate(1 / (mean_seconds * factor)))
             queue.release(organisation)
             served[organisation] += 1
 
-    async def ask(organisation: str, share: float) -> None:
+    async def send_requests(organisation: str, share: float) -> None:
         while asyncio.get_running_loop().time() < 120:
             await asyncio.sleep(generator.expovariate(capacity * share))
             group.create_task(request(organisation))
 
     async with asyncio.TaskGroup() as group:
         for organisation, share in shares.items():
-            group.create_task(ask(organisation, share))
-    return {organisation: served[organisation] / asked[organisation] for organisation in shares}
-
-
-def _summary(findings: list[Finding]) -> str:
-    found = [one.seconds for one in findings if one.seconds is not None]
-    seconds = f'{statistics.mean(found):6.1f}' if found else '     -'
-    false = sum(one.false_ejections for one in findings)
-    requests = sum(one.requests for one in findings)
-    missed = sum(one.missed for one in findings) / requests
+            group.create_task(send_requests(organisation, share))
+    return {organisation: served[organisation] / requested[organisation] for organisation in shares}
+
+
+def _summary(measurements: list[Measurement]) -> str:
+    detected = [
+        measurement.seconds for measurement in measurements if measurement.seconds is not None
+    ]
+    seconds = f'{statistics.mean(detected):6.1f}' if detected else '     -'
+    false_ejections = sum(measurement.false_ejections for measurement in measurements)
+    requests = sum(measurement.requests for measurement in measurements)
+    missed_share = sum(measurement.missed for measurement in measurements) / requests
     return (
-        f'{seconds} s  found {len(found)}/{len(findings)}  false {false:2d} '
-        f'in {requests} requests  missed the target {missed:.4f}'
+        f'{seconds} s  found {len(detected)}/{len(measurements)}  false {false_ejections:2d} '
+        f'in {requests} requests  missed the target {missed_share:.4f}'
     )
 
 
-def _print_table(title: str, cases: dict[str, list[Case]], pool: Any) -> None:
+def _print_table(title: str, cases_by_name: dict[str, list[Case]], pool: Any) -> None:
     print(f'\n{title}', flush=True)
     running = {
-        name: [pool.submit(measure, case) for case in listed] for name, listed in cases.items()
+        name: [pool.submit(measure, case) for case in cases]
+        for name, cases in cases_by_name.items()
     }
     for name, futures in running.items():
-        print(f'  {name:34s}{_summary([one.result() for one in futures])}', flush=True)
+        print(f'  {name:34s}{_summary([future.result() for future in futures])}', flush=True)
 
 
 def main() -> None:
     print('worst-served organisation: share of its requests that get a slot within 1 s')
     for slots in (3, 4):
-        for queue_type in (FirstComeQueue, RequestCountQueue, FairQueue):
-            shares = run_in_virtual_time(_serve_organisations(queue_type, slots))
+        for queue_class in (FirstComeQueue, RequestCountQueue, FairQueue):
+            shares = run_in_virtual_time(_serve_organisations(queue_class, slots))
             worst = min(shares, key=shares.__getitem__)
-            small = statistics.mean(one for name, one in shares.items() if 'small' in name)
+            small = statistics.mean(share for name, share in shares.items() if 'small' in name)
             print(
-                f'  {slots} slots  {queue_type.__name__:20s} worst {worst} {shares[worst]:.3f}  '
+                f'  {slots} slots  {queue_class.__name__:20s} worst {worst} {shares[worst]:.3f}  '
                 f'small {small:.3f}  long {shares["long"]:.3f}'
             )
     with concurrent.futures.ProcessPoolExecutor(PROCESSES) as pool:
         for layout in LAYOUTS:
             for rate in (DAY_RATE, NIGHT_RATE):
-                kinds = (*KINDS, 'none', 'all servers slow')
-                cases = {kind: [Case(layout, rate, kind, seed) for seed in SEEDS] for kind in kinds}
-                third = layout.servers // 3
-                cases['a third: no first byte'] = [
-                    Case(layout, rate, 'no first byte', seed, gray=third) for seed in SEEDS
+                kinds = (*FAULTS_BY_KIND, 'none', 'all servers slow')
+                cases_by_name = {
+                    kind: [Case(layout, rate, kind, seed) for seed in SEEDS] for kind in kinds
+                }
+                third_of_servers = layout.servers // 3
+                cases_by_name['a third: no first byte'] = [
+                    Case(layout, rate, 'no first byte', seed, gray_servers=third_of_servers)
+                    for seed in SEEDS
                 ]
-                _print_table(f'{layout.name}, {rate:.0f} requests/s', cases, pool)
+                _print_table(f'{layout.name}, {rate:.0f} requests/s', cases_by_name, pool)
         layout = LAYOUTS[2]
-        kinds = (*KINDS, 'none', 'all servers slow')
-        cases = {
+        kinds = (*FAULTS_BY_KIND, 'none', 'all servers slow')
+        cases_by_name = {
             variant: [Case(layout, DAY_RATE, kind, 1, variant) for kind in kinds]
             for variant in VARIANTS
         }
-        _print_table(f'candidates over all kinds, {layout.name}, 80 requests/s', cases, pool)
+        _print_table(
+            f'candidates over all kinds, {layout.name}, 80 requests/s', cases_by_name, pool
+        )
 
 
 if __name__ == '__main__':
