--- a/tests/coordination/execution/test_execution.py
+++ b/tests/coordination/execution/test_execution.py
@@ -1,4 +1,4 @@
-"""The executing node: at most once, true refusals, cancellation and deadlines."""
+"""The executing node: at-most-once execution, accurate rejections, cancellation and deadlines."""
 
 import asyncio
 
@@ -38,8 +38,8 @@
         )
         self.executor.record_announcement(ServiceId('bookings'), slots, ServerState.READY)
 
-    def execute(self, one) -> asyncio.Task:
-        return asyncio.create_task(self.executor.execute(one))
+    def execute(self, message) -> asyncio.Task:
+        return asyncio.create_task(self.executor.execute(message))
 
 
 async def _settle() -> None:
@@ -48,7 +48,10 @@
 
 
 async def test_run_that_outlives_its_deadline_keeps_its_slot():
-    """Guards against a server that gets more work than slots, and against an untrue not-run."""
+    """Guards against exceeding the slots of a server, and against reporting not-run wrongly.
+
+    A run that continues after its deadline still holds its slot, and its outcome is unknown.
+    """
     setup = Setup()
     outcome = await setup.executor.execute(order('late', seconds=0.05))
     assert isinstance(outcome, OutcomeUnknown)
@@ -62,8 +65,12 @@
     assert isinstance(await waiting, Answered)
 
 
-async def test_cancelled_work_is_dropped_in_the_queue_and_cut_at_the_server():
-    """Guards against work for callers that have left, and against a cut booking."""
+async def test_cancelled_work_is_dropped_from_the_queue_or_cancelled_at_the_server():
+    """Guards against work for disconnected callers, and against cancelling a started booking.
+
+    Queued requests are dropped, started idempotent ones are cancelled at the server, and other
+    started requests run to completion.
+    """
     setup = Setup(slots=2)
     running = [setup.execute(order('book')), setup.execute(order('read', idempotent=True))]
     queued = setup.execute(order('queued'))
@@ -76,17 +83,17 @@
     for request in ('book', 'read'):
         setup.server.finish(request)
     answers = await asyncio.gather(*running)
-    assert all(isinstance(one, Answered) for one in answers)
+    assert all(isinstance(answer, Answered) for answer in answers)
     assert set(setup.server.runs_by_id) == {'book', 'read'}
     assert setup.executor.in_progress == 0
 
 
-async def test_caller_that_leaves_does_not_end_a_started_booking():
-    """Guards against a cut run when the task of the caller's connection is cancelled."""
+async def test_disconnected_caller_does_not_end_a_started_booking():
+    """Guards against aborting a started run when the caller's connection task is cancelled."""
     setup = Setup()
-    leaving = setup.execute(order('book'))
+    disconnecting = setup.execute(order('book'))
     await _settle()
-    leaving.cancel()
+    disconnecting.cancel()
     await _settle()
     assert setup.executor.in_progress == 1
     setup.server.finish('book')
@@ -95,7 +102,7 @@
 
 
 async def test_second_copy_of_a_frame_does_not_run():
-    """Guards against a doubled run; the memory of request ids is bounded by time."""
+    """Guards against running a duplicate frame, and against keeping request ids forever."""
     setup = Setup(slots=2)
     first = setup.execute(order('one', seconds=1.0))
     await _settle()
@@ -113,19 +120,19 @@
 
 
 async def test_old_work_does_not_run_after_a_pause():
-    """Guards against a frame that waited in a socket and runs long after its deadline."""
+    """Guards against running a frame that waited in a socket until after its deadline."""
     setup = Setup()
     old = await setup.executor.execute(order('old', seconds=2.0, sent_at=setup.clock.at - 10))
     assert isinstance(old, NotRun)
     assert old.reason is Reason.DEADLINE_PASSED
     setup.check.failure = NO_STANDING
-    unsure = await setup.executor.execute(order('unsure'))
-    assert isinstance(unsure, NotRun)
+    rejected = await setup.executor.execute(order('unsure'))
+    assert isinstance(rejected, NotRun)
     assert not setup.server.runs_by_id
 
 
-async def test_leaving_server_stays_leaving():
-    """Guards against new work for a server that says it is ready while its node shuts down."""
+async def test_draining_server_stays_draining():
+    """Guards against new work for a server that announces ready while its node shuts down."""
     setup = Setup()
     setup.executor.drain()
     setup.executor.record_announcement(ServiceId('bookings'), 1, ServerState.READY)
--- a/tests/coordination/execution/test_fair_queue.py
+++ b/tests/coordination/execution/test_fair_queue.py
@@ -23,7 +23,7 @@
         ),
         st.tuples(st.just('cancel'), st.integers(0, 20)),
         st.tuples(st.just('release'), st.integers(0, 20)),
-        # Without a turn of the loop, what follows falls into the same moment.
+        # Without a turn of the event loop, the next step happens at the same time.
         st.tuples(st.just('turn'), st.sampled_from([0.0, 0.5, 1.0])),
         st.tuples(st.just('resize'), st.integers(0, 4)),
     ),
@@ -32,7 +32,7 @@
 
 
 class Requests:
-    """Requests at a queue; a slot is given back at once, before any task has its turn."""
+    """Requests at a queue; slots are released immediately, before any other task runs."""
 
     def __init__(self, queue: FairQueue) -> None:
         self.queue = queue
@@ -65,7 +65,7 @@
 @given(STEPS)
 @settings(max_examples=300, deadline=None, derandomize=True)
 def test_no_slot_leaks_and_the_queue_stays_bounded(steps):
-    """Guards against slots lost when a grant meets a cancellation or a timeout."""
+    """Guards against losing slots when a grant coincides with a cancellation or a timeout."""
 
     async def scenario() -> None:
         queue = FairQueue(2, 3, LoopClock())
@@ -85,8 +85,8 @@
     run_in_virtual_time(scenario())
 
 
-def test_grant_and_timeout_in_the_same_moment_lose_no_slot():
-    """Guards against a slot that nobody holds after a timeout that met a grant."""
+def test_grant_and_timeout_at_the_same_time_lose_no_slot():
+    """Guards against losing a slot when its grant coincides with the timeout of the waiter."""
 
     async def scenario() -> None:
         queue = FairQueue(1, 4, LoopClock())
@@ -104,24 +104,24 @@
 
 
 def test_full_queue_drops_the_least_important_and_then_the_longest():
-    """Guards against background lookups or one organisation that keep others out."""
+    """Guards against background lookups or one organisation filling the queue for all others."""
 
     async def scenario() -> None:
         queue = FairQueue(1, 3, LoopClock())
         await queue.acquire('holder', Importance.NORMAL, 9)
 
-        def ask(organisation: str, importance: Importance) -> asyncio.Task:
+        def request_slot(organisation: str, importance: Importance) -> asyncio.Task:
             return asyncio.create_task(queue.acquire(organisation, importance, 9))
 
-        lookup = ask('', Importance.BACKGROUND)
-        large = [ask('large', Importance.NORMAL) for _ in range(2)]
+        lookup = request_slot('', Importance.BACKGROUND)
+        large = [request_slot('large', Importance.NORMAL) for _ in range(2)]
         await asyncio.sleep(0)
-        first = ask('small', Importance.NORMAL)
+        first = request_slot('small', Importance.NORMAL)
         assert await lookup is QUEUE_DISPLACED
-        assert await ask('', Importance.BACKGROUND) is QUEUE_FULL
-        second = ask('other', Importance.NORMAL)
+        assert await request_slot('', Importance.BACKGROUND) is QUEUE_FULL
+        second = request_slot('other', Importance.NORMAL)
         assert await large[1] is QUEUE_DISPLACED
-        assert await ask('large', Importance.NORMAL) is QUEUE_FULL
+        assert await request_slot('large', Importance.NORMAL) is QUEUE_FULL
         for task, organisation in ((large[0], 'holder'), (first, 'large'), (second, 'small')):
             queue.release(organisation)
             assert await task is None
@@ -130,7 +130,7 @@
 
 
 def test_slot_time_is_shared_among_organisations():
-    """Guards against an organisation that gets more by more or longer requests."""
+    """Guards against an organisation gaining slot time by sending more or longer requests."""
 
     async def scenario() -> None:
         queue = FairQueue(2, 64, LoopClock())
@@ -159,7 +159,7 @@
 
 
 def test_expired_work_takes_no_slot():
-    """Guards against work that runs after its deadline when timers are late."""
+    """Guards against granting a slot to an expired request whose timer is late."""
 
     async def scenario() -> None:
         clock = LoopClock()
@@ -167,7 +167,7 @@
         await queue.acquire('one', Importance.NORMAL, 1)
         waiting = asyncio.create_task(queue.acquire('two', Importance.NORMAL, 1))
         await asyncio.sleep(0)
-        # The timer of the loop is late, as after a pause of the process.
+        # The event loop's timer is late, as after a pause of the process.
         clock.now = lambda: 5.0
         queue.release('one')
         assert await waiting is DEADLINE_PASSED
--- a/tests/coordination/routing/test_dispatching.py
+++ b/tests/coordination/routing/test_dispatching.py
@@ -1,4 +1,4 @@
-"""The entry node's attempts: true refusals and cancellation."""
+"""Attempts made by the entry node: accurate not-run outcomes, and cancellation."""
 
 import asyncio
 from types import SimpleNamespace
@@ -22,7 +22,7 @@
 
 class Router:
     def choose(self, admitted, excluded):
-        instance = next((one for one in ('node-2', 'node-3') if one not in excluded), None)
+        instance = next((node for node in ('node-2', 'node-3') if node not in excluded), None)
         return SimpleNamespace(instance=instance, probe=False) if instance else None
 
     def record_outcome(self, admitted, choice, outcome): ...
@@ -64,7 +64,10 @@
 
 
 async def test_attempt_that_may_have_run_is_not_reported_as_not_run():
-    """Guards against an untrue not-run when a later attempt is refused."""
+    """Guards against reporting not-run when an earlier attempt may have run.
+
+    The first attempt times out and the second is rejected before it runs.
+    """
     links = Links(PEER_TIMEOUT, NotRun(Reason.QUEUE_FULL))
     outcome = await _dispatcher(links).dispatch(_request(idempotent=True))
     assert [instance for instance, _ in links.sent] == ['node-2', 'node-3']
@@ -72,26 +75,29 @@
 
 
 async def test_non_idempotent_request_is_sent_again_only_after_not_run():
-    """Guards against a second run after an attempt whose outcome is unknown."""
+    """Guards against a second run of a non-idempotent request after an unknown outcome."""
     links = Links(NotRun(Reason.SERVER_DRAINING), PEER_TIMEOUT)
     outcome = await _dispatcher(links).dispatch(_request(idempotent=False))
     assert isinstance(outcome, OutcomeUnknown)
     links = Links(PEER_TIMEOUT, NotRun(Reason.QUEUE_FULL))
     assert isinstance(await _dispatcher(links).dispatch(_request(idempotent=False)), OutcomeUnknown)
     assert len(links.sent) == 1
-    # The executing node is told that nobody waits any longer.
+    # The entry node cancels the attempt at the executing node, since nobody waits for it any more.
     assert links.notified == [('node-2', Cancel('request-0'))]
 
 
-@pytest.mark.parametrize('leaves', [True, False])
-async def test_executing_node_hears_that_the_caller_left(leaves):
-    """Guards against work that goes on for callers that have left."""
+@pytest.mark.parametrize('task_is_cancelled', [True, False])
+async def test_attempt_is_cancelled_when_the_caller_disconnects(task_is_cancelled):
+    """Guards against executing nodes that keep working for disconnected callers.
+
+    The attempt must be cancelled if the caller's task or the request itself is cancelled.
+    """
     links = Links()
     dispatcher = _dispatcher(links)
     dispatching = asyncio.create_task(dispatcher.dispatch(_request(idempotent=True)))
     while not links.sent:
         await asyncio.sleep(0)
-    if leaves:
+    if task_is_cancelled:
         dispatching.cancel()
     else:
         dispatcher.cancel('request')
--- a/tests/coordination/routing/test_lookups.py
+++ b/tests/coordination/routing/test_lookups.py
@@ -69,7 +69,7 @@
 
 
 async def test_lookup_inherits_from_the_request_that_it_serves():
-    """Guards against lookups that outlive their page or run for nobody or for another."""
+    """Guards against lookups that outlive their request, or run for no or another organisation."""
     service, entry = make_service()
     for target in ('/bookings/1', '/records/1'):
         await service.serve(make_request(target, 'page-0'))
@@ -82,7 +82,7 @@
 
 @pytest.mark.parametrize('serves', [None, 'page-1'])
 async def test_lookup_without_a_request_in_progress_is_background_work(serves):
-    """Guards against a server that reaches open routes for an organisation of its choice."""
+    """Guards against a backend server that reaches open routes for an organisation of its choice."""
     service, entry = make_service()
     refused = await service.serve(make_request('/bookings/1', serves))
     assert refused.reason.value == 'route_internal'
@@ -94,7 +94,7 @@
 
 
 async def test_lookup_for_an_organisation_needs_standing():
-    """Guards against an isolated node that serves open routes by way of lookups."""
+    """Guards against an isolated node without standing that serves open routes through lookups."""
     service, entry = make_service(standing=False)
     refused = await service.serve(make_request('/bookings/1', 'page-0'))
     assert refused.reason.value == 'no_standing'
--- a/tests/coordination/routing/test_retries.py
+++ b/tests/coordination/routing/test_retries.py
@@ -12,7 +12,7 @@
     ids=['half answers', 'slow half answers', 'unreachable'],
 )
 def test_no_retry_storm_when_every_server_is_gray(faults):
-    """Guards against retries that multiply the load on a service that fails as a whole."""
+    """Guards against retries that multiply the load on a service while all its servers fail."""
 
     async def scenario() -> None:
         fleet = SimulatedFleet(NODES, slots=3, seed=9)
@@ -24,7 +24,7 @@
         attempts = sum(node.server.attempts for node in fleet.nodes.values())
         retries = attempts - requests
         assert sum(report.refused for report in reports) > 0
-        # Two windows of ten seconds, each with the minimum of every node.
+        # The run spans two windows of 10 s; each node may make the minimum of 3 retries in each.
         assert 0 < retries <= requests * 0.1 + 2 * 3 * NODES
 
     run_in_virtual_time(scenario())
--- a/tests/coordination/routing/test_route_index.py
+++ b/tests/coordination/routing/test_route_index.py
@@ -1,4 +1,4 @@
-"""The route of a request: longest prefix, whole segments."""
+"""Route lookup: the longest matching prefix of whole path segments."""
 
 import random
 
@@ -6,14 +6,20 @@
 from turmericwharf.state import Route
 
 
-def route(name, path_prefix, *methods):
+def make_route(name, path_prefix, *methods):
     return Route(name, methods or ('GET',), path_prefix, 'service', 'class')
 
 
 def test_prefixes_match_whole_segments():
-    """Guards against `/book` that takes requests for `/bookings`, and against dot segments."""
-    index = RouteIndex([route('root', '/'), route('book', '/book'), route('deep', '/book/a/b/')])
-    found = {
+    """Guards against `/book` matching `/bookings`, and against paths with dot segments."""
+    index = RouteIndex(
+        [
+            make_route('root', '/'),
+            make_route('book', '/book'),
+            make_route('deep', '/book/a/b/'),
+        ]
+    )
+    route_by_target = {
         target: getattr(index.find('GET', target), 'route', None)
         for target in (
             '/',
@@ -25,7 +31,7 @@
             '/book%2F../x',
         )
     }
-    assert found == {
+    assert route_by_target == {
         '/': 'root',
         '/bookings': 'root',
         '/book?x=/a': 'book',
@@ -38,16 +44,16 @@
 
 
 def test_the_index_agrees_with_a_linear_scan():
-    """Guards against an index that finds another route than the rule says."""
-    chosen = random.Random(7)
+    """Guards against an index that disagrees with the longest-prefix rule."""
+    generator = random.Random(7)
     paths = sorted(
-        {'/' + '/'.join(chosen.choices('abc', k=chosen.randint(1, 5))) for _ in range(90)}
+        {'/' + '/'.join(generator.choices('abc', k=generator.randint(1, 5))) for _ in range(90)}
     )
-    routes = [route(path, path) for path in paths]
+    routes = [make_route(path, path) for path in paths]
     index = RouteIndex(routes)
     for _ in range(500):
-        path = '/' + '/'.join(chosen.choices('abc', k=chosen.randint(1, 7)))
-        matching = [one for one in routes if f'{path}/'.startswith(f'{one.path_prefix}/')]
+        path = '/' + '/'.join(generator.choices('abc', k=generator.randint(1, 7)))
+        matching = [route for route in routes if f'{path}/'.startswith(f'{route.path_prefix}/')]
         assert index.find('GET', path) == max(
-            matching, key=lambda one: len(one.path_prefix), default=None
+            matching, key=lambda candidate: len(candidate.path_prefix), default=None
         )
--- a/tests/coordination/routing/test_routing.py
+++ b/tests/coordination/routing/test_routing.py
@@ -13,8 +13,11 @@
         node.members.record_report(executor.report)
 
 
-def test_ejections_are_taken_back_when_the_view_shrinks():
-    """Guards against a floor that is checked only when a server is ejected."""
+def test_servers_are_reinstated_when_the_view_shrinks():
+    """Guards against a floor that is enforced only when a server is ejected.
+
+    Other servers may drain later, so the floor must be enforced at each selection.
+    """
 
     async def scenario() -> None:
         fleet = SimulatedFleet(4, slots=3, seed=2)
@@ -22,12 +25,12 @@
         fleet.node(3).server.faults = Faults(half_share=1)
         await fleet.load(20, rate=80, entries=1)
         router = fleet.node(0).router
-        ejected = {one.instance: one for one in router.dump().ejections}
+        ejected = {ejection.instance: ejection for ejection in router.dump().ejections}
         assert set(ejected) == {'node-2', 'node-3'}
         report_state(fleet, 1, ServerState.DRAINING)
         await fleet.load(1, rate=80, entries=1)
-        # Of three ready servers with a floor of one half, one may stay ejected: the worst.
-        assert [one.instance for one in router.dump().ejections] == ['node-3']
+        # With three ready servers and a floor of one half, only the most harmful stays ejected.
+        assert [ejection.instance for ejection in router.dump().ejections] == ['node-3']
         report_state(fleet, 0, ServerState.DRAINING)
         await fleet.load(1, rate=80, entries=1)
         assert len(router.dump().ejections) == 1
@@ -36,7 +39,7 @@
 
 
 def test_cold_and_draining_servers_get_no_work_and_the_rest_share_it():
-    """Guards against work for servers that cannot take it, and against herding onto one."""
+    """Guards against sending work to servers that are not ready, and against herding onto one."""
 
     async def scenario() -> None:
         fleet = SimulatedFleet(6, slots=3, seed=2, usual_seconds=0.05)
@@ -47,7 +50,7 @@
             {number: fleet.node(number).server.attempts for number in range(6)}
         )
         assert counts[1] == counts[2] == 0
-        # A refusal by the executing node would show as a retry.
+        # A rejection by the executing node would be counted as a retry.
         assert fleet.node(0).dispatcher.budget.reports()[0].retries == 0
         shares = [counts[number] / counts.total() for number in (0, 3, 4, 5)]
         assert min(shares) > 0.5 / 4
@@ -56,8 +59,8 @@
     run_in_virtual_time(scenario())
 
 
-def test_replaced_server_starts_without_a_record():
-    """Guards against an ejection that outlives the faulty process."""
+def test_replaced_server_starts_without_an_ejection():
+    """Guards against an ejection that remains after the faulty process has been replaced."""
 
     async def scenario() -> None:
         fleet = SimulatedFleet(4, slots=3, seed=2)
@@ -65,7 +68,7 @@
         gray.server.faults = Faults(half_share=1)
         await fleet.load(10, rate=80, entries=1)
         first = fleet.node(0)
-        assert [one.instance for one in first.router.dump().ejections] == ['node-1']
+        assert [ejection.instance for ejection in first.router.dump().ejections] == ['node-1']
         replaced = dataclasses.replace(gray.executor.report, incarnation='second', sequence=1)
         membership = first.members.membership
         member = dataclasses.replace(gray.member, incarnation='second')
