--- a/packages/turmericwharf/src/turmericwharf/coordination/execution/execution.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/execution.py
@@ -267,7 +267,7 @@
         return len(self._expiry_by_id)
 
     def has_seen(self, request: RequestId) -> bool:
-        """Return whether this request id was received before and has not expired."""
+        """Return whether this request id was received before and is still kept."""
         return request in self._expiry_by_id
 
     def remember(self, request: RequestId, until: float) -> None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/execution/run_check.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/run_check.py
@@ -40,7 +40,7 @@
             return None
         key = self._control_log.configuration.keys_by_digest.get(order.key_digest)
         if key is None:
-            # The entry node has a newer configuration; the key has not been withdrawn.
+            # The entry node knows the key from a newer configuration; it has not been withdrawn.
             return KEY_UNKNOWN
         if key.withdrawn or key.organisation != order.organisation:
             return KEY_WITHDRAWN
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/outliers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/outliers.py
@@ -1,4 +1,4 @@
-"""Detection and ejection of backend servers that perform worse than their service's others.
+"""Detection and ejection of backend servers that perform worse than others of their service.
 
 The detector is a sequential test (CUSUM). Each request adds the log-likelihood ratio of its harm
 under a faulty server against a healthy server to a cumulative sum. For harm between 0 and 1 with
@@ -43,8 +43,8 @@
 # must reach the median harm of the others times this factor, plus this constant.
 _CLEARLY_WORSE_FACTOR = 2.0
 _CLEARLY_WORSE_HARM = 0.04
-# A probe fails if its harm exceeds this. Unanswered requests count from the same harm on, so that
-# recently sent requests are no evidence.
+# A probe fails if its harm exceeds this. Unanswered requests have the same minimum in `in_flight`,
+# so that recently sent requests are no evidence.
 _PROBE_FAILURE_HARM = 0.1
 _MAX_HOLD_DOUBLINGS = 16
 _FALSE_PASS_PROBABILITY = 0.05
@@ -361,7 +361,7 @@
     return ejection.harm, ejection.instance
 
 
-def _log_ejection(ejection: Ejection, event: str, **figures: object) -> None:
+def _log_ejection(ejection: Ejection, event: str, **fields: object) -> None:
     logger.bind(
         service=ejection.service,
         instance=ejection.instance,
@@ -370,5 +370,5 @@
         others_harm=round(ejection.others_harm, 3),
         requests=ejection.requests,
         strikes=ejection.strikes,
-        **figures,
+        **fields,
     ).info(event)
--- a/tests/coordination/routing/test_lookups.py
+++ b/tests/coordination/routing/test_lookups.py
@@ -82,7 +82,7 @@
 
 @pytest.mark.parametrize('serves', [None, 'page-1'])
 async def test_lookup_without_a_request_in_progress_is_background_work(serves):
-    """Guards against a backend server that reaches open routes for an organisation of its choice."""
+    """Guards against a server that reaches open routes for an organisation of its choice."""
     service, entry = make_service()
     refused = await service.serve(make_request('/bookings/1', serves))
     assert refused.reason.value == 'route_internal'
