--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -46,7 +46,7 @@
     'late first byte, 0.3 s': (Faults(first_byte_seconds=0.3), 0),
     'no first byte': (Faults(first_byte_seconds=5), 0),
     'trickled body, 0.5 s': (Faults(trickle_seconds=0.5), 0),
-    'half answers': (Faults(half_share=1), 0),
+    'half answers': (Faults(truncated_share=1), 0),
     'a fifth errors': (Faults(error_share=0.2), 0),
     'flapping, 5 s': (Faults(error_share=1, flap_seconds=5), 0),
     'path slow from one side': (Faults(), 0.5),
@@ -175,14 +175,14 @@
     )
     detected_at = [
         ejection.since
-        for (_, server), ejection in fleet.history.items()
+        for (_, server), ejection in fleet.first_ejections.items()
         if server in gray_instances
     ]
     results = [result for result in fleet.results if result.at >= fault_started_at]
     missed = [result for result in results if not result.good or result.seconds > TARGET_SECONDS]
     return Measurement(
         seconds=min(detected_at) - fault_started_at if detected_at else None,
-        false_ejections=sum(server not in gray_instances for _, server in fleet.history),
+        false_ejections=sum(server not in gray_instances for _, server in fleet.first_ejections),
         requests=len(results),
         missed=len(missed),
     )
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
@@ -85,8 +85,7 @@
         Returns
         -------
         bool
-            Whether an attempt was in flight. If not, the request is guaranteed not to run
-            after this call.
+            Whether an attempt was in flight. If not, the request will not run after this call.
         """
         self._cancelled.add(request)
         attempt = self._attempts_by_id.get(request)
--- a/tests/coordination/routing/test_routing.py
+++ b/tests/coordination/routing/test_routing.py
@@ -21,8 +21,8 @@
 
     async def scenario() -> None:
         fleet = SimulatedFleet(4, slots=3, seed=2)
-        fleet.node(2).server.faults = Faults(half_share=0.6)
-        fleet.node(3).server.faults = Faults(half_share=1)
+        fleet.node(2).server.faults = Faults(truncated_share=0.6)
+        fleet.node(3).server.faults = Faults(truncated_share=1)
         await fleet.load(20, rate=80, entries=1)
         router = fleet.node(0).router
         ejected = {ejection.instance: ejection for ejection in router.dump().ejections}
@@ -42,7 +42,7 @@
     """Guards against sending work to servers that are not ready, and against herding onto one."""
 
     async def scenario() -> None:
-        fleet = SimulatedFleet(6, slots=3, seed=2, usual_seconds=0.05)
+        fleet = SimulatedFleet(6, slots=3, seed=2, median_seconds=0.05)
         report_state(fleet, 1, ServerState.COLD)
         report_state(fleet, 2, ServerState.DRAINING)
         await fleet.load(10, rate=150, entries=1)
@@ -65,7 +65,7 @@
     async def scenario() -> None:
         fleet = SimulatedFleet(4, slots=3, seed=2)
         gray = fleet.node(1)
-        gray.server.faults = Faults(half_share=1)
+        gray.server.faults = Faults(truncated_share=1)
         await fleet.load(10, rate=80, entries=1)
         first = fleet.node(0)
         assert [ejection.instance for ejection in first.router.dump().ejections] == ['node-1']
