--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/publishing.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/publishing.py
@@ -80,7 +80,7 @@
         return None if self._standing.has_log else PUBLISH_LOG_AWAY
 
     async def _find_receipt(self, publish: Publish) -> PublishReceipt | None:
-        # Invalid changes are rejected before the append, so that they do not end up in the log.
+        # Invalid changes are already rejected here, so that they do not end up in the log.
         requested_at = self._clock.now()
         wait_seconds = self._timing.standing_seconds
         await self._control_log.wait_until(
@@ -100,8 +100,8 @@
         return self._receipt_of(publish) or rejection
 
     def _rejection_of(self, publish: Publish) -> PublishReceipt | None:
-        evaluated = self.dry_run(publish)
-        return None if evaluated.accepted else evaluated
+        receipt = self.dry_run(publish)
+        return None if receipt.accepted else receipt
 
     async def _wait_for_receipt(self, publish: Publish) -> PublishReceipt | None:
         await self._control_log.wait_until(
