--- a/packages/turmericwharf/src/turmericwharf/coordination/membership/membership.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/membership.py
@@ -67,7 +67,7 @@
             return
         members_before = {peer: self.find_member(peer) for peer in self.peers()}
         super().apply(membership)
-        self.settling.take_over(membership, is_consecutive=is_consecutive)
+        self.settling.apply_membership(membership, is_consecutive=is_consecutive)
         # Only contacts made under this membership count towards its quorum. Otherwise majorities
         # of two memberships that share no node could both confirm freshness.
         self._quorum_contact_at_by_id.clear()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -15,7 +15,7 @@
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.membership.rendezvous import partition_of, rank_instances
 from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, FleetAdmission
-from turmericwharf.coordination.sidecar.bounds import BoundsInForce
+from turmericwharf.coordination.sidecar.bounds import ReloadableBounds
 from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import FleetLinks
@@ -109,7 +109,7 @@
             self._partitions = frozenset(partition_of(name) for name in names)
         self._seen = seen
         self._sort_nodes()
-        own, now = self._directory.own, self._clock.now()
+        own, now = self._directory.local, self._clock.now()
         self._held_since_by_partition = {
             one: self._held_since_by_partition.get(one, now)
             for one in self._partitions
@@ -156,7 +156,7 @@
         holders: QuotaHolders,
         holder: ConfigurationHolder,
         clock: Clock,
-        bounds: BoundsInForce,
+        bounds: ReloadableBounds,
     ) -> None:
         self._bounds = bounds
         self._started_at = clock.now()
@@ -194,7 +194,7 @@
         return (allowed * bounds.rate_overage + bounds.rate_slack) * _START_SHARE
 
 
-class QuotaKeeper:
+class QuotaLimiter:
     """Takes tokens for admitted requests.
 
     Parameters
@@ -221,7 +221,7 @@
         self._directory = directory
         self._holder = holder
 
-    async def take(self, admitted: FleetAdmission) -> RequestFailure | None:
+    async def acquire(self, admitted: FleetAdmission) -> RequestFailure | None:
         """Return None with a token, or why the request is refused."""
         if admitted.organisation == NO_ORGANISATION:
             return None
@@ -259,7 +259,7 @@
 
     def _ordered_holders(self, organisation: OrganisationId) -> list[InstanceId]:
         holders = self.buckets.holders.of(organisation)
-        own = self._directory.own.data_centre
+        own = self._directory.local.data_centre
         # The near holders cost no bytes between data centres.
         places = sorted(holders, key=lambda place: (place != own, place))
         return [instance for place in places for instance in holders[place]]
@@ -269,14 +269,14 @@
         instance: InstanceId,
         organisation: OrganisationId,
     ) -> TokenReply | None:
-        own = self._directory.own
+        own = self._directory.local
         if instance == own.instance:
             return self.buckets.grant(organisation)
         entry = self._directory.find(instance)
         if entry is None or self._directory.is_suspected(instance):
             return None
         request = TokenRequest(organisation, own.instance, self._holder.version)
-        reply = await self._links.ask(entry, request, timeout_seconds=_ASK_SECONDS)
+        reply = await self._links.request(entry, request, timeout_seconds=_ASK_SECONDS)
         if isinstance(reply, TokenReply):
             return reply
         logger.bind(instance=instance, organisation=organisation).info('token_holder_silent')
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
@@ -14,9 +14,9 @@
 
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.routing.retries import RetryBudget, RetryLimits
-from turmericwharf.coordination.sidecar.bounds import BoundsInForce
+from turmericwharf.coordination.sidecar.bounds import ReloadableBounds
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.near_nodes import NearNodes
+from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.state import InstanceId, ServiceId
 from turmericwharf.state.sidecar import RetryReply, RetryRequest
@@ -48,8 +48,8 @@
     def __init__(
         self,
         directory: NodeDirectory,
-        near: NearNodes,
-        bounds: BoundsInForce,
+        near: DataCentreRanking,
+        bounds: ReloadableBounds,
         clock: Clock,
     ) -> None:
         self._directory = directory
@@ -61,12 +61,12 @@
 
     def granting_node(self, service: ServiceId) -> InstanceId:
         """Return the node that grants retries to a service."""
-        ranked = self._near.ranked(f'retries/{service}')
-        return ranked[0] if ranked else self._directory.own.instance
+        ranked = self._near.ranked_nodes(f'retries/{service}')
+        return ranked[0] if ranked else self._directory.local.instance
 
     def grant(self, service: ServiceId) -> bool:
         """Grant one retry if this node is the one to grant it and there is one left."""
-        if self.granting_node(service) != self._directory.own.instance:
+        if self.granting_node(service) != self._directory.local.instance:
             self._held_since_by_service.pop(service, None)
             return False
         now = self._clock.now()
@@ -111,7 +111,7 @@
         pool: RetryPool,
         links: FleetLinks,
         directory: NodeDirectory,
-        bounds: BoundsInForce,
+        bounds: ReloadableBounds,
         clock: Clock,
         repeated_share: Callable[[], float],
     ) -> None:
@@ -122,17 +122,17 @@
         self._budget = RetryBudget(self._own_limits, clock)
         self._repeated_share = repeated_share
 
-    def record_request(self, service: ServiceId, *, is_call: bool) -> None:
+    def record_request(self, service: ServiceId, *, is_server_call: bool) -> None:
         """Count a request of the own clients or of the own server."""
         self._budget.record_request(service)
         # A call does not name the request that makes it.
-        if is_call and random.random() < self._repeated_share():
-            self._budget.spend(service)
+        if is_server_call and random.random() < self._repeated_share():
+            self._budget.record_retry(service)
 
-    async def take(self, service: ServiceId) -> bool:
+    async def acquire(self, service: ServiceId) -> bool:
         """Take one retry from the own part, else from the pool; return whether there was one."""
         if self._budget.allows(service):
-            self._budget.spend(service)
+            self._budget.record_retry(service)
             return True
         is_granted = await self._ask(service)
         logger.bind(service=service, granted=is_granted).info('retry_asked')
@@ -143,7 +143,9 @@
         entry = self._directory.find(instance)
         if entry is None:
             return self.pool.grant(service)
-        reply = await self._links.ask(entry, RetryRequest(service), timeout_seconds=_ASK_SECONDS)
+        reply = await self._links.request(
+            entry, RetryRequest(service), timeout_seconds=_ASK_SECONDS
+        )
         return isinstance(reply, RetryReply) and reply.granted
 
     def _own_limits(self) -> RetryLimits:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_choice.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
@@ -30,7 +30,7 @@
     heard_at: float
 
 
-class ServerChoice:
+class ServerSelector:
     """Chooses by requests in flight and reported load; near servers come first.
 
     Parameters
@@ -48,16 +48,18 @@
         self._load_by_id: dict[InstanceId, _HeardLoad] = {}
         self._avoided_until_by_id: dict[InstanceId, float] = {}
 
-    def choose(self, service: ServiceId, excluded: Set[InstanceId]) -> NodeEntry | None:
+    def select(self, service: ServiceId, excluded: Set[InstanceId]) -> NodeEntry | None:
         """Return the best node, or None if there is none left."""
         usable = [
-            entry for entry in self._directory.servers_of(service) if entry.instance not in excluded
+            entry
+            for entry in self._directory.nodes_serving(service)
+            if entry.instance not in excluded
         ]
         trusted = [one for one in usable if not self._directory.is_suspected(one.instance)]
         wanted = [one for one in trusted if not self._is_avoided(one.instance)]
         return min(wanted or trusted or usable, key=self._cost, default=None)
 
-    def known_load(self, instance: InstanceId) -> tuple[int, float | None]:
+    def last_reported_load(self, instance: InstanceId) -> tuple[int, float | None]:
         """Return the requests at a server as last heard, and the age of that in seconds."""
         heard = self._load_by_id.get(instance)
         if heard is None:
@@ -92,7 +94,7 @@
         return self._avoided_until_by_id.get(instance, 0) > self._clock.now()
 
     def _cost(self, entry: NodeEntry) -> float:
-        own = self._directory.own
+        own = self._directory.local
         requests = float(self._in_flight_by_id[entry.instance])
         heard = self._load_by_id.get(entry.instance)
         if heard is not None and self._clock.now() - heard.heard_at < _LOAD_SECONDS:
