Reword the tests of membership and configuration, their fakes and the simulated fleet

Assertions, bounds and parameters are the same. The examples that hypothesis derives from the source of the withdrawal test differ, since its source changed.

--- a/tests/coordination/configuration/test_control_fold.py
+++ b/tests/coordination/configuration/test_control_fold.py
@@ -1,4 +1,4 @@
-"""Folding of the control stream: one winner for each object, each publish id once."""
+"""Folding of the control stream: conflicts, retried publish ids and validation."""
 
 import dataclasses
 import json
@@ -48,7 +48,7 @@
 
 
 def test_of_two_changes_of_one_object_the_first_in_the_log_wins():
-    """Guards against a lost change, and against a rejection that does not name the winner."""
+    """Guards against an overwritten change, and a rejection that lacks the conflicting change."""
     first, second = (
         publish('a', 0, organisations=rate(1.0)),
         publish('b', 0, organisations=rate(2.0), keys=(KEY,)),
@@ -66,15 +66,15 @@
 
 
 def test_unrelated_changes_do_not_conflict():
-    """Guards against a check of the whole version, which rejects unrelated changes."""
+    """Guards against a conflict check on the global version, which rejects unrelated changes."""
     state = folded(
         publish('a', 0, organisations=rate(1.0)), publish('b', 0, keys=(KEY,)), state=start()
     )
     assert receipt(state, 'b').accepted
 
 
-def test_a_publish_id_counts_once():
-    """Guards against an append, repeated after a lost answer, that reverts a later change."""
+def test_a_publish_id_is_applied_once():
+    """Guards against an append that is retried after a lost answer and reverts a later change."""
     first = publish('a', 0, organisations=rate(1.0))
     state = folded(first, publish('b', 1, organisations=rate(2.0)), first, state=start())
     assert state.configuration.organisations_by_id['cafe-chain'].rate_per_second == 2.0
@@ -82,7 +82,7 @@
 
 
 def test_receipts_are_bounded(monkeypatch):
-    """Guards against memory that grows with every change ever made."""
+    """Guards against receipts whose memory use grows with every change."""
     monkeypatch.setattr(control_fold, '_MAX_RECEIPTS', 3)
     changes = [publish(f'p{one}', one, organisations=rate(one + 1.0)) for one in range(9)]
     state = folded(*changes, state=start())
@@ -92,7 +92,7 @@
 
 
 def test_a_withdrawn_key_never_comes_back():
-    """Guards against a key that works again by a later change, a new id or a new organisation."""
+    """Guards against a withdrawn key that a later change, a new id or organisation restores."""
     withdrawn = dataclasses.replace(KEY, withdrawn=True)
     other = Organisation('other', 1.0, 1.0)
     state = folded(
@@ -108,8 +108,8 @@
     assert not any(receipt(state, one).accepted for one in 'cdef')
 
 
-def test_removed_objects_leave_a_version_behind():
-    """Guards against a change based on the time before a removal that brings the object back."""
+def test_removals_conflict_with_changes_based_on_earlier_versions():
+    """Guards against a change with a base version before a removal that restores the object."""
     state = folded(
         publish('a', 0, removals=(Removal(ObjectKind.ORGANISATION, 'cafe-chain'),)),
         publish('b', 0, organisations=rate(5.0)),
@@ -163,8 +163,8 @@
 
 
 @pytest.mark.parametrize('name', INVALID)
-def test_an_invalid_change_is_rejected_whole(name):
-    """Guards against a configuration that requests cannot be served by."""
+def test_an_invalid_change_is_rejected_as_a_whole(name):
+    """Guards against a configuration with which requests cannot be served."""
     changes, field = INVALID[name]
     plain = {'publish_id': 'bad', 'base_version': 0, 'operator': 'ann', **changes}
     before = start()
@@ -176,7 +176,7 @@
 
 @pytest.mark.parametrize('rate', ['Infinity', 'NaN', '1e999'])
 def test_a_rate_that_is_no_number_is_rejected(rate):
-    """Guards against a rate without a bound."""
+    """Guards against rates that are infinite or not a number."""
     number = float(rate)
     state = folded(
         publish('bad', 0, organisations=(Organisation('x', number, number),)), state=start()
--- a/tests/coordination/configuration/test_control_log.py
+++ b/tests/coordination/configuration/test_control_log.py
@@ -1,4 +1,4 @@
-"""Following the control stream: fresh under a steady flow of records, never past a gap."""
+"""Following the control stream under a steady flow of records and after records expired."""
 
 import asyncio
 
@@ -28,7 +28,7 @@
 
 
 class FakeLog:
-    """Control stream into which somebody appends a record every `RECORD_SECONDS`."""
+    """Control stream to which a record is appended every `RECORD_SECONDS`."""
 
     def __init__(self, clock, earliest=0):
         self.clock = clock
@@ -76,8 +76,8 @@
         task.cancel()
 
 
-async def test_a_steady_flow_of_records_leaves_the_node_its_standing():
-    """Guards against a node that refuses callers since it never sees an empty page."""
+async def test_a_steady_flow_of_records_keeps_standing():
+    """Guards against a node that rejects callers because it never reads an empty page."""
     control_log, standing, clock = make_control_log()
     had_standing = []
 
@@ -92,7 +92,7 @@
 
 
 async def test_a_node_is_not_ready_past_a_gap_until_a_newer_state_comes(monkeypatch):
-    """Guards against a configuration with missing changes after records expired."""
+    """Guards against a configuration that lacks the changes in expired records."""
     monkeypatch.setattr(control_log_module, '_GAP_RETRY_DELAY_SECONDS', 0)
     control_log, standing, clock = make_control_log(earliest=10)
     await follow_until(control_log, lambda: control_log.is_ready or clock.now() > 100.1)
@@ -107,7 +107,7 @@
 
 
 async def test_an_older_state_is_ignored():
-    """Guards against a configuration that reverts to what a slow peer knows."""
+    """Guards against a configuration that reverts to the older state of a slow peer."""
     control_log, _standing, _clock = make_control_log()
     newer = ControlState(5, start().configuration)
     control_log.adopt(newer)
--- a/tests/coordination/configuration/test_snapshots.py
+++ b/tests/coordination/configuration/test_snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshots in the log: written when due, by several nodes at once, or only half."""
+"""Snapshots in the log: due times, concurrent writers and incomplete snapshots."""
 
 import dataclasses
 
@@ -21,7 +21,7 @@
 
 
 class MemoryLog:
-    """Streams in memory that refuse appends after a number of them."""
+    """In-memory streams that reject all appends after `appends_left`."""
 
     def __init__(self):
         self.streams = {SNAPSHOT_STREAM: [], CONTROL_STREAM: []}
@@ -55,7 +55,7 @@
     has_log: bool = True
 
 
-def make_keeper(log, state, *, now=0.0, has_log=True):
+def make_writer(log, state, *, now=0.0, has_log=True):
     return SnapshotWriter(
         log=log,
         codec=SnapshotEncoding(),
@@ -66,17 +66,17 @@
     )
 
 
-async def test_of_several_snapshots_the_newest_whole_one_is_read(monkeypatch):
-    """Guards against a node that starts from an older or a broken snapshot."""
+async def test_the_newest_complete_snapshot_is_read(monkeypatch):
+    """Guards against a node that starts from an older or an incomplete snapshot."""
     monkeypatch.setattr(encoding, '_PART_CHARACTERS', 100)
     log = MemoryLog()
     older, newer = start(), dataclasses.replace(start(), version=7)
-    assert await make_keeper(log, newer).write()
-    assert await make_keeper(log, newer).write()
-    assert await make_keeper(log, older).write()
+    assert await make_writer(log, newer).write()
+    assert await make_writer(log, newer).write()
+    assert await make_writer(log, older).write()
     log.appends_left = 2
-    assert not await make_keeper(log, dataclasses.replace(newer, version=9)).write()
-    # The first refused append ended it, so no record says that the snapshot is whole.
+    assert not await make_writer(log, dataclasses.replace(newer, version=9)).write()
+    # The first rejected append ended the write, so no record marks the snapshot as complete.
     assert log.appends_left == -1
     assert len(log.streams[CONTROL_STREAM]) == 3
     assert await read_newest_snapshot(log, SnapshotEncoding()) == newer
@@ -87,7 +87,7 @@
     """Guards against a snapshot that expires before the next one is written."""
     log = MemoryLog()
     state = dataclasses.replace(start(), snapshot_written_at=1000.0)
-    assert not make_keeper(log, state, now=1000.0 + HOUR_SECONDS - 1).is_due
-    assert make_keeper(log, state, now=1000.0 + HOUR_SECONDS + 1).is_due
-    assert not await make_keeper(log, state, has_log=False).write()
+    assert not make_writer(log, state, now=1000.0 + HOUR_SECONDS - 1).is_due
+    assert make_writer(log, state, now=1000.0 + HOUR_SECONDS + 1).is_due
+    assert not await make_writer(log, state, has_log=False).write()
     assert log.streams[SNAPSHOT_STREAM] == []
--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -1,4 +1,4 @@
-"""In-memory stand-ins for the interfaces that the transport layer implements."""
+"""In-memory fakes of the interfaces that the transport layer implements."""
 
 import asyncio
 import random
@@ -36,7 +36,11 @@
 
 
 class MemoryLog:
-    """Log with random delays; `lose` and `fail` are shares of appends, `fail_reads` of reads."""
+    """In-memory log with random delays and failures.
+
+    `failed_append_share` of the appends fail, and of the others the answers to
+    `lost_append_share` are lost; `failed_read_share` of the reads fail.
+    """
 
     def __init__(self, seed: int = 0) -> None:
         self.random = random.Random(seed)
@@ -55,7 +59,7 @@
             return LOG_FAILURE
         stored = self.records_by_stream.setdefault(stream, [])
         first = len(stored)
-        stored.extend(StoredRecord(first + place, one) for place, one in enumerate(records))
+        stored.extend(StoredRecord(first + index, one) for index, one in enumerate(records))
         self.appends += 1
         await asyncio.sleep(self.random.random() / 500)
         return LOG_FAILURE if self.random.random() < self.lost_append_share else first
@@ -69,7 +73,7 @@
 
 
 class NoLinks:
-    """Links of a node that reaches no other node."""
+    """Links of a node that can reach no other node."""
 
     def __init__(self) -> None:
         self.notified: list = []
@@ -82,7 +86,7 @@
 
 
 class ManualServer:
-    """Backend server whose runs end when the test says so."""
+    """Backend server whose requests end when the test calls `finish`."""
 
     def __init__(self) -> None:
         self.runs_by_id: dict[str, asyncio.Future] = {}
--- a/tests/coordination/membership/test_gossip.py
+++ b/tests/coordination/membership/test_gossip.py
@@ -1,4 +1,4 @@
-"""Replacement of nodes while the log is away, and reports that reach all nodes."""
+"""Replacement of nodes while the log is unreachable, and propagation of server reports."""
 
 import asyncio
 
@@ -10,8 +10,8 @@
 SPREAD_SECONDS = 8.0
 
 
-def serves(fleet: VirtualFleet, name: str) -> bool:
-    """Whether every node sees the server beside one, and would send it work."""
+def all_nodes_route_to(fleet: VirtualFleet, name: str) -> bool:
+    """Whether every node would route work to the server of the named node."""
     own = fleet.nodes[name].members.own
     return all(
         (own.instance, own.incarnation)
@@ -21,7 +21,10 @@
 
 
 def test_replacement_serves_while_the_log_is_away():
-    """Guards against a slot that stays lost until the log is back."""
+    """Guards against a replacement node that cannot serve until the log is reachable again.
+
+    It has to get the control state and its introduction through peers alone.
+    """
 
     async def run():
         fleet = await start_fleet()
@@ -33,7 +36,9 @@
             ready = await fleet.wait(lambda node=replacement: node.standing.has_standing, 5)
             assert ready and replacement.control_log.is_ready
             replacement.executor.record_announcement(SERVICE, 1, ServerState.READY)
-            assert await fleet.wait(lambda name=name: serves(fleet, name), SPREAD_SECONDS)
+            assert await fleet.wait(
+                lambda name=name: all_nodes_route_to(fleet, name), SPREAD_SECONDS
+            )
         fleet.log_unreachable.clear()
         joined = await fleet.wait(
             lambda: all(node.members.is_joined for node in fleet.nodes.values()), 5
@@ -45,7 +50,7 @@
 
 
 def test_start_without_log_and_peers_is_not_ready():
-    """Guards against a node that serves an empty configuration."""
+    """Guards against a node that serves an empty configuration after a start in isolation."""
 
     async def run():
         fleet = VirtualFleet(1, TIMING)
@@ -59,23 +64,27 @@
     run_virtual(run())
 
 
-def test_replacements_do_not_vouch_for_what_they_never_knew():
-    """Guards against a withdrawal undone when the nodes that knew of it are replaced."""
+def test_replacements_that_missed_a_withdrawal_have_no_standing():
+    """Guards against a withdrawal that is undone when the nodes that applied it are replaced.
+
+    The replacements get their state from a node that missed the withdrawal. They must not count
+    towards a majority with that state.
+    """
 
     async def run():
         fleet = await start_fleet()
         fleet.isolate('d', 'e')
         version = fleet.withdraw_key()
-        knowing = [fleet.nodes[name].control_log for name in 'abc']
-        assert await fleet.wait(lambda: all(one.state.version >= version for one in knowing), 3)
+        up_to_date = [fleet.nodes[name].control_log for name in 'abc']
+        assert await fleet.wait(lambda: all(one.state.version >= version for one in up_to_date), 3)
         fleet.log_unreachable.update(NAMES)
         fleet.kill('c')
         for name in 'ab':
             fleet.start(name, seeds=('d',))
-        # Answers of the killed nodes that wait behind the cut are given up by then.
+        # By then, answers of the killed nodes that are held up by the partition have timed out.
         await asyncio.sleep(STANDING_SECONDS)
         fleet.partitioned_links.clear()
-        for _moment in range(100):
+        for _step in range(100):
             assert not any(fleet.has_standing().values())
             await asyncio.sleep(0.1)
         fleet.close()
@@ -83,8 +92,11 @@
     run_virtual(run())
 
 
-def test_replaced_node_stops_and_its_late_words_are_dropped():
-    """Guards against two incarnations that serve one slot."""
+def test_replaced_node_stops_and_its_late_messages_are_dropped():
+    """Guards against two incarnations that serve in the same slot.
+
+    The old one must stop, and its delayed gossip and reports must not count for the new one.
+    """
 
     async def run():
         fleet = await start_fleet()
@@ -92,7 +104,9 @@
         old.executor.record_announcement(SERVICE, 1, ServerState.READY)
         report, answer = old.executor.report, old.gossiper.make_gossip()
         new = fleet.start('a')
-        assert await fleet.wait(lambda: serves_incarnation(fleet, new.members.own.incarnation), 5)
+        assert await fleet.wait(
+            lambda: all_nodes_know_incarnation(fleet, new.members.own.incarnation), 5
+        )
         old.gossiper.introduce(new.members.own)
         assert not old.standing.has_standing
         peer = fleet.nodes['b']
@@ -105,14 +119,14 @@
     run_virtual(run())
 
 
-def serves_incarnation(fleet: VirtualFleet, incarnation: str) -> bool:
+def all_nodes_know_incarnation(fleet: VirtualFleet, incarnation: str) -> bool:
     return all(
         node.members.find_member('a').incarnation == incarnation for node in fleet.nodes.values()
     )
 
 
 def test_lost_reports_are_found_by_digests():
-    """Guards against a server that stays unknown when the news of it was lost."""
+    """Guards against a server that stays unknown after its report was lost in a partition."""
 
     async def run():
         fleet = await start_fleet()
@@ -120,7 +134,7 @@
         fleet.nodes['a'].executor.record_announcement(SERVICE, 1, ServerState.READY)
         await asyncio.sleep(10)
         fleet.partitioned_links.clear()
-        assert await fleet.wait(lambda: serves(fleet, 'a'), SPREAD_SECONDS)
+        assert await fleet.wait(lambda: all_nodes_route_to(fleet, 'a'), SPREAD_SECONDS)
         fleet.close()
 
     run_virtual(run())
--- a/tests/coordination/membership/test_removal.py
+++ b/tests/coordination/membership/test_removal.py
@@ -1,4 +1,4 @@
-"""Removal of silent members, and who must not remove anybody."""
+"""Removal of unreachable members, and nodes that must not remove others."""
 
 import asyncio
 
@@ -10,7 +10,7 @@
 
 
 def test_silent_member_is_removed_once_and_joins_again():
-    """Guards against members that stay after a crash, and against one that stays removed."""
+    """Guards against members that are never removed, removed twice or unable to rejoin."""
 
     async def run():
         fleet = await start_fleet()
@@ -34,11 +34,11 @@
 
 
 def test_isolated_or_paused_node_removes_nobody():
-    """Guards against a node that blames the others for its own silence."""
+    """Guards against a node that removes others because it was itself isolated or paused."""
 
     async def run():
         fleet = await start_fleet()
-        # 'a' reads the log but hears nobody; 'b' comes back from a long pause.
+        # 'a' reads the log but receives nothing from peers; 'b' resumes after a long pause.
         fleet.partitioned_links.update((other, 'a') for other in NAMES[1:])
         fleet.paused.add('b')
         await asyncio.sleep(REMOVAL_SECONDS - 1)
--- a/tests/coordination/membership/test_report_table.py
+++ b/tests/coordination/membership/test_report_table.py
@@ -1,4 +1,4 @@
-"""Reports are found by service, also after a backend server changes its service."""
+"""Lookup of reports by service after a backend server changes its service."""
 
 import dataclasses
 
@@ -7,7 +7,7 @@
 
 
 def test_report_moves_with_the_service_of_its_server():
-    """Guards against work for a service that an instance no longer runs."""
+    """Guards against routing work to an instance for a service that it no longer runs."""
     table = ReportTable()
     first = ServerReport('node-1', 'a', 1, 'catalogue', 4, ServerState.READY)
     table.put(first, 0.0)
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -1,7 +1,7 @@
-"""Nodes with the real routing, retries and queues before fake backend servers, in one loop.
+"""Simulated fleet: real routing, retries and queues with fake backend servers in one event loop.
 
-Runs in virtual time, so that an hour of traffic takes seconds. Used where real processes are
-too slow, by tests and by benchmarks/policy.py.
+It runs in virtual time, so that an hour of traffic takes seconds. Tests and benchmarks/policy.py
+use it where real processes would be too slow.
 """
 
 import asyncio
@@ -43,7 +43,7 @@
 
 SERVICE = ServiceId('service')
 PATH_SECONDS = 0.001
-WATCH_SECONDS = 0.1
+EJECTION_POLL_SECONDS = 0.1
 
 
 @dataclasses.dataclass
@@ -62,7 +62,7 @@
 
 
 class FakeServer:
-    """Answers in log-normal time; routes named `slow-...` take ten times as long."""
+    """Answers after log-normal times; targets that start with `/slow` take ten times as long."""
 
     def __init__(self, generator: random.Random, median_seconds: float) -> None:
         self.random = generator
@@ -76,25 +76,25 @@
         if faults.unreachable:
             return NotRun(Reason.SERVER_UNREACHABLE)
         factor = 10 if order.target.startswith('/slow') else 1
-        first = self.random.lognormvariate(0, 0.4) * self.median_seconds * factor
-        first += faults.first_byte_seconds
-        whole = first + faults.trickle_seconds
-        if whole > remaining_seconds:
+        first_byte_seconds = self.random.lognormvariate(0, 0.4) * self.median_seconds * factor
+        first_byte_seconds += faults.first_byte_seconds
+        total_seconds = first_byte_seconds + faults.trickle_seconds
+        if total_seconds > remaining_seconds:
             await asyncio.sleep(max(remaining_seconds, 0))
             return OutcomeUnknown(Reason.ANSWER_TIMEOUT)
-        await asyncio.sleep(whole)
+        await asyncio.sleep(total_seconds)
         if self.random.random() < faults.truncated_share:
             return OutcomeUnknown(Reason.ANSWER_INCOMPLETE)
         return Answered(
             status=500 if self.random.random() < faults.error_share else 200,
             headers=(),
             body=b'',
-            first_byte_milliseconds=first * 1000,
-            server_milliseconds=whole * 1000,
+            first_byte_milliseconds=first_byte_seconds * 1000,
+            server_milliseconds=total_seconds * 1000,
         )
 
     async def cancel(self, order: Execute) -> None:
-        """Nothing to cut."""
+        """Do nothing."""
 
 
 class FakeLinks:
@@ -119,7 +119,7 @@
 
 
 class NoRunCheck:
-    """Simulated requests come with no key that could be withdrawn."""
+    """Accepts all requests, since simulated requests have no key that could be withdrawn."""
 
     def refusal(self, order: Any) -> None: ...
 
@@ -176,7 +176,7 @@
         self.outliers = outliers or OutlierSettings()
         self.delays: dict[tuple[InstanceId, InstanceId], float] = {}
         self.results: list[Result] = []
-        # First ejection of each (entry node, backend server).
+        # First ejection by (entry node, backend server).
         self.first_ejections: dict[tuple[InstanceId, InstanceId], Any] = {}
         logger.disable('turmericwharf.coordination.routing.dispatching')
         self.nodes: dict[InstanceId, SimulatedNode] = {}
@@ -229,22 +229,22 @@
         slow_share: float = 0.0,
         entries: int | None = None,
     ) -> None:
-        """Send requests at random moments to random entry nodes and wait for all answers."""
+        """Send requests at random times to random entry nodes and wait for all answers."""
         end = asyncio.get_running_loop().time() + seconds
         nodes = list(self.nodes.values())[:entries]
         async with asyncio.TaskGroup() as group:
-            watching = group.create_task(self._watch())
+            recorder = group.create_task(self._record_ejections())
             while asyncio.get_running_loop().time() < end:
                 await asyncio.sleep(self.random.expovariate(rate))
                 target = '/slow-report' if self.random.random() < slow_share else '/read'
                 node = self.random.choice(nodes)
                 group.create_task(self.send(node, target_seconds=target_seconds, target=target))
-            watching.cancel()
+            recorder.cancel()
 
-    async def _watch(self) -> None:
+    async def _record_ejections(self) -> None:
         while True:
             self.first_ejections = {**self.ejections(), **self.first_ejections}
-            await asyncio.sleep(WATCH_SECONDS)
+            await asyncio.sleep(EJECTION_POLL_SECONDS)
 
     def ejections(self) -> dict[tuple[InstanceId, InstanceId], Any]:
         """Return the ejections by (entry node, backend server)."""
