Rename figurative names of the transport layer

PendingAnswers becomes PendingRequests (resolve, fail_all), since it holds requests; HttpExchanges becomes HttpExchangeTable, and the handler types are called handlers. Maximum sizes start with MAX_, and perform_handshake, open_websocket, attach_members, attach_node and update_port replace vague or figurative verbs. SidecarPages becomes SidecarHandlers.

--- a/packages/turmericwharf/src/turmericwharf/platform/main.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/main.py
@@ -48,7 +48,7 @@
     links = FleetLinkTable()
     dialect = PlatformDialect()
     node = build_node_on_platform(settings, links, dialect)
-    links.use_node(node)
+    links.attach_node(node)
     loop.add_signal_handler(signal.SIGHUP, _reload, node)
     await SidecarProcess(node, PlatformPages(node, dialect), links).run(stopping)
 
--- a/packages/turmericwharf/src/turmericwharf/transport/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/__init__.py
@@ -16,9 +16,9 @@
 )
 from turmericwharf.transport.connection import (
     FrameChannel,
-    PART_BYTES,
-    Socket,
-    WIRE_FRAME_BYTES,
+    MAX_PART_BYTES,
+    MAX_WIRE_FRAME_BYTES,
+    WebSocketConnection,
 )
 from turmericwharf.transport.http_client import (
     FetchFailure,
@@ -26,9 +26,9 @@
     make_client,
 )
 from turmericwharf.transport.http_exchange import (
-    AnswerRequest,
     HttpExchange,
-    HttpExchanges,
+    HttpExchangeHandler,
+    HttpExchangeTable,
 )
 from turmericwharf.transport.http_server import (
     DrainableServer,
@@ -46,8 +46,8 @@
 from turmericwharf.transport.peer_link import (
     PeerLink,
     PeerLinkTable,
-    open_socket,
-    shake_hands,
+    open_websocket,
+    perform_handshake,
 )
 from turmericwharf.transport.peer_server import (
     PeerServer,
@@ -59,7 +59,6 @@
 __all__ = (
     'AnnounceServer',
     'Announcement',
-    'AnswerRequest',
     'BootClock',
     'CallerServer',
     'DrainableServer',
@@ -67,21 +66,22 @@
     'FrameChannel',
     'HttpBackendServer',
     'HttpExchange',
-    'HttpExchanges',
+    'HttpExchangeHandler',
+    'HttpExchangeTable',
     'HttpLog',
+    'MAX_PART_BYTES',
+    'MAX_WIRE_FRAME_BYTES',
     'NodeProcess',
     'OperatorServer',
-    'PART_BYTES',
     'PeerLink',
     'PeerLinkTable',
     'PeerServer',
-    'Socket',
     'UtcClock',
-    'WIRE_FRAME_BYTES',
+    'WebSocketConnection',
     'fetch',
     'listen_http',
     'make_client',
-    'open_socket',
+    'open_websocket',
+    'perform_handshake',
     'render_metrics',
-    'shake_hands',
 )
--- a/packages/turmericwharf/src/turmericwharf/transport/announce_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/announce_server.py
@@ -68,7 +68,7 @@
         except msgspec.DecodeError as error:
             return HttpAnswer(_BAD_REQUEST, (), str(error).encode())
         self._announced_at = self._node.clock.now()
-        self._backend_server.use_port(announcement.port)
+        self._backend_server.update_port(announcement.port)
         self._node.executor.record_announcement(
             announcement.service, announcement.slots, announcement.state
         )
--- a/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
@@ -54,7 +54,7 @@
         self._client = make_client(_MAX_CLIENTS)
         self._port: int | None = None
 
-    def use_port(self, port: int) -> None:
+    def update_port(self, port: int) -> None:
         """Send requests to this port from now on."""
         self._port = port
 
--- a/packages/turmericwharf/src/turmericwharf/transport/connection.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/connection.py
@@ -23,12 +23,12 @@
 )
 
 # A small frame waits for at most one piece of each large frame that is being sent.
-PART_BYTES = 65536
-WIRE_FRAME_BYTES = PART_BYTES + 4096
+MAX_PART_BYTES = 65536
+MAX_WIRE_FRAME_BYTES = MAX_PART_BYTES + 4096
 _TOO_BIG_CODE = 1009
 
 
-class Socket(Protocol):
+class WebSocketConnection(Protocol):
     """The part of a websocket connection that frames need."""
 
     @property
@@ -59,7 +59,7 @@
         Bound on one frame, and on all frames together of which only pieces have come.
     """
 
-    def __init__(self, socket: Socket, frame_bytes: int) -> None:
+    def __init__(self, socket: WebSocketConnection, frame_bytes: int) -> None:
         self._socket = socket
         self._frame_bytes = frame_bytes
         self._turn = asyncio.Lock()
@@ -138,10 +138,10 @@
         return None
 
     def _split(self, encoded: bytes) -> list[bytes]:
-        if len(encoded) <= PART_BYTES:
+        if len(encoded) <= MAX_PART_BYTES:
             return [encoded]
         number = next(self._numbers)
-        starts = range(0, len(encoded), PART_BYTES)
+        starts = range(0, len(encoded), MAX_PART_BYTES)
         return [
             encode_frame(Frame(0, _make_part(encoded, number, place, start)))
             for place, start in enumerate(starts)
@@ -184,7 +184,7 @@
 
 
 def _make_part(encoded: bytes, number: int, place: int, start: int) -> FramePart:
-    end = start + PART_BYTES
+    end = start + MAX_PART_BYTES
     return FramePart(number, place, last=end >= len(encoded), content=encoded[start:end])
 
 
--- a/packages/turmericwharf/src/turmericwharf/transport/http_exchange.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/http_exchange.py
@@ -41,7 +41,7 @@
     def __init__(
         self,
         connection: HTTP1Connection,
-        exchanges: 'HttpExchanges',
+        exchanges: 'HttpExchangeTable',
         body_bytes: int,
     ) -> None:
         self._connection = connection
@@ -91,7 +91,7 @@
         # Tornado tells a delegate of a closed connection only while it reads the request.
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(self._serve())
-        self._exchanges.hold(self, self._task)
+        self._exchanges.track(self, self._task)
 
     def on_connection_close(self) -> None:
         """Stop working for a caller that is gone."""
@@ -153,10 +153,10 @@
             await self.write(_internal_error())
 
 
-AnswerRequest: TypeAlias = Callable[[HttpExchange], Awaitable[HttpAnswer]]
+HttpExchangeHandler: TypeAlias = Callable[[HttpExchange], Awaitable[HttpAnswer]]
 
 
-class HttpExchanges(HTTPServerConnectionDelegate):
+class HttpExchangeTable(HTTPServerConnectionDelegate):
     """Makes an exchange for each request of an HTTP server, and knows those in progress.
 
     Parameters
@@ -171,7 +171,7 @@
 
     def __init__(
         self,
-        answer: AnswerRequest,
+        answer: HttpExchangeHandler,
         body_bytes: int,
         keep_alive_seconds: float | None = None,
     ) -> None:
@@ -201,7 +201,7 @@
         for exchange in tuple(self._exchanges_by_task.values()):
             exchange.abort()
 
-    def hold(self, exchange: HttpExchange, task: asyncio.Task[None]) -> None:
+    def track(self, exchange: HttpExchange, task: asyncio.Task[None]) -> None:
         """Count an exchange as in progress until its task ends."""
         self._exchanges_by_task[task] = exchange
         task.add_done_callback(lambda ended: self._exchanges_by_task.pop(ended, None))
--- a/packages/turmericwharf/src/turmericwharf/transport/http_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/http_server.py
@@ -10,7 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from turmericwharf.transport.http_exchange import AnswerRequest, HttpExchanges
+from turmericwharf.transport.http_exchange import HttpExchangeHandler, HttpExchangeTable
 
 _HEADER_ALLOWANCE_BYTES = 65536
 # A body over the bound is read and dropped up to this multiple of it, so that its sender gets a
@@ -31,7 +31,7 @@
 
 
 def listen_http(
-    answer: AnswerRequest,
+    answer: HttpExchangeHandler,
     *,
     host: str,
     port: int,
@@ -39,7 +39,7 @@
 ) -> HTTPServer:
     """Start an HTTP server that answers each request by `answer`."""
     server = HTTPServer(
-        HttpExchanges(answer, body_bytes),
+        HttpExchangeTable(answer, body_bytes),
         max_body_size=body_bytes * _READ_FACTOR,
         max_header_size=_HEADER_ALLOWANCE_BYTES,
     )
@@ -62,12 +62,12 @@
 
     def __init__(
         self,
-        answer: AnswerRequest,
+        answer: HttpExchangeHandler,
         *,
         body_bytes: int,
         keep_alive_seconds: float,
     ) -> None:
-        self.exchanges = HttpExchanges(answer, body_bytes, keep_alive_seconds)
+        self.exchanges = HttpExchangeTable(answer, body_bytes, keep_alive_seconds)
         self.idle_seconds = keep_alive_seconds + _IDLE_MARGIN_SECONDS
         self._sockets: list[socket.socket] = []
         self._server = _CountingServer(
@@ -104,7 +104,7 @@
     def on_close(self, server_conn: object) -> None:
         """Forget a connection that was closed."""
         super().on_close(server_conn)
-        cast(HttpExchanges, self.request_callback).on_close(server_conn)
+        cast(HttpExchangeTable, self.request_callback).on_close(server_conn)
 
 
 def _drop_new_connections(listening: socket.socket) -> None:
--- a/packages/turmericwharf/src/turmericwharf/transport/peer_link.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/peer_link.py
@@ -25,8 +25,8 @@
     Reason,
     Welcome,
 )
-from turmericwharf.transport.connection import WIRE_FRAME_BYTES, FrameChannel
-from turmericwharf.transport.pending_answers import PendingAnswers
+from turmericwharf.transport.connection import MAX_WIRE_FRAME_BYTES, FrameChannel
+from turmericwharf.transport.pending_requests import PendingRequests
 
 _CONNECT_SECONDS = 2.0
 _FIRST_BACKOFF_SECONDS = 0.1
@@ -66,7 +66,7 @@
         self._own = own
         self._settings = settings
         self._members = members
-        self._answers = PendingAnswers()
+        self._answers = PendingRequests()
         self._loop = asyncio.get_running_loop()
         self._in_use = 0
         self._used_at = self._loop.time()
@@ -75,7 +75,7 @@
         self._task = asyncio.create_task(self._run())
 
     @property
-    def is_ended(self) -> bool:
+    def is_done(self) -> bool:
         """Whether the link's task has ended."""
         return self._task.done()
 
@@ -139,10 +139,12 @@
         return was_connected
 
     async def _connect_and_read(self) -> None:
-        async with open_socket(self._own, self.peer.host, self.peer.port) as socket:
+        async with open_websocket(self._own, self.peer.host, self.peer.port) as socket:
             channel = FrameChannel(socket, self._settings.limits.frame_bytes)
             async with asyncio.timeout(_CONNECT_SECONDS):
-                met = await shake_hands(channel, self._own, self.peer, self._settings.fleet_secret)
+                met = await perform_handshake(
+                    channel, self._own, self.peer, self._settings.fleet_secret
+                )
             if isinstance(met, ProtocolFailure):
                 logger.bind(peer=self.peer.instance, detail=met.detail).warning('peer_rejected')
                 return
@@ -160,7 +162,7 @@
                 logger.bind(peer=self.peer.instance, detail=frame.detail).warning('frame_rejected')
                 return
             if isinstance(frame, Frame):
-                self._answers.give(frame)
+                self._answers.resolve(frame)
             elif self._is_idle() or await self._is_silent(channel):
                 return
 
@@ -186,7 +188,7 @@
     def _drop(self) -> None:
         if self._attempt.result() is not None:
             self._attempt = self._loop.create_future()
-        self._answers.lose_all()
+        self._answers.fail_all()
 
 
 class PeerLinkTable:
@@ -199,14 +201,14 @@
         self._links_by_id: dict[InstanceId, PeerLink] = {}
         self._notifications: set[asyncio.Task[None]] = set()
 
-    def use_members(self, members: MembershipView) -> None:
+    def attach_members(self, members: MembershipView) -> None:
         """Look up addresses in this view."""
         self._members = members
 
     @property
     def open_links(self) -> int:
         """Number of links whose task runs."""
-        return sum(not link.is_ended for link in self._links_by_id.values())
+        return sum(not link.is_done for link in self._links_by_id.values())
 
     async def request(
         self,
@@ -251,18 +253,20 @@
     async def _meet(self, host: str, port: int) -> Member | ProtocolFailure:
         async with (
             asyncio.timeout(_CONNECT_SECONDS),
-            open_socket(self._own, host, port) as socket,
+            open_websocket(self._own, host, port) as socket,
         ):
             channel = FrameChannel(socket, self._settings.limits.frame_bytes)
             expected = (host, port)
-            return await shake_hands(channel, self._own, expected, self._settings.fleet_secret)
+            return await perform_handshake(
+                channel, self._own, expected, self._settings.fleet_secret
+            )
 
     def _find_link(self, instance: InstanceId) -> PeerLink | None:
         if self._members is None:
             return None
         member = self._members.find_member(instance)
         link = self._links_by_id.get(instance)
-        if link is not None and (link.is_ended or link.peer != member):
+        if link is not None and (link.is_done or link.peer != member):
             link.close()
             self._links_by_id.pop(instance)
             link = None
@@ -272,7 +276,7 @@
         return link
 
 
-def open_socket(own: Member, host: str, port: int) -> connect:
+def open_websocket(own: Member, host: str, port: int) -> connect:
     """Return the context of a connection from the node's own address."""
     return connect(
         f'ws://{host}:{port}',
@@ -280,14 +284,14 @@
         close_timeout=_SILENCE_SECONDS,
         ping_interval=None,
         compression=None,
-        max_size=WIRE_FRAME_BYTES,
+        max_size=MAX_WIRE_FRAME_BYTES,
         max_queue=_RECEIVE_QUEUE_FRAMES,
         proxy=None,
         local_addr=(own.host, 0),
     )
 
 
-async def shake_hands(
+async def perform_handshake(
     channel: FrameChannel,
     own: Member,
     expected: Member | tuple[str, int],
--- a/packages/turmericwharf/src/turmericwharf/transport/peer_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/peer_server.py
@@ -24,7 +24,7 @@
     Proof,
     ProtocolFailure,
 )
-from turmericwharf.transport.connection import WIRE_FRAME_BYTES, FrameChannel
+from turmericwharf.transport.connection import MAX_WIRE_FRAME_BYTES, FrameChannel
 
 _HANDSHAKE_SECONDS = 2.0
 _MAX_HANDSHAKES = 64
@@ -53,7 +53,7 @@
             close_timeout=_HANDSHAKE_SECONDS,
             ping_interval=None,
             compression=None,
-            max_size=WIRE_FRAME_BYTES,
+            max_size=MAX_WIRE_FRAME_BYTES,
         )
 
     async def stop(self) -> None:
--- a/packages/turmericwharf/src/turmericwharf/transport/pending_answers.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/pending_requests.py
@@ -14,7 +14,7 @@
 from turmericwharf.transport.connection import FrameChannel
 
 
-class PendingAnswers:
+class PendingRequests:
     """Joins answers to messages by their correlation ids."""
 
     def __init__(self) -> None:
@@ -41,13 +41,13 @@
         finally:
             self._answers_by_correlation.pop(correlation, None)
 
-    def give(self, frame: Frame) -> None:
+    def resolve(self, frame: Frame) -> None:
         """Give an answer to the message that waits for it; a late one is dropped."""
         answer = self._answers_by_correlation.get(frame.correlation)
         if answer is not None and not answer.done():
             answer.set_result(frame.message)
 
-    def lose_all(self) -> None:
+    def fail_all(self) -> None:
         """Tell all messages that the connection ended."""
         for answer in self._answers_by_correlation.values():
             if not answer.done():
--- a/packages/turmericwharf/src/turmericwharf/transport/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/process.py
@@ -65,7 +65,7 @@
                 server=self._backend_server,
             ),
         )
-        self._links.use_members(self.node.members)
+        self._links.attach_members(self.node.members)
         self._callers = CallerServer(self.node)
         self._operators = OperatorServer(self.node)
         self._announcements = AnnounceServer(self.node, self._backend_server)
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
@@ -30,7 +30,7 @@
 # Connections stay open for longer than clients may reuse them.
 _IDLE_MARGIN_SECONDS = 1.0
 
-AnswerHttp: TypeAlias = Callable[[HttpRequest], Awaitable[HttpAnswer]]
+HttpRequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpAnswer]]
 
 
 class HttpListener:
@@ -49,7 +49,7 @@
     def __init__(
         self,
         address: Address,
-        answer: AnswerHttp,
+        answer: HttpRequestHandler,
         limits: Callable[[], ClientLimits] = ClientLimits,
     ) -> None:
         self._address = address
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
@@ -18,10 +18,10 @@
     ProtocolFailure,
 )
 from turmericwharf.state.sidecar import FleetMessage, Greeting, NodeEntry, WorkAnswer
-from turmericwharf.transport.connection import WIRE_FRAME_BYTES, FrameChannel
-from turmericwharf.transport.pending_answers import PendingAnswers
+from turmericwharf.transport.connection import MAX_WIRE_FRAME_BYTES, FrameChannel
+from turmericwharf.transport.pending_requests import PendingRequests
 
-MOST_FRAME_BYTES = 80_000_000
+MAX_FRAME_BYTES = 80_000_000
 _CONNECT_SECONDS = 0.5
 _FIRST_BACKOFF_SECONDS = 0.05
 _LAST_BACKOFF_SECONDS = 1.0
@@ -29,7 +29,7 @@
 _SILENCE_SECONDS = 0.4
 _PONG_SECONDS = 0.5
 # A node that stops does not wait for peers that stand still.
-CLOSE_SECONDS = 0.2
+CLOSE_TIMEOUT_SECONDS = 0.2
 _IDLE_SECONDS = 60.0
 _TELL_SECONDS = 1.0
 _RECEIVE_QUEUE_FRAMES = 256
@@ -49,7 +49,7 @@
     def __init__(self, node: SidecarNode, peer: NodeEntry) -> None:
         self.peer = peer
         self._node = node
-        self._answers = PendingAnswers()
+        self._answers = PendingRequests()
         self._loop = asyncio.get_running_loop()
         self._used_at = self._loop.time()
         # Result of the attempt to connect that is in progress, or of the latest one.
@@ -57,7 +57,7 @@
         self._task = asyncio.create_task(self._run())
 
     @property
-    def is_ended(self) -> bool:
+    def is_done(self) -> bool:
         """Whether the link's task has ended."""
         return self._task.done()
 
@@ -118,7 +118,7 @@
 
     async def _connect_and_read(self) -> None:
         async with _open_socket(self._node.directory.local.host, self.peer) as socket:
-            channel = FrameChannel(socket, MOST_FRAME_BYTES)
+            channel = FrameChannel(socket, MAX_FRAME_BYTES)
             async with asyncio.timeout(_CONNECT_SECONDS):
                 await channel.send(
                     Greeting(self._node.directory.local, self._node.holder.version),
@@ -155,7 +155,7 @@
     def _give_answer(self, frame: Frame) -> None:
         if isinstance(frame.message, WorkAnswer):
             self._node.spread.record_version(self.peer.instance, frame.message.version)
-        self._answers.give(frame)
+        self._answers.resolve(frame)
 
     async def _receive(self, channel: FrameChannel) -> Frame | ProtocolFailure | None:
         try:
@@ -168,7 +168,7 @@
         self._node.directory.record_disconnection(self.peer.instance)
         if self._attempt.result() is not None:
             self._attempt = self._loop.create_future()
-        self._answers.lose_all()
+        self._answers.fail_all()
 
 
 class FleetLinkTable:
@@ -179,7 +179,7 @@
         self._links_by_id: dict[InstanceId, FleetLink] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def use_node(self, node: SidecarNode) -> None:
+    def attach_node(self, node: SidecarNode) -> None:
         """Speak for this node."""
         self._node = node
 
@@ -213,7 +213,7 @@
         if self._node is None:
             return None
         link = self._links_by_id.get(peer.instance)
-        if link is not None and (link.is_ended or _place(link.peer) != _place(peer)):
+        if link is not None and (link.is_done or _place(link.peer) != _place(peer)):
             link.close()
             link = None
         if link is None:
@@ -230,10 +230,10 @@
     return connect(
         f'ws://{peer.host}:{peer.peer_port}',
         open_timeout=_CONNECT_SECONDS,
-        close_timeout=CLOSE_SECONDS,
+        close_timeout=CLOSE_TIMEOUT_SECONDS,
         ping_interval=None,
         compression='deflate',
-        max_size=WIRE_FRAME_BYTES,
+        max_size=MAX_WIRE_FRAME_BYTES,
         max_queue=_RECEIVE_QUEUE_FRAMES,
         proxy=None,
         local_addr=(own_host, 0),
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
@@ -10,8 +10,8 @@
 from turmericwharf.protocol import Frame
 from turmericwharf.state import ProtocolFailure
 from turmericwharf.state.sidecar import Greeting, NodeEntry
-from turmericwharf.transport.connection import WIRE_FRAME_BYTES, FrameChannel
-from turmericwharf.transport.sidecar.links import CLOSE_SECONDS, MOST_FRAME_BYTES
+from turmericwharf.transport.connection import MAX_WIRE_FRAME_BYTES, FrameChannel
+from turmericwharf.transport.sidecar.links import CLOSE_TIMEOUT_SECONDS, MAX_FRAME_BYTES
 
 _OPEN_SECONDS = 2.0
 _ANSWER_SECONDS = 10.0
@@ -34,10 +34,10 @@
             address.host,
             address.port,
             open_timeout=_OPEN_SECONDS,
-            close_timeout=CLOSE_SECONDS,
+            close_timeout=CLOSE_TIMEOUT_SECONDS,
             ping_interval=None,
             compression='deflate',
-            max_size=WIRE_FRAME_BYTES,
+            max_size=MAX_WIRE_FRAME_BYTES,
         )
 
     async def stop(self) -> None:
@@ -46,7 +46,7 @@
             self._server.close()
 
     async def _serve(self, socket: ServerConnection) -> None:
-        channel = FrameChannel(socket, MOST_FRAME_BYTES)
+        channel = FrameChannel(socket, MAX_FRAME_BYTES)
         try:
             peer = await self._greet(channel)
             if peer is not None:
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
@@ -20,7 +20,7 @@
 _FINISH_SECONDS = 0.2
 
 
-class SidecarPages(Protocol):
+class SidecarHandlers(Protocol):
     """Answers of the node's HTTP interfaces."""
 
     async def serve_client(self, request: HttpRequest) -> HttpAnswer:
@@ -49,7 +49,7 @@
         Connections to other nodes.
     """
 
-    def __init__(self, node: SidecarNode, pages: SidecarPages, links: FleetLinkTable) -> None:
+    def __init__(self, node: SidecarNode, pages: SidecarHandlers, links: FleetLinkTable) -> None:
         listen = node.settings.listen
         self._node = node
         self._links = links
--- a/tests/transport/peers.py
+++ b/tests/transport/peers.py
@@ -24,7 +24,7 @@
 FRAME_BYTES = 1_048_576
 
 
-class AwayLog:
+class UnavailableLog:
     async def append(self, stream, records):
         return LOG_UNAVAILABLE
 
@@ -55,7 +55,7 @@
         ports=Ports(
             clock=BootClock(),
             wall_clock=UtcClock(),
-            log=AwayLog(),
+            log=UnavailableLog(),
             codec=SnapshotEncoding(),
             links=PeerLinkTable(own, make_settings(own)),
             server=None,
@@ -76,7 +76,7 @@
     for peer in peers:
         members.introduce(peer)
     table = PeerLinkTable(own, make_settings(own, secret))
-    table.use_members(members)
+    table.attach_members(members)
     try:
         yield table
     finally:
--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -33,7 +33,7 @@
 async def _client(server: RawServer):
     listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
     client = HttpBackendServer(LimitSettings(answer_body_bytes=BOUND_BYTES))
-    client.use_port(listener.sockets[0].getsockname()[1])
+    client.update_port(listener.sockets[0].getsockname()[1])
     try:
         yield client
     finally:
@@ -126,7 +126,7 @@
         bad = type(bad)(**{**_fields(bad), 'headers': (('X-Bad', 'a\r\nb'),)})
         outcome = await client.run(bad, remaining_seconds=2)
         assert isinstance(outcome, NotRun)
-        client.use_port(1)
+        client.update_port(1)
         refused = await client.run(order('two'), remaining_seconds=2)
         assert refused.reason is Reason.SERVER_UNREACHABLE
     assert not server.requests
