--- a/benchmarks/control_memory.py
+++ b/benchmarks/control_memory.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from turmericwharf.coordination import RouteIndex, fold_record, read_newest_snapshot
-from turmericwharf.protocol import SnapshotEncoding, decode_page, digest_key, encode_record
+from turmericwharf.protocol import SnapshotEncoding, decode_log_page, digest_key, encode_record
 from turmericwharf.state import (
     Configuration,
     ControlState,
@@ -99,10 +99,10 @@
 
     async def read(self, stream, *, offset, wait_seconds):
         if offset:
-            return decode_page(
+            return decode_log_page(
                 json.dumps({'records': [], 'earliest_offset': 0, 'next_offset': offset}).encode()
             )
-        return decode_page(self.path.read_bytes())
+        return decode_log_page(self.path.read_bytes())
 
 
 def resident_mib() -> float:
--- a/packages/turmericwharf/src/turmericwharf/platform/dialect.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/dialect.py
@@ -4,9 +4,9 @@
 
 from turmericwharf.platform import names
 from turmericwharf.protocol import (
-    HttpAnswer,
-    HttpRequest,
     HttpResponse,
+    HttpRequest,
+    ServerResponse,
     digest_key,
     forwarded_headers,
     to_http,
@@ -60,16 +60,16 @@
             remaining_seconds=_read_seconds(by_name.get(names.DEADLINE_MILLISECONDS.lower())),
         )
 
-    def write_outcome(self, request: FleetRequest, outcome: Outcome) -> HttpAnswer:
+    def write_outcome(self, request: FleetRequest, outcome: Outcome) -> HttpResponse:
         """Return the answer for a client."""
         if isinstance(outcome, Answered):
-            return HttpAnswer(outcome.status, outcome.headers, outcome.body)
+            return HttpResponse(outcome.status, outcome.headers, outcome.body)
         answer = to_http(outcome)
         status = _status(outcome, answer.status)
         headers = (*answer.headers, (names.REQUEST_ID, request.request))
         if status in _COME_BACK:
             headers = (*headers, (names.RETRY_AFTER, _RETRY_SECONDS))
-        return HttpAnswer(status, headers, answer.body)
+        return HttpResponse(status, headers, answer.body)
 
     def request_headers(self, order: WorkOrder, *, remaining_seconds: float) -> Headers:
         """Return the headers for the backend server."""
@@ -83,7 +83,7 @@
         organisation = ((names.ORGANISATION, order.organisation),) if order.organisation else ()
         return (*own, *organisation, *order.headers)
 
-    def read_answer(self, response: HttpResponse) -> ServerAnswer:
+    def read_answer(self, response: ServerResponse) -> ServerAnswer:
         """Return what a backend server's answer says."""
         by_name = {name.lower(): text for name, text in response.headers}
         request = by_name.get(names.REQUEST_ID.lower())
@@ -97,7 +97,7 @@
             is_encoded='content-encoding' in by_name,
         )
 
-    def read_identity(self, response: HttpResponse) -> str | None:
+    def read_identity(self, response: ServerResponse) -> str | None:
         """Return the identifier in the answer of a healthy server, else None."""
         if response.status != _OK:
             return None
--- a/packages/turmericwharf/src/turmericwharf/platform/pages.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/pages.py
@@ -8,7 +8,7 @@
 from turmericwharf.coordination.sidecar import SidecarNode, name_outcome
 from turmericwharf.platform.announcements import read_heartbeat, read_leave
 from turmericwharf.platform.dialect import PlatformDialect
-from turmericwharf.protocol import HttpAnswer, HttpRequest, to_page
+from turmericwharf.protocol import HttpResponse, HttpRequest, to_operator_response
 from turmericwharf.transport.metrics import LatencyHistogram, render_metrics
 
 _OK = 200
@@ -29,7 +29,7 @@
         self._dialect = dialect
         self._latencies = LatencyHistogram()
 
-    async def serve_client(self, request: HttpRequest) -> HttpAnswer:
+    async def serve_client(self, request: HttpRequest) -> HttpResponse:
         """Answer a request of a client or of the own backend server."""
         began_at = self._node.clock.now()
         read = self._dialect.read_request(request)
@@ -37,11 +37,11 @@
         self._latencies.record(name_outcome(outcome), self._node.clock.now() - began_at)
         return self._dialect.write_outcome(read, outcome)
 
-    async def serve_readiness(self, request: HttpRequest) -> HttpAnswer:
+    async def serve_readiness(self, request: HttpRequest) -> HttpResponse:
         """Answer a readiness check."""
-        return HttpAnswer(_OK if self._node.is_ready else _UNAVAILABLE, (), b'')
+        return HttpResponse(_OK if self._node.is_ready else _UNAVAILABLE, (), b'')
 
-    async def serve_announcement(self, request: HttpRequest) -> HttpAnswer:
+    async def serve_announcement(self, request: HttpRequest) -> HttpResponse:
         """Answer an announcement of the backend server."""
         beat = _HEARTBEAT.match(request.target)
         leave = _DEREGISTER.match(request.target)
@@ -54,14 +54,14 @@
             if announced is not None:
                 await self._node.announcements.leave(announced)
         else:
-            return HttpAnswer(_NOT_FOUND, _JSON, b'{}')
+            return HttpResponse(_NOT_FOUND, _JSON, b'{}')
         if announced is None:
             logger.bind(target=request.target).warning('announcement_unreadable')
-            return HttpAnswer(_BAD_REQUEST, _JSON, b'{}')
-        return HttpAnswer(_OK, _JSON, b'{}')
+            return HttpResponse(_BAD_REQUEST, _JSON, b'{}')
+        return HttpResponse(_OK, _JSON, b'{}')
 
-    async def serve_operator(self, request: HttpRequest) -> HttpAnswer:
+    async def serve_operator(self, request: HttpRequest) -> HttpResponse:
         """Answer with the metrics, or with the state dump at its own path."""
         if request.target == _DUMP_PATH:
-            return to_page(dump_parts(self._node))
+            return to_operator_response(dump_parts(self._node))
         return render_metrics(self._node, self._latencies)
--- a/packages/turmericwharf/src/turmericwharf/protocol/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/__init__.py
@@ -13,7 +13,7 @@
 )
 from turmericwharf.protocol.conversion_errors import (
     explain_conversion_error,
-    hide_secret,
+    redact_secret,
 )
 from turmericwharf.protocol.dispatch import (
     handle_message,
@@ -27,12 +27,12 @@
 )
 from turmericwharf.protocol.http1 import (
     HttpRequest,
-    HttpResponse,
+    ServerResponse,
     RequestReader,
     ResponseReader,
-    encode_answer,
+    encode_response,
     forwarded_headers,
-    is_connection_over,
+    must_close_connection,
 )
 from turmericwharf.protocol.http_headers import (
     DEADLINE_HEADER,
@@ -42,24 +42,24 @@
     SERVES_HEADER,
     SHED_HEADER,
     read_caller_request,
-    strip_connection_headers,
+    strip_hop_by_hop_headers,
 )
 from turmericwharf.protocol.http_status import (
-    HttpAnswer,
+    HttpResponse,
     to_http,
 )
 from turmericwharf.protocol.log_records import (
-    decode_page,
+    decode_log_page,
     decode_record,
     encode_record,
 )
 from turmericwharf.protocol.node_entries import decode_node_entry, encode_node_entry
-from turmericwharf.protocol.operator_pages import (
+from turmericwharf.protocol.operator_api import (
     decode_change,
     decode_plain_change,
-    show_publish,
-    show_rejection,
-    to_page,
+    to_publish_response,
+    to_rejection_response,
+    to_operator_response,
 )
 from turmericwharf.protocol.settings_file import (
     decode_settings,
@@ -75,17 +75,17 @@
 
 __all__ = (
     'HttpRequest',
-    'HttpResponse',
+    'ServerResponse',
     'RequestReader',
     'ResponseReader',
     'decode_node_entry',
-    'encode_answer',
+    'encode_response',
     'encode_node_entry',
     'forwarded_headers',
-    'is_connection_over',
+    'must_close_connection',
     'DEADLINE_HEADER',
     'Frame',
-    'HttpAnswer',
+    'HttpResponse',
     'KEY_HEADERS',
     'OUTCOME_HEADER',
     'REQUEST_HEADER',
@@ -96,7 +96,7 @@
     'check_proof',
     'decode_change',
     'decode_frame',
-    'decode_page',
+    'decode_log_page',
     'decode_plain_change',
     'decode_record',
     'decode_settings',
@@ -109,16 +109,16 @@
     'find_key',
     'find_unknown_fields',
     'handle_message',
-    'hide_secret',
+    'redact_secret',
     'is_key_misplaced',
     'is_valid_welcome',
     'make_nonce',
     'make_proof',
     'make_welcome',
     'read_caller_request',
-    'show_publish',
-    'show_rejection',
-    'strip_connection_headers',
+    'to_publish_response',
+    'to_rejection_response',
+    'strip_hop_by_hop_headers',
     'to_http',
-    'to_page',
+    'to_operator_response',
 )
--- a/packages/turmericwharf/src/turmericwharf/protocol/conversion_errors.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/conversion_errors.py
@@ -28,11 +28,11 @@
     for step in _STEP.findall(place):
         plain = _found_at(plain, step)
         expected = _type_at(expected, step)
-    shown = hide_secret(place, plain)
+    shown = redact_secret(place, plain)
     return f'{place} = {shown}: {_valid_choices(expected) or named["message"]}'
 
 
-def hide_secret(place: str, found: Any) -> str:
+def redact_secret(place: str, found: Any) -> str:
     """Return a value for a message, without showing a secret."""
     # A token may stand where its digest belongs.
     is_secret = 'secret' in place or place.startswith('operator_digests')
--- a/packages/turmericwharf/src/turmericwharf/protocol/handshake.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/handshake.py
@@ -51,9 +51,11 @@
     return None if _is_same_host(proof.member.host, remote_host) else PEER_ADDRESS_FOREIGN
 
 
-def make_welcome(secret: str, challenge: Challenge, proof: Proof, *, own: Member) -> Welcome:
+def make_welcome(
+    secret: str, challenge: Challenge, proof: Proof, *, local_member: Member
+) -> Welcome:
     """Return the accepting side's proof."""
-    unproven = Welcome(own.incarnation, own.data_centre, b'')
+    unproven = Welcome(local_member.incarnation, local_member.data_centre, b'')
     digest = _digest_welcome(secret, challenge, proof, unproven)
     return dataclasses.replace(unproven, proof=digest)
 
--- a/packages/turmericwharf/src/turmericwharf/protocol/http1.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http1.py
@@ -4,8 +4,8 @@
 
 import h11
 
-from turmericwharf.protocol.http_headers import strip_connection_headers
-from turmericwharf.protocol.http_status import HttpAnswer
+from turmericwharf.protocol.http_headers import strip_hop_by_hop_headers
+from turmericwharf.protocol.http_status import HttpResponse
 from turmericwharf.state import BODY_TOO_LARGE, HEADERS_TOO_LARGE, Headers, ProtocolFailure, Reason
 from turmericwharf.state.sidecar import ClientLimits
 
@@ -35,7 +35,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class HttpResponse:
+class ServerResponse:
     """A whole answer of a server."""
 
     status: int
@@ -59,11 +59,11 @@
         return self._exchange
 
     @property
-    def is_inside(self) -> bool:
+    def has_partial_request(self) -> bool:
         """Whether a part of a request was read."""
         return self._has_bytes or self._head is not None
 
-    def use_limits(self, limits: ClientLimits) -> None:
+    def update_limits(self, limits: ClientLimits) -> None:
         """Bound the requests from now on."""
         self._limits = limits
 
@@ -139,9 +139,9 @@
         return h11.Connection(h11.SERVER, max_incomplete_event_size=allowed)
 
 
-def encode_answer(
+def encode_response(
     exchange: h11.Connection,
-    answer: HttpAnswer,
+    answer: HttpResponse,
     *,
     is_last: bool,
     method: str = 'GET',
@@ -161,7 +161,7 @@
     return b''.join((head or b'', body or b'', end or b''))
 
 
-def is_connection_over(exchange: h11.Connection) -> bool:
+def must_close_connection(exchange: h11.Connection) -> bool:
     """Whether the connection ends after the answer that was written."""
     return exchange.our_state is not h11.DONE
 
@@ -190,7 +190,7 @@
         end = self._exchange.send(h11.EndOfMessage())
         return b''.join((head or b'', content or b'', end or b''))
 
-    def receive(self, encoded: bytes) -> HttpResponse | ProtocolFailure | None:
+    def receive(self, encoded: bytes) -> ServerResponse | ProtocolFailure | None:
         """Take bytes, empty at the end of the connection; return the answer once it is whole."""
         try:
             self._exchange.receive_data(encoded)
@@ -198,7 +198,7 @@
         except h11.RemoteProtocolError as error:
             return ProtocolFailure(Reason.ANSWER_INCOMPLETE, str(error))
 
-    def _next_response(self) -> HttpResponse | ProtocolFailure | None:
+    def _next_response(self) -> ServerResponse | ProtocolFailure | None:
         while True:
             event = self._exchange.next_event()
             if isinstance(event, h11.EndOfMessage):
@@ -215,10 +215,10 @@
         elif isinstance(event, h11.Data):
             self._chunks.append(bytes(event.data))
 
-    def _finish(self) -> HttpResponse | None:
+    def _finish(self) -> ServerResponse | None:
         if self._head is None:
             return None
-        return HttpResponse(
+        return ServerResponse(
             status=self._head.status_code,
             headers=_decode_headers(self._head.headers.raw_items()),
             body=b''.join(self._chunks),
@@ -234,7 +234,7 @@
         for name in text.split(',')
     }
     kept = tuple(pair for pair in headers if pair[0].lower() not in listed)
-    return strip_connection_headers(kept)
+    return strip_hop_by_hop_headers(kept)
 
 
 def _decode_headers(pairs: list[tuple[bytes, bytes]]) -> Headers:
--- a/packages/turmericwharf/src/turmericwharf/protocol/http_headers.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http_headers.py
@@ -82,7 +82,7 @@
     )
 
 
-def strip_connection_headers(headers: Headers, *, keep_length: bool = False) -> Headers:
+def strip_hop_by_hop_headers(headers: Headers, *, keep_length: bool = False) -> Headers:
     """Return the headers that pass a proxy.
 
     Parameters
--- a/packages/turmericwharf/src/turmericwharf/protocol/http_status.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http_status.py
@@ -45,7 +45,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class HttpAnswer:
+class HttpResponse:
     """Status, headers and body for the caller."""
 
     status: int
@@ -54,32 +54,32 @@
 
 
 @singledispatch
-def to_http(outcome: object) -> HttpAnswer:
+def to_http(outcome: object) -> HttpResponse:
     """Return the HTTP answer for an outcome."""
     raise TypeError(f'not an outcome: {outcome!r}')
 
 
 @to_http.register
-def _(outcome: Answered) -> HttpAnswer:
+def _(outcome: Answered) -> HttpResponse:
     headers = (*outcome.headers, (OUTCOME_HEADER, 'answered'))
-    return HttpAnswer(outcome.status, headers, outcome.body)
+    return HttpResponse(outcome.status, headers, outcome.body)
 
 
 @to_http.register
-def _(outcome: NotRun) -> HttpAnswer:
+def _(outcome: NotRun) -> HttpResponse:
     status = _STATUS_BY_REASON.get(outcome.reason, _SERVICE_UNAVAILABLE)
     return _explain(status, 'not-run', outcome)
 
 
 @to_http.register
-def _(outcome: OutcomeUnknown) -> HttpAnswer:
+def _(outcome: OutcomeUnknown) -> HttpResponse:
     status = _UNKNOWN_STATUS_BY_REASON.get(outcome.reason, _BAD_GATEWAY)
     return _explain(status, 'unknown', outcome)
 
 
-def _explain(status: int, kind: str, outcome: NotRun | OutcomeUnknown) -> HttpAnswer:
+def _explain(status: int, kind: str, outcome: NotRun | OutcomeUnknown) -> HttpResponse:
     body = msgspec.json.encode(
         {'outcome': kind, 'reason': outcome.reason.value, 'detail': outcome.detail},
     )
     headers = (('Content-Type', 'application/json'), (OUTCOME_HEADER, kind))
-    return HttpAnswer(status, headers, body)
+    return HttpResponse(status, headers, body)
--- a/packages/turmericwharf/src/turmericwharf/protocol/log_records.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/log_records.py
@@ -35,7 +35,7 @@
 def decode_record(
     plain: Any,
     *,
-    refuse_unknown_fields: bool = False,
+    reject_unknown_fields: bool = False,
 ) -> state.LogRecord | state.ProtocolFailure:
     """Return the record, or what is wrong with it.
 
@@ -43,7 +43,7 @@
     ----------
     plain
         Decoded JSON.
-    refuse_unknown_fields
+    reject_unknown_fields
         Fields in the log may come from a later version of the software, those of an operator
         are mistakes.
     """
@@ -55,7 +55,7 @@
             state.Reason.FRAME_TYPE_UNKNOWN,
             f'record type {plain.get("type")!r} is not one of {sorted(_TYPES_BY_NAME)}',
         )
-    if refuse_unknown_fields:
+    if reject_unknown_fields:
         unknown = next(find_unknown_fields(plain.get('record'), record_type), None)
         if unknown is not None:
             return state.ProtocolFailure(state.Reason.FRAME_MALFORMED, unknown)
@@ -66,7 +66,7 @@
         return state.ProtocolFailure(state.Reason.FRAME_MALFORMED, f'{plain["type"]}: {detail}')
 
 
-def decode_page(encoded: bytes) -> state.LogPage | state.ProtocolFailure:
+def decode_log_page(encoded: bytes) -> state.LogPage | state.ProtocolFailure:
     """Decode the log's answer to a read; records that cannot be decoded are passed over."""
     try:
         page = msgspec.json.decode(encoded, type=_PlainPage)
--- a/packages/turmericwharf/src/turmericwharf/protocol/operator_pages.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/operator_api.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from turmericwharf.protocol.http_status import HttpAnswer
+from turmericwharf.protocol.http_status import HttpResponse
 from turmericwharf.protocol.log_records import decode_record
 from turmericwharf.state import (
     Failure,
@@ -40,23 +40,23 @@
 
 
 @singledispatch
-def to_page(content: object) -> HttpAnswer:
+def to_operator_response(content: object) -> HttpResponse:
     """Return the page that shows a value or a failure to an operator."""
     return _json(_OK, content)
 
 
-@to_page.register
-def _(content: Failure) -> HttpAnswer:
+@to_operator_response.register
+def _(content: Failure) -> HttpResponse:
     return _json(_STATUS_BY_REASON.get(content.reason, _UNAVAILABLE), content)
 
 
-def show_publish(receipt: PublishReceipt, in_force: InForce) -> HttpAnswer:
+def to_publish_response(receipt: PublishReceipt, in_force: InForce) -> HttpResponse:
     """Return the page for a change that is in the log."""
     page = {'receipt': receipt, **msgspec.to_builtins(in_force)}
     return _json(_OK if in_force.accepted else _ACCEPTED, page)
 
 
-def show_rejection(receipt: PublishReceipt) -> HttpAnswer:
+def to_rejection_response(receipt: PublishReceipt) -> HttpResponse:
     """Return the page for a change that was rejected."""
     reason = Reason.CONFLICT if receipt.conflicts else Reason.CHANGE_INVALID
     page = {'reason': reason, 'detail': _explain(receipt), 'receipt': receipt}
@@ -78,7 +78,7 @@
         return PublishFailure(Reason.CHANGE_MALFORMED, 'a change is a JSON object')
     record = decode_record(
         {'type': 'publish', 'record': {**plain, 'operator': operator}},
-        refuse_unknown_fields=True,
+        reject_unknown_fields=True,
     )
     if isinstance(record, Publish):
         return record
@@ -99,6 +99,6 @@
     return '; '.join((*conflicts, *problems))
 
 
-def _json(status: int, content: Any) -> HttpAnswer:
+def _json(status: int, content: Any) -> HttpResponse:
     headers = (('Content-Type', 'application/json'),)
-    return HttpAnswer(status, headers, msgspec.json.encode(content))
+    return HttpResponse(status, headers, msgspec.json.encode(content))
--- a/packages/turmericwharf/src/turmericwharf/protocol/settings_file.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/settings_file.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from turmericwharf.coordination import hold_seconds_of
-from turmericwharf.protocol.conversion_errors import explain_conversion_error, hide_secret
+from turmericwharf.protocol.conversion_errors import explain_conversion_error, redact_secret
 from turmericwharf.protocol.unknown_fields import find_unknown_fields
 from turmericwharf.state import NodeSettings, Reason, SettingsFailure
 
@@ -98,7 +98,7 @@
         word = re.split('[._]', place)[-1]
         rule = _DIGEST_RULE if place.startswith('operator_digests.') else _RULES_BY_WORD.get(word)
         if rule is not None and found is not None and not rule.is_valid(found):
-            yield f'{place} = {hide_secret(place, found)}: valid is {rule.valid}'
+            yield f'{place} = {redact_secret(place, found)}: valid is {rule.valid}'
     needed = _RETENTION_FACTOR * hold_seconds_of(settings.limits)
     if settings.log.retention_seconds < needed:
         claims = settings.limits.claim_retention_seconds
@@ -121,6 +121,6 @@
     if not isinstance(plain, dict):
         return plain
     return {
-        name: hide_secret(name, found) if 'secret' in name else found
+        name: redact_secret(name, found) if 'secret' in name else found
         for name, found in plain.items()
     }
--- a/packages/turmericwharf/src/turmericwharf/transport/announce_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/announce_server.py
@@ -7,7 +7,7 @@
 from tornado.httpserver import HTTPServer
 
 from turmericwharf.coordination import Node
-from turmericwharf.protocol import HttpAnswer, read_caller_request, to_http
+from turmericwharf.protocol import HttpResponse, read_caller_request, to_http
 from turmericwharf.state import NotRun, Reason, ServerState, ServiceId
 from turmericwharf.transport.backend_client import HttpBackendServer
 from turmericwharf.transport.http_exchange import HttpExchange
@@ -57,24 +57,24 @@
             self._server.stop()
             await self._server.close_all_connections()
 
-    async def _answer(self, exchange: HttpExchange) -> HttpAnswer:
+    async def _answer(self, exchange: HttpExchange) -> HttpResponse:
         if (exchange.method, exchange.target) == _ANNOUNCEMENT:
             return self._announce(exchange)
         return await self._look_up(exchange)
 
-    def _announce(self, exchange: HttpExchange) -> HttpAnswer:
+    def _announce(self, exchange: HttpExchange) -> HttpResponse:
         try:
             announcement = msgspec.json.decode(exchange.body, type=Announcement)
         except msgspec.DecodeError as error:
-            return HttpAnswer(_BAD_REQUEST, (), str(error).encode())
+            return HttpResponse(_BAD_REQUEST, (), str(error).encode())
         self._announced_at = self._node.clock.now()
         self._backend_server.use_port(announcement.port)
         self._node.executor.record_announcement(
             announcement.service, announcement.slots, announcement.state
         )
-        return HttpAnswer(_OK, (), b'')
+        return HttpResponse(_OK, (), b'')
 
-    async def _look_up(self, exchange: HttpExchange) -> HttpAnswer:
+    async def _look_up(self, exchange: HttpExchange) -> HttpResponse:
         try:
             request = read_caller_request(
                 exchange.method,
--- a/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
@@ -10,7 +10,7 @@
     DEADLINE_HEADER,
     REQUEST_HEADER,
     SHED_HEADER,
-    strip_connection_headers,
+    strip_hop_by_hop_headers,
 )
 from turmericwharf.state import (
     Answered,
@@ -125,7 +125,7 @@
     headers = tuple(pair for pair in response.headers.get_all() if pair[0] not in _CLIENT_HEADERS)
     return Answered(
         status=response.code,
-        headers=strip_connection_headers(headers, keep_length=not has_body),
+        headers=strip_hop_by_hop_headers(headers, keep_length=not has_body),
         body=response.body or b'',
         first_byte_milliseconds=response.time_info.get('starttransfer', 0) * _MILLISECONDS,
         server_milliseconds=(response.request_time or 0) * _MILLISECONDS,
--- a/packages/turmericwharf/src/turmericwharf/transport/caller_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/caller_server.py
@@ -1,7 +1,7 @@
 """Serves callers over HTTP."""
 
 from turmericwharf.coordination import Node
-from turmericwharf.protocol import HttpAnswer, read_caller_request, to_http
+from turmericwharf.protocol import HttpResponse, read_caller_request, to_http
 from turmericwharf.state import NotRun, Reason
 from turmericwharf.transport.http_exchange import HttpExchange
 from turmericwharf.transport.http_server import DrainableServer
@@ -51,7 +51,7 @@
         """Close all connections."""
         await self._server.stop()
 
-    async def _answer(self, exchange: HttpExchange) -> HttpAnswer:
+    async def _answer(self, exchange: HttpExchange) -> HttpResponse:
         try:
             request = read_caller_request(
                 exchange.method,
--- a/packages/turmericwharf/src/turmericwharf/transport/http_exchange.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/http_exchange.py
@@ -17,7 +17,7 @@
 )
 from tornado.iostream import StreamClosedError
 
-from turmericwharf.protocol import HttpAnswer, to_http
+from turmericwharf.protocol import HttpResponse, to_http
 from turmericwharf.state import BODY_TOO_LARGE, SHUTDOWN, Headers, NotRun, OutcomeUnknown, Reason
 
 _HEAD = 'HEAD'
@@ -103,7 +103,7 @@
         self._aborted = True
         self.on_connection_close()
 
-    async def write(self, answer: HttpAnswer) -> None:
+    async def write(self, answer: HttpResponse) -> None:
         """Write the whole answer, and wait until the connection has taken it."""
         is_last = self._exchanges.is_draining
         start_line = ResponseStartLine('HTTP/1.1', answer.status, '')
@@ -115,7 +115,7 @@
         if is_last:
             self._connection.close()
 
-    def _make_headers(self, answer: HttpAnswer, connection_headers: Headers) -> HTTPHeaders:
+    def _make_headers(self, answer: HttpResponse, connection_headers: Headers) -> HTTPHeaders:
         headers = HTTPHeaders()
         for name, text in (*answer.headers, *connection_headers):
             headers.add(name, text)
@@ -134,7 +134,7 @@
                 raise
             await self.write(to_http(OutcomeUnknown(SHUTDOWN.reason, SHUTDOWN.detail)))
 
-    async def _answer(self) -> HttpAnswer:
+    async def _answer(self) -> HttpResponse:
         if self._refused:
             return to_http(NotRun(BODY_TOO_LARGE.reason, BODY_TOO_LARGE.detail))
         try:
@@ -144,7 +144,7 @@
             logger.exception('request_failed')
             return _internal_error()
 
-    async def _write_safely(self, answer: HttpAnswer) -> None:
+    async def _write_safely(self, answer: HttpResponse) -> None:
         try:
             await self.write(answer)
         except (ValueError, HTTPInputError) as error:
@@ -153,7 +153,7 @@
             await self.write(_internal_error())
 
 
-AnswerRequest: TypeAlias = Callable[[HttpExchange], Awaitable[HttpAnswer]]
+AnswerRequest: TypeAlias = Callable[[HttpExchange], Awaitable[HttpResponse]]
 
 
 class HttpExchanges(HTTPServerConnectionDelegate):
@@ -229,5 +229,5 @@
         self._connections.discard(server_conn)
 
 
-def _internal_error() -> HttpAnswer:
+def _internal_error() -> HttpResponse:
     return to_http(OutcomeUnknown(Reason.ANSWER_INCOMPLETE, 'internal error'))
--- a/packages/turmericwharf/src/turmericwharf/transport/log_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/log_client.py
@@ -5,7 +5,7 @@
 import msgspec
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
-from turmericwharf.protocol import decode_page, encode_record
+from turmericwharf.protocol import decode_log_page, encode_record
 from turmericwharf.state import (
     LogFailure,
     LogPage,
@@ -69,7 +69,7 @@
         )
         if isinstance(response, LogFailure):
             return response
-        page = decode_page(response.body)
+        page = decode_log_page(response.body)
         if isinstance(page, ProtocolFailure):
             return LogFailure(Reason.LOG_UNAVAILABLE, page.detail)
         return page
--- a/packages/turmericwharf/src/turmericwharf/transport/metrics.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/metrics.py
@@ -10,7 +10,7 @@
 
 from turmericwharf.coordination import Node, dump_parts
 from turmericwharf.coordination.sidecar import SidecarNode
-from turmericwharf.protocol import HttpAnswer
+from turmericwharf.protocol import HttpResponse
 
 _OK = 200
 _LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, math.inf)
@@ -43,7 +43,7 @@
 def render_metrics(
     node: Node | SidecarNode,
     latencies: LatencyHistogram | None = None,
-) -> HttpAnswer:
+) -> HttpResponse:
     """Return all numbers of the state dump in the text format of Prometheus."""
     registry = Registry()
     if latencies is not None:
@@ -52,7 +52,7 @@
         for field in dataclasses.fields(dump):  # type: ignore[arg-type]
             _collect(registry, f'{part}_{field.name}', getattr(dump, field.name))
     body, headers = render(registry, ['text/plain'])
-    return HttpAnswer(_OK, tuple(headers.items()), body)
+    return HttpResponse(_OK, tuple(headers.items()), body)
 
 
 def _collect(registry: Registry, name: str, found: object) -> None:
--- a/packages/turmericwharf/src/turmericwharf/transport/operator_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/operator_server.py
@@ -9,11 +9,11 @@
 
 from turmericwharf.coordination import Node, dump_parts, find_object
 from turmericwharf.protocol import (
-    HttpAnswer,
+    HttpResponse,
     decode_change,
-    show_publish,
-    show_rejection,
-    to_page,
+    to_publish_response,
+    to_rejection_response,
+    to_operator_response,
 )
 from turmericwharf.state import (
     OPERATOR_UNKNOWN,
@@ -30,7 +30,7 @@
 _BEARER = 'Bearer '
 _OBJECT_PAGE = '/configuration/'
 
-_Handler: TypeAlias = Callable[[HttpExchange, str], Awaitable[HttpAnswer]]
+_Handler: TypeAlias = Callable[[HttpExchange, str], Awaitable[HttpResponse]]
 
 
 class OperatorServer:
@@ -65,10 +65,10 @@
             self._server.stop()
             await self._server.close_all_connections()
 
-    async def _answer(self, exchange: HttpExchange) -> HttpAnswer:
+    async def _answer(self, exchange: HttpExchange) -> HttpResponse:
         operator = self._operator_of(exchange)
         if operator is None:
-            return to_page(OPERATOR_UNKNOWN)
+            return to_operator_response(OPERATOR_UNKNOWN)
         handler = self._handlers_by_request.get((exchange.method, exchange.target))
         if handler is not None:
             return await handler(exchange, operator)
@@ -76,7 +76,7 @@
             return self._show_object(exchange.target.removeprefix(_OBJECT_PAGE))
         pages = sorted(' '.join(request) for request in self._handlers_by_request)
         detail = f'{exchange.method} {exchange.target} is not one of: {", ".join(pages)}'
-        return to_page(PublishFailure(Reason.PAGE_UNKNOWN, detail))
+        return to_operator_response(PublishFailure(Reason.PAGE_UNKNOWN, detail))
 
     def _operator_of(self, exchange: HttpExchange) -> str | None:
         by_name = {name.lower(): text for name, text in exchange.headers}
@@ -87,41 +87,43 @@
                 return operator
         return None
 
-    async def _show_configuration(self, exchange: HttpExchange, operator: str) -> HttpAnswer:
-        return to_page(self._node.control_log.configuration)
+    async def _show_configuration(self, exchange: HttpExchange, operator: str) -> HttpResponse:
+        return to_operator_response(self._node.control_log.configuration)
 
-    async def _show_version(self, exchange: HttpExchange, operator: str) -> HttpAnswer:
+    async def _show_version(self, exchange: HttpExchange, operator: str) -> HttpResponse:
         control_log = self._node.control_log
-        return to_page({'version': control_log.state.version, 'is_ready': control_log.is_ready})
+        return to_operator_response(
+            {'version': control_log.state.version, 'is_ready': control_log.is_ready}
+        )
 
-    async def _show_in_force(self, exchange: HttpExchange, operator: str) -> HttpAnswer:
+    async def _show_in_force(self, exchange: HttpExchange, operator: str) -> HttpResponse:
         version = self._node.control_log.configuration.version
-        return to_page(await self._node.in_force.query_members(version))
+        return to_operator_response(await self._node.in_force.query_members(version))
 
-    async def _show_metrics(self, exchange: HttpExchange, operator: str) -> HttpAnswer:
+    async def _show_metrics(self, exchange: HttpExchange, operator: str) -> HttpResponse:
         return render_metrics(self._node)
 
-    async def _check(self, exchange: HttpExchange, operator: str) -> HttpAnswer:
+    async def _check(self, exchange: HttpExchange, operator: str) -> HttpResponse:
         change = decode_change(exchange.body, operator)
         if isinstance(change, PublishFailure):
-            return to_page(change)
+            return to_operator_response(change)
         receipt = self._node.publisher.dry_run(change)
-        return to_page(receipt) if receipt.accepted else show_rejection(receipt)
+        return to_operator_response(receipt) if receipt.accepted else to_rejection_response(receipt)
 
-    async def _publish(self, exchange: HttpExchange, operator: str) -> HttpAnswer:
+    async def _publish(self, exchange: HttpExchange, operator: str) -> HttpResponse:
         change = decode_change(exchange.body, operator)
         if not isinstance(change, Publish):
-            return to_page(change)
+            return to_operator_response(change)
         receipt = await self._node.publisher.publish(change)
         if not isinstance(receipt, PublishReceipt):
-            return to_page(receipt)
+            return to_operator_response(receipt)
         if not receipt.accepted:
-            return show_rejection(receipt)
-        return show_publish(receipt, await self._node.in_force.wait(receipt.version))
+            return to_rejection_response(receipt)
+        return to_publish_response(receipt, await self._node.in_force.wait(receipt.version))
 
-    async def _dump_state(self, exchange: HttpExchange, operator: str) -> HttpAnswer:
+    async def _dump_state(self, exchange: HttpExchange, operator: str) -> HttpResponse:
         members = self._node.members
-        return to_page(
+        return to_operator_response(
             {
                 'member': members.own,
                 'version': self._node.control_log.state.version,
@@ -140,9 +142,9 @@
             },
         )
 
-    def _show_object(self, name: str) -> HttpAnswer:
+    def _show_object(self, name: str) -> HttpResponse:
         found = find_object(name, self._node.control_log.configuration)
         if found is None:
             detail = f'{name!r} is not the kind and name of a configuration object'
-            return to_page(PublishFailure(Reason.OBJECT_UNKNOWN, detail))
-        return to_page(found)
+            return to_operator_response(PublishFailure(Reason.OBJECT_UNKNOWN, detail))
+        return to_operator_response(found)
--- a/packages/turmericwharf/src/turmericwharf/transport/peer_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/peer_server.py
@@ -108,7 +108,7 @@
         failure = failure or self._refusal(proof.member)
         if failure is not None:
             return failure
-        welcome = make_welcome(secret, challenge, proof, own=own)
+        welcome = make_welcome(secret, challenge, proof, local_member=own)
         await channel.send(welcome, timeout_seconds=_HANDSHAKE_SECONDS)
         return proof.member
 
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
@@ -13,11 +13,11 @@
 from loguru import logger
 
 from turmericwharf.protocol import (
-    HttpAnswer,
+    HttpResponse,
     HttpRequest,
     RequestReader,
-    encode_answer,
-    is_connection_over,
+    encode_response,
+    must_close_connection,
     to_http,
 )
 from turmericwharf.state import REQUEST_TIMEOUT, NotRun, OutcomeUnknown, ProtocolFailure, Reason
@@ -30,7 +30,7 @@
 # Connections stay open for longer than clients may reuse them.
 _IDLE_MARGIN_SECONDS = 1.0
 
-AnswerHttp: TypeAlias = Callable[[HttpRequest], Awaitable[HttpAnswer]]
+AnswerHttp: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
 class HttpListener:
@@ -119,7 +119,7 @@
         self._reader = reader
         self._writer = writer
         self._requests = RequestReader()
-        self._tasks: collections.deque[asyncio.Task[HttpAnswer]] = collections.deque()
+        self._tasks: collections.deque[asyncio.Task[HttpResponse]] = collections.deque()
         self._written = asyncio.Event()
         self._previous: asyncio.Task[None] | None = None
         self._is_finishing = False
@@ -149,7 +149,7 @@
         return self._previous or asyncio.create_task(asyncio.sleep(0))
 
     async def _read_one(self) -> bool:
-        self._requests.use_limits(self._listener.limits())
+        self._requests.update_limits(self._listener.limits())
         request = self._requests.next_request()
         while request is None:
             encoded = await self._read_in_time()
@@ -171,7 +171,7 @@
     async def _read_in_time(self) -> bytes | None:
         """Return bytes, empty at the end; None if the client took too long."""
         limits = self._listener.limits()
-        if self._requests.is_inside:
+        if self._requests.has_partial_request:
             allowed: float | None = limits.header_seconds
         else:
             # A client that waits for an answer is not idle.
@@ -192,7 +192,7 @@
             self._writer.write(head or b'')
 
     async def _give_up(self) -> bool:
-        if self._requests.is_inside:
+        if self._requests.has_partial_request:
             await self._refuse(
                 ProtocolFailure(REQUEST_TIMEOUT.reason, REQUEST_TIMEOUT.detail),
             )
@@ -207,7 +207,7 @@
         answer = to_http(NotRun(failure.reason, failure.detail))
         logger.bind(reason=failure.reason.value, detail=failure.detail).info('request_unreadable')
         try:
-            encoded = encode_answer(self._requests.exchange, answer, is_last=True)
+            encoded = encode_response(self._requests.exchange, answer, is_last=True)
         except h11.LocalProtocolError as error:
             logger.bind(error=str(error)).debug('refusal_unwritable')
             return
@@ -220,7 +220,7 @@
         self.pending += 1
         self._previous = asyncio.create_task(self._write(request, answering, self._previous))
 
-    async def _answer(self, request: HttpRequest) -> HttpAnswer:
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
         try:
             return await self._listener.answer(request)
         except asyncio.CancelledError:
@@ -235,7 +235,7 @@
     async def _write(
         self,
         request: HttpRequest,
-        answering: asyncio.Task[HttpAnswer],
+        answering: asyncio.Task[HttpResponse],
         previous: asyncio.Task[None] | None,
     ) -> None:
         if previous is not None:
@@ -248,11 +248,11 @@
             return
         await self._write_answer(request, answering.result())
 
-    async def _write_answer(self, request: HttpRequest, answer: HttpAnswer) -> None:
+    async def _write_answer(self, request: HttpRequest, answer: HttpResponse) -> None:
         # A server may have run the requests behind this one.
         self._is_over = self._listener.is_draining and not self.pending
         try:
-            encoded = encode_answer(
+            encoded = encode_response(
                 request.exchange,
                 answer,
                 is_last=self._is_over,
@@ -268,5 +268,5 @@
             await self._writer.drain()
         except ConnectionError as error:
             logger.bind(error=str(error)).debug('client_left')
-        if is_connection_over(request.exchange):
+        if must_close_connection(request.exchange):
             self._writer.close()
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from turmericwharf.coordination.sidecar import SidecarNode
-from turmericwharf.protocol import HttpAnswer, HttpRequest
+from turmericwharf.protocol import HttpResponse, HttpRequest
 from turmericwharf.transport.sidecar.http_listener import HttpListener
 from turmericwharf.transport.sidecar.links import FleetLinkTable
 from turmericwharf.transport.sidecar.peer_listener import PeerListener
@@ -23,16 +23,16 @@
 class SidecarPages(Protocol):
     """Answers of the node's HTTP interfaces."""
 
-    async def serve_client(self, request: HttpRequest) -> HttpAnswer:
+    async def serve_client(self, request: HttpRequest) -> HttpResponse:
         """Answer a request of a client or of the own backend server."""
 
-    async def serve_readiness(self, request: HttpRequest) -> HttpAnswer:
+    async def serve_readiness(self, request: HttpRequest) -> HttpResponse:
         """Answer a readiness check."""
 
-    async def serve_announcement(self, request: HttpRequest) -> HttpAnswer:
+    async def serve_announcement(self, request: HttpRequest) -> HttpResponse:
         """Answer an announcement of the backend server."""
 
-    async def serve_operator(self, request: HttpRequest) -> HttpAnswer:
+    async def serve_operator(self, request: HttpRequest) -> HttpResponse:
         """Answer with metrics or the state dump."""
 
 
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from turmericwharf.coordination.sidecar import classify_answer
-from turmericwharf.protocol import HttpResponse, ResponseReader
+from turmericwharf.protocol import ServerResponse, ResponseReader
 from turmericwharf.state import (
     Headers,
     NotRun,
@@ -31,10 +31,10 @@
     def request_headers(self, order: WorkOrder, *, remaining_seconds: float) -> Headers:
         """Return the headers for the server."""
 
-    def read_answer(self, response: HttpResponse) -> ServerAnswer:
+    def read_answer(self, response: ServerResponse) -> ServerAnswer:
         """Return what an answer says."""
 
-    def read_identity(self, response: HttpResponse) -> str | None:
+    def read_identity(self, response: ServerResponse) -> str | None:
         """Return the identifier in the answer of a healthy server, else None."""
 
 
@@ -85,7 +85,7 @@
         self,
         reader: ResponseReader,
         encoded: bytes,
-    ) -> HttpResponse | NotRun | OutcomeUnknown:
+    ) -> ServerResponse | NotRun | OutcomeUnknown:
         try:
             async with asyncio.timeout(_CONNECT_SECONDS):
                 stream, writer = await asyncio.open_connection(
@@ -107,11 +107,11 @@
 async def _read_response(
     stream: asyncio.StreamReader,
     reader: ResponseReader,
-) -> HttpResponse | OutcomeUnknown:
+) -> ServerResponse | OutcomeUnknown:
     while True:
         encoded = await stream.read(_READ_BYTES)
         response = reader.receive(encoded)
-        if isinstance(response, HttpResponse):
+        if isinstance(response, ServerResponse):
             return response
         if isinstance(response, ProtocolFailure):
             return OutcomeUnknown(response.reason, response.detail)
--- a/tests/protocol/test_http1.py
+++ b/tests/protocol/test_http1.py
@@ -1,14 +1,14 @@
 import pytest
 
 from turmericwharf.protocol import (
-    HttpAnswer,
-    HttpRequest,
     HttpResponse,
+    HttpRequest,
+    ServerResponse,
     RequestReader,
     ResponseReader,
-    encode_answer,
+    encode_response,
     forwarded_headers,
-    is_connection_over,
+    must_close_connection,
 )
 from turmericwharf.state import ProtocolFailure, Reason
 from turmericwharf.state.sidecar import ClientLimits
@@ -23,7 +23,7 @@
 def read_all(*parts, limits=None):
     reader = RequestReader()
     if limits is not None:
-        reader.use_limits(limits)
+        reader.update_limits(limits)
     found = []
     for part in parts:
         reader.receive(part)
@@ -80,20 +80,20 @@
     """A client would send another request on a connection that is about to be closed."""
     request = read_all(GET)[0]
     assert isinstance(request, HttpRequest)
-    encoded = encode_answer(request.exchange, HttpAnswer(200, (), b'body'), is_last=True)
+    encoded = encode_response(request.exchange, HttpResponse(200, (), b'body'), is_last=True)
     assert b'connection: close' in encoded.lower()
     assert encoded.endswith(b'body')
-    assert is_connection_over(request.exchange)
+    assert must_close_connection(request.exchange)
 
 
 def test_answer_to_head_has_no_body():
     """The body would be read as the start of the next answer."""
     request = read_all(GET.replace(b'GET', b'HEAD'))[0]
-    encoded = encode_answer(
-        request.exchange, HttpAnswer(200, (), b'body'), is_last=False, method='HEAD'
+    encoded = encode_response(
+        request.exchange, HttpResponse(200, (), b'body'), is_last=False, method='HEAD'
     )
     assert not encoded.endswith(b'body')
-    assert not is_connection_over(request.exchange)
+    assert not must_close_connection(request.exchange)
 
 
 def read_response(*parts):
@@ -113,7 +113,7 @@
     )
     unframed = read_response(b'HTTP/1.1 200 OK\r\n\r\na', b'b', b'')
     for found in (length, chunked, unframed):
-        assert isinstance(found, HttpResponse)
+        assert isinstance(found, ServerResponse)
         assert found.body == b'ab'
 
 
--- a/tests/transport/sidecar/test_http_listener.py
+++ b/tests/transport/sidecar/test_http_listener.py
@@ -2,7 +2,7 @@
 import contextlib
 import socket
 
-from turmericwharf.protocol import HttpAnswer
+from turmericwharf.protocol import HttpResponse
 from turmericwharf.state.sidecar import Address, ClientLimits
 from turmericwharf.transport.sidecar.http_listener import HttpListener
 
@@ -25,7 +25,7 @@
         except asyncio.CancelledError:
             self.cancelled.append(request.target)
             raise
-        return HttpAnswer(200, (), request.target.encode())
+        return HttpResponse(200, (), request.target.encode())
 
 
 @contextlib.asynccontextmanager
--- a/tests/transport/test_http_exchange.py
+++ b/tests/transport/test_http_exchange.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 
-from turmericwharf.protocol import HttpAnswer, to_http
+from turmericwharf.protocol import HttpResponse, to_http
 from turmericwharf.state import Answered
 from turmericwharf.transport import DrainableServer
 
@@ -80,7 +80,7 @@
     async def answer(exchange):
         if exchange.target == '/raise':
             raise RuntimeError('broken on purpose')
-        return HttpAnswer(200, (('X-Bad', 'a\r\nb'),), b'')
+        return HttpResponse(200, (('X-Bad', 'a\r\nb'),), b'')
 
     async with _server(answer) as (server, port):
         for target in (b'/raise', b'/header'):
@@ -138,7 +138,7 @@
     """Guards against resets of connections that wait to be accepted or have a request on them."""
 
     async def answer(exchange):
-        return HttpAnswer(200, (), b'whole')
+        return HttpResponse(200, (), b'whole')
 
     async with _server(answer) as (server, port):
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
--- a/tests/transport/test_peer_answers.py
+++ b/tests/transport/test_peer_answers.py
@@ -26,7 +26,7 @@
     challenge = Challenge(make_nonce(), PEER.instance)
     await channel.send(challenge, timeout_seconds=1)
     proof = (await channel.receive()).message
-    welcome = make_welcome(FLEET_SECRET, challenge, proof, own=PEER)
+    welcome = make_welcome(FLEET_SECRET, challenge, proof, local_member=PEER)
     await channel.send(welcome, timeout_seconds=1)
     return channel
 
--- a/tests/transport/test_peer_link.py
+++ b/tests/transport/test_peer_link.py
@@ -44,7 +44,7 @@
         await channel.send(challenge, timeout_seconds=1)
         proof = (await channel.receive()).message
         await channel.send(
-            make_welcome(FLEET_SECRET, challenge, proof, own=PEER), timeout_seconds=1
+            make_welcome(FLEET_SECRET, challenge, proof, local_member=PEER), timeout_seconds=1
         )
         await self.reading.wait()
         while True:
