--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/entry_point.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/entry_point.py
@@ -1,4 +1,4 @@
-"""Serves a client's request: checks, rate, attempts on servers, final outcome."""
+"""Entry point of requests: validation, rate limit, attempts on servers, final outcome."""
 
 import collections
 
@@ -10,18 +10,18 @@
 from turmericwharf.coordination.sidecar.quota import QuotaLimiter
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import SHUTDOWN, Answered, NotRun, OrganisationId, Outcome, RequestFailure
-from turmericwharf.state.sidecar import EntryDump, FleetRequest
+from turmericwharf.state.sidecar import EntryPointDump, FleetRequest
 
 
 class RequestEntryPoint:
-    """Serves requests of the clients and the backend server on the own machine.
+    """Serves requests from the clients and the backend server on the local machine.
 
     Parameters
     ----------
     checks
-        Checks against the configuration.
+        Validates requests against the configuration.
     quota
-        Rates of organisations.
+        Enforces the rates of organisations.
     attempts
         Sends admitted requests to servers.
     clock
@@ -89,7 +89,7 @@
 
 
 def name_outcome(outcome: Outcome) -> str:
-    """Return a short name of an outcome for logs and counters."""
+    """Return the short name of an outcome for logs and counters."""
     if isinstance(outcome, Answered):
         return f'answered_{outcome.status}'
     kind = 'not_run' if isinstance(outcome, NotRun) else 'unknown'
@@ -97,5 +97,7 @@
 
 
 @describe.register
-def _(part: RequestEntryPoint) -> EntryDump:
-    return EntryDump(in_progress=part.in_progress, outcomes_total=dict(part.outcomes_by_name))
+def _(entry_point: RequestEntryPoint) -> EntryPointDump:
+    return EntryPointDump(
+        in_progress=entry_point.in_progress, outcomes_total=dict(entry_point.outcomes_by_name)
+    )
