--- a/packages/turmericwharf/src/turmericwharf/state/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/state/messages.py
@@ -318,7 +318,7 @@
         Time since each member was last known to be alive: one byte per member in the order of
         instance ids, in units of 0.02 s; 255 is unknown.
     newest_version
-        Newest configuration version that the sender knows.
+        Newest control version that the sender knows.
     confirmed_version
         Newest membership version that the sender knows to have reached a majority.
     report_digest
@@ -393,12 +393,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InForceRequest:
-    """Request the version of the configuration that a node applies."""
+    """Request the control version that a node applies."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InForceAnswer:
-    """Version in force, and whether the node accepts callers."""
+    """Control version that the node applies, and whether it accepts callers."""
 
     instance: InstanceId
     version: int
