--- a/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
@@ -10,7 +10,7 @@
     DEADLINE_HEADER,
     REQUEST_HEADER,
     SHED_HEADER,
-    strip_connection_headers,
+    strip_hop_by_hop_headers,
 )
 from turmericwharf.state import (
     Answered,
@@ -54,7 +54,7 @@
         self._client = make_client(_MAX_CLIENTS)
         self._port: int | None = None
 
-    def use_port(self, port: int) -> None:
+    def update_port(self, port: int) -> None:
         """Send requests to this port from now on."""
         self._port = port
 
@@ -125,7 +125,7 @@
     headers = tuple(pair for pair in response.headers.get_all() if pair[0] not in _CLIENT_HEADERS)
     return Answered(
         status=response.code,
-        headers=strip_connection_headers(headers, keep_length=not has_body),
+        headers=strip_hop_by_hop_headers(headers, keep_length=not has_body),
         body=response.body or b'',
         first_byte_milliseconds=response.time_info.get('starttransfer', 0) * _MILLISECONDS,
         server_milliseconds=(response.request_time or 0) * _MILLISECONDS,
