--- a/packages/turmericwharf/src/turmericwharf/protocol/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/__init__.py
@@ -1,4 +1,4 @@
-"""Encodings of messages, records, headers and settings."""
+"""Encoding and decoding of messages, log records, HTTP and settings."""
 
 from turmericwharf.protocol.caller_keys import (
     KEY_HEADERS,
--- a/packages/turmericwharf/src/turmericwharf/protocol/codec.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/codec.py
@@ -1,4 +1,4 @@
-"""Encodes messages between nodes as CBOR frames."""
+"""Encodes and decodes the messages between nodes as CBOR frames."""
 
 import dataclasses
 from functools import singledispatch
@@ -25,7 +25,7 @@
     WorkOrder,
 )
 
-# Numbers are part of the wire format: they are never changed or given to another type.
+# Type numbers are part of the wire format: never change one or reuse it for another type.
 _TYPES_BY_NUMBER: MappingProxyType[int, type[state.Message]] = MappingProxyType(
     {
         1: state.Challenge,
@@ -84,17 +84,17 @@
         for message_type in _NUMBERS_BY_TYPE
     },
 )
-_FRAME_PARTS = 3
+_FRAME_ELEMENTS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Frame:
-    """A message with the correlation id that joins a request and its answer.
+    """A message with the correlation id that matches a response to its request.
 
     Parameters
     ----------
     correlation
-        Number of the request on its connection; 0 for messages without an answer.
+        Number of the request on its connection; 0 for messages without a response.
     """
 
     correlation: int
@@ -102,17 +102,17 @@
 
 
 def encode_frame(frame: Frame) -> bytes:
-    """Encode a frame as an array: type number, correlation id, fields in their order."""
+    """Encode a frame as an array of type number, correlation id and fields in declaration order."""
     number = _NUMBERS_BY_TYPE[type(frame.message)]
     return cbor2.dumps([number, frame.correlation, _encode_fields(frame.message)])
 
 
 def decode_frame(encoded: bytes) -> Frame | state.ProtocolFailure:
-    """Decode a frame, or return what is wrong with it."""
+    """Decode a frame, or return a failure that describes why it is malformed."""
     try:
         parts = cbor2.loads(encoded)
     except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
-        return state.ProtocolFailure(state.Reason.FRAME_MALFORMED, f'not CBOR: {error}')
+        return state.ProtocolFailure(state.Reason.FRAME_MALFORMED, f'invalid CBOR: {error}')
     if not _is_frame(parts):
         return state.ProtocolFailure(
             state.Reason.FRAME_MALFORMED,
@@ -128,7 +128,7 @@
 
 @_encode_fields.register
 def _(message: state.ControlSnapshot) -> list[Any]:
-    # 45,000 organisations with a key each would not fit into a frame uncompressed.
+    # Compressed, because 45,000 organisations with one key each would exceed the frame limit.
     return [None if message.state is None else encode_state(message.state)]
 
 
@@ -136,7 +136,9 @@
     if encoded is None:
         return state.ControlSnapshot(None)
     if not isinstance(encoded, bytes):
-        return state.ProtocolFailure(state.Reason.FRAME_MALFORMED, 'control state: not bytes')
+        return state.ProtocolFailure(
+            state.Reason.FRAME_MALFORMED, 'control state: expected a byte string'
+        )
     decoded = decode_state(encoded)
     if isinstance(decoded, state.ProtocolFailure):
         return decoded
@@ -144,7 +146,7 @@
 
 
 def _is_frame(parts: Any) -> bool:
-    if not isinstance(parts, list) or len(parts) != _FRAME_PARTS:
+    if not isinstance(parts, list) or len(parts) != _FRAME_ELEMENTS:
         return False
     number, correlation, fields = parts
     return isinstance(number, int) and isinstance(correlation, int) and isinstance(fields, list)
@@ -157,13 +159,13 @@
     if message_type is None:
         return state.ProtocolFailure(
             state.Reason.FRAME_TYPE_UNKNOWN,
-            f'message type {number} is not one of {sorted(_TYPES_BY_NUMBER)}',
+            f'unknown message type {number}; expected one of {sorted(_TYPES_BY_NUMBER)}',
         )
     names = _FIELDS_BY_TYPE[message_type]
     if len(fields) != len(names):
         return state.ProtocolFailure(
             state.Reason.FRAME_MALFORMED,
-            f'{message_type.__name__} has {len(names)} fields, not {len(fields)}',
+            f'{message_type.__name__}: expected {len(names)} fields, got {len(fields)}',
         )
     if message_type is state.ControlSnapshot:
         snapshot = _decode_snapshot(fields[0])
--- a/packages/turmericwharf/src/turmericwharf/protocol/conversion_errors.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/conversion_errors.py
@@ -1,59 +1,59 @@
-"""Says where a value is wrong, what it is and what is valid; msgspec names the place only."""
+"""Adds the invalid value and the valid ones to msgspec errors, which give only the path."""
 
 import dataclasses
 import enum
 import re
 from typing import Any, get_args, get_type_hints
 
-_PLACE = re.compile(r'(?P<message>.*) - at `\$\.?(?P<place>[^`]*)`')
-_STEP = re.compile(r'[^.\[\]]+')
+_MESSAGE_WITH_PATH = re.compile(r'(?P<message>.*) - at `\$\.?(?P<path>[^`]*)`')
+_PATH_STEP = re.compile(r'[^.\[\]]+')
 
 
 def explain_conversion_error(error: Exception, plain: Any, expected: Any) -> str:
-    """Return a message for an error of msgspec.
+    """Return a message that names the path, the invalid value and what is expected.
 
     Parameters
     ----------
     error
-        The error.
+        Error raised by msgspec.
     plain
-        Decoded JSON that could not be converted.
+        Decoded JSON whose conversion failed.
     expected
-        Type that it was converted to.
+        Target type of the conversion.
     """
-    named = _PLACE.fullmatch(str(error))
-    if named is None:
+    match = _MESSAGE_WITH_PATH.fullmatch(str(error))
+    if match is None:
         return str(error)
-    place = named['place']
-    for step in _STEP.findall(place):
-        plain = _found_at(plain, step)
-        expected = _type_at(expected, step)
-    shown = redact_secret(place, plain)
-    return f'{place} = {shown}: {_valid_choices(expected) or named["message"]}'
+    path = match['path']
+    for step in _PATH_STEP.findall(path):
+        plain = _descend(plain, step)
+        expected = _descend_type(expected, step)
+    shown = redact_secret(path, plain)
+    return f'{path} = {shown}: {_describe_choices(expected) or match["message"]}'
 
 
-def redact_secret(place: str, found: Any) -> str:
-    """Return a value for a message, without showing a secret."""
-    # A token may stand where its digest belongs.
-    is_secret = 'secret' in place or place.startswith('operator_digests')
-    return f'({len(str(found))} characters)' if is_secret else repr(found)
+def redact_secret(path: str, actual: Any) -> str:
+    """Return the representation of a value for a message, or only the length of a secret."""
+    # An operator may have entered the token itself instead of its digest.
+    is_secret = 'secret' in path or path.startswith('operator_digests')
+    return f'({len(str(actual))} characters)' if is_secret else repr(actual)
 
 
-def _found_at(plain: Any, step: str) -> Any:
-    # The place of a value in a mapping with free names is not given exactly.
+def _descend(plain: Any, step: str) -> Any:
+    # msgspec does not report the key of an invalid value in a mapping with arbitrary keys.
     if isinstance(plain, list):
         return plain[int(step)]
     return plain.get(step) if isinstance(plain, dict) else plain
 
 
-def _type_at(expected: Any, step: str) -> Any:
+def _descend_type(expected: Any, step: str) -> Any:
     if dataclasses.is_dataclass(expected):
         return get_type_hints(expected).get(step)
     return next(iter(get_args(expected)), None)
 
 
-def _valid_choices(expected: Any) -> str:
+def _describe_choices(expected: Any) -> str:
     if not isinstance(expected, enum.EnumMeta):
         return ''
     choices = ', '.join(repr(member.value) for member in expected)  # type: ignore[var-annotated]
-    return f'valid are {choices}'
+    return f'expected one of {choices}'
--- a/packages/turmericwharf/src/turmericwharf/protocol/dispatch.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/dispatch.py
@@ -1,4 +1,4 @@
-"""Hands each message from a peer to the decision that answers it."""
+"""Dispatches each message from a peer to the coordination call that handles it."""
 
 from functools import singledispatch
 
@@ -42,14 +42,16 @@
 
 @singledispatch
 async def handle_message(message: object, node: Node) -> Message | ProtocolFailure:
-    """Handle a message of a peer and return the answer.
+    """Handle a message from a peer and return the response.
 
     Returns
     -------
     Message or ProtocolFailure
-        A failure if the message is none that a peer may send on its own.
+        A failure if peers may not send messages of this type as requests.
     """
-    return ProtocolFailure(Reason.FRAME_TYPE_UNKNOWN, f'unexpected {type(message).__name__}')
+    return ProtocolFailure(
+        Reason.FRAME_TYPE_UNKNOWN, f'unexpected message type {type(message).__name__}'
+    )
 
 
 @handle_message.register
--- a/packages/turmericwharf/src/turmericwharf/protocol/http1.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http1.py
@@ -1,4 +1,4 @@
-"""Reads and writes HTTP/1.1 messages."""
+"""Parses and encodes HTTP/1.1 messages."""
 
 import dataclasses
 
@@ -11,19 +11,19 @@
 
 _HEADER_OVERHEAD_BYTES = 4
 _HEADERS_TOO_LARGE_STATUS = 431
-# Answers with these statuses have no body.
-_BODILESS = frozenset((204, 304))
+# Responses with these statuses have no body.
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 _READ_ALLOWANCE_BYTES = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A whole request.
+    """A complete request from a client.
 
     Parameters
     ----------
     exchange
-        State of the connection for writing the answer.
+        Protocol state of the connection, needed to encode the response.
     """
 
     method: str
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerResponse:
-    """A whole answer of a server."""
+    """A complete response from a backend server."""
 
     status: int
     headers: Headers
@@ -44,7 +44,7 @@
 
 
 class RequestReader:
-    """Reads requests one after another; the next one may be read before an answer is written."""
+    """Parses pipelined requests: the next one may be read before a response is written."""
 
     def __init__(self) -> None:
         self._limits = ClientLimits()
@@ -55,25 +55,25 @@
 
     @property
     def exchange(self) -> h11.Connection:
-        """State of the connection for the request that is being read."""
+        """Protocol state of the connection for the request that is being read."""
         return self._exchange
 
     @property
     def has_partial_request(self) -> bool:
-        """Whether a part of a request was read."""
+        """Whether a request has been received in part."""
         return self._has_bytes or self._head is not None
 
     def update_limits(self, limits: ClientLimits) -> None:
-        """Bound the requests from now on."""
+        """Replace the size limits for requests from now on."""
         self._limits = limits
 
     def receive(self, encoded: bytes) -> None:
-        """Take bytes of the connection."""
+        """Add bytes received on the connection."""
         self._has_bytes = True
         self._exchange.receive_data(encoded)
 
     def next_request(self) -> HttpRequest | ProtocolFailure | None:
-        """Return the next whole request, what is wrong with it, or None without all its bytes."""
+        """Return the next request, a failure if it is invalid, or None while it is incomplete."""
         try:
             return self._next_request()
         except h11.RemoteProtocolError as error:
@@ -85,14 +85,14 @@
         while True:
             event = self._exchange.next_event()
             if isinstance(event, h11.EndOfMessage):
-                return self._finish()
+                return self._finish_message()
             if not isinstance(event, h11.Request | h11.Data):
                 return None
-            failure = self._take(event)
+            failure = self._process_event(event)
             if failure is not None:
                 return failure
 
-    def _take(self, event: h11.Request | h11.Data) -> ProtocolFailure | None:
+    def _process_event(self, event: h11.Request | h11.Data) -> ProtocolFailure | None:
         if isinstance(event, h11.Request):
             self._head = event
             return self._check_head(event)
@@ -113,7 +113,7 @@
             return ProtocolFailure(BODY_TOO_LARGE.reason, BODY_TOO_LARGE.detail)
         return None
 
-    def _finish(self) -> HttpRequest | None:
+    def _finish_message(self) -> HttpRequest | None:
         head, exchange = self._head, self._exchange
         if head is None:
             return None
@@ -135,39 +135,39 @@
         return request
 
     def _make_exchange(self) -> h11.Connection:
-        allowed = self._limits.header_bytes + _READ_ALLOWANCE_BYTES
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=allowed)
+        max_event_bytes = self._limits.header_bytes + _READ_ALLOWANCE_BYTES
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=max_event_bytes)
 
 
 def encode_response(
     exchange: h11.Connection,
-    answer: HttpResponse,
+    response: HttpResponse,
     *,
     is_last: bool,
     method: str = 'GET',
 ) -> bytes:
-    """Return the bytes of an answer; with `is_last` it announces the end of the connection."""
-    headers = list(answer.headers)
-    has_body = answer.status not in _BODILESS and method != 'HEAD'
-    if answer.status not in _BODILESS:
-        headers.append(('Content-Length', str(len(answer.body))))
+    """Encode a response; with `is_last` it announces that the connection will be closed."""
+    headers = list(response.headers)
+    has_body = response.status not in _STATUSES_WITHOUT_BODY and method != 'HEAD'
+    if response.status not in _STATUSES_WITHOUT_BODY:
+        headers.append(('Content-Length', str(len(response.body))))
     if is_last:
         headers.append(('Connection', 'close'))
     head = exchange.send(
-        h11.Response(status_code=answer.status, headers=_encode_headers(tuple(headers))),
+        h11.Response(status_code=response.status, headers=_encode_headers(tuple(headers))),
     )
-    body = exchange.send(h11.Data(data=answer.body)) if has_body else b''
+    body = exchange.send(h11.Data(data=response.body)) if has_body else b''
     end = exchange.send(h11.EndOfMessage())
     return b''.join((head or b'', body or b'', end or b''))
 
 
 def must_close_connection(exchange: h11.Connection) -> bool:
-    """Whether the connection ends after the answer that was written."""
+    """Whether the connection must be closed after the response that was encoded."""
     return exchange.our_state is not h11.DONE
 
 
 class ResponseReader:
-    """Writes one request and reads its answer."""
+    """Encodes one request and parses the response to it."""
 
     def __init__(self) -> None:
         self._exchange = h11.Connection(h11.CLIENT)
@@ -175,7 +175,7 @@
         self._chunks: list[bytes] = []
 
     def encode_request(self, method: str, target: str, headers: Headers, body: bytes) -> bytes:
-        """Return the bytes of the request."""
+        """Return the encoded request."""
         fields = list(headers)
         if body or method in {'POST', 'PUT', 'PATCH'}:
             fields.append(('Content-Length', str(len(body))))
@@ -186,12 +186,12 @@
                 headers=_encode_headers(tuple(fields)),
             ),
         )
-        content = self._exchange.send(h11.Data(data=body)) if body else b''
+        payload = self._exchange.send(h11.Data(data=body)) if body else b''
         end = self._exchange.send(h11.EndOfMessage())
-        return b''.join((head or b'', content or b'', end or b''))
+        return b''.join((head or b'', payload or b'', end or b''))
 
     def receive(self, encoded: bytes) -> ServerResponse | ProtocolFailure | None:
-        """Take bytes, empty at the end of the connection; return the answer once it is whole."""
+        """Add received bytes, empty at the end of the stream; return the response once complete."""
         try:
             self._exchange.receive_data(encoded)
             return self._next_response()
@@ -202,20 +202,22 @@
         while True:
             event = self._exchange.next_event()
             if isinstance(event, h11.EndOfMessage):
-                return self._finish()
+                return self._finish_message()
             if isinstance(event, h11.ConnectionClosed):
-                return ProtocolFailure(Reason.ANSWER_INCOMPLETE, 'the connection was closed')
+                return ProtocolFailure(
+                    Reason.ANSWER_INCOMPLETE, 'connection closed before the response was complete'
+                )
             if not isinstance(event, h11.InformationalResponse | h11.Response | h11.Data):
                 return None
-            self._take(event)
+            self._process_event(event)
 
-    def _take(self, event: h11.InformationalResponse | h11.Response | h11.Data) -> None:
+    def _process_event(self, event: h11.InformationalResponse | h11.Response | h11.Data) -> None:
         if isinstance(event, h11.Response):
             self._head = event
         elif isinstance(event, h11.Data):
             self._chunks.append(bytes(event.data))
 
-    def _finish(self) -> ServerResponse | None:
+    def _finish_message(self) -> ServerResponse | None:
         if self._head is None:
             return None
         return ServerResponse(
@@ -226,7 +228,7 @@
 
 
 def forwarded_headers(headers: Headers) -> Headers:
-    """Return the headers that pass a proxy."""
+    """Return the headers that a proxy forwards, without those that `Connection` lists."""
     listed = {
         name.strip().lower()
         for header, text in headers
--- a/packages/turmericwharf/src/turmericwharf/protocol/http_headers.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http_headers.py
@@ -1,4 +1,4 @@
-"""Reads callers' headers and strips what no backend server may see."""
+"""Parses callers' headers and strips those that must not reach a backend server."""
 
 from turmericwharf.protocol.caller_keys import (
     KEY_HEADERS,
@@ -21,8 +21,8 @@
 SERVES_HEADER = 'Turmericwharf-Serves'
 SHED_HEADER = 'Turmericwharf-Shed'
 
-# Headers of one connection, which do not pass a proxy.
-_CONNECTION_HEADERS = frozenset(
+# Headers that apply to a single connection and that a proxy must not forward.
+_HOP_BY_HOP_HEADERS = frozenset(
     (
         'connection',
         'keep-alive',
@@ -37,10 +37,10 @@
         'expect',
     ),
 )
-_OWN_HEADERS = frozenset(
+_TURMERICWHARF_HEADERS = frozenset(
     name.lower() for name in (DEADLINE_HEADER, RUN_HEADER, SERVES_HEADER, REQUEST_HEADER)
 )
-_STRIPPED_HEADERS = _CONNECTION_HEADERS | _OWN_HEADERS | KEY_HEADERS
+_STRIPPED_HEADERS = _HOP_BY_HOP_HEADERS | _TURMERICWHARF_HEADERS | KEY_HEADERS
 
 
 def read_caller_request(
@@ -51,20 +51,20 @@
     *,
     from_service: bool = False,
 ) -> CallerRequest:
-    """Return a caller's request without its key.
+    """Parse a caller's request and strip its key.
 
     Raises
     ------
     ValueError
-        If the headers hold different keys, the deadline header is not a positive number, or the
-        run header is unknown.
+        If the headers contain different keys, the deadline header is not a positive number, or
+        the value of the run header is unknown.
     """
-    by_name = {name.lower(): text for name, text in headers}
+    headers_by_name = {name.lower(): text for name, text in headers}
     key = find_key(headers)
     is_misplaced = is_key_misplaced(key, target, headers, body)
     if is_misplaced:
-        # The other headers are not looked at, since messages on their values would show the key.
-        by_name = {}
+        # Ignore the other headers: error messages that quote their values would reveal the key.
+        headers_by_name = {}
     kept = tuple(pair for pair in headers if pair[0].lower() not in _STRIPPED_HEADERS)
     return CallerRequest(
         request=RequestId(new_identifier()),
@@ -74,37 +74,37 @@
         body=body,
         key_digest=digest_key(key) if key else None,
         key_misplaced=is_misplaced,
-        idempotency_key=by_name.get('idempotency-key'),
-        run=_read_run(by_name),
-        remaining_milliseconds=_read_deadline(by_name),
-        serves=_read_serves(by_name),
+        idempotency_key=headers_by_name.get('idempotency-key'),
+        run=_parse_run_target(headers_by_name),
+        remaining_milliseconds=_parse_deadline(headers_by_name),
+        serves=_parse_served_request(headers_by_name),
         from_service=from_service,
     )
 
 
 def strip_hop_by_hop_headers(headers: Headers, *, keep_length: bool = False) -> Headers:
-    """Return the headers that pass a proxy.
+    """Return the headers that a proxy forwards.
 
     Parameters
     ----------
     keep_length
-        Whether the length of the body is kept, for answers that come without their body.
+        Whether to keep `Content-Length`, for responses that arrive without their body.
     """
     kept_names = {'content-length'} if keep_length else set()
-    stripped = _CONNECTION_HEADERS - kept_names
+    stripped = _HOP_BY_HOP_HEADERS - kept_names
     return tuple(pair for pair in headers if pair[0].lower() not in stripped)
 
 
-def _read_run(by_name: dict[str, str]) -> RunTarget:
-    text = by_name.get(RUN_HEADER.lower(), RunTarget.REPEATABLE.value)
+def _parse_run_target(headers_by_name: dict[str, str]) -> RunTarget:
+    text = headers_by_name.get(RUN_HEADER.lower(), RunTarget.REPEATABLE.value)
     valid = [target.value for target in RunTarget]
     if text not in valid:
         raise ValueError(f'{RUN_HEADER} must be one of {valid}, not {text!r}')
     return RunTarget(text)
 
 
-def _read_deadline(by_name: dict[str, str]) -> float | None:
-    text = by_name.get(DEADLINE_HEADER.lower())
+def _parse_deadline(headers_by_name: dict[str, str]) -> float | None:
+    text = headers_by_name.get(DEADLINE_HEADER.lower())
     if text is None:
         return None
     try:
@@ -116,6 +116,6 @@
     return milliseconds
 
 
-def _read_serves(by_name: dict[str, str]) -> RequestId | None:
-    serves = by_name.get(SERVES_HEADER.lower())
+def _parse_served_request(headers_by_name: dict[str, str]) -> RequestId | None:
+    serves = headers_by_name.get(SERVES_HEADER.lower())
     return RequestId(serves) if serves else None
--- a/packages/turmericwharf/src/turmericwharf/protocol/http_status.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http_status.py
@@ -1,4 +1,4 @@
-"""Translates outcomes to HTTP answers."""
+"""Maps the outcomes of requests to HTTP responses."""
 
 import dataclasses
 from functools import singledispatch
@@ -46,7 +46,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """Status, headers and body for the caller."""
+    """Status, headers and body of a response to a client."""
 
     status: int
     headers: Headers
@@ -55,7 +55,7 @@
 
 @singledispatch
 def to_http(outcome: object) -> HttpResponse:
-    """Return the HTTP answer for an outcome."""
+    """Return the HTTP response for an outcome."""
     raise TypeError(f'not an outcome: {outcome!r}')
 
 
@@ -68,16 +68,16 @@
 @to_http.register
 def _(outcome: NotRun) -> HttpResponse:
     status = _STATUS_BY_REASON.get(outcome.reason, _SERVICE_UNAVAILABLE)
-    return _explain(status, 'not-run', outcome)
+    return _explain_outcome(status, 'not-run', outcome)
 
 
 @to_http.register
 def _(outcome: OutcomeUnknown) -> HttpResponse:
     status = _UNKNOWN_STATUS_BY_REASON.get(outcome.reason, _BAD_GATEWAY)
-    return _explain(status, 'unknown', outcome)
+    return _explain_outcome(status, 'unknown', outcome)
 
 
-def _explain(status: int, kind: str, outcome: NotRun | OutcomeUnknown) -> HttpResponse:
+def _explain_outcome(status: int, kind: str, outcome: NotRun | OutcomeUnknown) -> HttpResponse:
     body = msgspec.json.encode(
         {'outcome': kind, 'reason': outcome.reason.value, 'detail': outcome.detail},
     )
--- a/packages/turmericwharf/src/turmericwharf/protocol/log_records.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/log_records.py
@@ -1,4 +1,4 @@
-"""Encodes records of the platform's log as plain values for JSON."""
+"""Converts records of the platform's log to and from plain values for JSON."""
 
 from types import MappingProxyType
 from typing import Any
@@ -28,7 +28,7 @@
 
 
 def encode_record(record: state.LogRecord) -> dict[str, Any]:
-    """Return a record as plain values with its type name."""
+    """Return a record and its type name as plain values."""
     return {'type': _NAMES_BY_TYPE[type(record)], 'record': msgspec.to_builtins(record)}
 
 
@@ -37,23 +37,25 @@
     *,
     reject_unknown_fields: bool = False,
 ) -> state.LogRecord | state.ProtocolFailure:
-    """Return the record, or what is wrong with it.
+    """Return the record, or a failure that describes why it is invalid.
 
     Parameters
     ----------
     plain
         Decoded JSON.
     reject_unknown_fields
-        Fields in the log may come from a later version of the software, those of an operator
-        are mistakes.
+        Whether unknown fields are errors. In the log they may come from a later version of the
+        software; in an operator's change they are mistakes.
     """
     if not isinstance(plain, dict):
-        return state.ProtocolFailure(state.Reason.FRAME_MALFORMED, f'not a record: {plain!r}')
+        return state.ProtocolFailure(
+            state.Reason.FRAME_MALFORMED, f'expected a record object, got {plain!r}'
+        )
     record_type = _TYPES_BY_NAME.get(plain.get('type', ''))
     if record_type is None:
         return state.ProtocolFailure(
             state.Reason.FRAME_TYPE_UNKNOWN,
-            f'record type {plain.get("type")!r} is not one of {sorted(_TYPES_BY_NAME)}',
+            f'unknown record type {plain.get("type")!r}; expected one of {sorted(_TYPES_BY_NAME)}',
         )
     if reject_unknown_fields:
         unknown = next(find_unknown_fields(plain.get('record'), record_type), None)
@@ -67,12 +69,12 @@
 
 
 def decode_log_page(encoded: bytes) -> state.LogPage | state.ProtocolFailure:
-    """Decode the log's answer to a read; records that cannot be decoded are passed over."""
+    """Decode the log's response to a read, skipping records that cannot be decoded."""
     try:
         page = msgspec.json.decode(encoded, type=_PlainPage)
     except msgspec.DecodeError as error:
         return state.ProtocolFailure(
-            state.Reason.FRAME_MALFORMED, f'not a page of records: {error}'
+            state.Reason.FRAME_MALFORMED, f'invalid page of records: {error}'
         )
     records = tuple(
         state.StoredRecord(plain.offset, record)
--- a/packages/turmericwharf/src/turmericwharf/protocol/node_entries.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/node_entries.py
@@ -1,4 +1,4 @@
-"""Encodes the entries of nodes that the store keeps."""
+"""Encodes and decodes the node entries kept in the store."""
 
 import cbor2
 import msgspec
@@ -8,12 +8,12 @@
 
 
 def encode_node_entry(entry: NodeEntry) -> bytes:
-    """Return an entry as CBOR."""
+    """Return a node entry as CBOR."""
     return cbor2.dumps(msgspec.to_builtins(entry))
 
 
 def decode_node_entry(encoded: bytes) -> NodeEntry | None:
-    """Return an entry, or None if the bytes are no entry."""
+    """Return the decoded node entry, or None if it is malformed."""
     try:
         return msgspec.convert(cbor2.loads(encoded), type=NodeEntry)
     except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
--- a/packages/turmericwharf/src/turmericwharf/protocol/operator_api.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/operator_api.py
@@ -1,4 +1,4 @@
-"""Translates decisions on operators' requests to status and JSON."""
+"""Decodes operators' changes and encodes the JSON responses to operators' requests."""
 
 from functools import singledispatch
 from types import MappingProxyType
@@ -41,41 +41,41 @@
 
 @singledispatch
 def to_operator_response(content: object) -> HttpResponse:
-    """Return the page that shows a value or a failure to an operator."""
-    return _json(_OK, content)
+    """Return the response that contains a value or a failure."""
+    return _json_response(_OK, content)
 
 
 @to_operator_response.register
 def _(content: Failure) -> HttpResponse:
-    return _json(_STATUS_BY_REASON.get(content.reason, _UNAVAILABLE), content)
+    return _json_response(_STATUS_BY_REASON.get(content.reason, _UNAVAILABLE), content)
 
 
 def to_publish_response(receipt: PublishReceipt, in_force: InForce) -> HttpResponse:
-    """Return the page for a change that is in the log."""
-    page = {'receipt': receipt, **msgspec.to_builtins(in_force)}
-    return _json(_OK if in_force.accepted else _ACCEPTED, page)
+    """Return the response for a change that was written to the log."""
+    body = {'receipt': receipt, **msgspec.to_builtins(in_force)}
+    return _json_response(_OK if in_force.accepted else _ACCEPTED, body)
 
 
 def to_rejection_response(receipt: PublishReceipt) -> HttpResponse:
-    """Return the page for a change that was rejected."""
+    """Return the response for a rejected change."""
     reason = Reason.CONFLICT if receipt.conflicts else Reason.CHANGE_INVALID
-    page = {'reason': reason, 'detail': _explain(receipt), 'receipt': receipt}
-    return _json(_STATUS_BY_REASON[reason], page)
+    body = {'reason': reason, 'detail': _explain_rejection(receipt), 'receipt': receipt}
+    return _json_response(_STATUS_BY_REASON[reason], body)
 
 
 def decode_change(encoded: bytes, operator: str) -> Publish | PublishFailure:
-    """Decode an operator's change; the name of the operator is the authenticated one."""
+    """Decode an operator's change; the authenticated `operator` replaces any name in it."""
     try:
         plain = msgspec.json.decode(encoded)
     except msgspec.DecodeError as error:
-        return PublishFailure(Reason.CHANGE_MALFORMED, f'not JSON: {error}')
+        return PublishFailure(Reason.CHANGE_MALFORMED, f'invalid JSON: {error}')
     return decode_plain_change(plain, operator)
 
 
 def decode_plain_change(plain: Any, operator: str) -> Publish | PublishFailure:
-    """Decode a change from plain values."""
+    """Decode an operator's change from plain values."""
     if not isinstance(plain, dict):
-        return PublishFailure(Reason.CHANGE_MALFORMED, 'a change is a JSON object')
+        return PublishFailure(Reason.CHANGE_MALFORMED, 'expected a JSON object')
     record = decode_record(
         {'type': 'publish', 'record': {**plain, 'operator': operator}},
         reject_unknown_fields=True,
@@ -86,19 +86,20 @@
     return PublishFailure(Reason.CHANGE_MALFORMED, detail)
 
 
-def _explain(receipt: PublishReceipt) -> str:
+def _explain_rejection(receipt: PublishReceipt) -> str:
     conflicts = (
-        f'{one.object_name} was changed at version {one.version} by '
-        f'{one.operator or "an operator"} (publish id {one.publish_id or "no longer kept"})'
-        for one in receipt.conflicts
+        f'{conflict.object_name} was changed at version {conflict.version} by '
+        f'{conflict.operator or "an operator"} '
+        f'(publish id {conflict.publish_id or "no longer kept"})'
+        for conflict in receipt.conflicts
     )
     problems = (
-        f'{one.object_name}: {one.field} is {one.found}; valid is {one.valid}'
-        for one in receipt.problems
+        f'{problem.object_name}: {problem.field} is {problem.found}; expected: {problem.valid}'
+        for problem in receipt.problems
     )
     return '; '.join((*conflicts, *problems))
 
 
-def _json(status: int, content: Any) -> HttpResponse:
+def _json_response(status: int, content: Any) -> HttpResponse:
     headers = (('Content-Type', 'application/json'),)
     return HttpResponse(status, headers, msgspec.json.encode(content))
--- a/packages/turmericwharf/src/turmericwharf/protocol/settings_file.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/settings_file.py
@@ -1,4 +1,4 @@
-"""Reads settings from JSON and checks them."""
+"""Decodes settings from JSON and validates them."""
 
 import dataclasses
 import ipaddress
@@ -15,21 +15,21 @@
 from turmericwharf.protocol.unknown_fields import find_unknown_fields
 from turmericwharf.state import NodeSettings, Reason, SettingsFailure
 
-_MINIMUM_SECRET_LENGTH = 32
-# A claim is decided by records of up to twice the hold time before it; the third part is for
-# a reader that is late.
+_MIN_SECRET_LENGTH = 32
+# The records that decide a claim are up to twice the hold time older than the claim. The third
+# hold time is a margin for a reader that lags behind.
 _RETENTION_FACTOR = 3
-_HIGHEST_PORT = 65535
-_NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,127}')
-_DIGEST = re.compile('[0-9a-f]{64}')
+_MAX_PORT = 65535
+_IDENTIFIER_PATTERN = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,127}')
+_DIGEST_PATTERN = re.compile('[0-9a-f]{64}')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Rule:
-    """What the value of a field must be like."""
+    """Constraint on the value of a field."""
 
     is_valid: Callable[[Any], bool]
-    valid: str
+    expected: str
 
 
 def _is_address(host: Any) -> bool:
@@ -40,21 +40,21 @@
     return True
 
 
-_PORT = _Rule(lambda port: 0 < port <= _HIGHEST_PORT, f'a port from 1 to {_HIGHEST_PORT}')
-_ABOVE_ZERO = _Rule(lambda number: 0 < number < math.inf, 'a finite number above 0')
+_PORT = _Rule(lambda port: 0 < port <= _MAX_PORT, f'a port from 1 to {_MAX_PORT}')
+_POSITIVE = _Rule(lambda number: 0 < number < math.inf, 'a positive finite number')
 _IDENTIFIER = _Rule(
-    lambda name: bool(_NAME.fullmatch(name)),
-    '1 to 128 letters, digits, ".", "_" or "-", with a letter or digit first',
+    lambda name: bool(_IDENTIFIER_PATTERN.fullmatch(name)),
+    '1 to 128 letters, digits, ".", "_" or "-", starting with a letter or digit',
 )
-# The last word of a field's name says what it holds.
+# Rules by the last word of a field name, which indicates the kind of value.
 _RULES_BY_WORD = MappingProxyType(
     {
         'port': _PORT,
-        'seconds': _ABOVE_ZERO,
-        'bytes': _ABOVE_ZERO,
-        'length': _ABOVE_ZERO,
-        'attempts': _ABOVE_ZERO,
-        'peers': _ABOVE_ZERO,
+        'seconds': _POSITIVE,
+        'bytes': _POSITIVE,
+        'length': _POSITIVE,
+        'attempts': _POSITIVE,
+        'peers': _POSITIVE,
         'fraction': _Rule(lambda number: 0 <= number <= 1, 'a number from 0 to 1'),
         'host': _Rule(_is_address, 'an IP address'),
         'url': _Rule(
@@ -64,24 +64,24 @@
         'instance': _IDENTIFIER,
         'centre': _IDENTIFIER,
         'secret': _Rule(
-            lambda secret: len(secret) >= _MINIMUM_SECRET_LENGTH,
-            f'at least {_MINIMUM_SECRET_LENGTH} characters',
+            lambda secret: len(secret) >= _MIN_SECRET_LENGTH,
+            f'at least {_MIN_SECRET_LENGTH} characters',
         ),
     },
 )
 _DIGEST_RULE = _Rule(
-    lambda digest: bool(_DIGEST.fullmatch(digest)),
-    'SHA-256 of the token in 64 lower-case hexadecimal digits',
+    lambda digest: bool(_DIGEST_PATTERN.fullmatch(digest)),
+    'the SHA-256 digest of the token as 64 lowercase hexadecimal digits',
 )
 
 
 def decode_settings(encoded: bytes) -> NodeSettings | SettingsFailure:
-    """Decode and check settings; a failure names the field, its value and what is valid."""
+    """Decode and validate settings; a failure names the field, its value and the valid values."""
     try:
         plain = msgspec.json.decode(encoded)
     except msgspec.DecodeError as error:
-        return SettingsFailure(Reason.SETTINGS_INVALID, f'not JSON: {error}')
-    unknown = next(find_unknown_fields(_without_secrets(plain), NodeSettings), None)
+        return SettingsFailure(Reason.SETTINGS_INVALID, f'invalid JSON: {error}')
+    unknown = next(find_unknown_fields(_redact_secrets(plain), NodeSettings), None)
     if unknown is not None:
         return SettingsFailure(Reason.SETTINGS_INVALID, unknown)
     try:
@@ -89,38 +89,38 @@
     except msgspec.ValidationError as error:
         detail = explain_conversion_error(error, plain, NodeSettings)
         return SettingsFailure(Reason.SETTINGS_INVALID, detail)
-    fault = next(_faults(settings), None)
-    return settings if fault is None else SettingsFailure(Reason.SETTINGS_INVALID, fault)
+    violation = next(_violations(settings), None)
+    return settings if violation is None else SettingsFailure(Reason.SETTINGS_INVALID, violation)
 
 
-def _faults(settings: NodeSettings) -> Iterator[str]:
-    for place, found in _leaves(msgspec.to_builtins(settings), ''):
-        word = re.split('[._]', place)[-1]
-        rule = _DIGEST_RULE if place.startswith('operator_digests.') else _RULES_BY_WORD.get(word)
-        if rule is not None and found is not None and not rule.is_valid(found):
-            yield f'{place} = {redact_secret(place, found)}: valid is {rule.valid}'
+def _violations(settings: NodeSettings) -> Iterator[str]:
+    for path, actual in _iterate_leaves(msgspec.to_builtins(settings), ''):
+        word = re.split('[._]', path)[-1]
+        rule = _DIGEST_RULE if path.startswith('operator_digests.') else _RULES_BY_WORD.get(word)
+        if rule is not None and actual is not None and not rule.is_valid(actual):
+            yield f'{path} = {redact_secret(path, actual)}: expected {rule.expected}'
     needed = _RETENTION_FACTOR * hold_seconds_of(settings.limits)
     if settings.log.retention_seconds < needed:
-        claims = settings.limits.claim_retention_seconds
-        valid = f'at least {needed}, as limits.claim_retention_seconds is {claims}'
-        yield f'log.retention_seconds = {settings.log.retention_seconds}: valid is {valid}'
+        claim_retention = settings.limits.claim_retention_seconds
+        expected = f'at least {needed}, because limits.claim_retention_seconds is {claim_retention}'
+        yield f'log.retention_seconds = {settings.log.retention_seconds}: expected {expected}'
 
 
-def _leaves(plain: Any, place: str) -> Iterator[tuple[str, Any]]:
+def _iterate_leaves(plain: Any, path: str) -> Iterator[tuple[str, Any]]:
     if isinstance(plain, dict):
-        for name, found in plain.items():
-            yield from _leaves(found, f'{place}.{name}' if place else name)
+        for name, actual in plain.items():
+            yield from _iterate_leaves(actual, f'{path}.{name}' if path else name)
     elif isinstance(plain, list | tuple):
-        for number, found in enumerate(plain):
-            yield from _leaves(found, f'{place}[{number}]')
+        for index, actual in enumerate(plain):
+            yield from _iterate_leaves(actual, f'{path}[{index}]')
     else:
-        yield place, plain
+        yield path, plain
 
 
-def _without_secrets(plain: Any) -> Any:
+def _redact_secrets(plain: Any) -> Any:
     if not isinstance(plain, dict):
         return plain
     return {
-        name: redact_secret(name, found) if 'secret' in name else found
-        for name, found in plain.items()
+        name: redact_secret(name, actual) if 'secret' in name else actual
+        for name, actual in plain.items()
     }
--- a/packages/turmericwharf/src/turmericwharf/protocol/snapshots.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/snapshots.py
@@ -1,4 +1,4 @@
-"""Encodes the control state as parts that fit into records of the log."""
+"""Encodes the control state, and splits it into parts that fit into log records."""
 
 import base64
 import zlib
@@ -24,32 +24,34 @@
 )
 
 _PART_CHARACTERS = 262_144
-# Bounds what a broken record can make a node allocate; 45,000 organisations with a key each
-# need about 20 MB.
-_STATE_BYTES = 134_217_728
+# Limits the memory that a corrupt record can make a node allocate; 45,000 organisations with one
+# key each need about 20 MB.
+_MAX_STATE_BYTES = 134_217_728
 
 
 def encode_state(state: ControlState) -> bytes:
-    """Return a control state in compressed JSON."""
+    """Return a control state as compressed JSON."""
     return zlib.compress(msgspec.json.encode(_to_plain(state)))
 
 
 def decode_state(encoded: bytes) -> ControlState | ProtocolFailure:
-    """Return the control state, or what is wrong with its encoding."""
+    """Return the control state, or a failure that describes why its encoding is invalid."""
     try:
         plain = msgspec.json.decode(
-            zlib.decompressobj().decompress(encoded, _STATE_BYTES),
+            zlib.decompressobj().decompress(encoded, _MAX_STATE_BYTES),
             type=_PlainState,
         )
     except (zlib.error, msgspec.DecodeError) as error:
         return ProtocolFailure(Reason.FRAME_MALFORMED, f'control state: {error}')
     if len(plain.versions) != sum(1 for _ in plain.all_objects()):
-        return ProtocolFailure(Reason.FRAME_MALFORMED, 'control state: versions are missing')
+        return ProtocolFailure(
+            Reason.FRAME_MALFORMED, 'control state: expected one version per object'
+        )
     return _from_plain(plain)
 
 
 class SnapshotEncoding:
-    """Compressed JSON, split into text for JSON records."""
+    """Encodes snapshots as compressed JSON, split into text parts for JSON records."""
 
     def encode(self, state: ControlState, snapshot: str) -> tuple[SnapshotPart, ...]:
         """Return the parts of a snapshot with the id `snapshot`."""
@@ -67,25 +69,25 @@
         )
 
     def decode(self, parts: Sequence[SnapshotPart]) -> ControlState | ProtocolFailure:
-        """Return the state that all parts of one snapshot make, or what is wrong with them."""
+        """Return the state of a snapshot, or a failure if its parts are incomplete or invalid."""
         parts_by_number = {part.part: part for part in parts}
         numbers = range(parts[0].parts)
         if sorted(parts_by_number) != list(numbers):
             return ProtocolFailure(
                 Reason.FRAME_MALFORMED,
-                f'snapshot has parts {sorted(parts_by_number)} of {len(numbers)}',
+                f'incomplete snapshot: got parts {sorted(parts_by_number)} of {len(numbers)}',
             )
         joined = ''.join(parts_by_number[number].encoded for number in numbers)
         try:
             encoded = base64.b64decode(joined, validate=True)
         except ValueError as error:
-            return ProtocolFailure(Reason.FRAME_MALFORMED, f'snapshot: {error}')
+            return ProtocolFailure(Reason.FRAME_MALFORMED, f'invalid base64 in snapshot: {error}')
         return decode_state(encoded)
 
 
 class _PlainState(msgspec.Struct, frozen=True):
-    # Names stand once, as fields of the objects, and the names of versions are worked out
-    # again. That keeps the peak of memory at the start of a node in bounds.
+    # Each name is stored only once, as a field of its object; decoding derives the keys of the
+    # versions from it. This limits the peak memory of a node during start-up.
     version: int
     configuration_version: int
     snapshot_written_at: float
@@ -95,7 +97,7 @@
     services: list[Service]
     routes: list[Route]
     keys: list[Key]
-    # In the order of the objects above.
+    # One version per object, in the order of `all_objects`.
     versions: list[int]
     versions_of_removed: dict[str, int]
     receipts: list[PublishReceipt]
@@ -125,12 +127,14 @@
         versions_of_removed=versions_of_removed,
         receipts=list(configuration.receipts_by_publish_id.values()),
     )
-    plain.versions.extend(versions_of_removed.pop(object_name(one)) for one in plain.all_objects())
+    plain.versions.extend(
+        versions_of_removed.pop(object_name(entry)) for entry in plain.all_objects()
+    )
     return plain
 
 
 def _from_plain(plain: _PlainState) -> ControlState:
-    names = (object_name(one) for one in plain.all_objects())
+    names = (object_name(entry) for entry in plain.all_objects())
     versions_by_object = dict(zip(names, plain.versions, strict=True))
     versions_by_object.update(plain.versions_of_removed)
     return ControlState(
@@ -139,12 +143,12 @@
         membership=plain.membership,
         configuration=Configuration(
             version=plain.configuration_version,
-            organisations_by_id={one.organisation: one for one in plain.organisations},
-            classes_by_id={one.work_class: one for one in plain.classes},
-            services_by_id={one.service: one for one in plain.services},
-            routes_by_id={one.route: one for one in plain.routes},
-            keys_by_digest={one.digest: one for one in plain.keys},
+            organisations_by_id={entry.organisation: entry for entry in plain.organisations},
+            classes_by_id={entry.work_class: entry for entry in plain.classes},
+            services_by_id={entry.service: entry for entry in plain.services},
+            routes_by_id={entry.route: entry for entry in plain.routes},
+            keys_by_digest={entry.digest: entry for entry in plain.keys},
             versions_by_object=versions_by_object,
-            receipts_by_publish_id={one.publish_id: one for one in plain.receipts},
+            receipts_by_publish_id={entry.publish_id: entry for entry in plain.receipts},
         ),
     )
--- a/packages/turmericwharf/src/turmericwharf/protocol/unknown_fields.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/unknown_fields.py
@@ -1,4 +1,4 @@
-"""Finds fields that a data class does not have; msgspec passes over them."""
+"""Finds fields that a data class does not define, which msgspec ignores."""
 
 import dataclasses
 from collections.abc import Iterator
@@ -6,21 +6,21 @@
 
 
 def find_unknown_fields(plain: Any, expected: Any, path: str = '') -> Iterator[str]:
-    """Yield a message for each field of plain values that the expected type does not have.
+    """Yield a message for each field of plain values that the expected type does not define.
 
     Parameters
     ----------
     plain
         Decoded JSON.
     expected
-        Type that the values are converted to: a data class or a tuple of them.
+        Target type of the conversion: a data class or a tuple of data classes.
     path
-        Where the values stand in the whole.
+        Path of the values in the whole document.
     """
     if isinstance(plain, list):
-        for number, one in enumerate(plain):
-            for choice in get_args(expected):
-                yield from find_unknown_fields(one, choice, f'{path}[{number}]')
+        for index, element in enumerate(plain):
+            for element_type in get_args(expected):
+                yield from find_unknown_fields(element, element_type, f'{path}[{index}]')
     elif isinstance(plain, dict) and dataclasses.is_dataclass(expected):
         yield from _find_in_object(plain, get_type_hints(expected), path)
 
@@ -30,11 +30,11 @@
     types_by_name: dict[str, Any],
     path: str,
 ) -> Iterator[str]:
-    for name, found in plain.items():
-        place = f'{path}.{name}' if path else name
+    for name, actual in plain.items():
+        field_path = f'{path}.{name}' if path else name
         expected = types_by_name.get(name)
         if expected is None:
             valid = ', '.join(sorted(types_by_name))
-            yield f'{place} = {found!r}: unknown field; valid are {valid}'
+            yield f'{field_path} = {actual!r}: unknown field; valid fields: {valid}'
         else:
-            yield from find_unknown_fields(found, expected, place)
+            yield from find_unknown_fields(actual, expected, field_path)
