--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -1,4 +1,4 @@
-"""Frames: what is sent arrives as it was, and bad input gives a typed failure."""
+"""Encoding and decoding of frames, including malformed input."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -25,18 +25,18 @@
 
 @given(st.integers(0, 2**31), _MESSAGES)
 def test_frame_survives_encoding(correlation, message):
-    """Guards against fields that change place or type on the wire."""
+    """Guards against fields whose order or type changes in encoding and decoding."""
     frame = Frame(correlation, message)
     assert decode_frame(encode_frame(frame)) == frame
 
 
 def test_nested_state_survives_encoding():
-    """Guards against mappings that do not survive the encoding."""
+    """Guards against nested mappings that are lost or altered by encoding and decoding."""
     frame = Frame(1, ControlSnapshot(ControlState()))
     assert decode_frame(encode_frame(frame)) == frame
 
 
 @given(st.binary(max_size=200))
-def test_bad_frame_is_a_typed_failure(encoded):
-    """Guards against an exception that would end the task of a connection."""
+def test_malformed_frame_is_a_typed_failure(encoded):
+    """Guards against malformed frames that raise an exception and end the connection's task."""
     assert isinstance(decode_frame(encoded), ProtocolFailure | Frame)
--- a/tests/protocol/test_http1.py
+++ b/tests/protocol/test_http1.py
@@ -24,28 +24,28 @@
     reader = RequestReader()
     if limits is not None:
         reader.update_limits(limits)
-    found = []
+    received = []
     for part in parts:
         reader.receive(part)
         while (request := reader.next_request()) is not None:
-            found.append(request)
+            received.append(request)
             if isinstance(request, ProtocolFailure):
-                return found
-    return found
+                return received
+    return received
 
 
-def test_requests_sent_at_once_are_read_before_the_first_answer():
-    """A client that sends several requests at once would wait for each in turn."""
+def test_pipelined_requests_are_read_before_the_first_response():
+    """Guards against pipelined requests that are not read until the previous one is answered."""
     first, second, third = read_all(GET + CHUNKED + GET)
     assert (first.target, first.host) == ('/a/1', 'a.example')
     assert second.body == b'abcde'
     assert third.method == 'GET'
 
 
-def test_requests_are_read_in_any_pieces():
-    """A request whose bytes come one by one would be lost or joined to the next one."""
-    found = read_all(*(bytes([one]) for one in GET + CHUNKED + GET))
-    assert [one.method for one in found] == ['GET', 'POST', 'GET']
+def test_requests_are_read_byte_by_byte():
+    """Guards against requests that are lost or merged when their bytes arrive one at a time."""
+    received = read_all(*(bytes([byte]) for byte in GET + CHUNKED + GET))
+    assert [request.method for request in received] == ['GET', 'POST', 'GET']
 
 
 @pytest.mark.parametrize(
@@ -70,14 +70,14 @@
         ),
     ],
 )
-def test_what_is_no_request_is_refused(encoded, reason):
-    """Bytes of one request would be taken for another, or fill the memory."""
+def test_invalid_requests_are_rejected(encoded, reason):
+    """Guards against request smuggling by ambiguous framing, and against unbounded memory use."""
     limits = ClientLimits(header_bytes=300, body_bytes=20)
     assert read_all(encoded, limits=limits)[-1].reason is reason
 
 
-def test_answer_ends_the_connection_when_told():
-    """A client would send another request on a connection that is about to be closed."""
+def test_last_response_closes_the_connection():
+    """Guards against a client that sends a further request on a connection about to be closed."""
     request = read_all(GET)[0]
     assert isinstance(request, HttpRequest)
     encoded = encode_response(request.exchange, HttpResponse(200, (), b'body'), is_last=True)
@@ -86,8 +86,8 @@
     assert must_close_connection(request.exchange)
 
 
-def test_answer_to_head_has_no_body():
-    """The body would be read as the start of the next answer."""
+def test_response_to_head_has_no_body():
+    """Guards against a body that the client parses as the start of the next response."""
     request = read_all(GET.replace(b'GET', b'HEAD'))[0]
     encoded = encode_response(
         request.exchange, HttpResponse(200, (), b'body'), is_last=False, method='HEAD'
@@ -99,22 +99,22 @@
 def read_response(*parts):
     reader = ResponseReader()
     reader.encode_request('GET', '/', (('Host', 'a'),), b'')
-    found = None
+    received = None
     for part in parts:
-        found = reader.receive(part)
-    return found
+        received = reader.receive(part)
+    return received
 
 
-def test_whole_answers_are_read():
-    """An answer of one framing or another would be lost."""
+def test_complete_responses_are_read():
+    """Guards against lost responses for each framing: by length, chunked and by connection end."""
     length = read_response(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab')
     chunked = read_response(
         b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n',
     )
     unframed = read_response(b'HTTP/1.1 200 OK\r\n\r\na', b'b', b'')
-    for found in (length, chunked, unframed):
-        assert isinstance(found, ServerResponse)
-        assert found.body == b'ab'
+    for received in (length, chunked, unframed):
+        assert isinstance(received, ServerResponse)
+        assert received.body == b'ab'
 
 
 @pytest.mark.parametrize(
@@ -126,18 +126,18 @@
         (b'',),
     ],
 )
-def test_broken_answers_are_failures(parts):
-    """A truncated answer would look complete."""
+def test_incomplete_responses_are_failures(parts):
+    """Guards against truncated or malformed responses that are treated as complete."""
     assert isinstance(read_response(*parts), ProtocolFailure)
 
 
-def test_extra_bytes_belong_to_no_answer():
-    """A second answer of the server would be joined to the first."""
+def test_bytes_after_a_response_are_ignored():
+    """Guards against bytes after a response that are appended to its body."""
     extra = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 200 OK\r\n'
     assert read_response(extra).body == b'ab'
 
 
-def test_headers_of_one_connection_do_not_pass():
-    """A header that the sender meant for its own connection would reach the server."""
+def test_hop_by_hop_headers_are_not_forwarded():
+    """Guards against hop-by-hop headers that are forwarded to the server."""
     headers = (('Connection', 'X-Hop, close'), ('X-Hop', '1'), ('X-End', '2'), ('TE', 'x'))
     assert forwarded_headers(headers) == (('X-End', '2'),)
--- a/tests/protocol/test_http_headers.py
+++ b/tests/protocol/test_http_headers.py
@@ -1,4 +1,4 @@
-"""Callers' headers: the key is found, stripped, and refused anywhere else."""
+"""Callers' headers: the key is extracted and stripped, and rejected anywhere else."""
 
 import json
 from urllib.parse import quote
@@ -26,8 +26,8 @@
         [('Authorization', 'Basic abc'), ('X-Api-Key', KEY)],
     ],
 )
-def test_the_key_is_found_and_stripped(headers):
-    """Guards against a backend server that sees a key."""
+def test_the_key_is_extracted_and_stripped(headers):
+    """Guards against a key that is forwarded to a backend server."""
     request = read(*headers, ('Accept', 'text/html'))
     assert request.key_digest == digest_key(KEY)
     assert request.headers == (('Accept', 'text/html'),)
@@ -42,8 +42,8 @@
         [('X-Api-Key', KEY), ('X-Api-Key', OTHER_KEY)],
     ],
 )
-def test_different_keys_are_refused(headers):
-    """Guards against a request that runs for another organisation than its sender meant."""
+def test_different_keys_are_rejected(headers):
+    """Guards against a request that runs for an organisation other than the intended one."""
     with pytest.raises(ValueError, match='different keys') as caught:
         read(*headers)
     assert KEY not in str(caught.value)
@@ -68,8 +68,8 @@
 
 @pytest.mark.parametrize('place', MISPLACED)
 @pytest.mark.parametrize('sent', [True, False])
-def test_a_key_anywhere_else_is_refused(place, sent):
-    """Guards against a key that reaches a backend server or an access log of one."""
+def test_a_misplaced_key_is_detected(place, sent):
+    """Guards against a key that reaches a backend server or its access log."""
     case = dict(MISPLACED[place])
     headers = [*([BEARER] if sent else []), *([case.pop('header')] if 'header' in case else [])]
     request = read(*headers, **case)
@@ -77,8 +77,8 @@
     assert request.idempotency_key is None
 
 
-def test_a_key_of_another_form_is_found_too():
-    """Guards against a check that knows keys of the own form only."""
+def test_a_misplaced_key_of_another_format_is_detected():
+    """Guards against a check that detects only keys of the issued format."""
     headers = (('X-Api-Key', 'secret-of-old'),)
     assert read(*headers, target='/a?k=secret%2Dof-old').key_misplaced
     assert not read(*headers, target='/a?k=secret').key_misplaced
--- a/tests/protocol/test_settings_file.py
+++ b/tests/protocol/test_settings_file.py
@@ -1,4 +1,4 @@
-"""Settings: one error that names the field, its value and what is valid."""
+"""Settings: an error names one invalid field, its value and the valid values."""
 
 import copy
 import json
@@ -29,18 +29,18 @@
 
 
 def with_fault(name):
-    path, found = FAULTS[name]
+    path, invalid = FAULTS[name]
     plain = copy.deepcopy(VALID)
     section = plain
     for step in path[:-1]:
         section = section[step]
-    section[path[-1]] = found
+    section[path[-1]] = invalid
     return json.dumps(plain).encode()
 
 
 @pytest.mark.parametrize('name', FAULTS)
 def test_errors_name_field_value_and_valid_values(name, snapshot):
-    """Guards against settings that are silently ignored or fail with a traceback."""
+    """Guards against invalid settings that are silently ignored or fail with a traceback."""
     failure = decode_settings(with_fault(name))
     assert isinstance(failure, SettingsFailure)
     assert failure.detail == snapshot
@@ -48,21 +48,21 @@
 
 
 def test_a_missing_field_and_broken_json_are_named(snapshot):
-    """Guards against a default where an operator has to decide."""
-    plain = {name: found for name, found in VALID.items() if name != 'listen'}
+    """Guards against a default value for a setting that an operator has to choose."""
+    plain = {name: setting for name, setting in VALID.items() if name != 'listen'}
     assert decode_settings(json.dumps(plain).encode()).detail == snapshot
     assert decode_settings(b'{').detail == snapshot
 
 
 @pytest.mark.parametrize('path', sorted(EXAMPLES.glob('*/settings*.json')), ids=str)
 def test_documented_examples_are_valid(path):
-    """Guards against examples that a node refuses."""
+    """Guards against documented examples that a node rejects."""
     assert isinstance(decode_settings(path.read_bytes()), NodeSettings)
 
 
 @pytest.mark.parametrize(('retention_seconds', 'is_valid'), [(10805.0, False), (10806.0, True)])
 def test_log_must_keep_claims_for_three_hold_times(retention_seconds, is_valid):
-    """Guards against a log that drops a claim while its key is still held."""
+    """Guards against a log that expires a claim while the claimed key is still held."""
     ports = ('caller_port', 'peer_port', 'operator_port', 'announce_port')
     plain = {
         'instance': 'node-1',
--- a/tests/protocol/test_snapshots.py
+++ b/tests/protocol/test_snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshots of the control state in records of the log."""
+"""Encoding of control state snapshots as log records."""
 
 import random
 
@@ -21,8 +21,8 @@
 )
 
 
-def test_a_snapshot_holds_the_whole_state(monkeypatch):
-    """Guards against a state that changes on its way, whatever the order of its parts."""
+def test_a_snapshot_contains_the_whole_state(monkeypatch):
+    """Guards against state that is altered by encoding, whatever the order of the parts."""
     monkeypatch.setattr(snapshots, '_PART_CHARACTERS', 50)
     state = folded(publish('a', 0, keys=(KEY,)), publish('b', 7), state=start())
     parts = list(SnapshotEncoding().encode(state, 'snapshot-1'))
@@ -32,24 +32,26 @@
     assert isinstance(SnapshotEncoding().decode(parts[1:]), ProtocolFailure)
 
 
-def test_a_broken_snapshot_is_a_typed_failure():
-    """Guards against an exception that would keep a node from starting."""
+def test_a_corrupt_snapshot_is_a_typed_failure():
+    """Guards against a corrupt snapshot that raises an exception and prevents a node's start."""
     (part,) = SnapshotEncoding().encode(ControlState(), 'snapshot-1')
     for encoded in (part.encoded[:-9], 'not base 64 "', ''):
-        broken = type(part)('snapshot-1', 1, 0, 1, encoded)
-        assert isinstance(SnapshotEncoding().decode([broken]), ProtocolFailure)
+        corrupt = type(part)('snapshot-1', 1, 0, 1, encoded)
+        assert isinstance(SnapshotEncoding().decode([corrupt]), ProtocolFailure)
 
 
 def test_a_state_of_the_planned_size_fits_into_a_frame():
-    """Guards against peers that cannot give their state away once it has grown."""
+    """Guards against state that outgrows the frame limit, so that peers cannot transfer it."""
     changes = {
-        'organisations': tuple(Organisation(f'o-{one}', 1.0, 9.0) for one in range(4500)),
-        'keys': tuple(Key(digest_key(str(one)), f'k-{one}', f'o-{one}') for one in range(4500)),
+        'organisations': tuple(Organisation(f'o-{index}', 1.0, 9.0) for index in range(4500)),
+        'keys': tuple(
+            Key(digest_key(str(index)), f'k-{index}', f'o-{index}') for index in range(4500)
+        ),
     }
     state = folded(publish('a', 0, **changes), state=start())
     encoded = encode_frame(Frame(1, ControlSnapshot(state)))
-    # A tenth of the planned organisations takes less than a tenth of the bound of a frame.
+    # A tenth of the planned organisations must take less than a tenth of the frame limit.
     assert len(encoded) < LimitSettings().frame_bytes / 10
     assert decode_frame(encoded) == Frame(1, ControlSnapshot(state))
-    broken = encoded.replace(b'x\x9c', b'y\x9c', 1)
-    assert isinstance(decode_frame(broken), ProtocolFailure)
+    corrupt = encoded.replace(b'x\x9c', b'y\x9c', 1)
+    assert isinstance(decode_frame(corrupt), ProtocolFailure)
