--- a/packages/turmericwharf/src/turmericwharf/protocol/http_headers.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http_headers.py
@@ -9,7 +9,7 @@
 from turmericwharf.state import (
     Headers,
     RequestId,
-    RunTarget,
+    ExecutionSemantics,
     new_identifier,
 )
 from turmericwharf.state.requests import CallerRequest
@@ -75,7 +75,7 @@
         key_digest=digest_key(key) if key else None,
         key_misplaced=is_misplaced,
         idempotency_key=headers_by_name.get('idempotency-key'),
-        run=_parse_run_target(headers_by_name),
+        run=_parse_execution_semantics(headers_by_name),
         remaining_milliseconds=_parse_deadline(headers_by_name),
         serves=_parse_served_request(headers_by_name),
         from_service=from_service,
@@ -95,12 +95,12 @@
     return tuple(pair for pair in headers if pair[0].lower() not in stripped)
 
 
-def _parse_run_target(headers_by_name: dict[str, str]) -> RunTarget:
-    text = headers_by_name.get(RUN_HEADER.lower(), RunTarget.REPEATABLE.value)
-    valid = [target.value for target in RunTarget]
+def _parse_execution_semantics(headers_by_name: dict[str, str]) -> ExecutionSemantics:
+    text = headers_by_name.get(RUN_HEADER.lower(), ExecutionSemantics.REPEATABLE.value)
+    valid = [member.value for member in ExecutionSemantics]
     if text not in valid:
         raise ValueError(f'{RUN_HEADER} must be one of {valid}, not {text!r}')
-    return RunTarget(text)
+    return ExecutionSemantics(text)
 
 
 def _parse_deadline(headers_by_name: dict[str, str]) -> float | None:
--- a/packages/turmericwharf/src/turmericwharf/protocol/operator_api.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/operator_api.py
@@ -10,7 +10,7 @@
 from turmericwharf.protocol.log_records import decode_record
 from turmericwharf.state import (
     Failure,
-    InForce,
+    InForceStatus,
     ProtocolFailure,
     Publish,
     PublishFailure,
@@ -50,7 +50,7 @@
     return _json_response(_STATUS_BY_REASON.get(content.reason, _UNAVAILABLE), content)
 
 
-def to_publish_response(receipt: PublishReceipt, in_force: InForce) -> HttpResponse:
+def to_publish_response(receipt: PublishReceipt, in_force: InForceStatus) -> HttpResponse:
     """Return the response for a change that was written to the log."""
     body = {'receipt': receipt, **msgspec.to_builtins(in_force)}
     return _json_response(_OK if in_force.accepted else _ACCEPTED, body)
--- a/packages/turmericwharf/src/turmericwharf/transport/connection.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/connection.py
@@ -16,19 +16,19 @@
     PEER_UNREACHABLE,
     FramePart,
     LinkFailure,
-    LinkUncertain,
+    DeliveryUnknown,
     Message,
     ProtocolFailure,
     Reason,
 )
 
 # A small frame waits for at most one piece of each large frame that is being sent.
-PART_BYTES = 65536
-WIRE_FRAME_BYTES = PART_BYTES + 4096
+MAX_PART_BYTES = 65536
+MAX_WIRE_FRAME_BYTES = MAX_PART_BYTES + 4096
 _TOO_BIG_CODE = 1009
 
 
-class Socket(Protocol):
+class WebSocketConnection(Protocol):
     """The part of a websocket connection that frames need."""
 
     @property
@@ -59,7 +59,7 @@
         Bound on one frame, and on all frames together of which only pieces have come.
     """
 
-    def __init__(self, socket: Socket, frame_bytes: int) -> None:
+    def __init__(self, socket: WebSocketConnection, frame_bytes: int) -> None:
         self._socket = socket
         self._frame_bytes = frame_bytes
         self._turn = asyncio.Lock()
@@ -72,12 +72,12 @@
         correlation: int = 0,
         *,
         timeout_seconds: float,
-    ) -> LinkFailure | LinkUncertain | None:
+    ) -> LinkFailure | DeliveryUnknown | None:
         """Send one message.
 
         Returns
         -------
-        LinkFailure or LinkUncertain or None
+        LinkFailure or DeliveryUnknown or None
             `LinkFailure` only if `send` of the websocket was never entered for the message.
             Once entered, it may have written the frame, also if it is cancelled or raises:
             it waits for room in the write buffer after it has written.
@@ -127,7 +127,7 @@
         self,
         pieces: list[bytes],
         begun: list[bytes],
-    ) -> LinkFailure | LinkUncertain | None:
+    ) -> LinkFailure | DeliveryUnknown | None:
         for piece in pieces:
             # The lock is fair, so that a waiting small frame comes before the next piece.
             async with self._turn:
@@ -138,10 +138,10 @@
         return None
 
     def _split(self, encoded: bytes) -> list[bytes]:
-        if len(encoded) <= PART_BYTES:
+        if len(encoded) <= MAX_PART_BYTES:
             return [encoded]
         number = next(self._numbers)
-        starts = range(0, len(encoded), PART_BYTES)
+        starts = range(0, len(encoded), MAX_PART_BYTES)
         return [
             encode_frame(Frame(0, _make_part(encoded, number, place, start)))
             for place, start in enumerate(starts)
@@ -184,7 +184,7 @@
 
 
 def _make_part(encoded: bytes, number: int, place: int, start: int) -> FramePart:
-    end = start + PART_BYTES
+    end = start + MAX_PART_BYTES
     return FramePart(number, place, last=end >= len(encoded), content=encoded[start:end])
 
 
