--- a/packages/turmericwharf/src/turmericwharf/protocol/http_status.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http_status.py
@@ -19,7 +19,7 @@
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
 
-_STATUS_BY_REASON = MappingProxyType(
+_NOT_RUN_STATUS_BY_REASON = MappingProxyType(
     {
         Reason.KEY_MISSING: 401,
         Reason.KEY_UNKNOWN: 401,
@@ -36,7 +36,7 @@
         Reason.DEADLINE_PASSED: _GATEWAY_TIMEOUT,
     }
 )
-_UNKNOWN_STATUS_BY_REASON = MappingProxyType(
+_OUTCOME_UNKNOWN_STATUS_BY_REASON = MappingProxyType(
     {
         Reason.ANSWER_TIMEOUT: _GATEWAY_TIMEOUT,
         Reason.PEER_TIMEOUT: _GATEWAY_TIMEOUT,
@@ -67,13 +67,13 @@
 
 @to_http.register
 def _(outcome: NotRun) -> HttpResponse:
-    status = _STATUS_BY_REASON.get(outcome.reason, _SERVICE_UNAVAILABLE)
+    status = _NOT_RUN_STATUS_BY_REASON.get(outcome.reason, _SERVICE_UNAVAILABLE)
     return _explain_outcome(status, 'not-run', outcome)
 
 
 @to_http.register
 def _(outcome: OutcomeUnknown) -> HttpResponse:
-    status = _UNKNOWN_STATUS_BY_REASON.get(outcome.reason, _BAD_GATEWAY)
+    status = _OUTCOME_UNKNOWN_STATUS_BY_REASON.get(outcome.reason, _BAD_GATEWAY)
     return _explain_outcome(status, 'unknown', outcome)
 
 
