Reword the node and operator command lines and their tests

Help texts and error messages use the usual terms; commands, options, exit statuses and the texts that explain prints are unchanged. Page of the operator client is named OperatorResponse. Test names and descriptions state the failure that each test guards against; assertions are the same.

--- a/packages/turmericwharf-cli/src/turmericwharf_cli/__init__.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/__init__.py
@@ -1,1 +1,1 @@
-"""Operators' command line of turmericwharf."""
+"""Command-line interface of turmericwharf for operators."""
--- a/packages/turmericwharf-cli/src/turmericwharf_cli/__main__.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the command line by `python -m turmericwharf_cli`."""
+"""Entry point of `python -m turmericwharf_cli`."""
 
 from turmericwharf_cli.main import main
 
--- a/packages/turmericwharf-cli/src/turmericwharf_cli/explain.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/explain.py
@@ -1,4 +1,4 @@
-"""Tells what happened to one request, from the logs of many nodes."""
+"""Reconstructs the history of one request from the logs of several nodes."""
 
 import json
 import sys
@@ -8,8 +8,8 @@
 
 import click
 
-_HIDDEN = frozenset(('at', 'level', 'event', 'request', 'source_log'))
-_CAUSES = MappingProxyType(
+_HIDDEN_FIELDS = frozenset(('at', 'level', 'event', 'request', 'source_log'))
+_CAUSE_BY_REASON = MappingProxyType(
     {
         'rate_exceeded': 'the organisation was above its rate, or holders of its rate were silent',
         'queue_full': 'the expected wait at the server was longer than the answer is useful for',
@@ -32,24 +32,24 @@
 @click.argument('request')
 @click.argument('logs', nargs=-1, type=click.File('r', errors='replace'))
 def explain(request: str, logs: tuple[TextIO, ...]) -> None:
-    """Print what the nodes logged about REQUEST, in order of time.
+    """Print the logged events of REQUEST from all nodes in chronological order.
 
-    LOGS are files of JSON lines, one or more for each node; without any, standard input is read.
+    LOGS are files of JSON lines, one or more per node; standard input is read if none is given.
     """
     sources: tuple[TextIO, ...] = logs or (sys.stdin,)
-    events = [one for source in sources for one in read_events(source, request)]
+    events = [event for source in sources for event in read_events(source, request)]
     if not events:
         raise click.ClickException(
             f'no line names request {request!r}: valid is an id that a client sent, '
             'with the logs of the node that took it',
         )
-    for line in tell(sorted(events, key=_moment)):
+    for line in format_events(sorted(events, key=_timestamp)):
         click.echo(line)
 
 
 def read_events(lines: Iterable[str], request: str) -> Iterator[dict[str, Any]]:
-    """Yield the events of a request; a line may have other text before its JSON."""
-    name = getattr(lines, 'name', '')
+    """Yield the events of a request; other text may precede the JSON object of a line."""
+    source_name = getattr(lines, 'name', '')
     for line in lines:
         start = line.find('{')
         if start < 0 or request not in line:
@@ -59,28 +59,30 @@
         except ValueError:
             continue
         if event.get('request') == request:
-            yield {**event, 'source_log': line[:start].strip() or name}
+            yield {**event, 'source_log': line[:start].strip() or source_name}
 
 
-def tell(events: list[dict[str, Any]]) -> Iterator[str]:
-    """Yield the lines of one request's story."""
-    began_at = _moment(events[0])
+def format_events(events: list[dict[str, Any]]) -> Iterator[str]:
+    """Yield one line per event and a last line with the outcome."""
+    began_at = _timestamp(events[0])
     for event in events:
-        details = ' '.join(f'{key}={found}' for key, found in event.items() if key not in _HIDDEN)
-        after = _moment(event) - began_at
-        yield f'{after:+8.3f} s  {event["source_log"]:<24} {event["event"]:<18} {details}'
-    yield from _conclude(events)
+        details = ' '.join(
+            f'{key}={value}' for key, value in event.items() if key not in _HIDDEN_FIELDS
+        )
+        elapsed_seconds = _timestamp(event) - began_at
+        yield f'{elapsed_seconds:+8.3f} s  {event["source_log"]:<24} {event["event"]:<18} {details}'
+    yield from _format_outcome(events)
 
 
-def _conclude(events: list[dict[str, Any]]) -> Iterator[str]:
-    final = next((one for one in reversed(events) if one['event'] in _FINAL_EVENTS), None)
+def _format_outcome(events: list[dict[str, Any]]) -> Iterator[str]:
+    final = next((event for event in reversed(events) if event['event'] in _FINAL_EVENTS), None)
     if final is None:
         yield 'no outcome: the client left, the node ended, or its log is not among these'
         return
     outcome = str(final.get('outcome') or final.get('reason'))
-    cause = next((text for word, text in _CAUSES.items() if word in outcome), None)
+    cause = next((text for reason, text in _CAUSE_BY_REASON.items() if reason in outcome), None)
     yield f'outcome: {outcome}: {cause}' if cause else f'outcome: {outcome}'
 
 
-def _moment(event: dict[str, Any]) -> float:
+def _timestamp(event: dict[str, Any]) -> float:
     return float(event.get('at', 0))
--- a/packages/turmericwharf-cli/src/turmericwharf_cli/main.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/main.py
@@ -16,16 +16,16 @@
     PublishFailure,
     new_identifier,
 )
-from turmericwharf_cli.client import Page
+from turmericwharf_cli.client import OperatorResponse
 from turmericwharf_cli.explain import explain
 from turmericwharf_cli.objects import organisation, route, service, work_class
 from turmericwharf_cli.session import EXIT_INVALID, EXIT_STATUS_HELP, Session, fail
 
 _KEY_BYTES = 32
 _OK = 200
-_IN_LOG = 202
+_NOT_CONFIRMED = 202
 _CHANGE_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
-_OWN_FIELDS = frozenset(('publish_id', 'base_version', 'operator'))
+_RESERVED_FIELDS = frozenset(('publish_id', 'base_version', 'operator'))
 
 
 @click.group('turmericwharf', epilog=EXIT_STATUS_HELP)
@@ -34,7 +34,7 @@
 @click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
 @click.pass_context
 def main(context: click.Context, node: str | None, token: str | None, as_json: bool) -> None:
-    """Publish configuration and look at the fleet."""
+    """Publish configuration and inspect the fleet."""
     context.obj = Session(node, token, as_json)
 
 
@@ -50,9 +50,9 @@
 @click.option(
     '--base-version',
     type=int,
-    help='Version that the change is based on; the one in force at the node if not given.',
+    help='Version that the change is based on; defaults to the one in force at the node.',
 )
-@click.option('--publish-id', help='Id of an earlier try whose outcome is unknown.')
+@click.option('--publish-id', help='Id of an earlier attempt whose outcome is unknown.')
 @click.pass_obj
 def publish(
     session: Session,
@@ -80,10 +80,10 @@
         session.show({'valid': True, 'references': 'not checked, since no --node is given'})
         return
     version = int(session.get('/version')['version'])
-    plain = {'publish_id': new_identifier(), 'base_version': version, **changes}
-    page = session.client.post('/check', plain)
-    valid = Page(_OK, {'valid': True, 'references': 'checked'})
-    session.finish(valid if page.status == _OK else page)
+    payload = {'publish_id': new_identifier(), 'base_version': version, **changes}
+    response = session.client.post('/check', payload)
+    valid = OperatorResponse(_OK, {'valid': True, 'references': 'checked'})
+    session.finish(valid if response.status == _OK else response)
 
 
 @main.command('issue-key')
@@ -94,19 +94,21 @@
     key_id = new_identifier()
     key = f'tw_{key_id}_{secrets.token_urlsafe(_KEY_BYTES)}'
     record = Key(digest_key(key), KeyId(key_id), OrganisationId(organisation_name))
-    page = session.publish({'keys': [msgspec.to_builtins(record)]})
-    if page.status in {_OK, _IN_LOG}:
-        page = Page(page.status, {'key': key, 'key_id': key_id, **page.content})
-    session.finish(page)
+    response = session.publish({'keys': [msgspec.to_builtins(record)]})
+    if response.status in {_OK, _NOT_CONFIRMED}:
+        response = OperatorResponse(
+            response.status, {'key': key, 'key_id': key_id, **response.content}
+        )
+    session.finish(response)
 
 
 @main.command('withdraw-key')
 @click.argument('key_id')
 @click.pass_obj
 def withdraw_key(session: Session, key_id: str) -> None:
-    """Withdraw the key with an id everywhere and for ever."""
-    plain = session.get(f'/configuration/key/{key_id}')
-    session.finish(session.publish({'keys': [{**plain, 'withdrawn': True}]}))
+    """Withdraw the key KEY_ID permanently on all nodes."""
+    key_fields = session.get(f'/configuration/key/{key_id}')
+    session.finish(session.publish({'keys': [{**key_fields, 'withdrawn': True}]}))
 
 
 @main.command()
@@ -127,21 +129,21 @@
 @main.command('dump')
 @click.pass_obj
 def dump(session: Session) -> None:
-    """Show what the node believes and since when."""
+    """Show the current state of the node and the age of its observations."""
     session.show(session.get('/state'))
 
 
 def _read_change(change_file: Path) -> dict[str, Any]:
     try:
-        plain = json.loads(change_file.read_bytes())
+        document = json.loads(change_file.read_bytes())
     except ValueError as error:
         fail(f'{change_file} is not JSON: {error}', EXIT_INVALID)
-    if not isinstance(plain, dict):
+    if not isinstance(document, dict):
         fail(f'{change_file} does not hold a JSON object', EXIT_INVALID)
-    own = sorted(_OWN_FIELDS & plain.keys())
-    if own:
-        fail(f'{change_file}: {", ".join(own)} may not stand in a change file', EXIT_INVALID)
-    change = decode_plain_change({'publish_id': '', 'base_version': -1, **plain}, '')
+    reserved = sorted(_RESERVED_FIELDS & document.keys())
+    if reserved:
+        fail(f'{change_file}: {", ".join(reserved)} not allowed in a change file', EXIT_INVALID)
+    change = decode_plain_change({'publish_id': '', 'base_version': -1, **document}, '')
     if isinstance(change, PublishFailure):
         fail(f'{change_file}: {change.detail}', EXIT_INVALID)
-    return plain
+    return document
--- a/packages/turmericwharf-cli/src/turmericwharf_cli/objects.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/objects.py
@@ -15,8 +15,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Kind:
-    """How one kind of object stands in a change."""
+class _KindFields:
+    """Fields that one kind of configuration object has in a change."""
 
     kind: ObjectKind
     changes_field: str
@@ -24,20 +24,20 @@
     required: tuple[str, ...]
 
 
-_ORGANISATION = _Kind(
+_ORGANISATION = _KindFields(
     ObjectKind.ORGANISATION,
     'organisations',
     'organisation',
     ('rate_per_second', 'burst'),
 )
-_WORK_CLASS = _Kind(
+_WORK_CLASS = _KindFields(
     ObjectKind.WORK_CLASS,
     'classes',
     'work_class',
     ('answer_within_milliseconds',),
 )
-_SERVICE = _Kind(ObjectKind.SERVICE, 'services', 'service', ())
-_ROUTE = _Kind(
+_SERVICE = _KindFields(ObjectKind.SERVICE, 'services', 'service', ())
+_ROUTE = _KindFields(
     ObjectKind.ROUTE,
     'routes',
     'route',
@@ -47,44 +47,46 @@
 
 @click.group('organisation')
 def organisation() -> None:
-    """Organisations with their rates."""
+    """Manage organisations and their rates."""
 
 
 @organisation.command('set')
 @_name_argument
-@click.option('--rate', 'rate_per_second', type=float, help='Requests a second.')
-@click.option('--burst', type=float, help='Requests at once above the rate.')
+@click.option('--rate', 'rate_per_second', type=float, help='Requests per second.')
+@click.option('--burst', type=float, help='Requests allowed at once above the rate.')
 @click.pass_obj
 def set_organisation(session: Session, /, name: str, **given: Any) -> None:
     """Create the organisation NAME or change its rate or burst."""
-    _set(session, _ORGANISATION, name, given)
+    _set_object(session, _ORGANISATION, name, given)
 
 
 @organisation.command('remove')
 @_name_argument
 @click.pass_obj
 def remove_organisation(session: Session, name: str) -> None:
-    """Remove the organisation NAME; all of its keys must be withdrawn before."""
-    _remove(session, _ORGANISATION, name)
+    """Remove the organisation NAME; all of its keys must be withdrawn first."""
+    _remove_object(session, _ORGANISATION, name)
 
 
 @click.group('class')
 def work_class() -> None:
-    """Classes of work with their targets."""
+    """Manage work classes and their targets."""
 
 
 @work_class.command('set')
 @_name_argument
-@click.option('--answer-within-ms', 'answer_within_milliseconds', type=int, help='Deadline.')
+@click.option(
+    '--answer-within-ms', 'answer_within_milliseconds', type=int, help='Deadline in milliseconds.'
+)
 @click.option(
     '--run',
     type=click.Choice([target.value for target in RunTarget]),
-    help='How many times a request may run; repeatable if not given for a new class.',
+    help='Whether a request may run more than once; a new class defaults to repeatable.',
 )
 @click.option(
     '--importance',
-    type=click.Choice([one.name.lower() for one in Importance]),
-    help='What goes first when work queues; normal if not given for a new class.',
+    type=click.Choice([level.name.lower() for level in Importance]),
+    help='Priority of queued work; a new class defaults to normal.',
 )
 @click.option(
     '--never-refused/--may-be-refused',
@@ -98,7 +100,7 @@
     importance = given['importance']
     if importance is not None:
         given['importance'] = Importance[importance.upper()].value
-    _set(session, _WORK_CLASS, name, given)
+    _set_object(session, _WORK_CLASS, name, given)
 
 
 @work_class.command('remove')
@@ -106,21 +108,23 @@
 @click.pass_obj
 def remove_class(session: Session, name: str) -> None:
     """Remove the class NAME; no route may use it."""
-    _remove(session, _WORK_CLASS, name)
+    _remove_object(session, _WORK_CLASS, name)
 
 
 @click.group('service')
 def service() -> None:
-    """Services and the capacity that ejecting backend servers must leave."""
+    """Manage services and the capacity that ejections of backend servers must leave."""
 
 
 @service.command('set')
 @_name_argument
-@click.option('--floor', 'floor_fraction', type=float, help='Share of capacity, from 0 to 1.')
+@click.option(
+    '--floor', 'floor_fraction', type=float, help='Minimum share of capacity, from 0 to 1.'
+)
 @click.pass_obj
 def set_service(session: Session, /, name: str, **given: Any) -> None:
     """Create the service NAME or change its floor."""
-    _set(session, _SERVICE, name, given)
+    _set_object(session, _SERVICE, name, given)
 
 
 @service.command('remove')
@@ -128,12 +132,12 @@
 @click.pass_obj
 def remove_service(session: Session, name: str) -> None:
     """Remove the service NAME; no route may use it."""
-    _remove(session, _SERVICE, name)
+    _remove_object(session, _SERVICE, name)
 
 
 @click.group('route')
 def route() -> None:
-    """Routes: which requests are work of which class for which service."""
+    """Manage routes, which assign requests to a work class and a service."""
 
 
 @route.command('set')
@@ -143,21 +147,21 @@
     'methods',
     multiple=True,
     type=click.Choice(_METHODS),
-    help='May be given several times.',
+    help='HTTP method; may be given several times.',
 )
-@click.option('--path-prefix', help='Path that starts with "/"; whole segments match.')
+@click.option('--path-prefix', help='Path prefix that starts with "/" and matches whole segments.')
 @click.option('--service', help='Service that runs the requests.')
-@click.option('--class', 'work_class', help='Class of the work.')
+@click.option('--class', 'work_class', help='Work class of the requests.')
 @click.option(
     '--audience',
-    type=click.Choice([one.value for one in Audience]),
-    help='Who may call: everybody with a key, or only services of the fleet.',
+    type=click.Choice([audience.value for audience in Audience]),
+    help='Allowed callers: anyone with a key, or only services of the fleet.',
 )
 @click.pass_obj
 def set_route(session: Session, /, name: str, **given: Any) -> None:
     """Create the route NAME or change it."""
     given['methods'] = list(given['methods']) or None
-    _set(session, _ROUTE, name, given)
+    _set_object(session, _ROUTE, name, given)
 
 
 @route.command('remove')
@@ -165,23 +169,27 @@
 @click.pass_obj
 def remove_route(session: Session, name: str) -> None:
     """Remove the route NAME."""
-    _remove(session, _ROUTE, name)
+    _remove_object(session, _ROUTE, name)
 
 
-def _set(session: Session, kind: _Kind, name: str, given: dict[str, Any]) -> None:
-    # The version is asked first, so that a change made after it gives a conflict.
+def _set_object(session: Session, kind: _KindFields, name: str, given: dict[str, Any]) -> None:
+    # The version is read before the object, so that a concurrent change of the object after that
+    # read causes a conflict.
     version = int(session.get('/version')['version'])
-    page = session.client.get(f'/configuration/{kind.kind.value}/{name}')
-    if page.status not in {_OK, _NOT_FOUND}:
-        session.finish(page)
-    known = page.content if page.status == _OK else {kind.name_field: name}
-    changed = {**known, **{field: found for field, found in given.items() if found is not None}}
+    response = session.client.get(f'/configuration/{kind.kind.value}/{name}')
+    if response.status not in {_OK, _NOT_FOUND}:
+        session.finish(response)
+    current = response.content if response.status == _OK else {kind.name_field: name}
+    changed = {
+        **current,
+        **{field: option for field, option in given.items() if option is not None},
+    }
     missing = [field for field in kind.required if field not in changed]
     if missing:
         fail(f'{kind.kind.value} {name!r} is new; also give: {", ".join(missing)}')
     session.finish(session.publish({kind.changes_field: [changed]}, version))
 
 
-def _remove(session: Session, kind: _Kind, name: str) -> None:
+def _remove_object(session: Session, kind: _KindFields, name: str) -> None:
     removal = {'kind': kind.kind.value, 'name': name}
     session.finish(session.publish({'removals': [removal]}))
--- a/packages/turmericwharf-cli/src/turmericwharf_cli/session.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/session.py
@@ -1,4 +1,4 @@
-"""What all commands share: options, the client, output and exit status."""
+"""Options, client, output and exit statuses that all commands share."""
 
 import dataclasses
 import json
@@ -10,11 +10,11 @@
 import click
 
 from turmericwharf.state import new_identifier
-from turmericwharf_cli.client import OperatorClient, Page
+from turmericwharf_cli.client import OperatorClient, OperatorResponse
 from turmericwharf_cli.text import to_text
 
 _OK = 200
-_EXIT_OTHER = 1
+_EXIT_FAILURE = 1
 _EXIT_USAGE = 2
 EXIT_INVALID = 4
 _EXIT_STATUS_BY_HTTP = MappingProxyType(
@@ -60,7 +60,13 @@
 
     @cached_property
     def client(self) -> OperatorClient:
-        """The client of the chosen node."""
+        """The client of the node.
+
+        Raises
+        ------
+        click.UsageError
+            If the node or the token is missing, or the node is not an HTTP URL.
+        """
         if not self.node or not self.token:
             option = 'token' if self.node else 'node'
             message = f'give --{option} or set TURMERICWHARF_{option.upper()}'
@@ -71,42 +77,44 @@
         return OperatorClient(self.node, self.token)
 
     def get(self, path: str) -> Any:
-        """Return the content of a page, or exit with what is wrong."""
-        page = self.client.get(path)
-        if page.status != _OK:
-            self.finish(page)
-        return page.content
-
-    def publish(self, changes: dict[str, Any], base_version: int | None = None) -> Page:
-        """Publish changes and return the node's answer."""
+        """Return the content of a page; on failure, print the error and exit."""
+        response = self.client.get(path)
+        if response.status != _OK:
+            self.finish(response)
+        return response.content
+
+    def publish(self, changes: dict[str, Any], base_version: int | None = None) -> OperatorResponse:
+        """Publish changes and return the response of the node."""
         if base_version is None:
             base_version = int(self.get('/version')['version'])
-        plain = {'publish_id': new_identifier(), 'base_version': base_version, **changes}
-        page = self.client.post('/publish', plain)
-        return Page(page.status, {'publish_id': plain['publish_id'], **page.content})
+        payload = {'publish_id': new_identifier(), 'base_version': base_version, **changes}
+        response = self.client.post('/publish', payload)
+        return OperatorResponse(
+            response.status, {'publish_id': payload['publish_id'], **response.content}
+        )
 
-    def finish(self, page: Page) -> NoReturn:
-        """Print an answer of the node and exit with the status that belongs to it."""
-        is_failure = page.status not in {_OK, 202}
+    def finish(self, response: OperatorResponse) -> NoReturn:
+        """Print a response of the node and exit with the corresponding status."""
+        is_failure = response.status not in {_OK, 202}
         if self.as_json:
-            click.echo(json.dumps(page.content, indent=2, sort_keys=True))
+            click.echo(json.dumps(response.content, indent=2, sort_keys=True))
         elif is_failure:
-            click.echo(f'Error: {self.node}: {page.content.get("detail")}', err=True)
-            publish_id = page.content.get('publish_id')
+            click.echo(f'Error: {self.node}: {response.content.get("detail")}', err=True)
+            publish_id = response.content.get('publish_id')
             if publish_id is not None:
                 click.echo(f'The publish id is {publish_id}.', err=True)
         else:
-            click.echo(to_text(page.content))
-        sys.exit(_EXIT_STATUS_BY_HTTP.get(page.status, _EXIT_OTHER))
+            click.echo(to_text(response.content))
+        sys.exit(_EXIT_STATUS_BY_HTTP.get(response.status, _EXIT_FAILURE))
 
     def show(self, content: Any) -> None:
-        """Print content."""
+        """Print content as JSON or text, depending on the options."""
         click.echo(
             json.dumps(content, indent=2, sort_keys=True) if self.as_json else to_text(content)
         )
 
 
 def fail(message: str, status: int = _EXIT_USAGE) -> NoReturn:
-    """Exit with a message."""
+    """Print an error message and exit."""
     click.echo(f'Error: {message}', err=True)
     sys.exit(status)
--- a/packages/turmericwharf-cli/src/turmericwharf_cli/text.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/text.py
@@ -1,4 +1,4 @@
-"""Plain text for people from the content of a page."""
+"""Formats the content of a response as plain text."""
 
 from collections.abc import Iterator
 from typing import Any
@@ -8,21 +8,21 @@
 
 def to_text(content: Any) -> str:
     """Return nested values as indented lines."""
-    return '\n'.join(_lines(content, ''))
+    return '\n'.join(_format_lines(content, ''))
 
 
-def _lines(content: Any, indent: str) -> Iterator[str]:
-    named = content.items() if isinstance(content, dict) else enumerate(content)
-    for name, found in named:
+def _format_lines(content: Any, indent: str) -> Iterator[str]:
+    entries = content.items() if isinstance(content, dict) else enumerate(content)
+    for name, value in entries:
         label = f'{name}:' if isinstance(content, dict) else '-'
-        if isinstance(found, dict | list) and found:
+        if isinstance(value, dict | list) and value:
             yield f'{indent}{label}'
-            yield from _lines(found, f'{indent}{_INDENT}')
+            yield from _format_lines(value, f'{indent}{_INDENT}')
         else:
-            yield f'{indent}{label} {_scalar(found)}'
+            yield f'{indent}{label} {_format_scalar(value)}'
 
 
-def _scalar(found: Any) -> str:
-    if found is None:
+def _format_scalar(value: Any) -> str:
+    if value is None:
         return '-'
-    return 'none' if found in ([], {}) else str(found)
+    return 'none' if value in ([], {}) else str(value)
--- a/packages/turmericwharf-node/src/turmericwharf_node/__main__.py
+++ b/packages/turmericwharf-node/src/turmericwharf_node/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the node by `python -m turmericwharf_node`."""
+"""Entry point of `python -m turmericwharf_node`."""
 
 from turmericwharf_node.main import main
 
--- a/tests/node/test_main.py
+++ b/tests/node/test_main.py
@@ -1,12 +1,12 @@
-"""The node binary: logging and settings."""
+"""Tests of the logging of the node binary."""
 
 from loguru import logger
 
 from turmericwharf_node.main import configure_logging
 
 
-def test_tracebacks_show_no_values(capsys):
-    """Guards against keys in logs: a traceback with values shows the headers of a request."""
+def test_tracebacks_contain_no_values(capsys):
+    """Guards against keys in logs: a traceback that prints values would show request headers."""
     configure_logging('INFO')
     key = 'tw_the-key-of-a-caller'
     try:
