--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 .PHONY: setup lint test fault-matrix demo bench soak format clean
 
-# The packages run from the tree (PYTHONPATH), so that a second work tree can share $(VENV).
+# PYTHONPATH points to the sources of this work tree, so that several work trees can share $(VENV).
 setup: $(VENV)/.installed
 
 $(VENV)/.installed: requirements.txt
@@ -25,7 +25,7 @@
 	$(BIN)/mypy
 	$(BIN)/lint-imports --no-cache
 
-# Fleet tests wait more than they compute, so several of them run at a time.
+# Fleet tests spend most of their time waiting, so several of them run in parallel.
 test: lint
 	$(BIN)/python -m tests.fault_matrix --check
 	$(BIN)/pytest --numprocesses 5 --dist worksteal
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Puts the run-time libraries and the project's packages under target/deps.
+# Installs the runtime dependencies and the project's packages into target/deps.
 set -eu
 if [ ! target/deps/.installed -nt deploy/requirements.txt ]; then
     rm -rf target/deps
