--- a/packages/turmericwharf-cli/src/turmericwharf_cli/main.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/main.py
@@ -139,7 +139,7 @@
     except ValueError as error:
         fail(f'{change_file} is not JSON: {error}', EXIT_INVALID)
     if not isinstance(document, dict):
-        fail(f'{change_file} does not hold a JSON object', EXIT_INVALID)
+        fail(f'{change_file} does not contain a JSON object', EXIT_INVALID)
     reserved = sorted(_RESERVED_FIELDS & document.keys())
     if reserved:
         fail(f'{change_file}: {", ".join(reserved)} not allowed in a change file', EXIT_INVALID)
--- a/packages/turmericwharf-cli/src/turmericwharf_cli/objects.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/objects.py
@@ -186,7 +186,7 @@
     }
     missing = [field for field in kind.required if field not in changed]
     if missing:
-        fail(f'{kind.kind.value} {name!r} is new; also give: {", ".join(missing)}')
+        fail(f'{kind.kind.value} {name!r} does not exist; to create it, give: {", ".join(missing)}')
     session.finish(session.publish({kind.changes_field: [changed]}, version))
 
 
