--- a/packages/turmericwharf-cli/src/turmericwharf_cli/objects.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/objects.py
@@ -5,7 +5,7 @@
 
 import click
 
-from turmericwharf.state import Audience, Importance, ObjectKind, RunTarget
+from turmericwharf.state import Audience, ExecutionSemantics, Importance, ObjectKind
 from turmericwharf_cli.session import Session, fail
 
 _METHODS = ('DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT')
@@ -80,7 +80,7 @@
 )
 @click.option(
     '--run',
-    type=click.Choice([target.value for target in RunTarget]),
+    type=click.Choice([semantics.value for semantics in ExecutionSemantics]),
     help='Whether a request may run more than once; a new class defaults to repeatable.',
 )
 @click.option(
