--- a/packages/turmericwharf/src/turmericwharf/platform/pages.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/handlers.py
@@ -21,7 +21,7 @@
 _DEREGISTER = re.compile(r'/Instances\.Deregister/([^/?]+)')
 
 
-class PlatformPages:
+class PlatformHandlers:
     """Handles the requests of clients, readiness checks, backend servers and operators."""
 
     def __init__(self, node: SidecarNode, dialect: PlatformDialect) -> None:
--- a/packages/turmericwharf/src/turmericwharf/platform/main.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/main.py
@@ -11,8 +11,8 @@
 from turmericwharf.coordination.sidecar import SidecarNode, SidecarPorts, build_sidecar_node
 from turmericwharf.platform.configuration import decode_configuration
 from turmericwharf.platform.dialect import PlatformDialect
+from turmericwharf.platform.handlers import PlatformHandlers
 from turmericwharf.platform.names import SETTINGS_VARIABLE
-from turmericwharf.platform.pages import PlatformPages
 from turmericwharf.platform.settings import decode_platform_settings
 from turmericwharf.platform.store import PlatformStore
 from turmericwharf.protocol import decode_node_entry
@@ -50,7 +50,7 @@
     node = build_platform_node(settings, links, dialect)
     links.attach_node(node)
     loop.add_signal_handler(signal.SIGHUP, _reload_settings, node)
-    await SidecarProcess(node, PlatformPages(node, dialect), links).run(stopping)
+    await SidecarProcess(node, PlatformHandlers(node, dialect), links).run(stopping)
 
 
 def _reload_settings(node: SidecarNode) -> None:
