--- a/tests/transport/peers.py
+++ b/tests/transport/peers.py
@@ -1,4 +1,4 @@
-"""Nodes for tests of peer connections: real sockets, no log and no backend server."""
+"""Nodes for tests of peer connections: real sockets, without a log or a backend server."""
 
 import contextlib
 import dataclasses
@@ -38,26 +38,30 @@
     return Member(name, IncarnationId(incarnation), host, port or free_port(host), 'dc')
 
 
-def make_settings(own: Member, secret: str = FLEET_SECRET) -> NodeSettings:
+def make_settings(local_member: Member, secret: str = FLEET_SECRET) -> NodeSettings:
     settings = NodeSettings(
-        own.instance, 'dc', secret, ListenSettings(own.host, 1, own.port, 1, 1), LogSettings('-')
+        local_member.instance,
+        'dc',
+        secret,
+        ListenSettings(local_member.host, 1, local_member.port, 1, 1),
+        LogSettings('-'),
     )
     limits = dataclasses.replace(settings.limits, frame_bytes=FRAME_BYTES)
     return dataclasses.replace(settings, limits=limits)
 
 
 @contextlib.asynccontextmanager
-async def serving(own: Member):
+async def running_peer_server(local_member: Member):
     """Run a peer server and yield its node."""
     node = build_node(
-        settings=make_settings(own),
-        own=own,
+        settings=make_settings(local_member),
+        own=local_member,
         ports=Ports(
             clock=BootClock(),
             wall_clock=UtcClock(),
             log=UnavailableLog(),
             codec=SnapshotEncoding(),
-            links=PeerLinkTable(own, make_settings(own)),
+            links=PeerLinkTable(local_member, make_settings(local_member)),
             server=None,
         ),
     )
@@ -70,12 +74,12 @@
 
 
 @contextlib.asynccontextmanager
-async def linked(own: Member, *peers: Member, secret: str = FLEET_SECRET):
-    """Yield the links of a node that knows some peers."""
-    members = MembershipView(own, TimingSettings(), BootClock())
+async def running_links(local_member: Member, *peers: Member, secret: str = FLEET_SECRET):
+    """Yield the link table of a node whose membership view contains `peers`."""
+    members = MembershipView(local_member, TimingSettings(), BootClock())
     for peer in peers:
         members.introduce(peer)
-    table = PeerLinkTable(own, make_settings(own, secret))
+    table = PeerLinkTable(local_member, make_settings(local_member, secret))
     table.attach_members(members)
     try:
         yield table
@@ -85,18 +89,18 @@
 
 @contextlib.asynccontextmanager
 async def raw_connection(peer: Member, source: str):
-    """Yield a websocket that has not authenticated."""
+    """Yield an unauthenticated WebSocket connection from the address `source`."""
     url = f'ws://{peer.host}:{peer.port}'
     options = {'ping_interval': None, 'compression': None, 'proxy': None, 'max_size': None}
     async with connect(url, local_addr=(source, 0), **options) as socket:
         yield socket
 
 
-async def authenticate(socket, own: Member, secret: str = FLEET_SECRET):
-    """Send a proof; return it and what the server answered."""
+async def authenticate(socket, local_member: Member, secret: str = FLEET_SECRET):
+    """Send a proof; return it and the answer of the server."""
     channel = FrameChannel(socket, FRAME_BYTES)
     challenge = (await channel.receive()).message
     assert isinstance(challenge, Challenge)
-    proof = make_proof(secret, challenge, member=own, nonce=make_nonce())
+    proof = make_proof(secret, challenge, member=local_member, nonce=make_nonce())
     await channel.send(proof, timeout_seconds=1)
     return proof, await channel.receive()
--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -1,4 +1,4 @@
-"""Answers of the backend server as raw bytes: only whole ones count, and no request goes twice."""
+"""Tests of the backend client with raw bytes: truncated answers and lost connections."""
 
 import asyncio
 import contextlib
@@ -9,12 +9,12 @@
 from turmericwharf.state import Answered, LimitSettings, NotRun, OutcomeUnknown, Reason
 from turmericwharf.transport import HttpBackendServer
 
-BOUND_BYTES = 1000
+MAX_BODY_BYTES = 1000
 OK = b'HTTP/1.1 200 OK\r\n'
 
 
 class RawServer:
-    """Gives scripted bytes to each request on a connection and then closes it."""
+    """Server that answers the requests on a connection with scripted bytes, then closes it."""
 
     def __init__(self, *answers: bytes) -> None:
         self.answers = answers
@@ -30,9 +30,9 @@
 
 
 @contextlib.asynccontextmanager
-async def _client(server: RawServer):
+async def _connected_client(server: RawServer):
     listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
-    client = HttpBackendServer(LimitSettings(answer_body_bytes=BOUND_BYTES))
+    client = HttpBackendServer(LimitSettings(answer_body_bytes=MAX_BODY_BYTES))
     client.update_port(listener.sockets[0].getsockname()[1])
     try:
         yield client
@@ -43,7 +43,7 @@
 
 async def _run(answer: bytes, **changes):
     server = RawServer(answer)
-    async with _client(server) as client:
+    async with _connected_client(server) as client:
         outcome = await client.run(order('one', **changes), remaining_seconds=2)
     assert len(server.requests) == 1
     return outcome
@@ -64,8 +64,8 @@
         ),
     ],
 )
-async def test_answer_that_is_not_whole_is_no_answer(answer, reason):
-    """Guards against a truncated body that looks complete, and against an unbounded one."""
+async def test_incomplete_or_oversized_answer_is_an_unknown_outcome(answer, reason):
+    """Guards against a truncated body that is returned as complete, and an unbounded body."""
     outcome = await _run(answer)
     assert isinstance(outcome, OutcomeUnknown)
     assert outcome.reason is reason
@@ -86,30 +86,30 @@
     ],
 )
 async def test_answers_without_a_body_and_repeated_headers(answer, method, status, headers):
-    """Guards against an answer that waits for a body, or loses headers on its way."""
-    plain = order('one')
+    """Guards against waiting for the body of a bodiless answer, and loss of repeated headers."""
+    original = order('one')
     server = RawServer(answer)
-    async with _client(server) as client:
-        changed = type(plain)(**{**_fields(plain), 'method': method})
-        outcome = await client.run(changed, remaining_seconds=2)
+    async with _connected_client(server) as client:
+        with_method = type(original)(**{**_fields(original), 'method': method})
+        outcome = await client.run(with_method, remaining_seconds=2)
     assert isinstance(outcome, Answered)
     assert (outcome.status, list(outcome.headers)) == (status, headers)
 
 
-def _fields(one) -> dict:
-    return {name: getattr(one, name) for name in one.__slots__}
+def _fields(record) -> dict:
+    return {name: getattr(record, name) for name in record.__slots__}
 
 
 @pytest.mark.parametrize('idempotent', [True, False])
-async def test_no_request_is_sent_twice_when_a_connection_dies(idempotent):
-    """Guards against curl, which sends a request again when a kept connection dies."""
+async def test_no_request_is_sent_twice_when_a_connection_is_lost(idempotent):
+    """Guards against curl, which repeats a request when a reused connection is lost."""
     server = RawServer(OK + b'Content-Length: 0\r\n\r\n', b'')
-    async with _client(server) as client:
+    async with _connected_client(server) as client:
         outcomes = [
-            await client.run(order(f'{one}', idempotent=idempotent), remaining_seconds=2)
-            for one in range(2)
+            await client.run(order(f'{number}', idempotent=idempotent), remaining_seconds=2)
+            for number in range(2)
         ]
-        assert [type(one) for one in outcomes] == [Answered, Answered]
+        assert [type(outcome) for outcome in outcomes] == [Answered, Answered]
         server.answers = (b'',)
         assert isinstance(
             await client.run(order('last', idempotent=idempotent), remaining_seconds=2),
@@ -118,15 +118,18 @@
     assert len(server.requests) == 3
 
 
-async def test_request_that_curl_cannot_take_did_not_run():
-    """Guards against an exception that ends the connection to the peer."""
+async def test_request_that_curl_rejects_did_not_run():
+    """Guards against an exception that closes the connection to the peer.
+
+    Curl raises it for a request with an invalid header.
+    """
     server = RawServer()
-    async with _client(server) as client:
-        bad = order('one', **{})
-        bad = type(bad)(**{**_fields(bad), 'headers': (('X-Bad', 'a\r\nb'),)})
-        outcome = await client.run(bad, remaining_seconds=2)
+    async with _connected_client(server) as client:
+        malformed = order('one', **{})
+        malformed = type(malformed)(**{**_fields(malformed), 'headers': (('X-Bad', 'a\r\nb'),)})
+        outcome = await client.run(malformed, remaining_seconds=2)
         assert isinstance(outcome, NotRun)
         client.update_port(1)
-        refused = await client.run(order('two'), remaining_seconds=2)
-        assert refused.reason is Reason.SERVER_UNREACHABLE
+        not_run = await client.run(order('two'), remaining_seconds=2)
+        assert not_run.reason is Reason.SERVER_UNREACHABLE
     assert not server.requests
--- a/tests/transport/test_peer_answers.py
+++ b/tests/transport/test_peer_answers.py
@@ -1,11 +1,11 @@
-"""Answers of peers: each reaches the request that it belongs to, and no other."""
+"""Tests that each answer of a peer is matched to its request."""
 
 import asyncio
 
 from websockets.asyncio.server import serve
 
 from tests.fleet_processes import FLEET_SECRET
-from tests.transport.peers import FRAME_BYTES, linked, make_member, serving
+from tests.transport.peers import FRAME_BYTES, running_links, make_member, running_peer_server
 from turmericwharf.protocol import make_nonce, make_welcome
 from turmericwharf.state import (
     PEER_LINK_LOST,
@@ -16,7 +16,7 @@
 )
 from turmericwharf.transport import FrameChannel, peer_server
 
-OWN = make_member(6)
+LOCAL_NODE = make_member(6)
 PEER = make_member(7)
 REQUESTS = 20
 
@@ -32,45 +32,51 @@
 
 
 async def test_answers_out_of_order_twice_and_late():
-    """Guards against a caller that receives the answer to another request."""
+    """Guards against a request that receives the answer to another request.
 
-    async def serve_badly(socket):
+    The peer answers in reverse order, twice, after the timeout, and with an unknown correlation id.
+    """
+
+    async def serve_out_of_order(socket):
         channel = await _accept(socket)
         frames = [await channel.receive() for _ in range(REQUESTS)]
-        # The first request is answered only after its time has passed.
+        # The first request is answered only after its timeout.
         for frame in reversed(frames):
             await asyncio.sleep(0.3 if frame is frames[0] else 0)
             answer = Answered(200, (), frame.message.claim.encode())
             for _copy in range(2):
                 await channel.send(answer, frame.correlation, timeout_seconds=1)
         frame = await channel.receive()
-        unasked = Answered(200, (), b'unasked')
-        await channel.send(unasked, frame.correlation + 7, timeout_seconds=1)
+        unsolicited = Answered(200, (), b'unasked')
+        await channel.send(unsolicited, frame.correlation + 7, timeout_seconds=1)
         await socket.close()
 
-    async with serve(serve_badly, PEER.host, PEER.port), linked(OWN, PEER) as links:
+    async with (
+        serve(serve_out_of_order, PEER.host, PEER.port),
+        running_links(LOCAL_NODE, PEER) as links,
+    ):
 
-        async def ask(name: str, seconds: float):
+        async def send_request(name: str, seconds: float):
             request = KeptAnswerRequest(name)
             return await links.request(PEER.instance, request, timeout_seconds=seconds)
 
-        late = asyncio.create_task(ask('late', 0.2))
+        late_request = asyncio.create_task(send_request('late', 0.2))
         await asyncio.sleep(0)
         names = [f'claim-{number}' for number in range(REQUESTS - 1)]
-        answers = await asyncio.gather(*(ask(name, 5) for name in names))
-        assert [one.body.decode() for one in answers] == names
-        assert await late is PEER_TIMEOUT
-        assert await ask('last', 5) is PEER_LINK_LOST
+        answers = await asyncio.gather(*(send_request(name, 5) for name in names))
+        assert [answer.body.decode() for answer in answers] == names
+        assert await late_request is PEER_TIMEOUT
+        assert await send_request('last', 5) is PEER_LINK_LOST
 
 
-async def test_peer_hears_at_once_that_its_message_failed(monkeypatch):
-    """Guards against a message that ends without an answer while its sender waits."""
+async def test_failed_message_closes_the_connection_at_once(monkeypatch):
+    """Guards against a sender that waits for its timeout after its message failed at the peer."""
 
     async def fail(message, node):
-        raise RuntimeError('a fault in the handling of a message')
+        raise RuntimeError('injected failure of message handling')
 
     monkeypatch.setattr(peer_server, 'handle_message', fail)
-    async with serving(PEER), linked(OWN, PEER) as links:
+    async with running_peer_server(PEER), running_links(LOCAL_NODE, PEER) as links:
         for _ in range(2):
             request = KeptAnswerRequest('claim')
             answer = await links.request(PEER.instance, request, timeout_seconds=5)
--- a/tests/transport/test_peer_link.py
+++ b/tests/transport/test_peer_link.py
@@ -1,4 +1,4 @@
-"""Links to peers: what a failure says about the bytes sent, and who waits for whom."""
+"""Tests of peer links: failures, frame interleaving, timeouts and idle connections."""
 
 import asyncio
 import random
@@ -10,7 +10,7 @@
 
 from tests.fleet_processes import FLEET_SECRET, free_port
 from tests.stand_ins.relay import Network, Relay
-from tests.transport.peers import FRAME_BYTES, linked, make_member, serving
+from tests.transport.peers import FRAME_BYTES, running_links, make_member, running_peer_server
 from turmericwharf.protocol import make_nonce, make_welcome
 from turmericwharf.state import (
     PEER_LINK_LOST,
@@ -25,17 +25,17 @@
 )
 from turmericwharf.transport import BootClock, FrameChannel, peer_link
 
-OWN = make_member(4)
+LOCAL_NODE = make_member(4)
 PEER = make_member(5)
 BODY = 'x' * 40_000
 
 
 class SlowPeer:
-    """Peer that reads nothing until it is told to, and may break the connection."""
+    """Peer that reads nothing until its event is set, and may then abort the connection."""
 
     def __init__(self, abort_after: int | None = None) -> None:
         self.received: set[str] = set()
-        self.reading = asyncio.Event()
+        self.may_read = asyncio.Event()
         self.abort_after = abort_after
 
     async def handle(self, socket) -> None:
@@ -46,7 +46,7 @@
         await channel.send(
             make_welcome(FLEET_SECRET, challenge, proof, own=PEER), timeout_seconds=1
         )
-        await self.reading.wait()
+        await self.may_read.wait()
         while True:
             frame = await channel.receive()
             self.received.add(frame.message.claim.partition('/')[0])
@@ -57,20 +57,20 @@
 
 @pytest.mark.parametrize('abort_after', [None, 1, 7, 40])
 async def test_link_failure_means_that_no_byte_was_written(abort_after):
-    """Guards against a request that is sent again although a first copy arrived.
+    """Guards against a request that is repeated although its first copy arrived.
 
-    Sends are given up on a full write buffer, are cancelled, and lose their connection.
+    Sends time out on a full write buffer, are cancelled, or lose their connection.
     """
     peer = SlowPeer(abort_after)
-    chance = random.Random(abort_after or 0)
+    random_source = random.Random(abort_after or 0)
     server = await serve(
         peer.handle, PEER.host, PEER.port, ping_interval=None, compression=None, max_queue=1
     )
-    async with server, linked(OWN, PEER) as links:
+    async with server, running_links(LOCAL_NODE, PEER) as links:
 
         async def send(number: int):
             message = KeptAnswerRequest(f'{number}/{BODY}')
-            seconds = chance.uniform(0.2, 0.9)
+            seconds = random_source.uniform(0.2, 0.9)
             return await links.request(PEER.instance, message, timeout_seconds=seconds)
 
         tasks = [asyncio.create_task(send(number)) for number in range(300)]
@@ -78,27 +78,29 @@
         for task in tasks[::7]:
             task.cancel()
         await asyncio.sleep(0.5)
-        peer.reading.set()
+        peer.may_read.set()
         outcomes = await asyncio.gather(*tasks, return_exceptions=True)
         await asyncio.sleep(0.3)
-    not_sent = {str(at) for at, one in enumerate(outcomes) if isinstance(one, LinkFailure)}
-    uncertain = [one for one in outcomes if isinstance(one, LinkUncertain)]
+    not_sent = {
+        str(number) for number, outcome in enumerate(outcomes) if isinstance(outcome, LinkFailure)
+    }
+    uncertain = [outcome for outcome in outcomes if isinstance(outcome, LinkUncertain)]
     assert not_sent and uncertain and peer.received
     assert not not_sent & peer.received
 
 
 class RecordingSocket:
-    """Socket that records what is sent and lets other tasks run at each send."""
+    """WebSocket that records sent messages and yields to other tasks on each send."""
 
     state = State.OPEN
 
     def __init__(self) -> None:
         self.sent: list[bytes] = []
-        self.closed_after = 10**6
+        self.close_after = 10**6
 
     async def send(self, message: bytes) -> None:
         self.sent.append(message)
-        if len(self.sent) >= self.closed_after:
+        if len(self.sent) >= self.close_after:
             self.state = State.CLOSED
         await asyncio.sleep(0)
 
@@ -106,8 +108,8 @@
         return self.sent.pop(0)
 
 
-async def test_large_frame_lets_small_ones_through():
-    """Guards against a large body that delays gossip and cancellations."""
+async def test_large_frame_is_interleaved_with_small_ones():
+    """Guards against a large frame that delays small ones, such as gossip and cancellations."""
     socket = RecordingSocket()
     channel = FrameChannel(socket, FRAME_BYTES)
     large = KeptAnswerRequest('y' * 900_000)
@@ -123,13 +125,13 @@
 
 
 async def test_unfinished_and_oversized_frames_are_bounded():
-    """Guards against pieces that fill the memory, and against half of a frame taken for one."""
+    """Guards against frame parts that fill the memory, and half a frame decoded as a whole."""
     socket = RecordingSocket()
     channel = FrameChannel(socket, FRAME_BYTES)
     too_large = KeptAnswerRequest('y' * FRAME_BYTES)
     assert isinstance(await channel.send(too_large, timeout_seconds=1), LinkFailure)
     assert not socket.sent
-    socket.closed_after = 3
+    socket.close_after = 3
     half_sent = KeptAnswerRequest('y' * 900_000)
     assert await channel.send(half_sent, timeout_seconds=1) == PEER_LINK_LOST
     for number in range(40):
@@ -141,17 +143,17 @@
     assert (await channel.receive()).message == GossipRequest()
 
 
-async def test_one_way_cut_is_found_by_silence():
-    """Guards against requests that wait for their whole deadline on a link without answers."""
+async def test_one_way_partition_is_detected_by_ping_timeout():
+    """Guards against requests that wait until their deadline in a one-way network partition."""
     network = Network()
     relay_port = free_port(PEER.host)
     relay = Relay(network, PEER.host, PEER.host, relay_port, PEER.port)
-    behind = make_member(5, port=relay_port)
+    relayed_peer = make_member(5, port=relay_port)
     await relay.start()
-    async with serving(PEER), linked(OWN, behind) as links:
+    async with running_peer_server(PEER), running_links(LOCAL_NODE, relayed_peer) as links:
         first = await links.request(PEER.instance, GossipRequest(), timeout_seconds=2)
         assert isinstance(first, Gossip)
-        network.cut(PEER.host, OWN.host)
+        network.cut(PEER.host, LOCAL_NODE.host)
         started_at = time.monotonic()
         answer = await links.request(PEER.instance, GossipRequest(), timeout_seconds=20)
         assert answer == PEER_LINK_LOST
@@ -165,12 +167,12 @@
     await relay.stop()
 
 
-async def test_silent_peer_does_not_hold_up_others():
-    """Guards against one slow reader that stalls the messages for all peers."""
+async def test_unresponsive_peer_does_not_delay_others():
+    """Guards against a slow reader that blocks the messages to all peers."""
     peer = SlowPeer()
     other = make_member(6)
     server = await serve(peer.handle, PEER.host, PEER.port, ping_interval=None, compression=None)
-    async with server, serving(other), linked(OWN, PEER, other) as links:
+    async with server, running_peer_server(other), running_links(LOCAL_NODE, PEER, other) as links:
         stalled = [
             asyncio.create_task(
                 links.request(PEER.instance, KeptAnswerRequest(BODY), timeout_seconds=1)
@@ -182,14 +184,14 @@
         assert isinstance(answer, Gossip)
         outcomes = await asyncio.gather(*stalled)
         assert PEER_TIMEOUT in outcomes
-        peer.reading.set()
+        peer.may_read.set()
 
 
-async def test_idle_link_ends_and_is_made_again(monkeypatch):
-    """Guards against connections to all 500 nodes that stay open without use."""
+async def test_idle_link_ends_and_is_recreated(monkeypatch):
+    """Guards against unused connections to all 500 nodes that stay open."""
     monkeypatch.setattr(peer_link, '_IDLE_TIMEOUT_SECONDS', 0.2)
     monkeypatch.setattr(peer_link, '_RESPONSE_TIMEOUT_SECONDS', 0.1)
-    async with serving(PEER), linked(OWN, PEER) as links:
+    async with running_peer_server(PEER), running_links(LOCAL_NODE, PEER) as links:
         for _time in range(2):
             answer = await links.request(PEER.instance, GossipRequest(), timeout_seconds=2)
             assert isinstance(answer, Gossip)
@@ -199,9 +201,9 @@
                     await asyncio.sleep(0.05)
 
 
-async def test_refused_connection_takes_a_peer_out_of_the_routing():
-    """Guards against work for a killed node until its last sign of life is old."""
-    async with linked(OWN, PEER) as links:
+async def test_refused_connection_removes_a_peer_from_routing():
+    """Guards against requests to a killed node until its last contact is stale."""
+    async with running_links(LOCAL_NODE, PEER) as links:
         members = links._members
         members.record_contact(PEER.instance, BootClock().now())
         assert members.is_alive(PEER.instance)
