--- a/tests/transport/test_http_exchange.py
+++ b/tests/transport/test_http_exchange.py
@@ -40,7 +40,7 @@
 
 
 async def test_oversized_body_is_rejected_with_the_reason():
-    """Guards against an oversized body that is kept in memory, or ends without an answer."""
+    """Guards against an oversized request that is kept in memory or receives no answer."""
 
     async def answer(exchange):
         raise AssertionError('must not be served')
