--- a/packages/turmericwharf/src/turmericwharf/transport/connection.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/connection.py
@@ -16,7 +16,7 @@
     PEER_UNREACHABLE,
     FramePart,
     LinkFailure,
-    LinkUncertain,
+    DeliveryUnknown,
     Message,
     ProtocolFailure,
     Reason,
@@ -74,12 +74,12 @@
         correlation: int = 0,
         *,
         timeout_seconds: float,
-    ) -> LinkFailure | LinkUncertain | None:
+    ) -> LinkFailure | DeliveryUnknown | None:
         """Send one message.
 
         Returns
         -------
-        LinkFailure or LinkUncertain or None
+        LinkFailure or DeliveryUnknown or None
             `LinkFailure` is returned only if `send` of the WebSocket was not called for the
             message. Once called, `send` may have started the frame even if it is cancelled or
             raises, since it waits for space in the write buffer after writing.
@@ -129,7 +129,7 @@
         self,
         wire_frames: list[bytes],
         started: list[bytes],
-    ) -> LinkFailure | LinkUncertain | None:
+    ) -> LinkFailure | DeliveryUnknown | None:
         for wire_frame in wire_frames:
             # The lock is fair, so that a waiting small frame is sent before the next part.
             async with self._send_lock:
--- a/packages/turmericwharf/src/turmericwharf/transport/peer_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/peer_server.py
@@ -15,9 +15,9 @@
     make_welcome,
 )
 from turmericwharf.state import (
-    PEER_INSTANCE_FOREIGN,
-    PEER_OUTDATED,
-    PEER_SECRET_WRONG,
+    PEER_INSTANCE_MISMATCH,
+    PEER_SUPERSEDED,
+    PEER_SECRET_INVALID,
     Challenge,
     Member,
     PeerIntroduction,
@@ -82,7 +82,7 @@
         # The number of unauthenticated connections is limited, so that they cannot exhaust the
         # node's memory.
         if self._handshakes_in_progress >= _MAX_CONCURRENT_HANDSHAKES:
-            return ProtocolFailure(PEER_SECRET_WRONG.reason, 'too many concurrent handshakes')
+            return ProtocolFailure(PEER_SECRET_INVALID.reason, 'too many concurrent handshakes')
         self._handshakes_in_progress += 1
         try:
             async with asyncio.timeout(_HANDSHAKE_TIMEOUT_SECONDS):
@@ -103,23 +103,23 @@
             return frame
         proof = frame.message
         if not isinstance(proof, Proof):
-            return PEER_SECRET_WRONG
+            return PEER_SECRET_INVALID
         secret = self._node.settings.fleet_secret
         failure = check_proof(secret, challenge, proof, remote_host=remote_host)
         failure = failure or self._check_member(proof.member)
         if failure is not None:
             return failure
-        welcome = make_welcome(secret, challenge, proof, own=local_member)
+        welcome = make_welcome(secret, challenge, proof, local_member=local_member)
         await channel.send(welcome, timeout_seconds=_HANDSHAKE_TIMEOUT_SECONDS)
         return proof.member
 
     def _check_member(self, peer: Member) -> ProtocolFailure | None:
         members = self._node.members
         if members.is_outdated(peer.instance, peer.incarnation):
-            return PEER_OUTDATED
+            return PEER_SUPERSEDED
         known = members.find_member(peer.instance)
         if known is not None and known.incarnation == peer.incarnation and known != peer:
-            return PEER_INSTANCE_FOREIGN
+            return PEER_INSTANCE_MISMATCH
         return None
 
     async def _serve_frames(
@@ -158,7 +158,7 @@
             return None
         # Late messages of a replaced incarnation are rejected.
         if self._node.members.is_outdated(peer.instance, peer.incarnation):
-            return PEER_OUTDATED
+            return PEER_SUPERSEDED
         if isinstance(frame, ProtocolFailure):
             return frame
         return _check_message(frame, peer)
@@ -199,5 +199,5 @@
     message = frame.message
     # A node may introduce only itself, since the handshake proved its own name and address only.
     if isinstance(message, PeerIntroduction) and message.member != peer:
-        return PEER_INSTANCE_FOREIGN
+        return PEER_INSTANCE_MISMATCH
     return frame
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
@@ -13,11 +13,11 @@
 from loguru import logger
 
 from turmericwharf.protocol import (
-    HttpAnswer,
+    HttpResponse,
     HttpRequest,
     RequestReader,
-    encode_answer,
-    is_connection_over,
+    encode_response,
+    must_close_connection,
     to_http,
 )
 from turmericwharf.state import REQUEST_TIMEOUT, NotRun, OutcomeUnknown, ProtocolFailure, Reason
@@ -30,7 +30,7 @@
 # Idle connections stay open for this much longer than clients may reuse them.
 _IDLE_MARGIN_SECONDS = 1.0
 
-HttpRequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpAnswer]]
+HttpRequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
 class HttpListener:
@@ -119,7 +119,7 @@
         self._reader = reader
         self._writer = writer
         self._request_reader = RequestReader()
-        self._tasks: collections.deque[asyncio.Task[HttpAnswer]] = collections.deque()
+        self._tasks: collections.deque[asyncio.Task[HttpResponse]] = collections.deque()
         self._answer_written = asyncio.Event()
         self._last_write: asyncio.Task[None] | None = None
         self._is_aborting = False
@@ -149,7 +149,7 @@
         return self._last_write or asyncio.create_task(asyncio.sleep(0))
 
     async def _read_request(self) -> bool:
-        self._request_reader.use_limits(self._listener.limits())
+        self._request_reader.update_limits(self._listener.limits())
         request = self._request_reader.next_request()
         while request is None:
             encoded = await self._read_with_timeout()
@@ -171,7 +171,7 @@
     async def _read_with_timeout(self) -> bytes | None:
         """Return received bytes, empty at end of stream, or None after a timeout."""
         limits = self._listener.limits()
-        if self._request_reader.is_inside:
+        if self._request_reader.has_partial_request:
             read_timeout_seconds: float | None = limits.header_seconds
         else:
             # A client that is waiting for an answer is not idle.
@@ -194,7 +194,7 @@
             self._writer.write(head or b'')
 
     async def _handle_timeout(self) -> bool:
-        if self._request_reader.is_inside:
+        if self._request_reader.has_partial_request:
             await self._reject(
                 ProtocolFailure(REQUEST_TIMEOUT.reason, REQUEST_TIMEOUT.detail),
             )
@@ -209,7 +209,7 @@
         answer = to_http(NotRun(failure.reason, failure.detail))
         logger.bind(reason=failure.reason.value, detail=failure.detail).info('request_unreadable')
         try:
-            encoded = encode_answer(self._request_reader.exchange, answer, is_last=True)
+            encoded = encode_response(self._request_reader.exchange, answer, is_last=True)
         except h11.LocalProtocolError as error:
             logger.bind(error=str(error)).debug('refusal_unwritable')
             return
@@ -222,7 +222,7 @@
         self.pending += 1
         self._last_write = asyncio.create_task(self._write(request, answer_task, self._last_write))
 
-    async def _answer(self, request: HttpRequest) -> HttpAnswer:
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
         try:
             return await self._listener.handler(request)
         except asyncio.CancelledError:
@@ -237,7 +237,7 @@
     async def _write(
         self,
         request: HttpRequest,
-        answer_task: asyncio.Task[HttpAnswer],
+        answer_task: asyncio.Task[HttpResponse],
         previous_write: asyncio.Task[None] | None,
     ) -> None:
         if previous_write is not None:
@@ -250,12 +250,12 @@
             return
         await self._write_answer(request, answer_task.result())
 
-    async def _write_answer(self, request: HttpRequest, answer: HttpAnswer) -> None:
+    async def _write_answer(self, request: HttpRequest, answer: HttpResponse) -> None:
         # The connection stays open while requests are pending: a server may have run the ones after
         # this request, and their answers must still be delivered.
         self._is_closing = self._listener.is_draining and not self.pending
         try:
-            encoded = encode_answer(
+            encoded = encode_response(
                 request.exchange,
                 answer,
                 is_last=self._is_closing,
@@ -271,5 +271,5 @@
             await self._writer.drain()
         except ConnectionError as error:
             logger.bind(error=str(error)).debug('client_left')
-        if is_connection_over(request.exchange):
+        if must_close_connection(request.exchange):
             self._writer.close()
--- a/tests/transport/test_http_exchange.py
+++ b/tests/transport/test_http_exchange.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 
-from turmericwharf.protocol import HttpAnswer, to_http
+from turmericwharf.protocol import HttpResponse, to_http
 from turmericwharf.state import Answered
 from turmericwharf.transport import DrainableServer
 
@@ -82,7 +82,7 @@
     async def answer(exchange):
         if exchange.target == '/raise':
             raise RuntimeError('broken on purpose')
-        return HttpAnswer(200, (('X-Bad', 'a\r\nb'),), b'')
+        return HttpResponse(200, (('X-Bad', 'a\r\nb'),), b'')
 
     async with _running_server(answer) as (server, port):
         for target in (b'/raise', b'/header'):
@@ -145,7 +145,7 @@
     """Guards against resets of connections that are not accepted yet or carry a request."""
 
     async def answer(exchange):
-        return HttpAnswer(200, (), b'whole')
+        return HttpResponse(200, (), b'whole')
 
     async with _running_server(answer) as (server, port):
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
--- a/tests/transport/test_peer_link.py
+++ b/tests/transport/test_peer_link.py
@@ -21,7 +21,7 @@
     GossipRequest,
     KeptAnswerRequest,
     LinkFailure,
-    LinkUncertain,
+    DeliveryUnknown,
 )
 from turmericwharf.transport import BootClock, FrameChannel, peer_link
 
@@ -44,7 +44,7 @@
         await channel.send(challenge, timeout_seconds=1)
         proof = (await channel.receive()).message
         await channel.send(
-            make_welcome(FLEET_SECRET, challenge, proof, own=PEER), timeout_seconds=1
+            make_welcome(FLEET_SECRET, challenge, proof, local_member=PEER), timeout_seconds=1
         )
         await self.may_read.wait()
         while True:
@@ -84,7 +84,7 @@
     not_sent = {
         str(number) for number, outcome in enumerate(outcomes) if isinstance(outcome, LinkFailure)
     }
-    uncertain = [outcome for outcome in outcomes if isinstance(outcome, LinkUncertain)]
+    uncertain = [outcome for outcome in outcomes if isinstance(outcome, DeliveryUnknown)]
     assert not_sent and uncertain and peer.received
     assert not not_sent & peer.received
 
