--- a/packages/turmericwharf/src/turmericwharf/transport/connection.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/connection.py
@@ -81,7 +81,7 @@
         -------
         LinkFailure or DeliveryUnknown or None
             `LinkFailure` is returned only if `send` of the WebSocket was not called for the
-            message. Once called, `send` may have started the frame even if it is cancelled or
+            message. Once called, `send` may have written the frame even if it is cancelled or
             raises, since it waits for space in the write buffer after writing.
         """
         encoded = encode_frame(Frame(correlation, message))
--- a/tests/transport/sidecar/test_http_listener.py
+++ b/tests/transport/sidecar/test_http_listener.py
@@ -134,7 +134,7 @@
 
 
 async def test_draining_listener_answers_all_requests_of_a_connection():
-    """Guards against lost answers when the first answer closes a pipelined connection."""
+    """Guards against a first answer that closes the connection while later requests run."""
     handler = BlockingHandler()
     async with running_listener(handler.answer) as (listener, reader, writer):
         writer.write(REQUEST % b'1' + REQUEST % b'2')
--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -118,10 +118,10 @@
     assert len(server.requests) == 3
 
 
-async def test_request_that_curl_rejects_did_not_run():
+async def test_request_that_cannot_be_sent_did_not_run():
     """Guards against an exception that closes the connection to the peer.
 
-    Curl raises it for a request with an invalid header.
+    A request header that is invalid in HTTP raises it.
     """
     server = RawServer()
     async with _connected_client(server) as client:
