--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
@@ -163,7 +163,7 @@
             await self._reject(request)
             return False
         if self._is_closing:
-            # The client repeats requests that it sent after the last answered one, so do not run it.
+            # Not run: the client repeats requests that it sent after the last answered one.
             return False
         self._start_request(request)
         return True
