--- a/tests/fleet/test_fault_matrix.py
+++ b/tests/fleet/test_fault_matrix.py
@@ -1,8 +1,8 @@
-"""Every fault at every step of a request, injected at the sockets between real processes.
+"""Fault matrix of requests: every fault is injected at every step, between real processes.
 
-A step is held open (a slow log holds the claim, a slow server the run, and so on), the fault
-is injected while requests are in that step, it is healed, and the checkers look at what
-callers got and what backend servers ran.
+A step is delayed (a slow log delays the claim, a slow server the run, and so on), so that the fault
+is injected while requests are in that step. Afterwards the fault is healed, and the checkers
+compare the responses that callers got with the runs that the backend servers recorded.
 """
 
 import asyncio
@@ -23,17 +23,17 @@
 )
 from tests.fleet_processes import Fleet, FleetNode, kavarna_change
 
-HOLD_SECONDS = 0.4
+STEP_DELAY_SECONDS = 0.4
 FAULT_SECONDS = 0.8
-REQUESTS_OF_A_KIND = 3
+REQUESTS_PER_KIND = 3
 
-Inject = Callable[[Fleet, 'Cell'], Awaitable[None]]
+FaultInjector = Callable[[Fleet, 'Cell'], Awaitable[None]]
 
 
 class Cell:
-    """One step with one fault: the roles, and what callers sent and got."""
+    """One step with one fault: the roles of the nodes and the records of the callers."""
 
-    numbers = itertools.count(1)
+    token_numbers = itertools.count(1)
 
     def __init__(self, fleet: Fleet, key_by_id: dict) -> None:
         self.entry, self.executing, self.other = fleet.nodes
@@ -42,35 +42,35 @@
         self.records: list[CallerRecord] = []
 
 
-async def hold_admission(fleet: Fleet, cell: Cell) -> None:
+async def delay_admission(fleet: Fleet, cell: Cell) -> None:
     for node in (cell.executing, cell.other):
-        fleet.network.delay(node.host, cell.entry.host, HOLD_SECONDS / 4)
+        fleet.network.delay(node.host, cell.entry.host, STEP_DELAY_SECONDS / 4)
 
 
-async def hold_claim(fleet: Fleet, cell: Cell) -> None:
-    await fleet.log_faults(delay_seconds=HOLD_SECONDS)
+async def delay_claim(fleet: Fleet, cell: Cell) -> None:
+    await fleet.log_faults(delay_seconds=STEP_DELAY_SECONDS)
 
 
-async def hold_send(fleet: Fleet, cell: Cell) -> None:
+async def delay_send(fleet: Fleet, cell: Cell) -> None:
     for node in (cell.executing, cell.other):
-        fleet.network.delay(cell.entry.host, node.host, HOLD_SECONDS)
+        fleet.network.delay(cell.entry.host, node.host, STEP_DELAY_SECONDS)
 
 
-async def hold_queue(fleet: Fleet, cell: Cell) -> None:
-    # Fewer slots than requests: the rest waits while the first ones run.
-    await _server_faults(fleet, cell, first_byte_seconds=HOLD_SECONDS * 2)
+async def delay_queue(fleet: Fleet, cell: Cell) -> None:
+    # There are fewer slots than requests, so the others are queued while the first ones run.
+    await _set_server_faults(fleet, cell, first_byte_seconds=STEP_DELAY_SECONDS * 2)
 
 
-async def hold_run(fleet: Fleet, cell: Cell) -> None:
-    await _server_faults(fleet, cell, first_byte_seconds=HOLD_SECONDS)
+async def delay_run(fleet: Fleet, cell: Cell) -> None:
+    await _set_server_faults(fleet, cell, first_byte_seconds=STEP_DELAY_SECONDS)
 
 
-async def hold_answer(fleet: Fleet, cell: Cell) -> None:
+async def delay_answer(fleet: Fleet, cell: Cell) -> None:
     for node in (cell.executing, cell.other):
-        fleet.network.delay(node.host, cell.entry.host, HOLD_SECONDS)
+        fleet.network.delay(node.host, cell.entry.host, STEP_DELAY_SECONDS)
 
 
-async def _server_faults(fleet: Fleet, cell: Cell, **faults: object) -> None:
+async def _set_server_faults(fleet: Fleet, cell: Cell, **faults: object) -> None:
     for node in (cell.executing, cell.other):
         await fleet.server_faults(node, **faults)
 
@@ -107,24 +107,24 @@
     fleet.cut_one_way(cell.executing, cell.entry)
 
 
-async def slow_link(fleet: Fleet, cell: Cell) -> None:
+async def slow_down_link(fleet: Fleet, cell: Cell) -> None:
     fleet.network.delay(cell.entry.host, cell.executing.host, FAULT_SECONDS)
     fleet.network.delay(cell.executing.host, cell.entry.host, FAULT_SECONDS)
 
 
-async def log_away(fleet: Fleet, cell: Cell) -> None:
+async def stop_log(fleet: Fleet, cell: Cell) -> None:
     await fleet.log_faults(away=True)
 
 
-async def log_slow(fleet: Fleet, cell: Cell) -> None:
+async def slow_down_log(fleet: Fleet, cell: Cell) -> None:
     await fleet.log_faults(delay_seconds=FAULT_SECONDS)
 
 
-async def log_answer_lost(fleet: Fleet, cell: Cell) -> None:
+async def drop_log_answers(fleet: Fleet, cell: Cell) -> None:
     await fleet.log_faults(lose_answers=4)
 
 
-async def racing_operators(fleet: Fleet, cell: Cell) -> None:
+async def race_operators(fleet: Fleet, cell: Cell) -> None:
     change = {'services': [{'service': 'bookings', 'floor_fraction': 0.4}]}
     path = fleet.folder / 'race.json'
     path.write_text(json.dumps(change))
@@ -136,18 +136,18 @@
     )
 
 
-async def server_slow(fleet: Fleet, cell: Cell) -> None:
+async def slow_down_server(fleet: Fleet, cell: Cell) -> None:
     await fleet.server_faults(cell.executing, first_byte_seconds=FAULT_SECONDS)
 
 
-async def server_half_answers(fleet: Fleet, cell: Cell) -> None:
+async def truncate_answers(fleet: Fleet, cell: Cell) -> None:
     await fleet.server_faults(cell.executing, half_answer=True)
 
 
-async def server_flaps(fleet: Fleet, cell: Cell) -> None:
+async def flap_server(fleet: Fleet, cell: Cell) -> None:
     for state in ('draining', 'ready', 'cold', 'ready'):
         await fleet.announce_state(cell.executing, state)
-        await asyncio.sleep(HOLD_SECONDS / 4)
+        await asyncio.sleep(STEP_DELAY_SECONDS / 4)
 
 
 async def withdraw_key(fleet: Fleet, cell: Cell) -> None:
@@ -166,27 +166,27 @@
     node.signal(signal.SIGCONT)
 
 
-HOLDS_BY_STEP: dict[str, Inject] = {
-    'admission': hold_admission,
-    'claim': hold_claim,
-    'send': hold_send,
-    'queue': hold_queue,
-    'run': hold_run,
-    'answer': hold_answer,
+DELAYS_BY_STEP: dict[str, FaultInjector] = {
+    'admission': delay_admission,
+    'claim': delay_claim,
+    'send': delay_send,
+    'queue': delay_queue,
+    'run': delay_run,
+    'answer': delay_answer,
 }
-FAULTS_BY_NAME: dict[str, Inject] = {
+FAULTS_BY_NAME: dict[str, FaultInjector] = {
     'cut request direction': cut_request_direction,
     'cut answer direction': cut_answer_direction,
-    'slow link': slow_link,
+    'slow link': slow_down_link,
     'pause entry': pause_entry,
     'pause executing': pause_executing,
-    'log away': log_away,
-    'log slow': log_slow,
-    'log answer lost': log_answer_lost,
-    'racing operators': racing_operators,
-    'server slow': server_slow,
-    'server half answers': server_half_answers,
-    'server flaps': server_flaps,
+    'log away': stop_log,
+    'log slow': slow_down_log,
+    'log answer lost': drop_log_answers,
+    'racing operators': race_operators,
+    'server slow': slow_down_server,
+    'server half answers': truncate_answers,
+    'server flaps': flap_server,
     'kill server': kill_server,
     'kill executing': kill_executing,
     'kill entry': kill_entry,
@@ -194,7 +194,7 @@
 }
 
 
-# Column of the matrix for each fault.
+# Faults whose column in the fault matrix has another name.
 COLUMNS_BY_NAME = {
     'cut request direction': 'cut out',
     'cut answer direction': 'cut back',
@@ -206,7 +206,7 @@
 }
 
 
-def _marked(step: str) -> object:
+def _step_parameter(step: str) -> object:
     marks = [
         pytest.mark.fault_cell(f'request: {step}', COLUMNS_BY_NAME.get(name, name))
         for name in FAULTS_BY_NAME
@@ -214,10 +214,14 @@
     return pytest.param(step, marks=marks)
 
 
-@pytest.mark.parametrize('step', [_marked(step) for step in HOLDS_BY_STEP])
+@pytest.mark.parametrize('step', [_step_parameter(step) for step in DELAYS_BY_STEP])
 async def test_request(step):
-    """Guards against doubled runs, false refusals and mixed-up answers under every fault."""
-    found = []
+    """Guards against repeated runs, false "not run" outcomes and swapped responses.
+
+    Each fault hits requests that are in the given step, and callers retry keyed requests at other
+    nodes during the fault and after it.
+    """
+    violations = []
     async with Fleet(['catalogue', 'bookings', 'bookings'], slots=2) as fleet:
         await fleet.publish(kavarna_change())
         issued = await fleet.issue_key('cafe-chain')
@@ -225,33 +229,37 @@
         answered = 0
         for name, inject in FAULTS_BY_NAME.items():
             cell = Cell(fleet, issued)
-            runs = await _run_cell(fleet, cell, HOLDS_BY_STEP[step], inject)
+            runs = await _run_cell(fleet, cell, DELAYS_BY_STEP[step], inject)
             answered += sum(record.outcome == 'answered' for record in cell.records)
-            found += [(step, name, violation) for violation in _check(cell, runs)]
-    assert not found
-    # Guards against a matrix that proves nothing because every request was refused.
+            violations += [(step, name, violation) for violation in _find_violations(cell, runs)]
+    assert not violations
+    # If every request were rejected, the checks above would pass without proving anything.
     assert answered > len(FAULTS_BY_NAME)
 
 
-async def _run_cell(fleet: Fleet, cell: Cell, hold: Inject, inject: Inject) -> list[dict]:
-    await hold(fleet, cell)
-    tokens = [f'{next(Cell.numbers)}' for _ in range(REQUESTS_OF_A_KIND * 2)]
+async def _run_cell(
+    fleet: Fleet, cell: Cell, delay: FaultInjector, inject: FaultInjector
+) -> list[dict]:
+    await delay(fleet, cell)
+    tokens = [f'{next(Cell.token_numbers)}' for _ in range(REQUESTS_PER_KIND * 2)]
     keyed, unkeyed = tokens[::2], tokens[1::2]
     calls = [
         asyncio.create_task(_call(fleet, cell, cell.entry, token, keyed=token in keyed))
         for token in tokens
     ]
-    await asyncio.sleep(HOLD_SECONDS / 2)
+    await asyncio.sleep(STEP_DELAY_SECONDS / 2)
     cell.killed_runs = []
     await inject(fleet, cell)
     await asyncio.sleep(FAULT_SECONDS)
-    # A caller retries keyed work at another node while the fault lasts.
-    await asyncio.gather(*(_call(fleet, cell, cell.other, one, keyed=True) for one in keyed))
+    # Callers retry keyed requests at another node while the fault is active.
+    await asyncio.gather(*(_call(fleet, cell, cell.other, token, keyed=True) for token in keyed))
     await _heal(fleet, cell)
     await asyncio.gather(*calls)
-    await asyncio.gather(*(_call(fleet, cell, cell.executing, one, keyed=True) for one in keyed))
-    # Work that outlives its deadline is given the time to show itself.
-    await asyncio.sleep(HOLD_SECONDS * 3)
+    await asyncio.gather(
+        *(_call(fleet, cell, cell.executing, token, keyed=True) for token in keyed)
+    )
+    # Requests that run in spite of a passed deadline are recorded within this time.
+    await asyncio.sleep(STEP_DELAY_SECONDS * 3)
     del unkeyed
     return await fleet.all_runs() + cell.killed_runs
 
@@ -275,10 +283,10 @@
     await fleet.log_faults(away=False, delay_seconds=0.0, lose_answers=0)
     restarted = False
     for node in fleet.nodes:
-        if _is_dead(node.node_process):
+        if _has_exited(node.node_process):
             node.start_node()
             restarted = True
-        if _is_dead(node.server_process):
+        if _has_exited(node.server_process):
             node.start_server()
             restarted = True
     if restarted:
@@ -287,16 +295,16 @@
         await fleet.server_faults(node, first_byte_seconds=0.0, half_answer=False)
 
 
-def _is_dead(process: subprocess.Popen | None) -> bool:
+def _has_exited(process: subprocess.Popen | None) -> bool:
     return process is not None and process.poll() is not None
 
 
-def _check(cell: Cell, runs: list[dict]) -> list:
+def _find_violations(cell: Cell, runs: list[dict]) -> list:
     tokens = {record.token for record in cell.records}
-    mine = [run for run in runs if run['target'].rsplit('/', 1)[-1] in tokens]
+    cell_runs = [run for run in runs if run['target'].rsplit('/', 1)[-1] in tokens]
     return [
-        *check_at_most_once(cell.records, mine),
-        *check_refusals(cell.records, mine),
+        *check_at_most_once(cell.records, cell_runs),
+        *check_refusals(cell.records, cell_runs),
         *check_answers(cell.records),
-        *check_key_hidden(cell.key, mine),
+        *check_key_hidden(cell.key, cell_runs),
     ]
--- a/tests/fleet/test_keys.py
+++ b/tests/fleet/test_keys.py
@@ -1,4 +1,4 @@
-"""A withdrawn key stops working within 7 s at every node, on open connections too."""
+"""Withdrawal and secrecy of keys; a withdrawn key has to stop working within 7 s at every node."""
 
 import asyncio
 import json
@@ -9,20 +9,20 @@
 
 from tests.fleet_processes import Fleet, kavarna_change
 
-WITHDRAWN_SECONDS = 7.0
+WITHDRAWAL_SECONDS = 7.0
 SLOW_RUN_SECONDS = 9.0
-QUICK = {'timing': {'settle_seconds': 1.0}}
+SHORT_SETTLING = {'timing': {'settle_seconds': 1.0}}
 
 
-class OpenConnection:
-    """One connection of a caller that stays open; requests go out one after another."""
+class CallerConnection:
+    """Keep-alive connection of a caller, with one request at a time."""
 
     def __init__(self, node, key, path='/catalogue/1', method='GET'):
         self.node = node
         self.request = (
             f'{method} {path} HTTP/1.1\r\nHost: x\r\nX-Api-Key: {key}\r\nContent-Length: 0\r\n\r\n'
         ).encode()
-        self.answers = []
+        self.responses = []
         self.reader = self.writer = None
 
     async def open(self):
@@ -31,7 +31,7 @@
         )
         return self
 
-    async def ask(self):
+    async def send_request(self):
         """Send the request and return the status and the reason."""
         sent_at = time.monotonic()
         self.writer.write(self.request)
@@ -40,23 +40,23 @@
         body = await self.reader.readexactly(length)
         status = int(head.split()[1])
         reason = json.loads(body).get('reason') if status != 200 else None
-        self.answers.append((time.monotonic(), sent_at, status, reason))
+        self.responses.append((time.monotonic(), sent_at, status, reason))
         return status, reason
 
     async def poll(self, seconds):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            await self.ask()
+            await self.send_request()
             await asyncio.sleep(0.1)
 
     def last_success(self):
-        return max(at for at, _sent, status, _reason in self.answers if status == 200)
+        return max(at for at, _sent, status, _reason in self.responses if status == 200)
 
     def reasons_after(self, moment):
-        return {reason for at, sent, _status, reason in self.answers if sent > moment}
+        return {reason for at, sent, _status, reason in self.responses if sent > moment}
 
 
-def with_slow_work():
+def make_change_with_slow_route():
     change = kavarna_change()
     change['organisations'].append(
         {'organisation': 'slow-caller', 'rate_per_second': 100.0, 'burst': 50.0}
@@ -80,77 +80,88 @@
 @pytest.mark.fault_cell('configuration: in force', 'cut out')
 @pytest.mark.fault_cell('configuration: in force', 'cut back')
 async def test_a_withdrawn_key_stops_working_at_every_node():
-    """Guards against a withdrawn key that still works: with the log away at the node, at a node
-    cut off from all, at a paused node, and for a request that waits in a queue."""
+    """Guards against a key that still works 7 s after its withdrawal.
+
+    That happens if a node misses the change (it cannot reach the log, is cut off from all others
+    or is paused), or if a queued request or an open connection is not checked again.
+    """
     services = ['catalogue', 'catalogue', 'catalogue', 'catalogue', 'bookings']
-    async with Fleet(services, slots=1, overrides=QUICK) as fleet:
-        whole, without_log, isolated, paused, executing = fleet.nodes
-        await fleet.publish(with_slow_work())
+    async with Fleet(services, slots=1, overrides=SHORT_SETTLING) as fleet:
+        healthy, without_log, isolated, paused, executing = fleet.nodes
+        await fleet.publish(make_change_with_slow_route())
         issued = await fleet.issue_key('cafe-chain')
         other_key = (await fleet.issue_key('slow-caller'))['key']
-        connections = [await OpenConnection(node, issued['key']).open() for node in fleet.nodes]
+        connections = [await CallerConnection(node, issued['key']).open() for node in fleet.nodes]
         await _wait_until_served(connections)
-        # The share of the other organisation's rate has another owner.
-        await _wait_until_served([await OpenConnection(whole, other_key).open()])
+        # The rate of the other organisation has another owner, so it is waited for separately.
+        await _wait_until_served([await CallerConnection(healthy, other_key).open()])
 
         await fleet.server_faults(executing, first_byte_seconds=SLOW_RUN_SECONDS)
         running = asyncio.create_task(
-            (await OpenConnection(whole, other_key, '/slow/first').open()).ask()
+            (await CallerConnection(healthy, other_key, '/slow/first').open()).send_request()
         )
         await _wait_for_runs(fleet, executing, 1)
         queued = asyncio.create_task(
-            (await OpenConnection(whole, issued['key'], '/slow/second').open()).ask()
+            (await CallerConnection(healthy, issued['key'], '/slow/second').open()).send_request()
         )
 
-        await _wait_for_work(fleet, executing, 2)
+        await _wait_for_requests_in_progress(fleet, executing, 2)
         fleet.cut_log(without_log)
         fleet.cut_log(isolated)
         for node in fleet.nodes:
             if node is not isolated:
                 fleet.cut_both_ways(isolated, node)
         paused.signal(signal.SIGSTOP)
-        # The request waits in the socket of the paused node.
-        held = asyncio.create_task(connections[3].ask())
+        # This request stays in the socket of the paused node until the node resumes.
+        pending = asyncio.create_task(connections[3].send_request())
         polling = [
-            asyncio.create_task(one.poll(WITHDRAWN_SECONDS + 2))
-            for one in connections
-            if one.node is not paused
+            asyncio.create_task(connection.poll(WITHDRAWAL_SECONDS + 2))
+            for connection in connections
+            if connection.node is not paused
         ]
         started = time.monotonic()
-        done = await asyncio.to_thread(fleet.command_line, whole, 'withdraw-key', issued['key_id'])
-        accepted = json.loads(done.stdout)
+        completed = await asyncio.to_thread(
+            fleet.command_line, healthy, 'withdraw-key', issued['key_id']
+        )
+        accepted = json.loads(completed.stdout)
         assert accepted.get('accepted'), accepted
         assert {'node-3', 'node-4'} <= set(accepted['not_confirmed'])
         await asyncio.gather(*polling)
         paused.signal(signal.SIGCONT)
-        status, reason = await held
+        status, reason = await pending
         assert (status, reason) in {(401, 'key_withdrawn'), (503, 'no_standing')}
         assert await running == (200, None)
         assert await queued == (401, 'key_withdrawn')
         assert [run['target'] for run in await fleet.runs(executing)] == ['/slow/first']
 
-        for one in connections:
-            assert one.last_success() < started + WITHDRAWN_SECONDS, one.node.instance
-        after = started + WITHDRAWN_SECONDS
+        for connection in connections:
+            assert connection.last_success() < started + WITHDRAWAL_SECONDS, (
+                connection.node.instance
+            )
+        after = started + WITHDRAWAL_SECONDS
         assert connections[0].reasons_after(after) == {'key_withdrawn'}
         assert connections[1].reasons_after(after) == {'key_withdrawn'}
         assert connections[2].reasons_after(after) == {'no_standing'}
-        await _check_that_nothing_shows_the_key(fleet, issued['key'])
+        await _check_key_is_not_exposed(fleet, issued['key'])
 
 
 async def test_no_backend_server_sees_a_key():
-    """Guards against a key in a request that runs, in a log line, a dump or a metric."""
-    async with Fleet(['catalogue', 'bookings'], overrides=QUICK) as fleet:
+    """Guards against a key in a request to a backend server, a log line, a dump or a metric.
+
+    Callers may put their key into the path, the query or another header, also percent-encoded;
+    the node has to reject such requests and must not repeat the key in its response.
+    """
+    async with Fleet(['catalogue', 'bookings'], overrides=SHORT_SETTLING) as fleet:
         await fleet.publish(kavarna_change())
         key = (await fleet.issue_key('cafe-chain'))['key']
-        # Each node has tokens of the rate only once it has settled.
-        connections = [await OpenConnection(node, key).open() for node in fleet.nodes]
+        # A node has tokens of the rate only once its membership has settled.
+        connections = [await CallerConnection(node, key).open() for node in fleet.nodes]
         await _wait_until_served(connections)
         bearer = {'Authorization': f'Bearer {key}'}
         encoded = f'%74{key[1:]}'
         for node in fleet.nodes:
             url = f'{node.url}/catalogue'
-            answers = [
+            responses = [
                 await fleet.fetch(f'{url}/{key}', headers=bearer),
                 await fleet.fetch(f'{url}?k={encoded}', headers=bearer),
                 await fleet.fetch(url, headers={**bearer, 'Cookie': key}),
@@ -158,23 +169,23 @@
                 await fleet.fetch(url, headers={**bearer, 'X-Api-Key': f'{key}x'}),
                 await fleet.fetch(url, headers={**bearer, 'Turmericwharf-Run': key}),
             ]
-            assert [answer.code for answer in answers] == [400] * 6
-            assert not any(key.encode() in answer.body for answer in answers)
+            assert [response.code for response in responses] == [400] * 6
+            assert not any(key.encode() in response.body for response in responses)
             both = await fleet.fetch(url, headers={**bearer, 'X-Api-Key': key})
             assert both.code == 200
-        await _check_that_nothing_shows_the_key(fleet, key)
+        await _check_key_is_not_exposed(fleet, key)
 
 
 async def _wait_until_served(connections):
     deadline = time.monotonic() + 15
-    for one in connections:
-        while (await one.ask())[0] != 200:
-            assert time.monotonic() < deadline, one.answers[-1]
+    for connection in connections:
+        while (await connection.send_request())[0] != 200:
+            assert time.monotonic() < deadline, connection.responses[-1]
             await asyncio.sleep(0.1)
 
 
-async def _wait_for_work(fleet, node, count):
-    # Only a request that waits at the node already must be refused there.
+async def _wait_for_requests_in_progress(fleet, node, count):
+    # The key is withdrawn only when the request is queued at the node, which then has to reject it.
     async with asyncio.timeout(10):
         while (await fleet.dump(node))['in_progress'] < count:
             await asyncio.sleep(0.05)
@@ -187,12 +198,12 @@
         await asyncio.sleep(0.05)
 
 
-async def _check_that_nothing_shows_the_key(fleet, key):
+async def _check_key_is_not_exposed(fleet, key):
     secret = key.rsplit('_', 1)[1] if key.count('_') == 2 else key[28:]
-    shown = [json.dumps(await fleet.all_runs())]
+    texts = [json.dumps(await fleet.all_runs())]
     for node in fleet.nodes:
         for page in ('/state', '/metrics', '/configuration'):
-            shown.append((await fleet.operator(node, page)).body.decode())
-        shown.append((fleet.folder / f'{node.instance}.log').read_text())
-    assert all(shown)
-    assert not any(secret in one for one in shown)
+            texts.append((await fleet.operator(node, page)).body.decode())
+        texts.append((fleet.folder / f'{node.instance}.log').read_text())
+    assert all(texts)
+    assert not any(secret in text for text in texts)
