--- a/tests/fleet/test_gray_failures.py
+++ b/tests/fleet/test_gray_failures.py
@@ -1,3 +1,5 @@
+"""Ejection of gray servers: they answer, but slowly, partly or with errors."""
+
 import asyncio
 import collections
 import dataclasses
@@ -7,18 +9,19 @@
 from turmericwharf.coordination import partition_of, rank_instances
 
 TARGET_SECONDS = 0.4
-USUAL_SECONDS = 0.03
-RATE = 120
-NODES = 6
-FLOOR = 0.5
-# Probes of an ejected server may miss the target; their share is bounded by the settings.
+NORMAL_FIRST_BYTE_SECONDS = 0.03
+REQUESTS_PER_SECOND = 120
+NODE_COUNT = 6
+FLOOR_FRACTION = 0.5
+# Share of requests that may miss the target because they probe ejected servers; the settings
+# bound it.
 PROBE_SHARE = 0.05
 RETRY_SHARE = 0.1
 RETRY_MINIMUM = 3
 RETRY_WINDOW_SECONDS = 10.0
-DETECT_SECONDS = 20.0
-HEALTHY = {
-    'first_byte_seconds': USUAL_SECONDS,
+DETECTION_TIMEOUT_SECONDS = 20.0
+NO_FAULTS = {
+    'first_byte_seconds': NORMAL_FIRST_BYTE_SECONDS,
     'trickle_seconds': 0.0,
     'half_answer': False,
     'error_share': 0.0,
@@ -28,12 +31,12 @@
 
 @dataclasses.dataclass
 class Traffic:
-    """Requests at a steady rate to the given entry nodes, until it is stopped."""
+    """Sends requests at a steady rate to the given entry nodes until the context ends."""
 
     fleet: Fleet
     key: str
     entries: list[FleetNode]
-    kept: list[tuple[float, bool]] = dataclasses.field(default_factory=list)
+    results: list[tuple[float, bool]] = dataclasses.field(default_factory=list)
     stopping: bool = False
 
     async def __aenter__(self) -> 'Traffic':
@@ -41,51 +44,52 @@
         return self
 
     async def __aexit__(self, *error: object) -> None:
-        # Every request is waited for, so that the counts of requests and runs agree.
+        # Waits for every request, so that the counts of requests and runs can be compared.
         self.stopping = True
         await self._task
 
     async def _run(self) -> None:
-        # Bounded in time, whatever the test does.
+        # Ends after 60 s even if the test does not stop it.
         async with asyncio.timeout(60), asyncio.TaskGroup() as group:
-            for number in range(60 * RATE):
+            for number in range(60 * REQUESTS_PER_SECOND):
                 if self.stopping:
                     break
                 group.create_task(self._send(self.entries[number % len(self.entries)]))
-                await asyncio.sleep(1 / RATE)
+                await asyncio.sleep(1 / REQUESTS_PER_SECOND)
 
     async def _send(self, entry: FleetNode) -> None:
         started = time.monotonic()
         answer = await self.fleet.fetch(
             f'{entry.url}/catalogue/1', headers={'X-Api-Key': self.key}, seconds=2
         )
-        in_target = time.monotonic() - started <= TARGET_SECONDS
-        self.kept.append((started, answer.code == 200 and in_target))
+        met_target = time.monotonic() - started <= TARGET_SECONDS
+        self.results.append((started, answer.code == 200 and met_target))
 
-    def share_since(self, moment: float) -> float:
-        good = [good for started, good in self.kept if started >= moment]
-        return sum(good) / len(good)
+    def success_share_since(self, moment: float) -> float:
+        successes = [success for started, success in self.results if started >= moment]
+        return sum(successes) / len(successes)
 
 
 class Scenario:
     def __init__(self, fleet: Fleet, key: str) -> None:
         self.fleet = fleet
         self.key = key
-        self.once_gray: set[str] = set()
+        self.faulted_instances: set[str] = set()
 
     async def ejections(self) -> list[tuple[str, str, str]]:
+        """Return the entry node, the server and the subject of each ejection in force."""
         dumps = [await self.fleet.dump(node) for node in self.fleet.nodes]
         return [
-            (dump['member']['instance'], one['instance'], one['subject'])
+            (dump['member']['instance'], ejection['instance'], ejection['subject'])
             for dump in dumps
             if dump
-            for one in dump['routing']['ejections']
+            for ejection in dump['routing']['ejections']
         ]
 
-    async def wait_for_ejection(self, gray: list[FleetNode]) -> float:
+    async def wait_for_ejections(self, gray_nodes: list[FleetNode]) -> float:
         started = time.monotonic()
-        expected = {node.instance for node in gray}
-        async with asyncio.timeout(DETECT_SECONDS):
+        expected = {node.instance for node in gray_nodes}
+        async with asyncio.timeout(DETECTION_TIMEOUT_SECONDS):
             while not expected <= {server for _, server, _ in await self.ejections()}:
                 await asyncio.sleep(0.05)
         return time.monotonic() - started
@@ -93,50 +97,58 @@
     async def heal(self) -> None:
         self.fleet.network.heal()
         for node in self.fleet.nodes:
-            await self.fleet.server_faults(node, **HEALTHY)
+            await self.fleet.server_faults(node, **NO_FAULTS)
 
-    async def run_gray(self, name: str, gray: list[FleetNode], **faults: object) -> None:
+    async def check_gray_failure(
+        self, name: str, gray_nodes: list[FleetNode], **faults: object
+    ) -> None:
         async with Traffic(self.fleet, self.key, self.fleet.nodes) as traffic:
             await asyncio.sleep(0.5)
             before = time.monotonic()
-            self.once_gray |= {node.instance for node in gray}
-            false = {server for _, server, _ in await self.ejections()}
-            for node in gray:
+            self.faulted_instances |= {node.instance for node in gray_nodes}
+            false_ejections = {server for _, server, _ in await self.ejections()}
+            for node in gray_nodes:
                 await self.fleet.server_faults(node, **faults)
-            seconds = await self.wait_for_ejection(gray)
+            seconds = await self.wait_for_ejections(gray_nodes)
             detected = time.monotonic()
             await asyncio.sleep(1.5)
             await self.check_floor()
-            false |= {server for _, server, _ in await self.ejections()}
-            false -= self.once_gray
-            meanwhile, after = traffic.share_since(before), traffic.share_since(detected + 0.5)
+            false_ejections |= {server for _, server, _ in await self.ejections()}
+            false_ejections -= self.faulted_instances
+            share_during, share_after = (
+                traffic.success_share_since(before),
+                traffic.success_share_since(detected + 0.5),
+            )
             print(
                 f'{name}: detected after {seconds:.2f} s, in target since the fault '
-                f'{meanwhile:.3f}, after detection {after:.3f}, false ejections {sorted(false)}'
+                f'{share_during:.3f}, after detection {share_after:.3f}, '
+                f'false ejections {sorted(false_ejections)}'
             )
-            assert after >= 1 - PROBE_SHARE, name
+            assert share_after >= 1 - PROBE_SHARE, name
             await self.heal()
 
-    async def wait_for_returns(self) -> int:
-        """Return the number of requests that count towards the retry budget afterwards."""
+    async def wait_for_reinstatement(self) -> int:
+        """Wait until no server is ejected; return the number of requests in the retry window."""
         started = time.monotonic()
         async with Traffic(self.fleet, self.key, self.fleet.nodes) as traffic, asyncio.timeout(40):
             while await self.ejections():
                 await asyncio.sleep(0.1)
-        print(f'all servers are back after {time.monotonic() - started:.1f} s')
+        print(f'all servers reinstated after {time.monotonic() - started:.1f} s')
         since = time.monotonic() - RETRY_WINDOW_SECONDS
-        return sum(moment > since for moment, _ in traffic.kept)
+        return sum(moment > since for moment, _ in traffic.results)
 
     async def check_floor(self) -> None:
         ejected_by_entry = collections.Counter(entry for entry, _, _ in await self.ejections())
-        assert all(count <= NODES * (1 - FLOOR) for count in ejected_by_entry.values())
+        assert all(
+            count <= NODE_COUNT * (1 - FLOOR_FRACTION) for count in ejected_by_entry.values()
+        )
 
 
 def make_change() -> dict:
     change = kavarna_change()
     change['organisations'][0].update(rate_per_second=5000.0, burst=5000.0)
     change['classes'][0]['answer_within_milliseconds'] = int(TARGET_SECONDS * 1000)
-    change['services'][0]['floor_fraction'] = FLOOR
+    change['services'][0]['floor_fraction'] = FLOOR_FRACTION
     return change
 
 
@@ -156,8 +168,12 @@
 
 
 async def test_gray_servers_are_ejected_and_the_target_is_met_again():
-    """Guards against a kind of gray failure that keeps harming callers on real processes."""
-    async with Fleet(['catalogue'] * NODES, slots=3) as fleet:
+    """Guards against gray servers that keep harming callers.
+
+    A server whose first byte is late, whose body trickles, whose answers are truncated or of which
+    a share are errors still announces itself as ready; only observed requests show the fault.
+    """
+    async with Fleet(['catalogue'] * NODE_COUNT, slots=3) as fleet:
         scenario = await start(fleet)
         kinds = {
             'slow first byte': {'first_byte_seconds': 1.0},
@@ -166,84 +182,97 @@
             'error share': {'error_share': 0.4},
         }
         for node, (name, faults) in zip(fleet.nodes, kinds.items(), strict=False):
-            await scenario.run_gray(name, [node], **faults)
-        await check_third_of_servers(scenario, await scenario.wait_for_returns())
+            await scenario.check_gray_failure(name, [node], **faults)
+        await check_third_of_servers(scenario, await scenario.wait_for_reinstatement())
 
 
 async def check_third_of_servers(scenario: Scenario, recent: int) -> None:
     fleet = scenario.fleet
     earlier = len(await fleet.all_runs())
     started = time.monotonic()
-    third = fleet.nodes[-(NODES // 3) :]
+    third = fleet.nodes[-(NODE_COUNT // 3) :]
     async with Traffic(fleet, scenario.key, fleet.nodes) as traffic:
         for node in third:
             await fleet.server_faults(node, half_answer=True)
-        seconds = await scenario.wait_for_ejection(third)
+        seconds = await scenario.wait_for_ejections(third)
         await scenario.check_floor()
         await asyncio.sleep(2)
-    share = traffic.share_since(started + seconds + 0.5)
+    share = traffic.success_share_since(started + seconds + 0.5)
     runs = len(await fleet.all_runs()) - earlier
-    requests = len(traffic.kept)
+    requests = len(traffic.results)
     print(f'a third gray: detected after {seconds:.2f} s, {runs} runs for {requests} requests')
-    assert runs <= requests + (requests + recent) * RETRY_SHARE + RETRY_MINIMUM * NODES
+    assert runs <= requests + (requests + recent) * RETRY_SHARE + RETRY_MINIMUM * NODE_COUNT
     assert share >= 1 - PROBE_SHARE
 
 
 async def test_flapping_path_and_lying_load():
-    """Guards against flapping, a path that is slow from one side, and misleading loads."""
+    """Guards against flapping servers, one-sided slow paths and misreported loads.
+
+    A server that recovers for a short time would be reinstated again and again; a path that is
+    slow for one entry node must not eject the server at the others; a wrong load must not attract
+    or repel most requests.
+    """
     async with Fleet(['catalogue'] * 3, slots=3) as fleet:
         scenario = await start(fleet)
-        one, other, third = owner_first(fleet)
-        await check_lying_load(scenario, other)
-        fleet.network.delay(one.host, other.host, 0.6)
-        async with Traffic(fleet, scenario.key, [one, third]):
-            seconds = await scenario.wait_for_ejection([other])
-            entries = {entry for entry, _, _ in await scenario.ejections()}
-        print(f'path slow from one side: detected after {seconds:.2f} s by {sorted(entries)}')
-        assert entries == {one.instance}
+        entry, target, flapping = rate_owner_first(fleet)
+        await check_misreported_load(scenario, target)
+        fleet.network.delay(entry.host, target.host, 0.6)
+        async with Traffic(fleet, scenario.key, [entry, flapping]):
+            seconds = await scenario.wait_for_ejections([target])
+            ejecting_nodes = {ejecting for ejecting, _, _ in await scenario.ejections()}
+        print(
+            f'path slow from one side: detected after {seconds:.2f} s by {sorted(ejecting_nodes)}'
+        )
+        assert ejecting_nodes == {entry.instance}
         await scenario.heal()
-        strikes = await flap(scenario, third)
+        strikes = await flap(scenario, flapping)
         print(f'flapping: {strikes} ejections in a row doubled the hold')
         assert strikes >= 2
 
 
-def owner_first(fleet: Fleet) -> list[FleetNode]:
-    """Return the nodes, first the one that owns the organisation's rate.
+def rate_owner_first(fleet: Fleet) -> list[FleetNode]:
+    """Return the nodes with the owner of the organisation's rate first.
 
-    A trace showed an entry node whose slow path led to the owner: most requests were refused by
-    the rate before any server was chosen, so nothing could be learned of the path.
+    The slow path must not lead to the owner. A trace of such a run showed that the entry node
+    rejected most requests for lack of rate tokens before it selected a server, so that it had no
+    measurements of the path.
     """
     topic = f'rate/{partition_of("cafe-chain")}'
     ranking = rank_instances(topic, [node.instance for node in fleet.nodes])
     return sorted(fleet.nodes, key=lambda node: ranking.index(node.instance))
 
 
-async def check_lying_load(scenario: Scenario, liar: FleetNode) -> None:
+async def check_misreported_load(scenario: Scenario, misreporting: FleetNode) -> None:
     fleet = scenario.fleet
     for load in (1000.0, 0.0):
         earlier = [len(await fleet.runs(node)) for node in fleet.nodes]
-        await fleet.server_faults(liar, report_load=load)
+        await fleet.server_faults(misreporting, report_load=load)
         async with Traffic(fleet, scenario.key, fleet.nodes) as traffic:
             await asyncio.sleep(1.5)
         counts = [len(await fleet.runs(node)) for node in fleet.nodes]
-        got = counts[fleet.nodes.index(liar)] - earlier[fleet.nodes.index(liar)]
+        got = counts[fleet.nodes.index(misreporting)] - earlier[fleet.nodes.index(misreporting)]
         share = got / (sum(counts) - sum(earlier))
-        print(f'reported load {load}: share {share:.3f} of {len(traffic.kept)} requests')
+        print(f'reported load {load}: share {share:.3f} of {len(traffic.results)} requests')
         assert 0.5 / 3 <= share <= 2 / 3
 
 
 async def flap(scenario: Scenario, node: FleetNode) -> int:
+    """Let a server fail and recover until it has two strikes; return the strikes."""
     fleet = scenario.fleet
     strikes = 0
     async with Traffic(fleet, scenario.key, [node]), asyncio.timeout(40):
         while strikes < 2:
             await fleet.server_faults(node, half_answer=True)
-            await scenario.wait_for_ejection([node])
+            await scenario.wait_for_ejections([node])
             await fleet.server_faults(node, half_answer=False)
             dump = await fleet.dump(node)
             assert dump is not None
-            held = [one for one in dump['routing']['ejections'] if one['instance'] == node.instance]
-            strikes = max([strikes, *(one['strikes'] for one in held)])
+            ejections = [
+                ejection
+                for ejection in dump['routing']['ejections']
+                if ejection['instance'] == node.instance
+            ]
+            strikes = max([strikes, *(ejection['strikes'] for ejection in ejections)])
             while node.instance in {server for _, server, _ in await scenario.ejections()}:
                 await asyncio.sleep(0.1)
     return strikes
--- a/tests/fleet/test_rates.py
+++ b/tests/fleet/test_rates.py
@@ -1,4 +1,4 @@
-"""Rates across a fleet of real processes, by what the backend servers received."""
+"""Rates across a fleet of real processes, checked by the runs that the servers recorded."""
 
 import asyncio
 import signal
@@ -11,12 +11,12 @@
 
 RATE = 60.0
 BURST = 30.0
-OVERLOAD = 3.0
-# Runs are recorded at the servers, up to this long after their admission.
+OVERLOAD_FACTOR = 3.0
+# The servers record a run up to this long after its admission.
 RECORDING_SECONDS = 0.1
 
 
-def _change():
+def _make_change():
     change = kavarna_change()
     change['organisations'] = [
         {'organisation': 'cafe-chain', 'rate_per_second': RATE, 'burst': BURST}
@@ -25,7 +25,7 @@
 
 
 async def _wait_for_rates(fleet, nodes, partitions=256):
-    """Wait until each partition is owned with the whole rate by one of the nodes."""
+    """Wait until every partition has an owner among the nodes that holds its whole rate."""
     deadline = time.monotonic() + 30
     owned = 0
     while time.monotonic() < deadline:
@@ -33,11 +33,11 @@
         if owned >= partitions:
             return
         await asyncio.sleep(0.2)
-    raise TimeoutError(f'{owned} of {partitions} partitions are owned with the whole rate')
+    raise TimeoutError(f'only {owned} of {partitions} partitions have an owner with the whole rate')
 
 
 async def _send(fleet, nodes, key, *, rate, seconds):
-    """Send reads to the nodes in turn; return the status codes."""
+    """Send reads to the nodes in turn at a steady rate; return the status codes."""
     headers = {'Authorization': f'Bearer {key}'}
     requests = []
     starts_at = time.monotonic()
@@ -52,11 +52,11 @@
     return [(run['at'], 'cafe-chain') for run in await fleet.all_runs()]
 
 
-def _excess(receipts):
+def _find_rate_excess(receipts):
     return find_excess(receipts, rate=RATE * 1.02, burst=BURST + RATE * RECORDING_SECONDS)
 
 
-def _refused(codes):
+def _rejected_share(codes):
     return codes.count(429) / len(codes)
 
 
@@ -69,47 +69,51 @@
 @pytest.mark.fault_cell('rate loan: slice', 'cut back')
 @pytest.mark.fault_cell('rate loan: slice', 'pause')
 async def test_rate_over_several_entry_nodes():
-    """Guards against nodes that each admit a rate of their own, and against refusals inside it.
+    """Guards against a fleet that admits more than the rate, and against rejections within it.
 
-    The fleet is whole, then its log is away, then it is split, without and with the log, and
-    then a node is paused.
+    Nodes that cannot coordinate could each admit the whole rate, or reject requests within it. The
+    phases are: a healthy fleet, no log, one node cut off without and with the log, a paused node.
     """
     async with Fleet(['catalogue'] * 3) as fleet:
-        await fleet.publish(_change())
+        await fleet.publish(_make_change())
         key = (await fleet.issue_key('cafe-chain'))['key']
         await _wait_for_rates(fleet, fleet.nodes)
         await asyncio.sleep(BURST / RATE)
-        refused = {}
-        inside = {'rate': RATE * 0.8, 'seconds': 3}
-        overload = {'rate': RATE * OVERLOAD, 'seconds': 3}
-        refused['whole'] = _refused(await _send(fleet, fleet.nodes, key, **inside))
+        rejected_shares = {}
+        within_rate = {'rate': RATE * 0.8, 'seconds': 3}
+        overload = {'rate': RATE * OVERLOAD_FACTOR, 'seconds': 3}
+        rejected_shares['healthy'] = _rejected_share(
+            await _send(fleet, fleet.nodes, key, **within_rate)
+        )
         codes = await _send(fleet, fleet.nodes, key, **overload)
         assert codes.count(200) >= RATE * 3 * 0.9
         for node in fleet.nodes:
             fleet.cut_log(node)
-        # Longer than standing by the log lasts, so that standing by majority carries the fleet.
+        # Longer than standing by the log lasts, so that the nodes keep their standing by majority.
         await asyncio.sleep(5)
-        refused['log away'] = _refused(await _send(fleet, fleet.nodes, key, **inside))
+        rejected_shares['log unavailable'] = _rejected_share(
+            await _send(fleet, fleet.nodes, key, **within_rate)
+        )
         await _send(fleet, fleet.nodes, key, **overload)
-        # One node loses the others: it has no standing, and the two others go on.
-        alone, *rest = fleet.nodes
-        for node in rest:
-            fleet.cut_both_ways(alone, node)
+        # One node is cut off from the others: it loses its standing, and the other two keep theirs.
+        isolated, *others = fleet.nodes
+        for node in others:
+            fleet.cut_both_ways(isolated, node)
         await _send(fleet, fleet.nodes, key, **overload)
-        refused['split'] = _refused(await _send(fleet, rest, key, **inside))
+        rejected_shares['split'] = _rejected_share(await _send(fleet, others, key, **within_rate))
         fleet.network.heal()
-        for node in rest:
-            fleet.cut_both_ways(alone, node)
-        # Both sides have the log, so both have standing and divide the rate.
+        for node in others:
+            fleet.cut_both_ways(isolated, node)
+        # Both sides reach the log, so both have standing and share the rate.
         await asyncio.sleep(4)
         await _send(fleet, fleet.nodes, key, **overload)
-        # A node is paused longer than its loans and standing last, and goes on under load.
+        # A node is paused for longer than its loans and its standing last, and resumes under load.
         fleet.network.heal()
-        alone.signal(signal.SIGSTOP)
-        await _send(fleet, rest, key, rate=RATE * OVERLOAD, seconds=4)
-        alone.signal(signal.SIGCONT)
+        isolated.signal(signal.SIGSTOP)
+        await _send(fleet, others, key, rate=RATE * OVERLOAD_FACTOR, seconds=4)
+        isolated.signal(signal.SIGCONT)
         await _send(fleet, fleet.nodes, key, **overload)
-        print(f'refused of requests at 0.8 times the rate: {refused}')
-        assert _excess(await _receipts(fleet)) is None
-        assert refused['whole'] == 0
-        assert refused['log away'] == 0
+        print(f'rejected share of requests at 0.8 times the rate: {rejected_shares}')
+        assert _find_rate_excess(await _receipts(fleet)) is None
+        assert rejected_shares['healthy'] == 0
+        assert rejected_shares['log unavailable'] == 0
