--- a/tests/fleet/test_sidecar.py
+++ b/tests/fleet/test_sidecar.py
@@ -1,4 +1,4 @@
-"""Sidecar nodes as separate processes, with faults from outside."""
+"""Sidecar nodes as separate processes, with faults of servers, nodes and the store."""
 
 import asyncio
 import json
@@ -14,13 +14,17 @@
 
 
 async def test_requests_reach_servers_of_other_machines():
-    """Requests would only be served by the server on the client's own machine."""
+    """Guards against requests that are served only by the server on the client's machine.
+
+    The local server rejects the request, so that the node has to send it to another machine with
+    the headers that servers rely on, and without the key.
+    """
     async with running_fleet() as fleet:
         for node in fleet.nodes[1:]:
             node.server.behaviour = 'reject'
-        found = await book(fleet.nodes[1], 'one')
-        assert (found.code, found.body) == (200, b'server-0:x')
-        assert found.headers['Turmericwharf-Response-Stamp'] == 'stamp-one'
+        response = await book(fleet.nodes[1], 'one')
+        assert (response.code, response.body) == (200, b'server-0:x')
+        assert response.headers['Turmericwharf-Response-Stamp'] == 'stamp-one'
         headers = fleet.nodes[0].server.headers_by_request['one']
         assert headers['Turmericwharf-Tenant'] == 'cafe'
         assert headers['Turmericwharf-Caller-Service'] == 'bookings'
@@ -29,7 +33,10 @@
 
 
 async def test_metrics_and_state_are_served():
-    """On-call engineers would have nothing but the logs."""
+    """Guards against missing metrics or state, which leave operators with only the logs.
+
+    The node serves them on the second port of its port range.
+    """
     async with running_fleet(2) as fleet:
         node = fleet.nodes[0]
         await node.ask('/read/1')
@@ -43,7 +50,10 @@
 
 
 async def test_changed_settings_are_read_on_a_signal():
-    """A signal that announces changed settings would end the process."""
+    """Guards against SIGHUP, which asks for a reload of the settings, ending the process.
+
+    That is the default action of the signal if no handler is installed.
+    """
     async with running_fleet(1) as fleet:
         node = fleet.nodes[0]
         node.process.send_signal(signal.SIGHUP)
@@ -54,7 +64,10 @@
 
 
 async def test_bad_keys_and_paths_are_refused():
-    """A request would run for nobody, or for another organisation."""
+    """Guards against runs without an organisation, or for the wrong one.
+
+    They come about if a request with an unknown key or path is forwarded to a server.
+    """
     async with running_fleet(2) as fleet:
         assert (await fleet.nodes[0].ask('/read/1', key='wrong', request='k')).code == 401
         assert (await fleet.nodes[0].ask('/none/1', request='p')).code == 404
@@ -62,7 +75,11 @@
 
 
 async def test_withdrawn_key_stops_while_the_store_is_away_from_one_node():
-    """A key that was withdrawn would work at a node that cannot read the store."""
+    """Guards against a withdrawn key that still works at a node that cannot read the store.
+
+    The node restarts while the store does not answer, and has to get the current configuration
+    from the other nodes.
+    """
     async with running_fleet() as fleet:
         fleet.store.configure(make_configuration(2, tenants={'cafe': {'apiKeys': ['other']}}))
         await asyncio.sleep(1.0)
@@ -78,7 +95,10 @@
 
 
 async def test_leaving_server_gets_no_work_after_its_acknowledgement():
-    """A server that leaves would get requests that it cannot finish."""
+    """Guards against requests to a leaving server, which it cannot finish.
+
+    Once its node has acknowledged the state `draining`, no node may select the server.
+    """
     async with running_fleet() as fleet:
         leaving = fleet.nodes[0].server
         assert await leaving.say('draining') == 200
@@ -89,29 +109,36 @@
 
 
 async def test_leaving_server_stays_out_after_a_restart_of_its_node():
-    """A restarted node would give work to a server that said that it leaves."""
+    """Guards against a restarted node that sends requests to a leaving server.
+
+    The restart discards the state in memory, and the health check of the server succeeds, so that
+    the server would look ready.
+    """
     async with running_fleet() as fleet:
         node = fleet.nodes[0]
         assert await node.server.say('draining') == 200
         await node.stop(signal.SIGKILL)
-        # The server says nothing more, and its health check is good.
+        # The server sends no further announcements, and its health check succeeds.
         node.server._beats.cancel()
         node.server.state = 'ready'
         await node.start()
         await fleet.wait_until_whole()
         await asyncio.sleep(1.0)
-        for one in fleet.nodes * 3:
-            assert (await one.ask('/read/1')).code == 200
+        for entry in fleet.nodes * 3:
+            assert (await entry.ask('/read/1')).code == 200
         assert not node.server.runs_by_request
         assert not [
-            one
-            for one in node.events('server_changed')[1:]
-            if one['phase'] == ServerPhase.READY.value
+            event
+            for event in node.events('server_changed')[1:]
+            if event['phase'] == ServerPhase.READY.value
         ]
 
 
 async def test_restarted_node_finds_its_server_without_an_announcement():
-    """The server would stand idle until its next announcement."""
+    """Guards against a server that stays idle after a restart of its node.
+
+    Without an announcement, the restarted node has to identify the server by its health check.
+    """
     async with running_fleet(2) as fleet:
         node = fleet.nodes[0]
         node.server._beats.cancel()
@@ -126,17 +153,20 @@
 
 
 async def test_rolling_restart_cuts_no_request():
-    """A restart of the nodes one after the other would cut requests at work."""
+    """Guards against requests that are cut or run twice during a rolling restart of the nodes.
+
+    Callers keep requests in flight at all nodes while the nodes stop and start one after another.
+    """
     async with running_fleet() as fleet:
-        answers = []
-        ended = asyncio.Event()
+        statuses = []
+        stopping = asyncio.Event()
         for node in fleet.nodes:
             node.server.work_seconds = 0.3
 
         async def load(node):
-            while not ended.is_set():
+            while not stopping.is_set():
                 if await node.is_ready():
-                    answers.append((await book(node, None)).code)
+                    statuses.append((await book(node, None)).code)
                 await asyncio.sleep(0.02)
 
         callers = [asyncio.create_task(load(node)) for node in fleet.nodes for _ in range(2)]
@@ -147,48 +177,60 @@
                 while not await node.is_ready():
                     await asyncio.sleep(0.05)
             await asyncio.sleep(0.5)
-        ended.set()
+        stopping.set()
         await asyncio.gather(*callers)
-        assert set(answers) == {200}
-        assert len(answers) > 50
+        assert set(statuses) == {200}
+        assert len(statuses) > 50
         assert all(
             count == 1 for node in fleet.nodes for count in node.server.runs_by_request.values()
         )
 
 
 async def test_node_stops_in_time_beside_a_node_that_stands_still():
-    """A node would be killed at the end of its grace time, as it waits for a silent peer."""
+    """Guards against a node that exceeds its grace time because it waits for a silent peer.
+
+    The peer is paused, so that it does not answer but its connections stay open; the platform
+    kills a node that has not ended within the grace time.
+    """
     async with running_fleet(3) as fleet:
-        stopping, frozen, _ = fleet.nodes
+        stopping, paused, _ = fleet.nodes
         for _ in range(6):
             await asyncio.gather(*(node.ask('/read/1') for node in fleet.nodes))
-        frozen.process.send_signal(signal.SIGSTOP)
+        paused.process.send_signal(signal.SIGSTOP)
         try:
             started_at = time.monotonic()
             await stopping.stop()
-            # A node lingers for 2.6 s, and 1 s is enough for it to end.
+            # A node drains for at least 2.6 s; 1 s more is enough for it to end.
             assert time.monotonic() - started_at < 2.6 + 1.0
         finally:
-            frozen.process.send_signal(signal.SIGCONT)
+            paused.process.send_signal(signal.SIGCONT)
 
 
 async def test_failing_server_is_left_alone_and_tried_again():
-    """A server that resets connections would go on losing bookings."""
+    """Guards against a server that resets connections and keeps losing bookings.
+
+    The nodes have to stop sending requests to it, and to probe it so that it is used again after
+    it has recovered.
+    """
     async with running_fleet() as fleet:
         failing = fleet.nodes[0].server
         failing.behaviour = 'reset'
-        codes = [(await book(node, None)).code for node in fleet.nodes * 10]
-        assert codes.count(502) <= 2
+        statuses = [(await book(node, None)).code for node in fleet.nodes * 10]
+        assert statuses.count(502) <= 2
         failing.behaviour = 'answer'
         before = sum(failing.runs_by_request.values())
         async with asyncio.timeout(15):
             while sum(failing.runs_by_request.values()) < before + 5:
-                codes = [(await node.ask('/read/1')).code for node in fleet.nodes]
-                assert codes == [200, 200, 200]
+                statuses = [(await node.ask('/read/1')).code for node in fleet.nodes]
+                assert statuses == [200, 200, 200]
 
 
 async def test_client_that_leaves_stops_idempotent_work_only():
-    """Servers would work for nobody, or a booking would be cut in the middle."""
+    """Guards against servers that work for disconnected clients, and against aborted bookings.
+
+    When the client closes its connection, the node has to abort an idempotent request at the server
+    and to let any other request run to its end.
+    """
     async with running_fleet(2) as fleet:
         for node in fleet.nodes:
             node.server.work_seconds = 1.0
@@ -204,12 +246,16 @@
             await asyncio.sleep(0.4)
             writer.close()
         await asyncio.sleep(1.0)
-        cut = [name for node in fleet.nodes for name in node.server.cut]
-        assert cut == ['left-GET']
+        aborted = [name for node in fleet.nodes for name in node.server.cut]
+        assert aborted == ['left-GET']
 
 
 async def test_history_that_the_store_forgets_is_read_anew():
-    """A node would miss configurations for good after the store dropped its history."""
+    """Guards against a node that stays on an old configuration after the store dropped its history.
+
+    The store is busy while new versions are written and the changes in between are dropped, so
+    that the node cannot catch up change by change and has to read the newest version.
+    """
     async with running_fleet(2) as fleet:
         fleet.store.fault = 'busy'
         await asyncio.sleep(0.5)
--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -7,20 +7,26 @@
 
 from tests.soak import WITHDRAWN_KEY, Sent, Soak, play
 
-# Add each seed that ever failed, with a line on its cause.
+# Add every seed that fails, with a line that gives its cause.
 SEEDS = (2,)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
 async def test_promises_hold_under_random_faults(seed):
-    """A promise would break only when faults overlap."""
+    """Guards against violations of the node's guarantees that need overlapping faults.
+
+    The soak injects random faults at random times; the seed makes their sequence repeatable.
+    """
     report = await play(seed)
     assert report['broken'] == [], '\n'.join(report['timeline'])
     assert report['requests'] > 200
 
 
 def test_run_for_a_withdrawn_key_is_found():
-    """The soak would pass although a withdrawn key goes on working."""
+    """Guards against a soak that passes although a withdrawn key still works.
+
+    The check has to report a run that began after the withdrawal was in force, and no earlier one.
+    """
     soak = Soak(SimpleNamespace(runs=lambda request: 1), random.Random(1), withdrawn_at=10.0)
     soak.seen = [
         Sent(name, WITHDRAWN_KEY, True, at, 200, b'', name)
