--- a/tests/fleet/test_fault_matrix.py
+++ b/tests/fleet/test_fault_matrix.py
@@ -1,4 +1,7 @@
-"""Fault matrix of requests: every fault is injected at every step, between real processes.
+"""Fault matrix of requests: every fault is injected at every step, in a fleet of real processes.
+
+Faults are injected from outside: at the sockets between the processes, by signals, by operator
+commands and by the stand-ins of the log and the backend servers.
 
 A step is delayed (a slow log delays the claim, a slow server the run, and so on), so that the fault
 is injected while requests are in that step. Afterwards the fault is healed, and the checkers
