Reword comments of coordination and state that were hard to read

Correct the parameter list of ClaimState, which named a field that no longer exists. Say which constant a comment applies to, use 'end of the log' and 'priority' for one thing each, and give private constants and local variables their units.

--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_fold.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_fold.py
@@ -22,10 +22,14 @@
 
     Parameters
     ----------
-    held_at
-        Wall-clock time of the latest attempt to claim the fingerprint.
+    content
+        Digest of the claimed request's method, target and body.
+    last_claimed_at
+        Unix time in seconds of the latest attempt to claim the fingerprint.
     released
         Whether the claim was released, so that the next claim wins.
+    status, kept_by
+        HTTP status of the answer and the node that keeps it; None until the request is answered.
     """
 
     claim: ClaimId
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_ledger.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claim_ledger.py
@@ -32,8 +32,8 @@
 
 _MAX_BATCH_RECORDS = 512
 # Most outcomes are appended by this coordinator; others are found by polling at this interval.
-_POLL_SECONDS = 0.25
-_MILLISECONDS = 1000
+_POLL_INTERVAL_SECONDS = 0.25
+_MILLISECONDS_PER_SECOND = 1000
 _UNAVAILABLE = ClaimFailed(Reason.CLAIM_LOG_UNAVAILABLE)
 _RELEASED = ClaimFailed(Reason.CLAIM_RELEASED)
 
@@ -102,15 +102,15 @@
     async def wait_for_outcome(self, request: ClaimOutcomeRequest) -> ClaimTaken | ClaimFailed:
         """Wait until the claim that holds a fingerprint is finished or released."""
         partition = self._partition(request.partition)
-        deadline = self._clock.now() + request.wait_milliseconds / _MILLISECONDS
+        deadline = self._clock.now() + request.wait_milliseconds / _MILLISECONDS_PER_SECOND
         while await partition.refresh():
             state = partition.claims.find(request.fingerprint)
             if state is None or state.released:
                 return _RELEASED
-            remaining = deadline - self._clock.now()
-            if state.status is not None or remaining <= 0:
+            remaining_seconds = deadline - self._clock.now()
+            if state.status is not None or remaining_seconds <= 0:
                 return _to_claim_taken(state)
-            await partition.wait_for_change(min(remaining, _POLL_SECONDS))
+            await partition.wait_for_change(min(remaining_seconds, _POLL_INTERVAL_SECONDS))
         return _UNAVAILABLE
 
     def _partition(self, number: int) -> '_Partition':
--- a/packages/turmericwharf/src/turmericwharf/coordination/claims/claims.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/claims/claims.py
@@ -34,12 +34,12 @@
     TimingSettings,
 )
 
-_MILLISECONDS = 1000
-# Releases and outcomes are retried up to this many times, so that they are recorded once the log
-# answers again. After a longer outage, callers are refused until the claim expires.
-_RECORD_ATTEMPTS = 60
-_FIRST_RETRY_SECONDS = 0.25
-_MAX_RETRY_SECONDS = 5.0
+_MILLISECONDS_PER_SECOND = 1000
+# Releases and outcomes are sent up to this many times, so that they are recorded once the log
+# answers again. If an outage outlasts the retries, callers are refused until the claim expires.
+_MAX_RECORD_ATTEMPTS = 60
+_INITIAL_RETRY_DELAY_SECONDS = 0.25
+_MAX_RETRY_DELAY_SECONDS = 5.0
 # A pending record takes about 1 KB, so this limits memory during a log outage to a few megabytes.
 _MAX_PENDING_RECORDS = 4096
 
@@ -117,7 +117,7 @@
         request = ClaimOutcomeRequest(
             partition_of(fingerprint),
             fingerprint,
-            wait_seconds * _MILLISECONDS,
+            wait_seconds * _MILLISECONDS_PER_SECOND,
         )
         answer = await _within(
             timeout_seconds,
@@ -210,10 +210,10 @@
 
 
 async def _record_until_done(send: Callable[[], Awaitable[object]]) -> None:
-    retry_seconds = _FIRST_RETRY_SECONDS
-    for _attempt in range(_RECORD_ATTEMPTS):
+    retry_delay_seconds = _INITIAL_RETRY_DELAY_SECONDS
+    for _attempt in range(_MAX_RECORD_ATTEMPTS):
         if isinstance(await send(), Acknowledged):
             return
-        await asyncio.sleep(retry_seconds)
-        retry_seconds = min(retry_seconds * 2, _MAX_RETRY_SECONDS)
+        await asyncio.sleep(retry_delay_seconds)
+        retry_delay_seconds = min(retry_delay_seconds * 2, _MAX_RETRY_DELAY_SECONDS)
     logger.error('claim_record_dropped')
--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/change_checks.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/change_checks.py
@@ -34,6 +34,7 @@
 # A longer list does not help to find a misspelt name.
 _MAX_LISTED_CHOICES = 20
 
+# Field of a changed object, its value, and a description of the values that are valid.
 _Violation: TypeAlias = tuple[str, object, str]
 
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/control_log.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/control_log.py
@@ -117,12 +117,12 @@
 
     async def follow(self) -> None:
         """Read the newest snapshot, then follow the control stream until cancelled."""
-        is_at_tail = False
+        is_at_end = False
         while True:
             if self._needs_snapshot:
                 await self._read_snapshot()
             else:
-                is_at_tail = await self._read_once(is_at_tail)
+                is_at_end = await self._read_once(is_at_end)
 
     async def append_record(
         self,
@@ -154,16 +154,16 @@
             self.adopt(state)
         self._needs_snapshot = False
 
-    async def _read_once(self, is_at_tail: bool) -> bool:
+    async def _read_once(self, is_at_end: bool) -> bool:
         """Read one page and return whether it was empty."""
         requested_at = self._clock.now()
         offset = self._state.version + 1
         page = await self._log.read(
             CONTROL_STREAM,
             offset=offset,
-            # Only a read at the tail waits. If a read after records waited too, records that
-            # arrive faster than the wait time would keep the node from ever reaching the tail.
-            wait_seconds=self._timing.log_wait_seconds if is_at_tail else 0,
+            # Only a read at the end of the log waits. If a read after records waited too, records
+            # that arrive faster than the wait time would keep the node from ever reaching the end.
+            wait_seconds=self._timing.log_wait_seconds if is_at_end else 0,
         )
         if isinstance(page, LogFailure):
             logger.bind(reason=page.reason.value, detail=page.detail).debug('log_read_failed')
@@ -189,14 +189,15 @@
         state = self._state
         for stored in page.records:
             state = fold_record(state, stored)
-            # Each intermediate membership matters for the confirmation of memberships.
+            # Confirming a membership needs a majority of each one since the last confirmed one, so
+            # none may be skipped.
             self._members.apply(state.membership, is_consecutive=True)
         # Skip records that could not be decoded, or they would be read again and again.
         version = max(state.version, page.next_offset - 1)
         if version > self._state.version:
             self.adopt(dataclasses.replace(state, version=version))
             return False
-        # An empty page means that the tail was reached at the time of the request or later.
+        # An empty page means that the end was reached at the time of the request or later.
         self._standing.record_log_read(requested_at)
         self._members.is_caught_up = True
         self.is_ready = True
--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/publishing.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/publishing.py
@@ -28,7 +28,7 @@
     control_log
         Holder of the control state.
     standing
-        Source of whether the end of the log was reached within the standing time.
+        Whether the end of the log was reached within the standing time.
     timing
         Coordination intervals and timeouts.
     clock
@@ -56,7 +56,7 @@
         return evaluate_change(publish, state.configuration, state.version + 1)[0]
 
     async def publish(self, publish: Publish) -> PublishReceipt | PublishFailure:
-        """Append a change and return its receipt, or the reason for which it has none.
+        """Append a change and return its receipt, or a failure if no receipt was obtained.
 
         An append whose answer was lost is retried with the same publish id, which the fold
         applies only once.
--- a/packages/turmericwharf/src/turmericwharf/coordination/configuration/snapshots.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/configuration/snapshots.py
@@ -28,7 +28,7 @@
 
 
 class SnapshotWriter:
-    """Appends a snapshot when the last one is due; concurrent writes by two nodes are harmless.
+    """Appends a snapshot when the next one is due; concurrent writes by two nodes are harmless.
 
     Parameters
     ----------
@@ -39,7 +39,7 @@
     control_log
         Holder of the control state.
     standing
-        Source of whether the end of the log was reached within the standing time.
+        Whether the end of the log was reached within the standing time.
     settings
         Retention time of the log.
     wall_clock
--- a/packages/turmericwharf/src/turmericwharf/coordination/execution/execution.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/execution.py
@@ -33,7 +33,7 @@
     ServiceId,
 )
 
-_MILLISECONDS = 1000
+_MILLISECONDS_PER_SECOND = 1000
 # Request ids are kept this long after the deadline. A duplicate frame that arrives later is
 # rejected because its deadline has passed.
 _DEDUPLICATION_SECONDS = 5.0
@@ -145,15 +145,17 @@
 
     async def execute(self, order: Execute) -> Outcome:
         """Run one request, or reject it before any byte is sent to the backend server."""
-        remaining = order.remaining_milliseconds / _MILLISECONDS - self._transit_seconds(order)
-        deadline = self._clock.now() + remaining
+        remaining_seconds = (
+            order.remaining_milliseconds / _MILLISECONDS_PER_SECOND - self._transit_seconds(order)
+        )
+        deadline = self._clock.now() + remaining_seconds
         if self._requests.has_seen(order.request):
             # The first copy may be running, so `NotRun` would be wrong.
             return OutcomeUnknown(DUPLICATE_REQUEST.reason, DUPLICATE_REQUEST.detail)
         self._requests.remember(order.request, deadline + _DEDUPLICATION_SECONDS)
         task = self._requests.start(order, deadline, self._serve(order, deadline))
         try:
-            async with asyncio.timeout(max(remaining, 0)):
+            async with asyncio.timeout(max(remaining_seconds, 0)):
                 return await asyncio.shield(task)
         except TimeoutError:
             return self._outcome_at_deadline(order, task)
@@ -164,7 +166,7 @@
     def _outcome_at_deadline(self, order: Execute, task: asyncio.Task[Outcome]) -> Outcome:
         if task.done():
             return task.result()
-        # `cancel` prevents a request that has not started yet from starting, so it is not run.
+        # `cancel` prevents a queued request from starting, so it certainly does not run.
         has_started = order.request in self._requests.started
         self.cancel(order.request)
         if has_started:
@@ -176,8 +178,8 @@
     def _transit_seconds(self, order: Execute) -> float:
         if order.sent_at is None:
             return 0
-        age = self._wall_clock.now() - order.sent_at
-        return max(age - self._limits.clock_skew_seconds, 0)
+        age_seconds = self._wall_clock.now() - order.sent_at
+        return max(age_seconds - self._limits.clock_skew_seconds, 0)
 
     async def _serve(self, order: Execute, deadline: float) -> Outcome:
         refusal = self._refusal(order, deadline)
@@ -198,7 +200,7 @@
         return dataclasses.replace(
             outcome,
             load=self._queue.load,
-            waited_milliseconds=waited_seconds * _MILLISECONDS,
+            waited_milliseconds=waited_seconds * _MILLISECONDS_PER_SECOND,
         )
 
     async def _acquire_slot(self, order: Execute, deadline: float) -> RequestFailure | None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/execution/fair_queue.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/fair_queue.py
@@ -14,11 +14,13 @@
     RequestFailure,
 )
 
-_SLOT_TIME_WEIGHT = 0.05
+# Weight of the latest request in the moving average of the time for which requests hold a slot.
+_MEAN_UPDATE_WEIGHT = 0.05
 _INITIAL_MEAN_SECONDS = 0.01
 _MIN_HELD_SECONDS = 0.0001
-# Limits how far the charge of an organisation may exceed that of the last one served, in mean
-# requests, so that one very long request does not delay its next requests for too long.
+# Limits how far the charge of an organisation may exceed that of the last one served, in multiples
+# of the mean slot time, so that one very long request does not delay its next requests for too
+# long.
 _MAX_DEBT_REQUESTS = 16
 # Maximum number of organisations whose charge is kept after their last request left the queue.
 _MAX_CHARGES = 1024
@@ -26,7 +28,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class _Waiter:
-    """A queued request; its future resolves to None with a slot, else to the rejection."""
+    """A queued request; its future resolves to None if a slot is granted, else to the failure."""
 
     organisation: OrganisationId
     importance: int
@@ -139,7 +141,7 @@
         if not grants:
             self._grants_by_id.pop(organisation)
         held_seconds = max(self._clock.now() - grant.granted_at, _MIN_HELD_SECONDS)
-        self._mean_seconds += _SLOT_TIME_WEIGHT * (held_seconds - self._mean_seconds)
+        self._mean_seconds += _MEAN_UPDATE_WEIGHT * (held_seconds - self._mean_seconds)
         self._charge(organisation, held_seconds - grant.charged_seconds)
         self._used -= 1
         self._grant_free_slots()
--- a/packages/turmericwharf/src/turmericwharf/coordination/execution/run_check.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/execution/run_check.py
@@ -27,7 +27,7 @@
     def refusal(self, order: Execute) -> RequestFailure | None:
         """Return the reason why a request must not run, or None if it may run."""
         if not order.organisation:
-            # A background lookup has no organisation, so there is no key that can be withdrawn.
+            # A lookup that serves no request has no organisation, so there is no key to withdraw.
             return None
         if not self._control_log.is_ready:
             # A new incarnation may receive requests before it has loaded any keys. The rejected
--- a/packages/turmericwharf/src/turmericwharf/coordination/membership/gossip.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/gossip.py
@@ -30,9 +30,10 @@
 # above 254 units are too old to count within the standing time and are sent as unknown.
 _AGE_UNIT_SECONDS = 0.02
 _AGE_UNKNOWN = 255
-# Neighbours are kept, since a new connection costs more bytes than three answers. After this many
-# pulls one neighbour is replaced at random, which reconnects a fleet after a network partition.
+# Neighbours are kept, since a new connection costs more bytes than three answers.
 _MAX_NEIGHBOURS = 8
+# After this many pulls one neighbour is replaced by a random node, which reconnects a fleet after a
+# network partition.
 _PULLS_PER_ROTATION = 45
 _RECENT_REPORT_SECONDS = 4.0
 _MAX_RECENT_REPORTS = 32
@@ -188,8 +189,8 @@
         self._end_standing_if_superseded()
         self._standing.record_majority_contact(self._members.majority_contact_at())
         if self._standing.has_standing and not self._members.is_caught_up:
-            # This majority does not count the node itself, so it overlaps every other majority and
-            # knows every version that is in force at one.
+            # Until it has caught up, a node does not count itself. The majority therefore consists
+            # of other nodes, overlaps every other majority and knows every version in force at one.
             self._members.is_caught_up = True
             self._control_log.is_ready = True
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/membership/joining.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/joining.py
@@ -18,7 +18,7 @@
 
 
 class Joiner:
-    """Joins through the log while it does not list the node, or through peers if it is down."""
+    """Joins while the log does not list the node; through peers if the log is unreachable."""
 
     def __init__(
         self,
--- a/packages/turmericwharf/src/turmericwharf/coordination/membership/removal.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/membership/removal.py
@@ -91,5 +91,5 @@
         return silent_seconds > self._timing.removal_seconds + rank_delay_seconds
 
     def _last_contact_with(self, instance: InstanceId) -> float:
-        # A member that was never reached is removed after the removal time since its join.
+        # The silence of a member that was never in contact counts from its join.
         return max(self._members.first_seen_at(instance), self._members.last_contact_at(instance))
--- a/packages/turmericwharf/src/turmericwharf/coordination/state_dump.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/state_dump.py
@@ -8,7 +8,7 @@
 
 @singledispatch
 def describe(part: object) -> object | None:
-    """Return a frozen data class with the state of a part of a node, or None.
+    """Return a frozen data class with the state of a part of a node, or None if it has none.
 
     Each module registers a handler for its own classes. Numbers, and mappings from names to
     numbers, are also exported as metrics; a field whose name ends in `_total` is a counter.
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/fleet_configuration.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/fleet_configuration.py
@@ -29,7 +29,7 @@
     target_seconds
         Latency target; an answer before this time has its full value.
     priority
-        Rank among routes; 0 is the highest.
+        Priority among routes; 0 is the highest.
     """
 
     route: RouteId
@@ -54,7 +54,7 @@
         Rate in requests per second and burst in requests; both are 0 if the organisation has no
         limit.
     priority
-        Rank that takes precedence over that of the route; None if the rank of the route applies.
+        Priority that replaces that of the route; None if the priority of the route applies.
     """
 
     organisation: OrganisationId
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
@@ -21,7 +21,7 @@
     READY = 'ready'
     # The server is shutting down and never becomes ready again.
     LEAVING = 'leaving'
-    # The node has stopped or just started; its server may be ready.
+    # The node is stopping, has stopped or has just started; its server may be ready.
     STOPPING = 'stopping'
 
 
