--- a/packages/turmericwharf/src/turmericwharf/state/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/state/messages.py
@@ -269,8 +269,8 @@
     Parameters
     ----------
     seconds
-        Time for which the tokens may be spent or, after a refusal, until the entry node may ask
-        again.
+        Time for which the tokens may be spent or, after a refusal, until the entry node may send
+        another request.
     share
         Share of the rate that the holder uses; below 1, a refusal may occur although the
         organisation is within its rate.
@@ -386,7 +386,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlSnapshot:
-    """Configuration and membership; None if not newer than the requested version."""
+    """Configuration and membership; None if not newer than the version in the request."""
 
     state: ControlState | None
 
--- a/packages/turmericwharf/src/turmericwharf/state/rates.py
+++ b/packages/turmericwharf/src/turmericwharf/state/rates.py
@@ -92,7 +92,7 @@
     per_slice
         Number of requests in the lifetime of a slice, according to the previous window.
     asked_at
-        Time at which a holder was last asked for tokens.
+        Time of the last token request to a holder.
     """
 
     arrivals: int
@@ -114,7 +114,7 @@
     refused_above_rate
         Requests refused by a holder that used the whole rate, which were therefore above it.
     refused_on_partial_share
-        Requests refused while the asked holders used only a part of the rate; these may have
+        Requests refused while the queried holders used only a part of the rate; these may have
         been within the rate.
     refused_unanswered
         Requests refused because no holder answered; these may have been within the rate.
