Rename the responses of backend servers and the backend client

What a backend server sends back over HTTP is called a response throughout: ServerAnswer becomes DecodedResponse, classify_answer classify_response, read_answer read_response and the module server_answers server_responses. HttpBackendServer, a client of the backend server, becomes HttpBackendClient.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/__init__.py
@@ -19,7 +19,7 @@
     NodeStore,
     ServerConnection,
 )
-from turmericwharf.coordination.sidecar.server_answers import classify_answer
+from turmericwharf.coordination.sidecar.server_responses import classify_response
 
 __all__ = (
     'ConfigurationDecoder',
@@ -32,6 +32,6 @@
     'SidecarPorts',
     'answer_peer',
     'build_sidecar_node',
-    'classify_answer',
+    'classify_response',
     'name_outcome',
 )
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_responses.py
@@ -0,0 +1,29 @@
+"""Classifies the responses of a backend server."""
+
+from turmericwharf.state import Answered, NotRun, Outcome, OutcomeUnknown, Reason, RequestId
+from turmericwharf.state.sidecar import DecodedResponse
+
+_MISDIRECTED_REQUEST = 421
+_FIRST_SUCCESS = 200
+_LAST_SUCCESS = 299
+
+
+def classify_response(request: RequestId, response: DecodedResponse) -> Outcome:
+    """Return the outcome of a request whose response arrived completely."""
+    if response.request is not None and response.request != request:
+        return OutcomeUnknown(
+            Reason.ANSWER_FOREIGN, f'the response belongs to request {response.request}'
+        )
+    if response.is_not_executed or response.status == _MISDIRECTED_REQUEST:
+        return NotRun(
+            Reason.SERVER_SHED,
+            f'the backend server rejected the request with status {response.status}',
+        )
+    if response.is_encoded:
+        return OutcomeUnknown(
+            Reason.ANSWER_FOREIGN, 'the response body has an unexpected content encoding'
+        )
+    is_success = _FIRST_SUCCESS <= response.status <= _LAST_SUCCESS
+    if is_success and not response.is_stamped:
+        return OutcomeUnknown(Reason.STAMP_MISSING, 'the response is not signed by the server')
+    return Answered(status=response.status, headers=response.headers, body=response.body)
--- a/packages/turmericwharf/src/turmericwharf/platform/dialect.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/dialect.py
@@ -20,7 +20,7 @@
     Reason,
     RequestId,
 )
-from turmericwharf.state.sidecar import FleetRequest, ServerAnswer, WorkOrder
+from turmericwharf.state.sidecar import FleetRequest, DecodedResponse, WorkOrder
 
 _MILLISECONDS_PER_SECOND = 1000
 _OK = 200
@@ -83,11 +83,11 @@
         organisation = ((names.ORGANISATION, order.organisation),) if order.organisation else ()
         return (*node_headers, *organisation, *order.headers)
 
-    def read_answer(self, response: ServerResponse) -> ServerAnswer:
+    def read_response(self, response: ServerResponse) -> DecodedResponse:
         """Return the answer of a backend server."""
         by_name = {name.lower(): text for name, text in response.headers}
         request = by_name.get(names.REQUEST_ID.lower())
-        return ServerAnswer(
+        return DecodedResponse(
             status=response.status,
             headers=forwarded_headers(response.headers),
             body=response.body,
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
@@ -37,15 +37,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ServerAnswer:
-    """Answer of a backend server before it is classified.
+class DecodedResponse:
+    """Response of a backend server before it is classified.
 
     Parameters
     ----------
     request
-        Request that the answer refers to, or None if it does not state one.
+        Request that the response refers to, or None if it does not state one.
     is_stamped
-        Whether the server signed the answer.
+        Whether the server signed the response.
     is_not_executed
         Whether the server states that it did not run the request.
     is_encoded
--- a/packages/turmericwharf/src/turmericwharf/transport/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/__init__.py
@@ -5,7 +5,7 @@
     Announcement,
 )
 from turmericwharf.transport.backend_client import (
-    HttpBackendServer,
+    HttpBackendClient,
 )
 from turmericwharf.transport.caller_server import (
     CallerServer,
@@ -64,7 +64,7 @@
     'DrainableServer',
     'FetchFailure',
     'FrameChannel',
-    'HttpBackendServer',
+    'HttpBackendClient',
     'HttpExchange',
     'HttpExchangeHandler',
     'HttpExchangeTable',
--- a/packages/turmericwharf/src/turmericwharf/transport/announce_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/announce_server.py
@@ -9,7 +9,7 @@
 from turmericwharf.coordination import Node
 from turmericwharf.protocol import HttpResponse, read_caller_request, to_http
 from turmericwharf.state import NotRun, Reason, ServerState, ServiceId
-from turmericwharf.transport.backend_client import HttpBackendServer
+from turmericwharf.transport.backend_client import HttpBackendClient
 from turmericwharf.transport.http_exchange import HttpExchange
 from turmericwharf.transport.http_server import listen_http
 
@@ -32,9 +32,9 @@
 class AnnounceServer:
     """Serves announcements and lookups of the local backend server."""
 
-    def __init__(self, node: Node, server: HttpBackendServer) -> None:
+    def __init__(self, node: Node, backend_client: HttpBackendClient) -> None:
         self._node = node
-        self._backend_server = server
+        self._backend_client = backend_client
         self._server: HTTPServer | None = None
         self._last_announced_at = node.clock.now()
         self._expiry_task: asyncio.Task[None] | None = None
@@ -68,7 +68,7 @@
         except msgspec.DecodeError as error:
             return HttpResponse(_BAD_REQUEST, (), str(error).encode())
         self._last_announced_at = self._node.clock.now()
-        self._backend_server.update_port(announcement.port)
+        self._backend_client.update_port(announcement.port)
         self._node.executor.record_announcement(
             announcement.service, announcement.slots, announcement.state
         )
--- a/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
@@ -40,7 +40,7 @@
 )
 
 
-class HttpBackendServer:
+class HttpBackendClient:
     """Client of the backend server on the local instance, connected over loopback.
 
     Parameters
--- a/packages/turmericwharf/src/turmericwharf/transport/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/process.py
@@ -15,7 +15,7 @@
     make_incarnation,
 )
 from turmericwharf.transport.announce_server import AnnounceServer
-from turmericwharf.transport.backend_client import HttpBackendServer
+from turmericwharf.transport.backend_client import HttpBackendClient
 from turmericwharf.transport.caller_server import CallerServer
 from turmericwharf.transport.clock import BootClock, UtcClock
 from turmericwharf.transport.log_client import HttpLog
@@ -53,7 +53,7 @@
         )
         self._log = HttpLog(settings.log, source_host=settings.listen.host)
         self._links = PeerLinkTable(local_member, settings)
-        self._backend_server = HttpBackendServer(settings.limits)
+        self._backend_client = HttpBackendClient(settings.limits)
         self.node: Node = build_node(
             settings=settings,
             own=local_member,
@@ -63,13 +63,13 @@
                 log=self._log,
                 codec=SnapshotEncoding(),
                 links=self._links,
-                server=self._backend_server,
+                server=self._backend_client,
             ),
         )
         self._links.attach_members(self.node.members)
         self._caller_server = CallerServer(self.node)
         self._operator_server = OperatorServer(self.node)
-        self._announce_server = AnnounceServer(self.node, self._backend_server)
+        self._announce_server = AnnounceServer(self.node, self._backend_client)
         self._peer_server = PeerServer(self.node)
 
     async def run(self, stopping: asyncio.Event) -> None:
@@ -166,7 +166,7 @@
         await self._operator_server.stop()
         self._links.close()
         await self._peer_server.stop()
-        self._backend_server.close()
+        self._backend_client.close()
         self._log.close()
 
 
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.sidecar import classify_answer
+from turmericwharf.coordination.sidecar import classify_response
 from turmericwharf.protocol import ServerResponse, ResponseReader
 from turmericwharf.state import (
     Headers,
@@ -19,7 +19,7 @@
     ProtocolFailure,
     Reason,
 )
-from turmericwharf.state.sidecar import Address, ServerAnswer, WorkOrder
+from turmericwharf.state.sidecar import Address, DecodedResponse, WorkOrder
 
 _READ_BYTES = 65536
 _CONNECT_TIMEOUT_SECONDS = 0.5
@@ -31,7 +31,7 @@
     def request_headers(self, order: WorkOrder, *, remaining_seconds: float) -> Headers:
         """Return the headers of the request to the server."""
 
-    def read_answer(self, response: ServerResponse) -> ServerAnswer:
+    def read_response(self, response: ServerResponse) -> DecodedResponse:
         """Return the decoded answer of the server."""
 
     def read_identity(self, response: ServerResponse) -> str | None:
@@ -67,7 +67,7 @@
             )
         if isinstance(response, NotRun | OutcomeUnknown):
             return response
-        return classify_answer(order.request, self._dialect.read_answer(response))
+        return classify_response(order.request, self._dialect.read_response(response))
 
     async def identify(self, path: str, *, timeout_seconds: float) -> str | None:
         """Return the identifier that a healthy server reports at its health path, or None."""
--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -7,7 +7,7 @@
 
 from tests.coordination.fakes import order
 from turmericwharf.state import Answered, LimitSettings, NotRun, OutcomeUnknown, Reason
-from turmericwharf.transport import HttpBackendServer
+from turmericwharf.transport import HttpBackendClient
 
 MAX_BODY_BYTES = 1000
 OK = b'HTTP/1.1 200 OK\r\n'
@@ -32,7 +32,7 @@
 @contextlib.asynccontextmanager
 async def _connected_client(server: RawServer):
     listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
-    client = HttpBackendServer(LimitSettings(answer_body_bytes=MAX_BODY_BYTES))
+    client = HttpBackendClient(LimitSettings(answer_body_bytes=MAX_BODY_BYTES))
     client.update_port(listener.sockets[0].getsockname()[1])
     try:
         yield client
