--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from benchmarks.latency import processor_seconds
-from tests.fleet_processes import Fleet, kavarna_change
+from tests.fleet_processes import Fleet, example_change
 
 TARGET_CORE_SHARE = 0.023
 TARGET_MEMORY_MEGABYTES = 128
@@ -40,8 +40,8 @@
 
 async def measure_cost(nodes: int) -> ControlCost:
     """Measure an idle fleet of a size."""
-    async with Fleet(['catalogue'] * nodes, start_seconds=_START_SECONDS) as fleet:
-        await fleet.publish(kavarna_change())
+    async with Fleet(['catalogue'] * nodes, start_timeout_seconds=_START_SECONDS) as fleet:
+        await fleet.publish(example_change())
         await asyncio.sleep(_SETTLE_SECONDS)
         pids = [node.node_process.pid for node in fleet.nodes if node.node_process]
         processor_before = [processor_seconds(pid) for pid in pids]
--- a/benchmarks/control_memory.py
+++ b/benchmarks/control_memory.py
@@ -37,7 +37,7 @@
 LIMIT_MIB = 128
 
 
-def whole_change() -> Publish:
+def full_size_change() -> Publish:
     """Return one change that holds everything of the planned size."""
     return Publish(
         publish_id='size',
@@ -62,7 +62,7 @@
 
 
 def make_state() -> ControlState:
-    record = whole_change()
+    record = full_size_change()
     started = time.perf_counter()
     state = fold_record(ControlState(), StoredRecord(0, record))
     assert state.configuration.receipts_by_publish_id['size'].accepted
--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.fleet_processes import Fleet, FleetNode, kavarna_change
+from tests.fleet_processes import Fleet, FleetNode, example_change
 
 TARGET_ADDED_P99_MILLISECONDS = 4.1
 _MILLISECONDS = 1000
@@ -32,7 +32,7 @@
 async def measure_latency(*, requests: int = 1500, callers: int = 1) -> dict[str, Any]:
     """Return the latencies of the direct, the local and the one-hop path."""
     async with Fleet(['catalogue', 'bookings'], slots=64) as fleet:
-        change = kavarna_change()
+        change = example_change()
         change['organisations'][0].update(rate_per_second=100000.0, burst=100000.0)
         await fleet.publish(change)
         issued = await fleet.issue_key('cafe-chain')
--- a/benchmarks/planned_size.py
+++ b/benchmarks/planned_size.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from benchmarks.control_cost import memory_megabytes
-from benchmarks.control_memory import whole_change
+from benchmarks.control_memory import full_size_change
 from tests.fleet_processes import Fleet
 from turmericwharf.protocol import encode_record
 
@@ -21,7 +21,7 @@
     """Return seconds until the configuration is in force after a restart, and the memory."""
     async with Fleet(['catalogue']) as fleet:
         node = fleet.nodes[0]
-        body = json.dumps({'records': [encode_record(whole_change())]})
+        body = json.dumps({'records': [encode_record(full_size_change())]})
         url = f'{fleet.log_url}/streams/control/records'
         await fleet.fetch(url, method='POST', body=body, seconds=60)
         await _wait_for_routes(fleet)
--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -8,7 +8,7 @@
 import time
 from typing import Any
 
-from tests.fleet_processes import Fleet, FleetNode, kavarna_change
+from tests.fleet_processes import Fleet, FleetNode, example_change
 
 _IN_FORCE_BOUND_SECONDS = 7.0
 _RATE_PER_SECOND = 100.0
@@ -19,7 +19,7 @@
 async def measure_promises() -> dict[str, Any]:
     """Return named figures with their units and bounds."""
     async with Fleet(['catalogue'] * 3, slots=32) as fleet:
-        change = kavarna_change()
+        change = example_change()
         change['organisations'][0].update(rate_per_second=_RATE_PER_SECOND, burst=20.0)
         started = time.monotonic()
         await fleet.publish(change)
@@ -72,7 +72,7 @@
 async def _withdrawal_seconds(fleet: Fleet, issued: dict[str, Any]) -> float:
     started = time.monotonic()
     withdrawing = asyncio.create_task(
-        asyncio.to_thread(fleet.command_line, fleet.nodes[1], 'withdraw-key', issued['key_id'])
+        asyncio.to_thread(fleet.run_cli, fleet.nodes[1], 'withdraw-key', issued['key_id'])
     )
     headers = {'Authorization': f'Bearer {issued["key"]}'}
     while not all([await _is_refused(fleet, node, headers) for node in fleet.nodes]):
--- a/tests/coordination/configuration/test_control_fold.py
+++ b/tests/coordination/configuration/test_control_fold.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.fleet_processes import kavarna_change
+from tests.fleet_processes import example_change
 from turmericwharf.coordination import fold_record
 from turmericwharf.coordination.configuration import control_fold
 from turmericwharf.protocol import decode_record, digest_key
@@ -35,7 +35,7 @@
 
 
 def start():
-    plain = {'publish_id': 'start', 'base_version': -1, 'operator': 'ann', **kavarna_change()}
+    plain = {'publish_id': 'start', 'base_version': -1, 'operator': 'ann', **example_change()}
     return folded(decode_record({'type': 'publish', 'record': plain}))
 
 
@@ -121,7 +121,7 @@
     assert state.configuration.organisations_by_id['cafe-chain'].rate_per_second == 6.0
 
 
-ROUTE = kavarna_change()['routes'][0]
+ROUTE = example_change()['routes'][0]
 INVALID = {
     'rate zero': (
         {'organisations': [{**ROUTE, 'organisation': 'x', 'rate_per_second': 0, 'burst': 1}]},
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -3,7 +3,7 @@
 import asyncio
 import sys
 
-from tests.fleet_processes import Fleet, kavarna_change
+from tests.fleet_processes import Fleet, example_change
 
 _WITHDRAW_SECONDS = 7.0
 
@@ -21,7 +21,7 @@
     report = Report()
     async with Fleet(['catalogue', 'bookings', 'bookings']) as fleet:
         print('three nodes, three backend servers and a log stand-in run on loopback')
-        published = await fleet.publish(kavarna_change())
+        published = await fleet.publish(example_change())
         version = published['receipt']['version']
         versions = published['versions_by_id']
         report.check(
@@ -56,9 +56,7 @@
 
 
 async def _withdraw(fleet: Fleet, report: Report, issued: dict) -> None:
-    done = await asyncio.to_thread(
-        fleet.command_line, fleet.nodes[2], 'withdraw-key', issued['key_id']
-    )
+    done = await asyncio.to_thread(fleet.run_cli, fleet.nodes[2], 'withdraw-key', issued['key_id'])
     report.check('the key was withdrawn', held=done.returncode == 0)
     headers = {'Authorization': f'Bearer {issued["key"]}'}
     for node in fleet.nodes:
--- a/tests/fleet/bookings.py
+++ b/tests/fleet/bookings.py
@@ -5,7 +5,7 @@
 import dataclasses
 import time
 
-from tests.fleet_processes import Fleet, FleetNode, kavarna_change
+from tests.fleet_processes import Fleet, FleetNode, example_change
 
 ANSWER_SECONDS = 1.0
 
@@ -75,7 +75,7 @@
 ):
     timing = {'settle_seconds': 0.5, 'standing_seconds': 2.0, 'gossip_seconds': 0.3}
     async with Fleet(services, overrides={'timing': timing, **overrides}) as fleet:
-        change = kavarna_change()
+        change = example_change()
         change['organisations'][0] |= {'rate_per_second': 5000.0, 'burst': 5000.0}
         change['classes'][1]['answer_within_milliseconds'] = int(answer_seconds * 1000)
         await fleet.publish(change)
--- a/tests/fleet/test_at_most_once.py
+++ b/tests/fleet/test_at_most_once.py
@@ -94,7 +94,7 @@
 async def test_work_for_a_caller_that_left_is_cut_at_the_server(bookings):
     """Guards against a slow server that goes on working for callers that have left."""
     entry, other = bookings.fleet.nodes[0], bookings.fleet.nodes[1]
-    await bookings.fleet.server_faults(entry, first_byte_seconds=1.5)
+    await bookings.fleet.set_server_faults(entry, first_byte_seconds=1.5)
     headers = {'Authorization': f'Bearer {bookings.key}'}
     await bookings.fleet.fetch(f'{other.url}/catalogue/left', headers=headers, seconds=0.5)
     run = next(
@@ -103,7 +103,7 @@
     async with asyncio.timeout(5):
         while run['headers']['Turmericwharf-Request-Id'] not in await _cancelled(bookings, entry):
             await asyncio.sleep(0.02)
-    await bookings.fleet.server_faults(entry, first_byte_seconds=0.0)
+    await bookings.fleet.set_server_faults(entry, first_byte_seconds=0.0)
 
 
 async def _cancelled(bookings, node) -> list[str]:
@@ -114,11 +114,11 @@
 async def test_log_away_and_retry(bookings):
     """Guards against a keyed run that nothing records, and against refusals of other requests."""
     entry, _, other = bookings.fleet.nodes
-    await bookings.fleet.log_faults(away=True)
+    await bookings.fleet.set_log_faults(away=True)
     told = await bookings.book(entry, 'away')
     unkeyed = await bookings.book(entry, 'unkeyed', keyed=False)
     assert await bookings.count('away') == 0
-    await bookings.fleet.log_faults(away=False)
+    await bookings.fleet.set_log_faults(away=False)
     assert told.outcome == 'not-run', told
     assert unkeyed.outcome == 'answered', unkeyed
     retried = await bookings.book_until_answered(other, 'away', seconds=10)
@@ -130,8 +130,8 @@
     """Guards against a second run when the node that claimed the key is gone."""
     entry, first, second = bookings.fleet.nodes
     for node in (first, second):
-        await bookings.fleet.server_faults(node, first_byte_seconds=0.4)
-    await bookings.fleet.log_faults(lose_answers=2)
+        await bookings.fleet.set_server_faults(node, first_byte_seconds=0.4)
+    await bookings.fleet.set_log_faults(lose_answers=2)
     sending = asyncio.create_task(bookings.book(entry, 'kill'))
     await bookings.wait_for_run('kill')
     entry.signal(signal.SIGKILL)
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.fleet_processes import Fleet, kavarna_change
+from tests.fleet_processes import Fleet, example_change
 
 QUICK = {'timing': {'settle_seconds': 1.0}}
 IN_FORCE_SECONDS = 7.0
@@ -23,7 +23,7 @@
 
 
 async def rate_at(fleet, node):
-    response = await fleet.operator(node, '/configuration/organisation/cafe-chain')
+    response = await fleet.request_operator_api(node, '/configuration/organisation/cafe-chain')
     return json.loads(response.body).get('rate_per_second')
 
 
@@ -35,7 +35,7 @@
 
 
 async def post(fleet, node, change):
-    response = await fleet.operator(node, '/publish', change, seconds=40)
+    response = await fleet.request_operator_api(node, '/publish', change, seconds=40)
     return response.code, json.loads(response.body)
 
 
@@ -45,7 +45,7 @@
 async def test_one_of_racing_operators_wins_and_lost_answers_change_nothing():
     """Guards against a lost update, a change that counts twice and a false "accepted"."""
     async with Fleet(['catalogue', 'bookings', 'bookings'], overrides=QUICK) as fleet:
-        version = (await fleet.publish(kavarna_change()))['receipt']['version']
+        version = (await fleet.publish(example_change()))['receipt']['version']
         racing = [
             post(fleet, fleet.nodes[number % 3], change_rate(10.0 + number, version, f'p{number}'))
             for number in range(6)
@@ -60,7 +60,7 @@
         rates = {await rate_at(fleet, node) for node in fleet.nodes}
         assert rates == {10.0 + int(winner[1:])}
 
-        await fleet.log_faults(lose_answers=1)
+        await fleet.set_log_faults(lose_answers=1)
         code, body = await post(fleet, fleet.nodes[0], change_rate(30.0, 10**3, 'future'))
         assert code == 422, body
         version = won[0]['version']
@@ -69,22 +69,22 @@
         code, again = await post(fleet, fleet.nodes[1], change_rate(30.0, version, 'lost-answer'))
         assert (code, again['receipt']) == (200, body['receipt'])
 
-        await fleet.log_faults(delay_seconds=1.0)
+        await fleet.set_log_faults(delay_seconds=1.0)
         version = body['receipt']['version']
         started = time.monotonic()
         code, body = await post(fleet, fleet.nodes[2], change_rate(40.0, version, 'slow-log'))
         assert (code, body['accepted'], len(body['in_force'])) == (200, True, 3)
         assert time.monotonic() - started < IN_FORCE_SECONDS
 
-        await fleet.log_faults(delay_seconds=0.0, away=True)
+        await fleet.set_log_faults(delay_seconds=0.0, away=True)
         version = body['receipt']['version']
         code, body = await post(fleet, fleet.nodes[0], change_rate(50.0, version, 'log-away'))
         assert (code, body['reason']) in {(503, 'publish_unconfirmed'), (503, 'log_unavailable')}
         done = await asyncio.to_thread(
-            fleet.command_line, fleet.nodes[0], 'organisation', 'set', 'cafe-chain', '--rate', '9'
+            fleet.run_cli, fleet.nodes[0], 'organisation', 'set', 'cafe-chain', '--rate', '9'
         )
         assert done.returncode == 5, done.stderr
-        await fleet.log_faults(away=False)
+        await fleet.set_log_faults(away=False)
 
         async def is_published():
             return (await post(fleet, fleet.nodes[0], change_rate(50.0, version, 'log-away')))[
@@ -102,7 +102,7 @@
     """Guards against "accepted" for a change that a majority does not know."""
     async with Fleet(['catalogue', 'catalogue', 'bookings'], overrides=QUICK) as fleet:
         first, second, third = fleet.nodes
-        version = (await fleet.publish(kavarna_change()))['receipt']['version']
+        version = (await fleet.publish(example_change()))['receipt']['version']
         for node in (first, second):
             fleet.cut_both_ways(node, third)
         fleet.cut_log(third)
@@ -128,10 +128,10 @@
 async def test_restarted_nodes_learn_from_peers_and_never_revert():
     """Guards against a node that serves an old or no configuration after a restart."""
     async with Fleet(['catalogue'] * 3, overrides=QUICK) as fleet:
-        version = (await fleet.publish(kavarna_change()))['receipt']['version']
+        version = (await fleet.publish(example_change()))['receipt']['version']
         key = (await fleet.issue_key('cafe-chain'))['key']
         await post(fleet, fleet.nodes[0], change_rate(77.0, version, 'p1'))
-        await fleet.log_faults(away=True)
+        await fleet.set_log_faults(away=True)
         last = fleet.nodes[2]
         last.kill_node()
         last.start_node()
@@ -161,7 +161,7 @@
             await asyncio.sleep(0.2)
         code, body = await post(fleet, last, change_rate(1.0, -1, 'p2'))
         assert (code, body['reason']) == (503, 'not_ready')
-        await fleet.log_faults(away=False)
+        await fleet.set_log_faults(away=False)
         await wait_for(serves_again)
         assert await rate_at(fleet, last) == 77.0
 
@@ -177,7 +177,7 @@
     }
     services = ['catalogue', 'bookings']
     async with Fleet(services, overrides=overrides, retention_seconds=retention) as fleet:
-        version = (await fleet.publish(kavarna_change()))['receipt']['version']
+        version = (await fleet.publish(example_change()))['receipt']['version']
 
         async def is_dropped():
             page = await fleet.fetch(f'{fleet.log_url}/streams/control/records?offset=0')
@@ -196,5 +196,5 @@
         state = await fleet.dump(restarted)
         assert state['parts']['control_log']['routes'] == 2
         assert state['parts']['control_log']['configuration_version'] == version
-        metrics = await fleet.operator(restarted, '/metrics')
+        metrics = await fleet.request_operator_api(restarted, '/metrics')
         assert b'turmericwharf_control_log_routes 2' in metrics.body
--- a/tests/fleet/test_fault_matrix.py
+++ b/tests/fleet/test_fault_matrix.py
@@ -21,7 +21,7 @@
     check_key_hidden,
     check_refusals,
 )
-from tests.fleet_processes import Fleet, FleetNode, kavarna_change
+from tests.fleet_processes import Fleet, FleetNode, example_change
 
 HOLD_SECONDS = 0.4
 FAULT_SECONDS = 0.8
@@ -48,7 +48,7 @@
 
 
 async def hold_claim(fleet: Fleet, cell: Cell) -> None:
-    await fleet.log_faults(delay_seconds=HOLD_SECONDS)
+    await fleet.set_log_faults(delay_seconds=HOLD_SECONDS)
 
 
 async def hold_send(fleet: Fleet, cell: Cell) -> None:
@@ -72,7 +72,7 @@
 
 async def _server_faults(fleet: Fleet, cell: Cell, **faults: object) -> None:
     for node in (cell.executing, cell.other):
-        await fleet.server_faults(node, **faults)
+        await fleet.set_server_faults(node, **faults)
 
 
 async def kill_entry(fleet: Fleet, cell: Cell) -> None:
@@ -113,15 +113,15 @@
 
 
 async def log_away(fleet: Fleet, cell: Cell) -> None:
-    await fleet.log_faults(away=True)
+    await fleet.set_log_faults(away=True)
 
 
 async def log_slow(fleet: Fleet, cell: Cell) -> None:
-    await fleet.log_faults(delay_seconds=FAULT_SECONDS)
+    await fleet.set_log_faults(delay_seconds=FAULT_SECONDS)
 
 
 async def log_answer_lost(fleet: Fleet, cell: Cell) -> None:
-    await fleet.log_faults(lose_answers=4)
+    await fleet.set_log_faults(lose_answers=4)
 
 
 async def racing_operators(fleet: Fleet, cell: Cell) -> None:
@@ -130,18 +130,18 @@
     path.write_text(json.dumps(change))
     await asyncio.gather(
         *(
-            asyncio.to_thread(fleet.command_line, node, 'publish', str(path))
+            asyncio.to_thread(fleet.run_cli, node, 'publish', str(path))
             for node in (cell.entry, cell.executing)
         )
     )
 
 
 async def server_slow(fleet: Fleet, cell: Cell) -> None:
-    await fleet.server_faults(cell.executing, first_byte_seconds=FAULT_SECONDS)
+    await fleet.set_server_faults(cell.executing, first_byte_seconds=FAULT_SECONDS)
 
 
 async def server_half_answers(fleet: Fleet, cell: Cell) -> None:
-    await fleet.server_faults(cell.executing, half_answer=True)
+    await fleet.set_server_faults(cell.executing, half_answer=True)
 
 
 async def server_flaps(fleet: Fleet, cell: Cell) -> None:
@@ -151,7 +151,7 @@
 
 
 async def withdraw_key(fleet: Fleet, cell: Cell) -> None:
-    await asyncio.to_thread(fleet.command_line, cell.other, 'withdraw-key', cell.key_id)
+    await asyncio.to_thread(fleet.run_cli, cell.other, 'withdraw-key', cell.key_id)
 
 
 async def _kill(node: FleetNode) -> None:
@@ -219,7 +219,7 @@
     """Guards against doubled runs, false refusals and mixed-up answers under every fault."""
     found = []
     async with Fleet(['catalogue', 'bookings', 'bookings'], slots=2) as fleet:
-        await fleet.publish(kavarna_change())
+        await fleet.publish(example_change())
         issued = await fleet.issue_key('cafe-chain')
         await fleet.wait_until_served(f'{fleet.nodes[0].url}/catalogue/probe', issued['key'])
         answered = 0
@@ -272,7 +272,7 @@
 
 async def _heal(fleet: Fleet, cell: Cell) -> None:
     fleet.network.heal()
-    await fleet.log_faults(away=False, delay_seconds=0.0, lose_answers=0)
+    await fleet.set_log_faults(away=False, delay_seconds=0.0, lose_answers=0)
     restarted = False
     for node in fleet.nodes:
         if _is_dead(node.node_process):
@@ -282,9 +282,9 @@
             node.start_server()
             restarted = True
     if restarted:
-        await fleet.wait_until_whole()
+        await fleet.wait_until_converged()
     for node in fleet.nodes:
-        await fleet.server_faults(node, first_byte_seconds=0.0, half_answer=False)
+        await fleet.set_server_faults(node, first_byte_seconds=0.0, half_answer=False)
 
 
 def _is_dead(process: subprocess.Popen | None) -> bool:
--- a/tests/fleet/test_gray_failures.py
+++ b/tests/fleet/test_gray_failures.py
@@ -3,7 +3,7 @@
 import dataclasses
 import time
 
-from tests.fleet_processes import Fleet, FleetNode, kavarna_change
+from tests.fleet_processes import Fleet, FleetNode, example_change
 from turmericwharf.coordination import partition_of, rank_instances
 
 TARGET_SECONDS = 0.4
@@ -93,7 +93,7 @@
     async def heal(self) -> None:
         self.fleet.network.heal()
         for node in self.fleet.nodes:
-            await self.fleet.server_faults(node, **HEALTHY)
+            await self.fleet.set_server_faults(node, **HEALTHY)
 
     async def run_gray(self, name: str, gray: list[FleetNode], **faults: object) -> None:
         async with Traffic(self.fleet, self.key, self.fleet.nodes) as traffic:
@@ -102,7 +102,7 @@
             self.once_gray |= {node.instance for node in gray}
             false = {server for _, server, _ in await self.ejections()}
             for node in gray:
-                await self.fleet.server_faults(node, **faults)
+                await self.fleet.set_server_faults(node, **faults)
             seconds = await self.wait_for_ejection(gray)
             detected = time.monotonic()
             await asyncio.sleep(1.5)
@@ -133,7 +133,7 @@
 
 
 def make_change() -> dict:
-    change = kavarna_change()
+    change = example_change()
     change['organisations'][0].update(rate_per_second=5000.0, burst=5000.0)
     change['classes'][0]['answer_within_milliseconds'] = int(TARGET_SECONDS * 1000)
     change['services'][0]['floor_fraction'] = FLOOR
@@ -177,7 +177,7 @@
     third = fleet.nodes[-(NODES // 3) :]
     async with Traffic(fleet, scenario.key, fleet.nodes) as traffic:
         for node in third:
-            await fleet.server_faults(node, half_answer=True)
+            await fleet.set_server_faults(node, half_answer=True)
         seconds = await scenario.wait_for_ejection(third)
         await scenario.check_floor()
         await asyncio.sleep(2)
@@ -222,7 +222,7 @@
     fleet = scenario.fleet
     for load in (1000.0, 0.0):
         earlier = [len(await fleet.runs(node)) for node in fleet.nodes]
-        await fleet.server_faults(liar, report_load=load)
+        await fleet.set_server_faults(liar, report_load=load)
         async with Traffic(fleet, scenario.key, fleet.nodes) as traffic:
             await asyncio.sleep(1.5)
         counts = [len(await fleet.runs(node)) for node in fleet.nodes]
@@ -237,9 +237,9 @@
     strikes = 0
     async with Traffic(fleet, scenario.key, [node]), asyncio.timeout(40):
         while strikes < 2:
-            await fleet.server_faults(node, half_answer=True)
+            await fleet.set_server_faults(node, half_answer=True)
             await scenario.wait_for_ejection([node])
-            await fleet.server_faults(node, half_answer=False)
+            await fleet.set_server_faults(node, half_answer=False)
             dump = await fleet.dump(node)
             assert dump is not None
             held = [one for one in dump['routing']['ejections'] if one['instance'] == node.instance]
--- a/tests/fleet/test_keys.py
+++ b/tests/fleet/test_keys.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.fleet_processes import Fleet, kavarna_change
+from tests.fleet_processes import Fleet, example_change
 
 WITHDRAWN_SECONDS = 7.0
 SLOW_RUN_SECONDS = 9.0
@@ -57,7 +57,7 @@
 
 
 def with_slow_work():
-    change = kavarna_change()
+    change = example_change()
     change['organisations'].append(
         {'organisation': 'slow-caller', 'rate_per_second': 100.0, 'burst': 50.0}
     )
@@ -93,7 +93,7 @@
         # The share of the other organisation's rate has another owner.
         await _wait_until_served([await OpenConnection(whole, other_key).open()])
 
-        await fleet.server_faults(executing, first_byte_seconds=SLOW_RUN_SECONDS)
+        await fleet.set_server_faults(executing, first_byte_seconds=SLOW_RUN_SECONDS)
         running = asyncio.create_task(
             (await OpenConnection(whole, other_key, '/slow/first').open()).ask()
         )
@@ -117,7 +117,7 @@
             if one.node is not paused
         ]
         started = time.monotonic()
-        done = await asyncio.to_thread(fleet.command_line, whole, 'withdraw-key', issued['key_id'])
+        done = await asyncio.to_thread(fleet.run_cli, whole, 'withdraw-key', issued['key_id'])
         accepted = json.loads(done.stdout)
         assert accepted.get('accepted'), accepted
         assert {'node-3', 'node-4'} <= set(accepted['not_confirmed'])
@@ -141,7 +141,7 @@
 async def test_no_backend_server_sees_a_key():
     """Guards against a key in a request that runs, in a log line, a dump or a metric."""
     async with Fleet(['catalogue', 'bookings'], overrides=QUICK) as fleet:
-        await fleet.publish(kavarna_change())
+        await fleet.publish(example_change())
         key = (await fleet.issue_key('cafe-chain'))['key']
         # Each node has tokens of the rate only once it has settled.
         connections = [await OpenConnection(node, key).open() for node in fleet.nodes]
@@ -192,7 +192,7 @@
     shown = [json.dumps(await fleet.all_runs())]
     for node in fleet.nodes:
         for page in ('/state', '/metrics', '/configuration'):
-            shown.append((await fleet.operator(node, page)).body.decode())
+            shown.append((await fleet.request_operator_api(node, page)).body.decode())
         shown.append((fleet.folder / f'{node.instance}.log').read_text())
     assert all(shown)
     assert not any(secret in one for one in shown)
--- a/tests/fleet/test_lookups.py
+++ b/tests/fleet/test_lookups.py
@@ -1,19 +1,19 @@
 import asyncio
 import json
 
-from tests.fleet_processes import HOST, Fleet, kavarna_change
+from tests.fleet_processes import HOST, Fleet, example_change
 
 
 async def test_lookup_runs_for_the_page_that_it_serves_and_only_meanwhile():
     """Guards against lookups that use up the rate, lose their page, or outlive it."""
-    change = kavarna_change()
+    change = example_change()
     change['organisations'][0].update(rate_per_second=1.0, burst=2.0)
     async with Fleet(['catalogue', 'bookings']) as fleet:
         page_node, lookup_node = fleet.nodes
         change['routes'][1]['methods'] = ['GET']
         await fleet.publish(change)
         key = (await fleet.issue_key('cafe-chain'))['key']
-        await fleet.server_faults(page_node, first_byte_seconds=1.5)
+        await fleet.set_server_faults(page_node, first_byte_seconds=1.5)
         headers = {'X-Api-Key': key}
         page = None
         # Rate shares are used once the membership has settled.
--- a/tests/fleet/test_rates.py
+++ b/tests/fleet/test_rates.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.fleet_processes import Fleet, kavarna_change
+from tests.fleet_processes import Fleet, example_change
 from tests.simulated_rates import find_excess
 
 RATE = 60.0
@@ -17,7 +17,7 @@
 
 
 def _change():
-    change = kavarna_change()
+    change = example_change()
     change['organisations'] = [
         {'organisation': 'cafe-chain', 'rate_per_second': RATE, 'burst': BURST}
     ]
--- a/tests/fleet/test_replacement.py
+++ b/tests/fleet/test_replacement.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.fleet_processes import Fleet, FleetNode, kavarna_change
+from tests.fleet_processes import Fleet, FleetNode, example_change
 
 REPLACEMENTS = 20
 # Start of a process, one poll for the join, the next announcement of the server, two rounds of
@@ -79,22 +79,22 @@
     chance = random.Random(20)
     services = ['catalogue', 'catalogue', 'catalogue', 'bookings', 'bookings']
     async with Fleet(services) as fleet:
-        await fleet.publish(kavarna_change())
+        await fleet.publish(example_change())
         issued = await fleet.issue_key('cafe-chain')
         load = Load(fleet, issued['key'])
         sending = asyncio.create_task(load.run())
         seconds = []
         for number in range(REPLACEMENTS):
             is_log_away = number % 4 == 3
-            await fleet.log_faults(away=is_log_away)
+            await fleet.set_log_faults(away=is_log_away)
             await asyncio.sleep(chance.uniform(0, 0.3))
             seconds.append(await replace(fleet, load, fleet.nodes[chance.randrange(3)]))
-        await fleet.log_faults(away=False)
+        await fleet.set_log_faults(away=False)
         sending.cancel()
         print('seconds until work:', [round(one, 1) for one in seconds], 'codes:', load.codes)
         assert not load.broken, load.broken[:5]
         assert load.codes[200] > REPLACEMENTS
-        await fleet.wait_until_whole()
+        await fleet.wait_until_converged()
 
 
 @pytest.mark.fault_cell('membership: join', 'pause')
--- a/tests/fleet/test_shutdown.py
+++ b/tests/fleet/test_shutdown.py
@@ -16,7 +16,7 @@
     async with bookings_fleet(services, answer_seconds=30, limits=limits) as bookings:
         leaving, other = bookings.fleet.nodes
         for node in (leaving, other):
-            await bookings.fleet.server_faults(node, first_byte_seconds=60)
+            await bookings.fleet.set_server_faults(node, first_byte_seconds=60)
         # Some enter at the leaving node, some run there for callers of the other node.
         sending = [
             asyncio.create_task(bookings.book(node, f'{node.instance}-{one}', keyed=False))
--- a/tests/fleet/test_sidecar.py
+++ b/tests/fleet/test_sidecar.py
@@ -10,7 +10,7 @@
 
 
 async def book(node, request, **options):
-    return await node.ask('/book/1', method='POST', request=request, **options)
+    return await node.send_request('/book/1', method='POST', request=request, **options)
 
 
 async def test_requests_reach_servers_of_other_machines():
@@ -32,7 +32,7 @@
     """On-call engineers would have nothing but the logs."""
     async with running_fleet(2) as fleet:
         node = fleet.nodes[0]
-        await node.ask('/read/1')
+        await node.send_request('/read/1')
         base = f'http://{node.host}:{fleet.ports.first_peer + 1}'
         text = (await fleet.fetch(f'{base}/metrics')).body.decode()
         assert 'turmericwharf_request_seconds_bucket{le="0.25",outcome="answered_200"}' in text
@@ -50,14 +50,14 @@
         async with asyncio.timeout(5):
             while not node.events('settings_reloaded'):
                 await asyncio.sleep(0.05)
-        assert (await node.ask('/read/1')).code == 200
+        assert (await node.send_request('/read/1')).code == 200
 
 
 async def test_bad_keys_and_paths_are_refused():
     """A request would run for nobody, or for another organisation."""
     async with running_fleet(2) as fleet:
-        assert (await fleet.nodes[0].ask('/read/1', key='wrong', request='k')).code == 401
-        assert (await fleet.nodes[0].ask('/none/1', request='p')).code == 404
+        assert (await fleet.nodes[0].send_request('/read/1', key='wrong', request='k')).code == 401
+        assert (await fleet.nodes[0].send_request('/none/1', request='p')).code == 404
         assert fleet.runs('k') == fleet.runs('p') == 0
 
 
@@ -71,20 +71,20 @@
         await fleet.nodes[0].start()
         async with asyncio.timeout(15):
             while not await fleet.nodes[0].is_ready():
-                await fleet.nodes[1].ask('/read/1', key='other')
+                await fleet.nodes[1].send_request('/read/1', key='other')
                 await asyncio.sleep(0.1)
-        assert (await fleet.nodes[0].ask('/read/1', key=KEY)).code == 401
-        assert (await fleet.nodes[0].ask('/read/1', key='other')).code == 200
+        assert (await fleet.nodes[0].send_request('/read/1', key=KEY)).code == 401
+        assert (await fleet.nodes[0].send_request('/read/1', key='other')).code == 200
 
 
 async def test_leaving_server_gets_no_work_after_its_acknowledgement():
     """A server that leaves would get requests that it cannot finish."""
     async with running_fleet() as fleet:
         leaving = fleet.nodes[0].server
-        assert await leaving.say('draining') == 200
+        assert await leaving.announce_state('draining') == 200
         before = sum(leaving.runs_by_request.values())
         for node in fleet.nodes * 4:
-            assert (await node.ask('/read/1')).code == 200
+            assert (await node.send_request('/read/1')).code == 200
         assert sum(leaving.runs_by_request.values()) == before
 
 
@@ -92,16 +92,16 @@
     """A restarted node would give work to a server that said that it leaves."""
     async with running_fleet() as fleet:
         node = fleet.nodes[0]
-        assert await node.server.say('draining') == 200
+        assert await node.server.announce_state('draining') == 200
         await node.stop(signal.SIGKILL)
         # The server says nothing more, and its health check is good.
-        node.server._beats.cancel()
+        node.server._heartbeat_task.cancel()
         node.server.state = 'ready'
         await node.start()
-        await fleet.wait_until_whole()
+        await fleet.wait_until_converged()
         await asyncio.sleep(1.0)
         for one in fleet.nodes * 3:
-            assert (await one.ask('/read/1')).code == 200
+            assert (await one.send_request('/read/1')).code == 200
         assert not node.server.runs_by_request
         assert not [
             one
@@ -114,15 +114,15 @@
     """The server would stand idle until its next announcement."""
     async with running_fleet(2) as fleet:
         node = fleet.nodes[0]
-        node.server._beats.cancel()
+        node.server._heartbeat_task.cancel()
         await node.stop(signal.SIGKILL)
         await node.start()
-        await fleet.wait_until_whole()
+        await fleet.wait_until_converged()
         async with asyncio.timeout(10):
             while not node.events('server_identified'):
                 await asyncio.sleep(0.1)
         fleet.nodes[1].server.behaviour = 'reject'
-        assert (await node.ask('/read/1')).code == 200
+        assert (await node.send_request('/read/1')).code == 200
 
 
 async def test_rolling_restart_cuts_no_request():
@@ -161,7 +161,7 @@
     async with running_fleet(3) as fleet:
         stopping, frozen, _ = fleet.nodes
         for _ in range(6):
-            await asyncio.gather(*(node.ask('/read/1') for node in fleet.nodes))
+            await asyncio.gather(*(node.send_request('/read/1') for node in fleet.nodes))
         frozen.process.send_signal(signal.SIGSTOP)
         try:
             started_at = time.monotonic()
@@ -183,7 +183,7 @@
         before = sum(failing.runs_by_request.values())
         async with asyncio.timeout(15):
             while sum(failing.runs_by_request.values()) < before + 5:
-                codes = [(await node.ask('/read/1')).code for node in fleet.nodes]
+                codes = [(await node.send_request('/read/1')).code for node in fleet.nodes]
                 assert codes == [200, 200, 200]
 
 
@@ -204,8 +204,8 @@
             await asyncio.sleep(0.4)
             writer.close()
         await asyncio.sleep(1.0)
-        cut = [name for node in fleet.nodes for name in node.server.cut]
-        assert cut == ['left-GET']
+        aborted_requests = [name for node in fleet.nodes for name in node.server.aborted_requests]
+        assert aborted_requests == ['left-GET']
 
 
 async def test_history_that_the_store_forgets_is_read_anew():
@@ -215,7 +215,7 @@
         await asyncio.sleep(0.5)
         for version in range(2, 6):
             fleet.store.configure(make_configuration(version))
-        fleet.store.forget()
+        fleet.store.truncate()
         fleet.store.fault = ''
         async with asyncio.timeout(10):
             for node in fleet.nodes:
--- a/tests/fleet_processes.py
+++ b/tests/fleet_processes.py
@@ -23,7 +23,7 @@
 HOST = '127.0.0.1'
 FLEET_SECRET = 'a fleet secret for tests, of 32 characters or more'
 OPERATOR_TOKEN = 'operator-token-for-tests'
-START_SECONDS = 20.0
+START_TIMEOUT_SECONDS = 20.0
 LOG = HOST
 _FIRST_PORT = 11000
 _WORKERS = 10
@@ -172,11 +172,11 @@
         slots: int = 4,
         overrides: dict[str, Any] | None = None,
         retention_seconds: float = 86400.0,
-        start_seconds: float = START_SECONDS,
+        start_timeout_seconds: float = START_TIMEOUT_SECONDS,
     ) -> None:
         self.overrides = overrides or {}
         self.retention_seconds = retention_seconds
-        self.start_seconds = start_seconds
+        self.start_timeout_seconds = start_timeout_seconds
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = Path(self._temporary.name)
         self.log_port = free_port()
@@ -211,7 +211,7 @@
             await relay.start()
         for node in self.nodes:
             node.start()
-        await self.wait_until_whole()
+        await self.wait_until_converged()
 
     def cut_one_way(self, source: FleetNode, destination: FleetNode) -> None:
         """Deliver nothing from one node to another; the other direction works."""
@@ -238,9 +238,9 @@
         self.client.close()
         self._temporary.cleanup()
 
-    async def wait_until_whole(self) -> None:
+    async def wait_until_converged(self) -> None:
         """Wait until every node knows every member and every backend server."""
-        deadline = time.monotonic() + self.start_seconds
+        deadline = time.monotonic() + self.start_timeout_seconds
         expected = {node.instance for node in self.nodes}
         for node in self.nodes:
             while not await self._knows_all(node, expected):
@@ -250,7 +250,7 @@
 
     async def wait_until_served(self, url: str, key: str) -> None:
         """Wait until a read is answered, as shares of a rate are used once members have settled."""
-        deadline = time.monotonic() + START_SECONDS
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
         headers = {'Authorization': f'Bearer {key}'}
         while (await self.fetch(url, headers=headers)).code != 200:
             if time.monotonic() > deadline:
@@ -266,10 +266,10 @@
         return expected <= reported and expected <= live
 
     async def dump(self, node: FleetNode) -> dict[str, Any] | None:
-        response = await self.operator(node, '/state')
+        response = await self.request_operator_api(node, '/state')
         return json.loads(response.body) if response.code == 200 else None
 
-    async def operator(
+    async def request_operator_api(
         self, node: FleetNode, path: str, content: Any = None, *, seconds: float = 20.0
     ) -> HTTPResponse:
         return await self.fetch(
@@ -302,10 +302,10 @@
         except HTTPError as error:
             return HTTPResponse(request, error.code, error=error)
 
-    async def log_faults(self, **faults: Any) -> None:
+    async def set_log_faults(self, **faults: Any) -> None:
         await self.fetch(f'{self.log_url}/faults', method='POST', body=json.dumps(faults))
 
-    async def server_faults(self, node: FleetNode, **faults: Any) -> None:
+    async def set_server_faults(self, node: FleetNode, **faults: Any) -> None:
         await self.fetch(
             f'{node.server_url}/stand-in/faults', method='POST', body=json.dumps(faults)
         )
@@ -321,7 +321,7 @@
     async def all_runs(self) -> list[dict[str, Any]]:
         return [run for node in self.nodes for run in await self.runs(node)]
 
-    def command_line(self, node: FleetNode, *arguments: str) -> subprocess.CompletedProcess:
+    def run_cli(self, node: FleetNode, *arguments: str) -> subprocess.CompletedProcess:
         """Run the operators' command line."""
         return subprocess.run(
             [
@@ -345,21 +345,19 @@
         """Publish a change with the command line and return what it printed."""
         path = self.folder / f'change-{time.monotonic_ns()}.json'
         path.write_text(json.dumps(change))
-        done = await asyncio.to_thread(
-            self.command_line, node or self.nodes[0], 'publish', str(path)
-        )
+        done = await asyncio.to_thread(self.run_cli, node or self.nodes[0], 'publish', str(path))
         assert done.returncode == 0, done.stdout + done.stderr
         return json.loads(done.stdout)
 
     async def issue_key(self, organisation: str, node: FleetNode | None = None) -> dict:
         done = await asyncio.to_thread(
-            self.command_line, node or self.nodes[0], 'issue-key', organisation
+            self.run_cli, node or self.nodes[0], 'issue-key', organisation
         )
         assert done.returncode == 0, done.stdout + done.stderr
         return json.loads(done.stdout)
 
 
-def kavarna_change() -> dict[str, Any]:
+def example_change() -> dict[str, Any]:
     """A configuration with a read, a booking and one organisation."""
     return {
         'organisations': [
--- a/tests/sidecar_fleet.py
+++ b/tests/sidecar_fleet.py
@@ -22,7 +22,7 @@
 SOURCES = os.pathsep.join(
     str(ROOT / 'packages' / name / 'src') for name in ('turmericwharf', 'turmericwharf-node')
 )
-START_SECONDS = 20.0
+START_TIMEOUT_SECONDS = 20.0
 GRACE_SECONDS = 6
 KEY = 'key-of-the-cafe'
 LOOPBACK = '127.0.0.1'
@@ -150,7 +150,7 @@
             return found.code == 200
         return False
 
-    async def ask(self, target: str, *, method: str = 'GET', key: str = KEY, **options):
+    async def send_request(self, target: str, *, method: str = 'GET', key: str = KEY, **options):
         """Send a request as a client on this node's machine."""
         headers = {
             'Host': 'a.example',
@@ -187,11 +187,11 @@
             await node.store_relay.start()
             node.server.start()
             await node.start()
-        await self.wait_until_whole()
+        await self.wait_until_converged()
 
-    async def wait_until_whole(self) -> None:
+    async def wait_until_converged(self) -> None:
         """Wait until all nodes are ready and the store names all servers."""
-        async with asyncio.timeout(START_SECONDS):
+        async with asyncio.timeout(START_TIMEOUT_SECONDS):
             while not all([await node.is_ready() for node in self.nodes]):
                 await asyncio.sleep(0.05)
             while len(self.store.newest.get('keyed.nodes', {})) < len(self.nodes):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -43,7 +43,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Sent:
+class RequestRecord:
     """What a client sent and got; the status is None if the connection ended."""
 
     request: str
@@ -61,7 +61,7 @@
 
     fleet: SidecarFleet
     random: random.Random
-    seen: list[Sent] = dataclasses.field(default_factory=list)
+    records: list[RequestRecord] = dataclasses.field(default_factory=list)
     timeline: list[str] = dataclasses.field(default_factory=list)
     version: int = 1
     withdrawn_at: float | None = None
@@ -92,7 +92,10 @@
         await asyncio.sleep(SETTLE_SECONDS)
         ended.set()
         await asyncio.gather(*clients)
-        return [*self.broken_promises(deadline + SETTLE_SECONDS / 2), *self.late_runs(ended_at)]
+        return [
+            *self.find_violations(deadline + SETTLE_SECONDS / 2),
+            *self.find_runs_after_withdrawal(ended_at),
+        ]
 
     def configure(self) -> None:
         self.version += 1
@@ -115,18 +118,20 @@
         at = time.monotonic()
         target, method = ('/read/1', 'GET') if idempotent else ('/book/1', 'POST')
         try:
-            found = await node.ask(target, method=method, key=key, request=request)
+            found = await node.send_request(target, method=method, key=key, request=request)
         except (OSError, HTTPError):
-            self.seen.append(Sent(request, key, idempotent, at, None, b'', None))
+            self.records.append(RequestRecord(request, key, idempotent, at, None, b'', None))
             await asyncio.sleep(0.05)
             return
         named = found.headers.get('Turmericwharf-Attempt-Id')
         status = None if found.code == 599 else found.code
-        self.seen.append(Sent(request, key, idempotent, at, status, found.body or b'', named))
+        self.records.append(
+            RequestRecord(request, key, idempotent, at, status, found.body or b'', named)
+        )
 
-    def broken_promises(self, healed_at: float):
+    def find_violations(self, healed_at: float):
         """Yield what clients and servers saw that must not be."""
-        for one in self.seen:
+        for one in self.records:
             runs = self.fleet.runs(one.request)
             if not one.idempotent and runs > 1:
                 yield f'{one.request} must run once at most and ran {runs} times'
@@ -136,25 +141,27 @@
                 yield f'{one.request} ran for a key that nobody holds'
             if one.status == 200 and (one.named != one.request or not runs):
                 yield f'{one.request} got the answer of {one.named}'
-        yield from self.rate_excesses()
-        late = [one for one in self.seen if one.at > healed_at and one.key == KEY]
+        yield from self.find_rate_violations()
+        late = [one for one in self.records if one.at > healed_at and one.key == KEY]
         served = sum(one.status == 200 for one in late)
         if served < 0.9 * len(late) or not late:
             yield f'only {served} of {len(late)} requests were served after the faults'
 
-    def late_runs(self, ended_at: float):
+    def find_runs_after_withdrawal(self, ended_at: float):
         """Yield requests that ran for a key that was withdrawn before."""
         if self.withdrawn_at is None:
             return
         in_force_at = max(self.withdrawn_at, ended_at) + WITHDRAWAL_SECONDS
-        for one in self.seen:
+        for one in self.records:
             if one.key == WITHDRAWN_KEY and one.at > in_force_at and self.fleet.runs(one.request):
                 yield f'{one.request} ran for a withdrawn key'
 
-    def rate_excesses(self):
+    def find_rate_violations(self):
         """Yield windows in which more requests of the small organisation ran than it may."""
         allowed = (SMALL_RATE * WINDOW_SECONDS + SMALL_BURST) * (1 + OVERAGE) + SLACK
-        ran = [one.at for one in self.seen if one.key == SMALL_KEY and self.fleet.runs(one.request)]
+        ran = [
+            one.at for one in self.records if one.key == SMALL_KEY and self.fleet.runs(one.request)
+        ]
         window: collections.deque[float] = collections.deque()
         for at in sorted(ran):
             window.append(at)
@@ -222,7 +229,7 @@
 
 async def forget_history(soak: Soak) -> None:
     """Drop the store's history."""
-    soak.fleet.store.forget()
+    soak.fleet.store.truncate()
     soak.note('the store forgets its history')
 
 
@@ -282,11 +289,11 @@
             broken = await soak.run()
         finally:
             await fleet.close()
-        statuses = collections.Counter(str(one.status) for one in soak.seen)
+        statuses = collections.Counter(str(one.status) for one in soak.records)
         return {
             'seed': seed,
             'broken': broken,
-            'requests': len(soak.seen),
+            'requests': len(soak.records),
             'statuses': dict(statuses),
             'timeline': soak.timeline,
         }
--- a/tests/stand_ins/platform_server.py
+++ b/tests/stand_ins/platform_server.py
@@ -29,8 +29,8 @@
         self.sequence = 0
         self.runs_by_request: collections.Counter[str] = collections.Counter()
         self.headers_by_request: dict[str, dict] = {}
-        self.cut: list[str] = []
-        self._beats: asyncio.Task | None = None
+        self.aborted_requests: list[str] = []
+        self._heartbeat_task: asyncio.Task | None = None
         self._server: HTTPServer | None = None
 
     def start(self) -> None:
@@ -43,13 +43,13 @@
             ),
         )
         self._server.listen(self.ports.server, self.host)
-        self._beats = asyncio.create_task(self._beat_for_ever())
+        self._heartbeat_task = asyncio.create_task(self._beat_for_ever())
 
     def stop(self) -> None:
-        self._beats.cancel()
+        self._heartbeat_task.cancel()
         self._server.stop()
 
-    async def say(self, state: str) -> int:
+    async def announce_state(self, state: str) -> int:
         """Announce a state; return the status of the acknowledgement."""
         self.state = state
         return await self._beat()
@@ -96,7 +96,7 @@
         self.server = server
 
     def on_connection_close(self) -> None:
-        self.server.cut.append(self.request.headers['Turmericwharf-Attempt-Id'])
+        self.server.aborted_requests.append(self.request.headers['Turmericwharf-Attempt-Id'])
 
     async def work(self) -> None:
         server, headers = self.server, self.request.headers
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -51,7 +51,7 @@
     def configure(self, configuration: dict) -> None:
         self.put(CONFIGURATION_TOPIC, 'config', json.dumps(configuration).encode())
 
-    def forget(self) -> None:
+    def truncate(self) -> None:
         """Drop the history of all topics; the newest record of each key stays."""
         for topic in self.topics.values():
             topic.first = topic.end
