--- a/tests/fleet/test_at_most_once.py
+++ b/tests/fleet/test_at_most_once.py
@@ -115,7 +115,7 @@
     That happens if the entry node does not pass the cancellation on to the node of the server.
     """
     executing, entry = client.fleet.nodes[0], client.fleet.nodes[1]
-    await client.fleet.server_faults(executing, first_byte_seconds=1.5)
+    await client.fleet.set_server_faults(executing, first_byte_seconds=1.5)
     headers = {'Authorization': f'Bearer {client.key}'}
     await client.fleet.fetch(f'{entry.url}/catalogue/left', headers=headers, seconds=0.5)
     cancelled_run = next(
@@ -126,7 +126,7 @@
             'Turmericwharf-Request-Id'
         ] not in await _cancelled_request_ids(client, executing):
             await asyncio.sleep(0.02)
-    await client.fleet.server_faults(executing, first_byte_seconds=0.0)
+    await client.fleet.set_server_faults(executing, first_byte_seconds=0.0)
 
 
 async def _cancelled_request_ids(client, node) -> list[str]:
@@ -141,11 +141,11 @@
     depend on it.
     """
     entry, _, other = client.fleet.nodes
-    await client.fleet.log_faults(away=True)
+    await client.fleet.set_log_faults(away=True)
     keyed = await client.book(entry, 'away')
     unkeyed = await client.book(entry, 'unkeyed', keyed=False)
     assert await client.count_runs('away') == 0
-    await client.fleet.log_faults(away=False)
+    await client.fleet.set_log_faults(away=False)
     assert keyed.outcome == 'not-run', keyed
     assert unkeyed.outcome == 'answered', unkeyed
     retried = await client.book_until_answered(other, 'away', seconds=10)
@@ -161,8 +161,8 @@
     """
     entry, first, second = client.fleet.nodes
     for node in (first, second):
-        await client.fleet.server_faults(node, first_byte_seconds=0.4)
-    await client.fleet.log_faults(lose_answers=2)
+        await client.fleet.set_server_faults(node, first_byte_seconds=0.4)
+    await client.fleet.set_log_faults(lose_answers=2)
     pending = asyncio.create_task(client.book(entry, 'kill'))
     await client.wait_for_run('kill')
     entry.signal(signal.SIGKILL)
--- a/tests/fleet/test_fault_matrix.py
+++ b/tests/fleet/test_fault_matrix.py
@@ -24,7 +24,7 @@
     check_key_hidden,
     check_refusals,
 )
-from tests.fleet_processes import Fleet, FleetNode, kavarna_change
+from tests.fleet_processes import Fleet, FleetNode, example_change
 
 STEP_DELAY_SECONDS = 0.4
 FAULT_SECONDS = 0.8
@@ -51,7 +51,7 @@
 
 
 async def delay_claim(fleet: Fleet, cell: Cell) -> None:
-    await fleet.log_faults(delay_seconds=STEP_DELAY_SECONDS)
+    await fleet.set_log_faults(delay_seconds=STEP_DELAY_SECONDS)
 
 
 async def delay_send(fleet: Fleet, cell: Cell) -> None:
@@ -75,7 +75,7 @@
 
 async def _set_server_faults(fleet: Fleet, cell: Cell, **faults: object) -> None:
     for node in (cell.executing, cell.other):
-        await fleet.server_faults(node, **faults)
+        await fleet.set_server_faults(node, **faults)
 
 
 async def kill_entry(fleet: Fleet, cell: Cell) -> None:
@@ -116,15 +116,15 @@
 
 
 async def stop_log(fleet: Fleet, cell: Cell) -> None:
-    await fleet.log_faults(away=True)
+    await fleet.set_log_faults(away=True)
 
 
 async def slow_down_log(fleet: Fleet, cell: Cell) -> None:
-    await fleet.log_faults(delay_seconds=FAULT_SECONDS)
+    await fleet.set_log_faults(delay_seconds=FAULT_SECONDS)
 
 
 async def drop_log_answers(fleet: Fleet, cell: Cell) -> None:
-    await fleet.log_faults(lose_answers=4)
+    await fleet.set_log_faults(lose_answers=4)
 
 
 async def race_operators(fleet: Fleet, cell: Cell) -> None:
@@ -133,18 +133,18 @@
     path.write_text(json.dumps(change))
     await asyncio.gather(
         *(
-            asyncio.to_thread(fleet.command_line, node, 'publish', str(path))
+            asyncio.to_thread(fleet.run_cli, node, 'publish', str(path))
             for node in (cell.entry, cell.executing)
         )
     )
 
 
 async def slow_down_server(fleet: Fleet, cell: Cell) -> None:
-    await fleet.server_faults(cell.executing, first_byte_seconds=FAULT_SECONDS)
+    await fleet.set_server_faults(cell.executing, first_byte_seconds=FAULT_SECONDS)
 
 
 async def truncate_answers(fleet: Fleet, cell: Cell) -> None:
-    await fleet.server_faults(cell.executing, half_answer=True)
+    await fleet.set_server_faults(cell.executing, half_answer=True)
 
 
 async def flap_server(fleet: Fleet, cell: Cell) -> None:
@@ -154,7 +154,7 @@
 
 
 async def withdraw_key(fleet: Fleet, cell: Cell) -> None:
-    await asyncio.to_thread(fleet.command_line, cell.other, 'withdraw-key', cell.key_id)
+    await asyncio.to_thread(fleet.run_cli, cell.other, 'withdraw-key', cell.key_id)
 
 
 async def _kill(node: FleetNode) -> None:
@@ -226,7 +226,7 @@
     """
     violations = []
     async with Fleet(['catalogue', 'bookings', 'bookings'], slots=2) as fleet:
-        await fleet.publish(kavarna_change())
+        await fleet.publish(example_change())
         issued = await fleet.issue_key('cafe-chain')
         await fleet.wait_until_served(f'{fleet.nodes[0].url}/catalogue/probe', issued['key'])
         answered = 0
@@ -283,7 +283,7 @@
 
 async def _heal(fleet: Fleet, cell: Cell) -> None:
     fleet.network.heal()
-    await fleet.log_faults(away=False, delay_seconds=0.0, lose_answers=0)
+    await fleet.set_log_faults(away=False, delay_seconds=0.0, lose_answers=0)
     restarted = False
     for node in fleet.nodes:
         if _has_exited(node.node_process):
@@ -293,9 +293,9 @@
             node.start_server()
             restarted = True
     if restarted:
-        await fleet.wait_until_whole()
+        await fleet.wait_until_converged()
     for node in fleet.nodes:
-        await fleet.server_faults(node, first_byte_seconds=0.0, half_answer=False)
+        await fleet.set_server_faults(node, first_byte_seconds=0.0, half_answer=False)
 
 
 def _has_exited(process: subprocess.Popen | None) -> bool:
--- a/tests/fleet/test_gray_failures.py
+++ b/tests/fleet/test_gray_failures.py
@@ -5,7 +5,7 @@
 import dataclasses
 import time
 
-from tests.fleet_processes import Fleet, FleetNode, kavarna_change
+from tests.fleet_processes import Fleet, FleetNode, example_change
 from turmericwharf.coordination import partition_of, rank_instances
 
 TARGET_SECONDS = 0.4
@@ -97,7 +97,7 @@
     async def heal(self) -> None:
         self.fleet.network.heal()
         for node in self.fleet.nodes:
-            await self.fleet.server_faults(node, **NO_FAULTS)
+            await self.fleet.set_server_faults(node, **NO_FAULTS)
 
     async def check_gray_failure(
         self, name: str, gray_nodes: list[FleetNode], **faults: object
@@ -108,7 +108,7 @@
             self.faulted_instances |= {node.instance for node in gray_nodes}
             false_ejections = {server for _, server, _ in await self.ejections()}
             for node in gray_nodes:
-                await self.fleet.server_faults(node, **faults)
+                await self.fleet.set_server_faults(node, **faults)
             seconds = await self.wait_for_ejections(gray_nodes)
             detected = time.monotonic()
             await asyncio.sleep(1.5)
@@ -145,7 +145,7 @@
 
 
 def make_change() -> dict:
-    change = kavarna_change()
+    change = example_change()
     change['organisations'][0].update(rate_per_second=5000.0, burst=5000.0)
     change['classes'][0]['answer_within_milliseconds'] = int(TARGET_SECONDS * 1000)
     change['services'][0]['floor_fraction'] = FLOOR_FRACTION
@@ -193,7 +193,7 @@
     third = fleet.nodes[-(NODE_COUNT // 3) :]
     async with Traffic(fleet, scenario.key, fleet.nodes) as traffic:
         for node in third:
-            await fleet.server_faults(node, half_answer=True)
+            await fleet.set_server_faults(node, half_answer=True)
         seconds = await scenario.wait_for_ejections(third)
         await scenario.check_floor()
         await asyncio.sleep(2)
@@ -246,7 +246,7 @@
     fleet = scenario.fleet
     for load in (1000.0, 0.0):
         earlier = [len(await fleet.runs(node)) for node in fleet.nodes]
-        await fleet.server_faults(misreporting, report_load=load)
+        await fleet.set_server_faults(misreporting, report_load=load)
         async with Traffic(fleet, scenario.key, fleet.nodes) as traffic:
             await asyncio.sleep(1.5)
         counts = [len(await fleet.runs(node)) for node in fleet.nodes]
@@ -262,9 +262,9 @@
     strikes = 0
     async with Traffic(fleet, scenario.key, [node]), asyncio.timeout(40):
         while strikes < 2:
-            await fleet.server_faults(node, half_answer=True)
+            await fleet.set_server_faults(node, half_answer=True)
             await scenario.wait_for_ejections([node])
-            await fleet.server_faults(node, half_answer=False)
+            await fleet.set_server_faults(node, half_answer=False)
             dump = await fleet.dump(node)
             assert dump is not None
             ejections = [
--- a/tests/fleet/test_keys.py
+++ b/tests/fleet/test_keys.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.fleet_processes import Fleet, kavarna_change
+from tests.fleet_processes import Fleet, example_change
 
 WITHDRAWAL_SECONDS = 7.0
 SLOW_RUN_SECONDS = 9.0
@@ -57,7 +57,7 @@
 
 
 def make_change_with_slow_route():
-    change = kavarna_change()
+    change = example_change()
     change['organisations'].append(
         {'organisation': 'slow-caller', 'rate_per_second': 100.0, 'burst': 50.0}
     )
@@ -96,7 +96,7 @@
         # The rate of the other organisation has another owner, so it is waited for separately.
         await _wait_until_served([await CallerConnection(healthy, other_key).open()])
 
-        await fleet.server_faults(executing, first_byte_seconds=SLOW_RUN_SECONDS)
+        await fleet.set_server_faults(executing, first_byte_seconds=SLOW_RUN_SECONDS)
         running = asyncio.create_task(
             (await CallerConnection(healthy, other_key, '/slow/first').open()).send_request()
         )
@@ -121,7 +121,7 @@
         ]
         started = time.monotonic()
         completed = await asyncio.to_thread(
-            fleet.command_line, healthy, 'withdraw-key', issued['key_id']
+            fleet.run_cli, healthy, 'withdraw-key', issued['key_id']
         )
         accepted = json.loads(completed.stdout)
         assert accepted.get('accepted'), accepted
@@ -152,7 +152,7 @@
     the node has to reject such requests and must not repeat the key in its response.
     """
     async with Fleet(['catalogue', 'bookings'], overrides=SHORT_SETTLING) as fleet:
-        await fleet.publish(kavarna_change())
+        await fleet.publish(example_change())
         key = (await fleet.issue_key('cafe-chain'))['key']
         # A node has tokens of the rate only once its membership has settled.
         connections = [await CallerConnection(node, key).open() for node in fleet.nodes]
@@ -203,7 +203,7 @@
     texts = [json.dumps(await fleet.all_runs())]
     for node in fleet.nodes:
         for page in ('/state', '/metrics', '/configuration'):
-            texts.append((await fleet.operator(node, page)).body.decode())
+            texts.append((await fleet.request_operator_api(node, page)).body.decode())
         texts.append((fleet.folder / f'{node.instance}.log').read_text())
     assert all(texts)
     assert not any(secret in text for text in texts)
--- a/tests/fleet/test_replacement.py
+++ b/tests/fleet/test_replacement.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.fleet_processes import Fleet, FleetNode, kavarna_change
+from tests.fleet_processes import Fleet, FleetNode, example_change
 
 REPLACEMENTS = 20
 # Covers the start of a process, one poll for the join, the next announcement of the server, two
@@ -85,22 +85,22 @@
     rng = random.Random(20)
     services = ['catalogue', 'catalogue', 'catalogue', 'bookings', 'bookings']
     async with Fleet(services) as fleet:
-        await fleet.publish(kavarna_change())
+        await fleet.publish(example_change())
         issued = await fleet.issue_key('cafe-chain')
         load = LoadGenerator(fleet, issued['key'])
         sending = asyncio.create_task(load.run())
         seconds = []
         for number in range(REPLACEMENTS):
             is_log_unavailable = number % 4 == 3
-            await fleet.log_faults(away=is_log_unavailable)
+            await fleet.set_log_faults(away=is_log_unavailable)
             await asyncio.sleep(rng.uniform(0, 0.3))
             seconds.append(await replace(fleet, load, fleet.nodes[rng.randrange(3)]))
-        await fleet.log_faults(away=False)
+        await fleet.set_log_faults(away=False)
         sending.cancel()
         print('seconds until requests:', [round(s, 1) for s in seconds], 'statuses:', load.statuses)
         assert not load.unexpected_answers, load.unexpected_answers[:5]
         assert load.statuses[200] > REPLACEMENTS
-        await fleet.wait_until_whole()
+        await fleet.wait_until_converged()
 
 
 @pytest.mark.fault_cell('membership: join', 'pause')
--- a/tests/fleet/test_shutdown.py
+++ b/tests/fleet/test_shutdown.py
@@ -20,7 +20,7 @@
     async with running_booking_fleet(services, deadline_seconds=30, limits=limits) as client:
         stopping, other = client.fleet.nodes
         for node in (stopping, other):
-            await client.fleet.server_faults(node, first_byte_seconds=60)
+            await client.fleet.set_server_faults(node, first_byte_seconds=60)
         # Some requests enter at the stopping node, others run there for callers of the other node.
         pending = [
             asyncio.create_task(client.book(node, f'{node.instance}-{number}', keyed=False))
