--- a/tests/fleet/test_at_most_once.py
+++ b/tests/fleet/test_at_most_once.py
@@ -71,22 +71,22 @@
     resumes.
     """
     entry, paused, other = client.fleet.nodes
-    booking_ids = [f'pause-{number}' for number in range(12)]
+    bookings = [f'pause-{number}' for number in range(12)]
     paused.signal(signal.SIGSTOP)
-    first = await asyncio.gather(*(client.book(entry, booking_id) for booking_id in booking_ids))
-    assert any(result.outcome != 'answered' for result in first), 'no request met the paused node'
-    second = await asyncio.gather(*(client.book(other, booking_id) for booking_id in booking_ids))
+    first = await asyncio.gather(*(client.book(entry, booking) for booking in bookings))
+    assert any(result.outcome != 'answered' for result in first), (
+        'no request reached the paused node'
+    )
+    second = await asyncio.gather(*(client.book(other, booking) for booking in bookings))
     await asyncio.sleep(1)
     paused.signal(signal.SIGCONT)
     await _wait_until_idle(client, paused)
     # Requests that were queued at the paused node did not run, so their keys are released.
     last = await asyncio.gather(
-        *(client.book_until_answered(other, booking_id, seconds=15) for booking_id in booking_ids)
+        *(client.book_until_answered(other, booking, seconds=15) for booking in bookings)
     )
     assert all(results[-1].outcome == 'answered' for results in last), (first, second, last)
-    assert [await client.count_runs(booking_id) for booking_id in booking_ids] == [1] * len(
-        booking_ids
-    )
+    assert [await client.count_runs(booking) for booking in bookings] == [1] * len(bookings)
 
 
 async def test_paused_entry_node_checks_the_deadline_first(client):
@@ -118,18 +118,17 @@
     await client.fleet.set_server_faults(executing, first_byte_seconds=1.5)
     headers = {'Authorization': f'Bearer {client.key}'}
     await client.fleet.fetch(f'{entry.url}/catalogue/left', headers=headers, seconds=0.5)
-    cancelled_run = next(
+    run = next(
         run for run in await client.fleet.runs(executing) if run['target'] == '/catalogue/left'
     )
     async with asyncio.timeout(5):
-        while cancelled_run['headers'][
-            'Turmericwharf-Request-Id'
-        ] not in await _cancelled_request_ids(client, executing):
+        while run['headers']['Turmericwharf-Request-Id'] not in await _cancelled(client, executing):
             await asyncio.sleep(0.02)
     await client.fleet.set_server_faults(executing, first_byte_seconds=0.0)
 
 
-async def _cancelled_request_ids(client, node) -> list[str]:
+async def _cancelled(client, node) -> list[str]:
+    """Return the ids of the requests that were cancelled at the server of a node."""
     response = await client.fleet.fetch(f'{node.server_url}/stand-in/runs')
     return json.loads(response.body)['cancelled']
 
--- a/tests/fleet/test_gray_failures.py
+++ b/tests/fleet/test_gray_failures.py
@@ -220,13 +220,11 @@
         async with Traffic(fleet, scenario.key, [entry, flapping]):
             seconds = await scenario.wait_for_ejections([target])
             ejecting_nodes = {ejecting for ejecting, _, _ in await scenario.ejections()}
-        print(
-            f'path slow from one side: detected after {seconds:.2f} s by {sorted(ejecting_nodes)}'
-        )
+        print(f'one-sided slow path: detected after {seconds:.2f} s by {sorted(ejecting_nodes)}')
         assert ejecting_nodes == {entry.instance}
         await scenario.heal()
         strikes = await flap(scenario, flapping)
-        print(f'flapping: {strikes} ejections in a row doubled the hold')
+        print(f'flapping: {strikes} consecutive ejections doubled the hold time')
         assert strikes >= 2
 
 
