Rename modules and classes of routing that were vague or named twice

routing.admission becomes routing.entry_service, and routing.routing becomes routing.server_selection. Choice is an attempt that has started, so it is now StartedAttempt. TypicalTimes keeps a running median for each route: RouteMedians. RetryLimits.minimum is added to the fraction, so it becomes extra_retries. The function settle_seconds returns at least the setting of that name and becomes effective_settle_seconds. CLOCK_DRIFT, observe and _FAULTY_ODDS become MAX_CLOCK_DRIFT_RATIO, add_harm and _ODDS_RATIOS.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -100,8 +100,8 @@
 DEFAULT_EVALUATE = outliers.OutlierDetector._evaluate
 VARIANTS: dict[str, dict[str, Any]] = {
     'chosen': {},
-    'small odds only': {'_FAULTY_ODDS': (4.0,)},
-    'large odds only': {'_FAULTY_ODDS': (30.0,)},
+    'small odds only': {'_ODDS_RATIOS': (4.0,)},
+    'large odds only': {'_ODDS_RATIOS': (30.0,)},
     'moving average over 0.3': {'evaluate': _moving_average},
     'ratio to the baseline only': {'latency_harm': _ratio_only},
     'first byte only': {'first_byte': True},
@@ -131,14 +131,14 @@
 def measure(case: Case) -> Measurement:
     logger.remove()
     variant = VARIANTS[case.variant]
-    odds = variant.get('_FAULTY_ODDS', outliers._FAULTY_ODDS)
+    odds = variant.get('_ODDS_RATIOS', outliers._ODDS_RATIOS)
     initial_evidence = dataclasses.replace(outliers._NO_EVIDENCE, scores=tuple(0 for _ in odds))
     handlers = harm.server_harm.registry
     answered_handler = _first_byte_only if 'first_byte' in variant else handlers[Answered]
     original_handler = handlers[Answered]
     harm.server_harm.register(Answered, answered_handler)
     with (
-        mock.patch.object(outliers, '_FAULTY_ODDS', odds),
+        mock.patch.object(outliers, '_ODDS_RATIOS', odds),
         mock.patch.object(outliers, '_NO_EVIDENCE', initial_evidence),
         mock.patch.object(
             outliers.OutlierDetector, '_evaluate', variant.get('evaluate', DEFAULT_EVALUATE)
--- a/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/__init__.py
@@ -1,6 +1,6 @@
 """Decision logic of a node, free of message encoding and sockets."""
 
-from turmericwharf.coordination.routing.admission import (
+from turmericwharf.coordination.routing.entry_service import (
     EntryService,
 )
 from turmericwharf.coordination.assembly import (
@@ -51,7 +51,7 @@
 )
 from turmericwharf.coordination.routing.harm import (
     AttemptTiming,
-    TypicalTimes,
+    RouteMedians,
     latency_harm,
     path_harm,
     path_seconds,
@@ -61,7 +61,7 @@
     HeldSlices,
 )
 from turmericwharf.coordination.routing.in_flight import (
-    Choice,
+    StartedAttempt,
     InFlightAttempts,
 )
 from turmericwharf.coordination.configuration.in_force import (
@@ -98,8 +98,8 @@
 )
 from turmericwharf.coordination.routing.outliers import (
     OutlierDetector,
-    observe,
-    observe_latency_ratio,
+    add_harm,
+    add_latency_ratio,
     within_floor,
 )
 from turmericwharf.coordination.execution.pause_detector import (
@@ -142,18 +142,18 @@
 from turmericwharf.coordination.routing.route_index import (
     RouteIndex,
 )
-from turmericwharf.coordination.routing.routing import (
+from turmericwharf.coordination.routing.server_selection import (
     Router,
 )
 from turmericwharf.coordination.execution.run_check import (
     RunCheck,
 )
 from turmericwharf.coordination.rates.settling import (
-    CLOCK_DRIFT,
+    MAX_CLOCK_DRIFT_RATIO,
     Confirmation,
     MembershipSettling,
     SHARE_TICK_SECONDS,
-    settle_seconds,
+    effective_settle_seconds,
 )
 from turmericwharf.coordination.rates.share_holders import (
     HOLDER_COUNT,
@@ -185,8 +185,8 @@
     'AttemptTiming',
     'BUCKET_COUNT',
     'BackendServer',
-    'CLOCK_DRIFT',
-    'Choice',
+    'MAX_CLOCK_DRIFT_RATIO',
+    'StartedAttempt',
     'ClaimClient',
     'ClaimLedger',
     'ClaimState',
@@ -237,7 +237,7 @@
     'SnapshotCodec',
     'SnapshotWriter',
     'Standing',
-    'TypicalTimes',
+    'RouteMedians',
     'WallClock',
     'build_node',
     'changed_objects',
@@ -259,8 +259,8 @@
     'not_run',
     'object_name',
     'objects_by_name',
-    'observe',
-    'observe_latency_ratio',
+    'add_harm',
+    'add_latency_ratio',
     'partition_of',
     'path_harm',
     'path_seconds',
@@ -268,6 +268,6 @@
     'read_newest_snapshot',
     'seconds_since',
     'server_harm',
-    'settle_seconds',
+    'effective_settle_seconds',
     'within_floor',
 )
--- a/packages/turmericwharf/src/turmericwharf/coordination/assembly.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/assembly.py
@@ -3,7 +3,7 @@
 import dataclasses
 import functools
 
-from turmericwharf.coordination.routing.admission import EntryService
+from turmericwharf.coordination.routing.entry_service import EntryService
 from turmericwharf.coordination.claims.claim_ledger import ClaimLedger
 from turmericwharf.coordination.claims.claims import ClaimClient
 from turmericwharf.coordination.membership.confirmation import MembershipConfirmer
@@ -29,7 +29,7 @@
 from turmericwharf.coordination.rates.rate_buckets import RateBuckets
 from turmericwharf.coordination.rates.rate_limits import RateLimiter
 from turmericwharf.coordination.membership.removal import Remover
-from turmericwharf.coordination.routing.routing import Router
+from turmericwharf.coordination.routing.server_selection import Router
 from turmericwharf.coordination.execution.run_check import RunCheck
 from turmericwharf.coordination.rates.share_loans import ShareLoans
 from turmericwharf.coordination.configuration.snapshots import SnapshotWriter
--- a/packages/turmericwharf/src/turmericwharf/coordination/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/node.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from turmericwharf.coordination.routing.admission import EntryService
+from turmericwharf.coordination.routing.entry_service import EntryService
 from turmericwharf.coordination.claims.claim_ledger import ClaimLedger
 from turmericwharf.coordination.claims.claims import ClaimClient
 from turmericwharf.coordination.membership.confirmation import MembershipConfirmer
@@ -19,7 +19,7 @@
 from turmericwharf.coordination.rates.rate_limits import RateLimiter
 from turmericwharf.coordination.membership.removal import Remover
 from turmericwharf.coordination.routing.retries import RetryBudget
-from turmericwharf.coordination.routing.routing import Router
+from turmericwharf.coordination.routing.server_selection import Router
 from turmericwharf.coordination.configuration.snapshots import SnapshotWriter
 from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import NodeSettings
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_limits.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_limits.py
@@ -9,7 +9,7 @@
 from turmericwharf.coordination.ports import Clock, PeerLinks
 from turmericwharf.coordination.rates.rate_buckets import RateBuckets
 from turmericwharf.coordination.membership.rendezvous import partition_of
-from turmericwharf.coordination.rates.settling import CLOCK_DRIFT
+from turmericwharf.coordination.rates.settling import MAX_CLOCK_DRIFT_RATIO
 from turmericwharf.coordination.rates.share_loans import SHARE_TOLERANCE, ShareLoans
 from turmericwharf.state import (
     Demand,
@@ -244,7 +244,7 @@
         elif answer.tokens:
             # The lifetime starts when the request is sent, so the slice ends here before it ends
             # at the holder.
-            ends_at = asked_at + answer.seconds * (1 - CLOCK_DRIFT)
+            ends_at = asked_at + answer.seconds * (1 - MAX_CLOCK_DRIFT_RATIO)
             held = HeldSlice(holder, answer.slice_id, answer.tokens, ends_at)
             self._slices.add(organisation, held)
         return answer
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/settling.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/settling.py
@@ -7,7 +7,7 @@
 from turmericwharf.state import NO_VERSION, InstanceId, Member, Membership, TimingSettings
 
 # Upper bound of the relative drift between the clocks of two machines.
-CLOCK_DRIFT = 0.02
+MAX_CLOCK_DRIFT_RATIO = 0.02
 # Shares are updated once in this period, so a node may use a share for this long after it lost
 # its standing.
 SHARE_TICK_SECONDS = 0.25
@@ -21,7 +21,7 @@
     learned_at: float
 
 
-def settle_seconds(timing: TimingSettings) -> float:
+def effective_settle_seconds(timing: TimingSettings) -> float:
     """Return the delay between the confirmation of a membership and its effect on shares.
 
     A node that lacks the membership keeps its standing for at most `standing_seconds`. A share
@@ -31,7 +31,7 @@
     needed = (
         timing.standing_seconds + timing.loan_seconds + timing.slice_seconds + SHARE_TICK_SECONDS
     )
-    return max(timing.settle_seconds, needed * (1 + CLOCK_DRIFT))
+    return max(timing.settle_seconds, needed * (1 + MAX_CLOCK_DRIFT_RATIO))
 
 
 class MembershipSettling:
@@ -71,7 +71,7 @@
     @property
     def settled_version(self) -> int:
         """Newest membership version that was confirmed at least `settle_seconds` ago."""
-        settled_at = self._clock.now() - settle_seconds(self._timing)
+        settled_at = self._clock.now() - effective_settle_seconds(self._timing)
         settled = [each.version for each in self._confirmations if each.learned_at <= settled_at]
         return max(settled, default=NO_VERSION)
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/share_loans.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/share_loans.py
@@ -5,7 +5,7 @@
 
 from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import Clock, PeerLinks
-from turmericwharf.coordination.rates.settling import CLOCK_DRIFT, SHARE_TICK_SECONDS
+from turmericwharf.coordination.rates.settling import MAX_CLOCK_DRIFT_RATIO, SHARE_TICK_SECONDS
 from turmericwharf.coordination.rates.share_holders import ShareHolders
 from turmericwharf.coordination.membership.standing import Standing
 from turmericwharf.state import (
@@ -220,7 +220,7 @@
         if not isinstance(answer, LoanGranted):
             return
         # Slices granted from a loan must end before the lender uses the share again.
-        seconds = answer.seconds * (1 - CLOCK_DRIFT) - self._timing.slice_seconds
+        seconds = answer.seconds * (1 - MAX_CLOCK_DRIFT_RATIO) - self._timing.slice_seconds
         self._refresh_inputs()
         for partition, share in zip(answer.partitions, answer.shares, strict=True):
             self._apply_loan(partition, lender, BorrowedShare(share, requested_at + seconds))
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
@@ -5,11 +5,11 @@
 from loguru import logger
 
 from turmericwharf.coordination.execution.execution import Executor, not_run
-from turmericwharf.coordination.routing.in_flight import Choice
+from turmericwharf.coordination.routing.in_flight import StartedAttempt
 from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.ports import Clock, PeerLinks, WallClock
 from turmericwharf.coordination.routing.retries import RetryBudget, RetryLimits, is_retryable
-from turmericwharf.coordination.routing.routing import Router
+from turmericwharf.coordination.routing.server_selection import Router
 from turmericwharf.state import (
     CALLER_LEFT,
     DEADLINE_PASSED,
@@ -98,7 +98,7 @@
         """Remove the cancellation mark of a request that has ended."""
         self._cancelled.discard(request)
 
-    def _choose(self, admitted: AdmittedRequest, tried: set[InstanceId]) -> Choice | None:
+    def _choose(self, admitted: AdmittedRequest, tried: set[InstanceId]) -> StartedAttempt | None:
         if tried and not self.budget.allows(admitted.service):
             return None
         choice = self._router.choose(admitted, tried)
@@ -109,7 +109,7 @@
     async def _attempt(
         self,
         admitted: AdmittedRequest,
-        choice: Choice,
+        choice: StartedAttempt,
         attempt: int,
     ) -> Outcome:
         outcome: Outcome | None = None
@@ -131,7 +131,7 @@
     async def _send_before_deadline(
         self,
         admitted: AdmittedRequest,
-        choice: Choice,
+        choice: StartedAttempt,
         attempt: int,
     ) -> Outcome:
         request = admitted.request.request
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/harm.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/harm.py
@@ -63,7 +63,7 @@
     typical_path_seconds: float = 0.0
 
 
-class TypicalTimes:
+class RouteMedians:
     """Running median of the time that each route takes.
 
     The median over the answers of all servers still reflects the healthy majority while a third
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/in_flight.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/in_flight.py
@@ -3,7 +3,7 @@
 import dataclasses
 import itertools
 
-from turmericwharf.coordination.routing.harm import TypicalTimes, latency_harm
+from turmericwharf.coordination.routing.harm import RouteMedians, latency_harm
 from turmericwharf.state import AdmittedRequest, InstanceId, RouteId, ServerReport
 
 # Attempts that are in flight for a shorter time are no evidence. This fraction of the target is
@@ -12,7 +12,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Choice:
+class StartedAttempt:
     """Server selected for one attempt.
 
     Parameters
@@ -39,10 +39,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _StartedAttempt:
+class _MeasuredAttempt:
     """An attempt in flight, with the data needed to compute its harm."""
 
-    choice: Choice
+    choice: StartedAttempt
     route: RouteId
     target_seconds: float
 
@@ -52,7 +52,7 @@
 
     def __init__(self) -> None:
         self._numbers = itertools.count()
-        self._started_by_id: dict[InstanceId, dict[int, _StartedAttempt]] = {}
+        self._started_by_id: dict[InstanceId, dict[int, _MeasuredAttempt]] = {}
 
     def start(
         self,
@@ -61,14 +61,14 @@
         now: float,
         *,
         probe: bool,
-    ) -> Choice:
+    ) -> StartedAttempt:
         """Register a new attempt as in flight."""
-        choice = Choice(next(self._numbers), report, now, probe)
+        choice = StartedAttempt(next(self._numbers), report, now, probe)
         started = self._started_by_id.setdefault(report.instance, {})
-        started[choice.number] = _StartedAttempt(choice, admitted.route, admitted.target_seconds)
+        started[choice.number] = _MeasuredAttempt(choice, admitted.route, admitted.target_seconds)
         return choice
 
-    def end(self, choice: Choice) -> None:
+    def end(self, choice: StartedAttempt) -> None:
         """Remove an attempt that has ended."""
         started = self._started_by_id.get(choice.instance, {})
         started.pop(choice.number, None)
@@ -82,7 +82,7 @@
     def overdue_harms(
         self,
         instance: InstanceId,
-        typical_times: TypicalTimes,
+        typical_times: RouteMedians,
         now: float,
     ) -> list[float]:
         """Return the harm so far of each overdue attempt to an instance."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/lookups.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/lookups.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from turmericwharf.coordination.routing.admission import EntryService
+from turmericwharf.coordination.routing.entry_service import EntryService
 from turmericwharf.coordination.configuration.control_log import ControlLog
 from turmericwharf.coordination.execution.execution import Executor, not_run
 from turmericwharf.coordination.ports import Clock
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/outliers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/outliers.py
@@ -33,7 +33,7 @@
 # Ratio of the odds of harm at a faulty server to those at a healthy server, one for each test. The
 # small ratio detects rare errors, the large one total failure; see
 # docs/decisions/outlier-detection.md for the measurements.
-_FAULTY_ODDS = (4.0, 30.0)
+_ODDS_RATIOS = (4.0, 30.0)
 _RECENT_HARM_WEIGHT = 0.1
 _USUAL_RATIO_WEIGHT = 0.01
 _MAX_USUAL_RATIO = math.log(2)
@@ -53,7 +53,7 @@
 _GroupKey: TypeAlias = tuple[ServiceId, EvidenceSubject]
 _EjectionKey: TypeAlias = tuple[ServiceId, InstanceId]
 
-_NO_EVIDENCE = Evidence(scores=tuple(0 for _ in _FAULTY_ODDS))
+_NO_EVIDENCE = Evidence(scores=tuple(0 for _ in _ODDS_RATIOS))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,11 +73,11 @@
     hold_seconds: float
 
 
-def observe(evidence: Evidence, harm: float, healthy_share: float) -> Evidence:
+def add_harm(evidence: Evidence, harm: float, healthy_share: float) -> Evidence:
     """Return the evidence updated with the harm of one request."""
     scores = tuple(
         max(score + _log_likelihood_ratio(harm, healthy_share, odds), 0)
-        for score, odds in zip(evidence.scores, _FAULTY_ODDS, strict=True)
+        for score, odds in zip(evidence.scores, _ODDS_RATIOS, strict=True)
     )
     is_suspect = any(scores)
     return dataclasses.replace(
@@ -90,7 +90,7 @@
     )
 
 
-def observe_latency_ratio(evidence: Evidence, ratio: float) -> Evidence:
+def add_latency_ratio(evidence: Evidence, ratio: float) -> Evidence:
     """Return the evidence updated with a latency of `ratio` times the typical one."""
     logarithm = min(max(math.log(ratio), 0), _MAX_USUAL_RATIO)
     step = _USUAL_RATIO_WEIGHT * (logarithm - evidence.usual_ratio)
@@ -186,8 +186,8 @@
         group = self._evidence_by_group.setdefault((report.service, subject), {})
         previous = group.get(report.instance, _NO_EVIDENCE)
         others_harm = _median_harm_of_others(group, report.instance)
-        evidence = observe_latency_ratio(
-            observe(previous, harm, self._healthy_share(others_harm)), ratio
+        evidence = add_latency_ratio(
+            add_harm(previous, harm, self._healthy_share(others_harm)), ratio
         )
         group[report.instance] = evidence
         return self._evaluate(report, subject, evidence, others_harm, target_seconds)
@@ -285,7 +285,7 @@
     def _evidence_with_overdue(self, report: ServerReport, harms: list[float]) -> Evidence:
         evidence = self.evidence(report.service, EvidenceSubject.SERVER, report.instance)
         for harm in harms:
-            evidence = observe(evidence, harm, self._settings.tolerated_harm)
+            evidence = add_harm(evidence, harm, self._settings.tolerated_harm)
         return evidence
 
     def _evaluate(
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/retries.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/retries.py
@@ -38,7 +38,7 @@
     """
 
     fraction: float
-    minimum: float = 3
+    extra_retries: float = 3
     window_seconds: float = 10
 
 
@@ -69,7 +69,7 @@
         requests = self._recent_timestamps(self._requests_by_id, service)
         retries = self._recent_timestamps(self._retries_by_id, service)
         limits = self._limits()
-        is_allowed = len(retries) + 1 <= len(requests) * limits.fraction + limits.minimum
+        is_allowed = len(retries) + 1 <= len(requests) * limits.fraction + limits.extra_retries
         if not is_allowed:
             self._refused_by_id[service] += 1
         return is_allowed
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/routing.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/server_selection.py
@@ -7,12 +7,12 @@
 
 from turmericwharf.coordination.routing.harm import (
     AttemptTiming,
-    TypicalTimes,
+    RouteMedians,
     path_harm,
     path_seconds,
     server_harm,
 )
-from turmericwharf.coordination.routing.in_flight import Choice, InFlightAttempts
+from turmericwharf.coordination.routing.in_flight import StartedAttempt, InFlightAttempts
 from turmericwharf.coordination.membership.membership import MembershipView
 from turmericwharf.coordination.routing.outliers import OutlierDetector, within_floor
 from turmericwharf.coordination.ports import Clock, PeerLinks
@@ -82,14 +82,14 @@
         self._floor_of = floor_of
         self._links = links
         self._detector = OutlierDetector(settings, clock)
-        self._server_times = TypicalTimes()
-        self._path_times = TypicalTimes()
+        self._server_times = RouteMedians()
+        self._path_times = RouteMedians()
         self._in_flight = InFlightAttempts()
         self._load_by_id: dict[InstanceId, _ReportedLoad] = {}
         self._checked_at_by_id: dict[ServiceId, float] = {}
         self._probed_at_by_id: dict[InstanceId, float] = {}
 
-    def choose(self, admitted: AdmittedRequest, excluded: Set[InstanceId]) -> Choice | None:
+    def choose(self, admitted: AdmittedRequest, excluded: Set[InstanceId]) -> StartedAttempt | None:
         """Choose a server and register the attempt as in flight; None if no server is left."""
         service = admitted.service
         ready = self._ready_servers(service)
@@ -116,7 +116,9 @@
             probe=False,
         )
 
-    def record_outcome(self, admitted: AdmittedRequest, choice: Choice, outcome: Outcome) -> None:
+    def record_outcome(
+        self, admitted: AdmittedRequest, choice: StartedAttempt, outcome: Outcome
+    ) -> None:
         """End an attempt and record its harm for the server and the network path."""
         self._in_flight.end(choice)
         if isinstance(outcome, Answered):
@@ -142,7 +144,7 @@
         if _contains_instance(reports, hint.instance):
             self._detector.record_hint(hint)
 
-    def record_abandoned(self, choice: Choice) -> None:
+    def record_abandoned(self, choice: StartedAttempt) -> None:
         """End an attempt whose caller disconnected; it is no evidence about the server."""
         self._in_flight.end(choice)
 
@@ -263,7 +265,7 @@
         return None
 
     def _measure_attempt(
-        self, admitted: AdmittedRequest, choice: Choice, outcome: Outcome
+        self, admitted: AdmittedRequest, choice: StartedAttempt, outcome: Outcome
     ) -> AttemptTiming:
         service, route = admitted.service, admitted.route
         seconds = self._clock.now() - choice.started_at
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
@@ -152,6 +152,6 @@
         bounds = self._bounds.current
         return RetryLimits(
             fraction=bounds.retry_ratio * _RATIO_SHARE,
-            minimum=0,
+            extra_retries=0,
             window_seconds=bounds.retry_window_seconds,
         )
--- a/tests/coordination/rates/test_settling.py
+++ b/tests/coordination/rates/test_settling.py
@@ -1,6 +1,6 @@
 """Membership settling: shares follow a membership only once no node with standing can lack it."""
 
-from turmericwharf.coordination import MembershipSettling, settle_seconds
+from turmericwharf.coordination import MembershipSettling, effective_settle_seconds
 from turmericwharf.state import Member, Membership, TimingSettings
 
 
@@ -55,7 +55,7 @@
     clock.moment += 1000
     assert sorted(settling.members_with_shares()) == ['a', 'b', 'c']
     settling.confirm(1)
-    clock.moment += settle_seconds(TimingSettings()) - 0.1
+    clock.moment += effective_settle_seconds(TimingSettings()) - 0.1
     assert sorted(settling.members_with_shares()) == ['a', 'b', 'c']
     clock.moment += 0.1
     assert sorted(settling.members_with_shares()) == ['a', 'b']
@@ -68,4 +68,4 @@
     """
     timing = TimingSettings(settle_seconds=1.0)
     max_lifetime = timing.standing_seconds + timing.loan_seconds + timing.slice_seconds
-    assert settle_seconds(timing) > max_lifetime
+    assert effective_settle_seconds(timing) > max_lifetime
