Call HTTP responses responses in the outer layers, and reword unclear comments

Variables, comments and error messages of HTTP exchanges said 'answer' where the type is a response; messages between nodes keep 'answer'. The explain command names causes in plain terms. The log-read page format and the header overhead are documented.

--- a/packages/turmericwharf-cli/src/turmericwharf_cli/explain.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/explain.py
@@ -12,15 +12,15 @@
 _CAUSE_BY_REASON = MappingProxyType(
     {
         'rate_exceeded': 'the organisation was above its rate, or holders of its rate were silent',
-        'queue_full': 'the expected wait at the server was longer than the answer is useful for',
-        'deadline_passed': 'no server got to the request in time',
-        'breaker_open': 'the server was failing, and the request was kept from it',
+        'queue_full': 'the wait at the server would exceed the time in which a response is useful',
+        'deadline_passed': 'the deadline passed before a server ran the request',
+        'breaker_open': 'the server was failing, so the request was not sent to it',
         'answer_incomplete': 'the server broke the connection after it had the request',
-        'answer_timeout': 'the server gave no answer in time',
-        'peer_link_lost': 'the node beside the server was lost after it had the request',
-        'process_replaced': 'the node beside the server was restarted after it had the request',
-        'server_draining': 'the server or the node beside it was leaving',
-        'configuration_outdated': 'a newer configuration sends the request elsewhere',
+        'answer_timeout': 'the server did not respond in time',
+        'peer_link_lost': 'the link to the node of the server was lost after the request was sent',
+        'process_replaced': 'the node of the server was restarted after it had received the request',
+        'server_draining': 'the server or its node was draining',
+        'configuration_outdated': 'a newer configuration routes the request elsewhere',
         'no_capacity': 'no node announced a server of the service',
         'not_ready': 'the node had no configuration yet',
     },
@@ -40,8 +40,8 @@
     events = [event for source in sources for event in read_events(source, request)]
     if not events:
         raise click.ClickException(
-            f'no line names request {request!r}: valid is an id that a client sent, '
-            'with the logs of the node that took it',
+            f'no line names request {request!r}: give the request id that the client sent '
+            'and the logs of the node that received the request',
         )
     for line in format_events(sorted(events, key=_timestamp)):
         click.echo(line)
@@ -77,7 +77,7 @@
 def _format_outcome(events: list[dict[str, Any]]) -> Iterator[str]:
     final = next((event for event in reversed(events) if event['event'] in _FINAL_EVENTS), None)
     if final is None:
-        yield 'no outcome: the client left, the node ended, or its log is not among these'
+        yield 'no outcome: the client disconnected, the node stopped, or its log was not given'
         return
     outcome = str(final.get('outcome') or final.get('reason'))
     cause = next((text for reason, text in _CAUSE_BY_REASON.items() if reason in outcome), None)
--- a/packages/turmericwharf-cli/src/turmericwharf_cli/objects.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/objects.py
@@ -172,24 +172,26 @@
     _remove_object(session, _ROUTE, name)
 
 
-def _set_object(session: Session, kind: _KindFields, name: str, given: dict[str, Any]) -> None:
+def _set_object(session: Session, fields: _KindFields, name: str, given: dict[str, Any]) -> None:
     # The version is read before the object, so that a concurrent change of the object after that
     # read causes a conflict.
     version = int(session.get('/version')['version'])
-    response = session.client.get(f'/configuration/{kind.kind.value}/{name}')
+    response = session.client.get(f'/configuration/{fields.kind.value}/{name}')
     if response.status not in {_OK, _NOT_FOUND}:
         session.finish(response)
-    current = response.content if response.status == _OK else {kind.name_field: name}
+    current = response.content if response.status == _OK else {fields.name_field: name}
     changed = {
         **current,
         **{field: option for field, option in given.items() if option is not None},
     }
-    missing = [field for field in kind.required if field not in changed]
+    missing = [field for field in fields.required if field not in changed]
     if missing:
-        fail(f'{kind.kind.value} {name!r} does not exist; to create it, give: {", ".join(missing)}')
-    session.finish(session.publish({kind.changes_field: [changed]}, version))
+        fail(
+            f'{fields.kind.value} {name!r} does not exist; to create it, give: {", ".join(missing)}'
+        )
+    session.finish(session.publish({fields.changes_field: [changed]}, version))
 
 
-def _remove_object(session: Session, kind: _KindFields, name: str) -> None:
-    removal = {'kind': kind.kind.value, 'name': name}
+def _remove_object(session: Session, fields: _KindFields, name: str) -> None:
+    removal = {'kind': fields.kind.value, 'name': name}
     session.finish(session.publish({'removals': [removal]}))
--- a/packages/turmericwharf-cli/src/turmericwharf_cli/session.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/session.py
@@ -17,7 +17,7 @@
 _EXIT_FAILURE = 1
 _EXIT_USAGE = 2
 EXIT_INVALID = 4
-_EXIT_STATUS_BY_HTTP = MappingProxyType(
+_EXIT_STATUS_BY_HTTP_STATUS = MappingProxyType(
     {
         200: 0,
         202: 6,
@@ -77,7 +77,7 @@
         return OperatorClient(self.node, self.token)
 
     def get(self, path: str) -> Any:
-        """Return the content of a page; on failure, print the error and exit."""
+        """Send a GET request and return the content; on failure, print the error and exit."""
         response = self.client.get(path)
         if response.status != _OK:
             self.finish(response)
@@ -105,7 +105,7 @@
                 click.echo(f'The publish id is {publish_id}.', err=True)
         else:
             click.echo(to_text(response.content))
-        sys.exit(_EXIT_STATUS_BY_HTTP.get(response.status, _EXIT_FAILURE))
+        sys.exit(_EXIT_STATUS_BY_HTTP_STATUS.get(response.status, _EXIT_FAILURE))
 
     def show(self, content: Any) -> None:
         """Print content as JSON or text, depending on the options."""
--- a/packages/turmericwharf/src/turmericwharf/platform/configuration.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/configuration.py
@@ -33,7 +33,7 @@
     route_type: str
     service: str | None = None
     traffic_split: tuple[_TrafficShare, ...] = ()
-    # Maximum time until the final answer over all attempts, not the timeout of one attempt.
+    # Maximum time until the final response over all attempts, not the timeout of one attempt.
     timeout_s: float | None = msgspec.field(default=None, name='timeoutS')
     target_latency_s: float | None = msgspec.field(default=None, name='targetLatencyS')
     # Maximum number of servers that a request may be sent to, including the first.
--- a/packages/turmericwharf/src/turmericwharf/platform/dialect.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/dialect.py
@@ -1,4 +1,4 @@
-"""Translates requests and answers between the platform's HTTP interface and the core types."""
+"""Translates requests and responses between the platform's HTTP interface and the core types."""
 
 from types import MappingProxyType
 
@@ -43,10 +43,10 @@
 
     def read_request(self, request: HttpRequest) -> FleetRequest:
         """Return the request of a client."""
-        by_name = {name.lower(): text for name, text in request.headers}
-        key = by_name.get(names.API_KEY.lower())
+        headers_by_name = {name.lower(): text for name, text in request.headers}
+        key = headers_by_name.get(names.API_KEY.lower())
         return FleetRequest(
-            request=RequestId(by_name.get(names.REQUEST_ID.lower(), '')),
+            request=RequestId(headers_by_name.get(names.REQUEST_ID.lower(), '')),
             method=request.method,
             target=request.target,
             host=request.host.lower(),
@@ -57,19 +57,21 @@
             ),
             body=request.body,
             key_digest=None if key is None else digest_key(key),
-            remaining_seconds=_read_seconds(by_name.get(names.DEADLINE_MILLISECONDS.lower())),
+            remaining_seconds=_read_seconds(
+                headers_by_name.get(names.DEADLINE_MILLISECONDS.lower())
+            ),
         )
 
     def write_outcome(self, request: FleetRequest, outcome: Outcome) -> HttpResponse:
-        """Return the answer for a client."""
+        """Return the response to a client."""
         if isinstance(outcome, Answered):
             return HttpResponse(outcome.status, outcome.headers, outcome.body)
-        answer = to_http(outcome)
-        status = _platform_status(outcome, answer.status)
-        headers = (*answer.headers, (names.REQUEST_ID, request.request))
+        response = to_http(outcome)
+        status = _platform_status(outcome, response.status)
+        headers = (*response.headers, (names.REQUEST_ID, request.request))
         if status in _RETRYABLE_STATUSES:
             headers = (*headers, (names.RETRY_AFTER, _RETRY_AFTER_SECONDS))
-        return HttpResponse(status, headers, answer.body)
+        return HttpResponse(status, headers, response.body)
 
     def request_headers(self, order: WorkOrder, *, remaining_seconds: float) -> Headers:
         """Return the headers of a request to the backend server."""
@@ -84,25 +86,25 @@
         return (*node_headers, *organisation, *order.headers)
 
     def read_response(self, response: ServerResponse) -> DecodedResponse:
-        """Return the answer of a backend server."""
-        by_name = {name.lower(): text for name, text in response.headers}
-        request = by_name.get(names.REQUEST_ID.lower())
+        """Return the response of a backend server with the platform's headers decoded."""
+        headers_by_name = {name.lower(): text for name, text in response.headers}
+        request = headers_by_name.get(names.REQUEST_ID.lower())
         return DecodedResponse(
             status=response.status,
             headers=forwarded_headers(response.headers),
             body=response.body,
             request=None if request is None else RequestId(request),
-            is_stamped=names.RESPONSE_STAMP.lower() in by_name,
-            is_not_executed=names.NOT_EXECUTED.lower() in by_name,
-            is_encoded='content-encoding' in by_name,
+            is_stamped=names.RESPONSE_STAMP.lower() in headers_by_name,
+            is_not_executed=names.NOT_EXECUTED.lower() in headers_by_name,
+            is_encoded='content-encoding' in headers_by_name,
         )
 
     def read_identity(self, response: ServerResponse) -> str | None:
-        """Return the server id of a health check answer, or None if the status is not 200."""
+        """Return the server id of a health check response, or None if the status is not 200."""
         if response.status != _OK:
             return None
-        by_name = {name.lower(): text for name, text in response.headers}
-        return by_name.get(names.SERVER_ID.lower())
+        headers_by_name = {name.lower(): text for name, text in response.headers}
+        return headers_by_name.get(names.SERVER_ID.lower())
 
 
 def _platform_status(outcome: NotRun | OutcomeUnknown, status: int) -> int:
--- a/packages/turmericwharf/src/turmericwharf/platform/names.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/names.py
@@ -14,7 +14,7 @@
 SETTINGS_VARIABLE = 'TURMERICWHARF_NODE_FILE'
 
 # Client headers that are dropped: the node sets its own values for them, except for the API key,
-# which is not sent on.
+# which is not forwarded.
 NOT_FORWARDED_HEADERS = frozenset(
     name.lower()
     for name in (DEADLINE_MILLISECONDS, ORGANISATION, EXPECTED_SERVER, CALLER_SERVICE, API_KEY)
--- a/packages/turmericwharf/src/turmericwharf/platform/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/settings.py
@@ -67,7 +67,7 @@
 
 
 def decode_platform_settings(encoded: bytes) -> SidecarSettings | SettingsFailure:
-    """Decode settings; a failure names the invalid field and what is expected."""
+    """Decode settings; a failure names the invalid field or value and what is expected."""
     try:
         decoded = msgspec.json.decode(encoded, type=_SettingsFile)
     except msgspec.DecodeError as error:
--- a/packages/turmericwharf/src/turmericwharf/platform/store.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/store.py
@@ -22,7 +22,7 @@
 )
 from turmericwharf.transport.http_client import FetchFailure, fetch, make_client
 
-_TOPICS = MappingProxyType(
+_NAMES_BY_TOPIC = MappingProxyType(
     {StoreTopic.CONFIGURATION: 'keyed.op', StoreTopic.NODES: 'keyed.nodes'},
 )
 # Keys that the fleet uses, by topic. All keys of a topic that is not listed are used.
@@ -34,6 +34,8 @@
 _CONNECT_TIMEOUT_SECONDS = 0.6
 _CALL_TIMEOUT_SECONDS = 1.5
 _KEEP_ALIVE_INTERVAL_SECONDS = 1
+# A page of `/log-read` starts with the end offset and the first offset of the topic. Each record
+# follows its length in bytes, and starts with the length of the key in one byte and the key.
 _OFFSETS_HEADER = struct.Struct('>QQ')
 _RECORD_LENGTH = struct.Struct('>I')
 
@@ -61,13 +63,13 @@
 
     def __init__(self, settings: StoreSettings) -> None:
         address = settings.address
-        self._base = f'http://{address.host}:{address.port}'
+        self._base_url = f'http://{address.host}:{address.port}'
         self._client = make_client(_MAX_CLIENTS)
 
     async def read_newest(self, topic: StoreTopic) -> KeyedPage | LogFailure:
         """Read the newest record of each key."""
         records_by_key: dict[str, KeyedRecord] = {}
-        query: dict[str, str | int] = {'topic': _TOPICS[topic], 'part': 0}
+        query: dict[str, str | int] = {'topic': _NAMES_BY_TOPIC[topic], 'part': 0}
         end: int | None = None
         while True:
             response = await self._fetch('GET', '/log-newest', query, _CALL_TIMEOUT_SECONDS)
@@ -93,7 +95,7 @@
     ) -> KeyedPage | LogFailure:
         """Read the records from an offset on; wait up to `wait_seconds` if there are none yet."""
         query: dict[str, str | int] = {
-            'topic': _TOPICS[topic],
+            'topic': _NAMES_BY_TOPIC[topic],
             'part': 0,
             'from': offset,
             'waitMs': int(wait_seconds * _MILLISECONDS_PER_SECOND),
@@ -110,7 +112,7 @@
         """Append the entry of a node to the nodes topic."""
         key = entry.instance.encode()
         record = bytes([len(key)]) + key + encode_node_entry(entry)
-        query: dict[str, str | int] = {'topic': _TOPICS[StoreTopic.NODES], 'part': 0}
+        query: dict[str, str | int] = {'topic': _NAMES_BY_TOPIC[StoreTopic.NODES], 'part': 0}
         response = await self._fetch(
             'POST',
             '/log-append',
@@ -133,7 +135,7 @@
         body: bytes | None = None,
     ) -> HTTPResponse | LogFailure:
         request = HTTPRequest(
-            f'{self._base}{path}?{urlencode(query)}',
+            f'{self._base_url}{path}?{urlencode(query)}',
             method=method,
             body=body,
             connect_timeout=_CONNECT_TIMEOUT_SECONDS,
@@ -179,7 +181,15 @@
 
 
 def read_records(encoded: bytes, offset: int) -> tuple[dict[str, KeyedRecord], int]:
-    """Return the newest record of each key and the offset after the last complete record."""
+    """Return the newest record of each key and the offset after the last complete record.
+
+    Parameters
+    ----------
+    encoded
+        Response body of `/log-read`.
+    offset
+        Offset of the first record in it.
+    """
     position = _OFFSETS_HEADER.size
     records_by_key = {}
     while position + _RECORD_LENGTH.size <= len(encoded):
--- a/packages/turmericwharf/src/turmericwharf/protocol/codec.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/codec.py
@@ -89,12 +89,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Frame:
-    """A message with the correlation id that matches a response to its request.
+    """A message with the correlation id that matches an answer to its request.
 
     Parameters
     ----------
     correlation
-        Number of the request on its connection; 0 for messages without a response.
+        Number of the request on its connection; 0 for messages without an answer.
     """
 
     correlation: int
--- a/packages/turmericwharf/src/turmericwharf/protocol/dispatch.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/dispatch.py
@@ -42,7 +42,7 @@
 
 @singledispatch
 async def handle_message(message: object, node: Node) -> Message | ProtocolFailure:
-    """Handle a message from a peer and return the response.
+    """Handle a message from a peer and return the answer.
 
     Returns
     -------
--- a/packages/turmericwharf/src/turmericwharf/protocol/handshake.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/handshake.py
@@ -1,4 +1,4 @@
-"""Mutual authentication of two nodes by proofs that both hold the fleet secret."""
+"""Mutual authentication of two nodes, each of which proves that it holds the fleet secret."""
 
 import dataclasses
 import hashlib
--- a/packages/turmericwharf/src/turmericwharf/protocol/http1.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http1.py
@@ -9,10 +9,11 @@
 from turmericwharf.state import BODY_TOO_LARGE, HEADERS_TOO_LARGE, Headers, ProtocolFailure, Reason
 from turmericwharf.state.sidecar import ClientLimits
 
+# Colon, space and CRLF of each header line.
 _HEADER_OVERHEAD_BYTES = 4
 _HEADERS_TOO_LARGE_STATUS = 431
 # Responses with these statuses have no body.
-_STATUSES_WITHOUT_BODY = frozenset((204, 304))
+_BODILESS_STATUSES = frozenset((204, 304))
 _READ_ALLOWANCE_BYTES = 4096
 
 
@@ -148,8 +149,8 @@
 ) -> bytes:
     """Encode a response; with `is_last` it announces that the connection will be closed."""
     headers = list(response.headers)
-    has_body = response.status not in _STATUSES_WITHOUT_BODY and method != 'HEAD'
-    if response.status not in _STATUSES_WITHOUT_BODY:
+    has_body = response.status not in _BODILESS_STATUSES and method != 'HEAD'
+    if response.status not in _BODILESS_STATUSES:
         headers.append(('Content-Length', str(len(response.body))))
     if is_last:
         headers.append(('Connection', 'close'))
--- a/packages/turmericwharf/src/turmericwharf/protocol/settings_file.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/settings_file.py
@@ -99,10 +99,13 @@
         rule = _DIGEST_RULE if path.startswith('operator_digests.') else _RULES_BY_WORD.get(word)
         if rule is not None and actual is not None and not rule.is_valid(actual):
             yield f'{path} = {redact_secret(path, actual)}: expected {rule.expected}'
-    needed = _RETENTION_FACTOR * hold_seconds_of(settings.limits)
-    if settings.log.retention_seconds < needed:
-        claim_retention = settings.limits.claim_retention_seconds
-        expected = f'at least {needed}, because limits.claim_retention_seconds is {claim_retention}'
+    min_retention_seconds = _RETENTION_FACTOR * hold_seconds_of(settings.limits)
+    if settings.log.retention_seconds < min_retention_seconds:
+        claim_seconds = settings.limits.claim_retention_seconds
+        expected = (
+            f'at least {min_retention_seconds}, '
+            f'because limits.claim_retention_seconds is {claim_seconds}'
+        )
         yield f'log.retention_seconds = {settings.log.retention_seconds}: expected {expected}'
 
 
--- a/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
@@ -122,7 +122,8 @@
     if has_body and not _LENGTH_HEADERS.intersection(response.headers):
         # Without a length, a closed connection does not prove that the body is complete.
         return OutcomeUnknown(
-            Reason.ANSWER_INCOMPLETE, 'the answer has neither Content-Length nor Transfer-Encoding'
+            Reason.ANSWER_INCOMPLETE,
+            'the response has neither Content-Length nor Transfer-Encoding',
         )
     headers = tuple(pair for pair in response.headers.get_all() if pair[0] not in _CLIENT_HEADERS)
     return Answered(
--- a/packages/turmericwharf/src/turmericwharf/transport/caller_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/caller_server.py
@@ -40,7 +40,7 @@
         self._server.start(listen.host, listen.caller_port)
 
     async def drain(self) -> None:
-        """Accept no new connections and close each open connection after its next answer."""
+        """Accept no new connections and close each open connection after its next response."""
         await self._server.drain()
 
     def abort(self) -> None:
--- a/packages/turmericwharf/src/turmericwharf/transport/http_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/http_client.py
@@ -13,7 +13,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchFailure:
-    """Failure of a request that ended without a complete answer.
+    """Failure of a request that ended without a complete response.
 
     Parameters
     ----------
@@ -32,7 +32,7 @@
 
 
 async def fetch(client: CurlAsyncHTTPClient, request: HTTPRequest) -> HTTPResponse | FetchFailure:
-    """Return the answer, whatever its status, or the failure to get one."""
+    """Return the response, whatever its status, or a failure if there is no complete response."""
     try:
         return await client.fetch(request, raise_error=False)
     except CurlError as error:
--- a/packages/turmericwharf/src/turmericwharf/transport/http_exchange.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/http_exchange.py
@@ -1,4 +1,4 @@
-"""One HTTP request and its answer on a tornado connection."""
+"""One HTTP request and its response on a tornado connection."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -21,17 +21,17 @@
 from turmericwharf.state import BODY_TOO_LARGE, SHUTDOWN, Headers, NotRun, OutcomeUnknown, Reason
 
 _HEAD_METHOD = 'HEAD'
-# Answers with these statuses have neither a body nor a Content-Length.
+# Responses with these statuses have neither a body nor a Content-Length.
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
 class HttpExchange(HTTPMessageDelegate):
-    """Collects a request up to a size limit, passes it to the handler and writes the answer.
+    """Collects a request up to a size limit, passes it to the handler and writes the response.
 
     Parameters
     ----------
     connection
-        Connection to write the answer to.
+        Connection to write the response to.
     exchanges
         Exchange table of the server, which tracks this exchange while it is in progress.
     body_bytes
@@ -77,7 +77,8 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Store a chunk of the body; an oversized body is read to its end and discarded."""
-        # If the connection were closed while the client is still sending, the answer would be lost.
+        # If the connection were closed while the client is still sending, the response would be
+        # lost.
         self._received_bytes += len(chunk)
         self._is_body_too_large = self._is_body_too_large or self._received_bytes > self._body_bytes
         if self._is_body_too_large:
@@ -99,33 +100,35 @@
             self._task.cancel()
 
     def abort(self) -> None:
-        """Cancel the request and answer with an unknown outcome."""
+        """Cancel the request and report an unknown outcome."""
         self._is_aborted = True
         self.on_connection_close()
 
-    async def write(self, answer: HttpResponse) -> None:
-        """Write the complete answer and wait until it has been flushed to the connection."""
+    async def write(self, response: HttpResponse) -> None:
+        """Write the complete response and wait until it has been flushed to the connection."""
         is_last = self._exchanges.is_draining
-        start_line = ResponseStartLine('HTTP/1.1', answer.status, '')
+        start_line = ResponseStartLine('HTTP/1.1', response.status, '')
         body = (
             b''
-            if self.method == _HEAD_METHOD or answer.status in _BODILESS_STATUSES
-            else answer.body
+            if self.method == _HEAD_METHOD or response.status in _BODILESS_STATUSES
+            else response.body
         )
-        headers = self._make_headers(answer, self._exchanges.connection_headers)
+        headers = self._make_headers(response, self._exchanges.connection_headers)
         written = self._connection.write_headers(start_line, headers, body)
         self._connection.finish()
         await written
         if is_last:
             self._connection.close()
 
-    def _make_headers(self, answer: HttpResponse, connection_headers: Headers) -> HTTPHeaders:
+    def _make_headers(self, response: HttpResponse, connection_headers: Headers) -> HTTPHeaders:
         headers = HTTPHeaders()
-        for name, text in (*answer.headers, *connection_headers):
+        for name, text in (*response.headers, *connection_headers):
             headers.add(name, text)
         # For a body that is not sent, as for HEAD, the backend server sets the Content-Length.
-        if answer.status not in _BODILESS_STATUSES and (answer.body or self.method != _HEAD_METHOD):
-            headers['Content-Length'] = str(len(answer.body))
+        if response.status not in _BODILESS_STATUSES and (
+            response.body or self.method != _HEAD_METHOD
+        ):
+            headers['Content-Length'] = str(len(response.body))
         return headers
 
     async def _serve(self) -> None:
@@ -148,9 +151,9 @@
             logger.exception('request_failed')
             return _internal_error()
 
-    async def _write_with_fallback(self, answer: HttpResponse) -> None:
+    async def _write_with_fallback(self, response: HttpResponse) -> None:
         try:
-            await self.write(answer)
+            await self.write(response)
         except (ValueError, HTTPInputError) as error:
             # The backend server returned headers that are invalid in HTTP.
             logger.bind(error=str(error)).warning('answer_unwritable')
@@ -188,7 +191,7 @@
 
     @property
     def in_progress(self) -> int:
-        """Number of requests whose answers have not been written yet."""
+        """Number of requests whose responses have not been written yet."""
         return len(self._exchanges_by_task)
 
     @property
@@ -197,7 +200,7 @@
         return len(self._connections)
 
     def drain(self) -> None:
-        """Close each connection after its next answer."""
+        """Close each connection after its next response."""
         self.is_draining = True
 
     def abort(self) -> None:
--- a/packages/turmericwharf/src/turmericwharf/transport/http_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/http_server.py
@@ -19,9 +19,11 @@
 # Idle connections are closed this much later than announced to clients, so that a request that is
 # already in transit is still served.
 _IDLE_MARGIN_SECONDS = 2.0
+# Time in which the connections that are already in the accept queue are accepted.
 _ACCEPT_DRAIN_SECONDS = 0.1
+# Socket option of Linux that the `socket` module does not define.
 _SO_ATTACH_FILTER = 26
-# Classic BPF program: load the TCP flags, drop the packet if SYN is set, otherwise accept it.
+# Classic BPF program: load the TCP flags byte, drop the packet if SYN is set, otherwise accept it.
 _DROP_SYN = (
     struct.pack('HBBI', 0x30, 0, 0, 13)
     + struct.pack('HBBI', 0x45, 0, 1, 2)
@@ -84,7 +86,7 @@
         self._server.add_sockets(self._sockets)
 
     async def drain(self) -> None:
-        """Accept no new connections and close each open connection after its next answer."""
+        """Accept no new connections and close each open connection after its next response."""
         self.exchanges.drain()
         # Closing a listening socket resets the connections in its accept queue, which may already
         # carry a request. So new connections are dropped first, and the queued ones accepted.
--- a/packages/turmericwharf/src/turmericwharf/transport/log_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/log_client.py
@@ -90,12 +90,12 @@
         return f'{self._settings.url}/streams/{stream}/records'
 
 
-class _AppendAnswer(msgspec.Struct, frozen=True):
+class _AppendResponse(msgspec.Struct, frozen=True):
     first_offset: int
 
 
 def _decode_offset(body: bytes) -> int | LogFailure:
     try:
-        return msgspec.json.decode(body, type=_AppendAnswer).first_offset
+        return msgspec.json.decode(body, type=_AppendResponse).first_offset
     except msgspec.DecodeError as error:
-        return LogFailure(Reason.LOG_UNAVAILABLE, f'malformed answer to an append: {error}')
+        return LogFailure(Reason.LOG_UNAVAILABLE, f'malformed response to an append: {error}')
--- a/packages/turmericwharf/src/turmericwharf/transport/metrics.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/metrics.py
@@ -22,7 +22,7 @@
 
 
 class LatencyHistogram:
-    """Histogram of the time until a client request is answered, by outcome."""
+    """Histogram of the time in seconds from a client request to its outcome, by outcome."""
 
     def __init__(self) -> None:
         self._histogram = Histogram(
@@ -32,7 +32,7 @@
         )
 
     def record(self, outcome: str, seconds: float) -> None:
-        """Record one answer."""
+        """Record one request with its outcome and duration."""
         self._histogram.add({'outcome': outcome}, seconds)
 
     def register(self, registry: Registry) -> None:
--- a/packages/turmericwharf/src/turmericwharf/transport/operator_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/operator_server.py
@@ -74,8 +74,8 @@
             return await handler(exchange, operator)
         if exchange.method == 'GET' and exchange.target.startswith(_OBJECT_PATH_PREFIX):
             return self._show_object(exchange.target.removeprefix(_OBJECT_PATH_PREFIX))
-        pages = sorted(' '.join(request) for request in self._handlers_by_request)
-        detail = f'{exchange.method} {exchange.target} is not one of: {", ".join(pages)}'
+        known_requests = sorted(' '.join(request) for request in self._handlers_by_request)
+        detail = f'{exchange.method} {exchange.target} is not one of: {", ".join(known_requests)}'
         return to_operator_response(PublishFailure(Reason.PAGE_UNKNOWN, detail))
 
     def _authenticate(self, exchange: HttpExchange) -> str | None:
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_listener.py
@@ -75,11 +75,11 @@
         )
 
     def drain(self) -> None:
-        """Announce the close of each connection with the answer to its last request."""
+        """Announce the close of each connection with the response to its last request."""
         self.is_draining = True
 
     async def abort_pending(self, timeout_seconds: float) -> None:
-        """Abort unanswered requests, so that completed answers behind them are delivered."""
+        """Abort unanswered requests, so that completed responses behind them are delivered."""
         last_writes = [connection.abort_pending() for connection in self._connections]
         if last_writes:
             await asyncio.wait(last_writes, timeout=timeout_seconds)
@@ -107,7 +107,10 @@
 
 
 class HttpConnection:
-    """Client connection with a task that reads, and tasks that answer and write in order."""
+    """Client connection with one task that reads requests and two tasks for each request.
+
+    The first task handles the request; the second writes the response after all previous ones.
+    """
 
     def __init__(
         self,
@@ -120,7 +123,7 @@
         self._writer = writer
         self._request_reader = RequestReader()
         self._tasks: collections.deque[asyncio.Task[HttpResponse]] = collections.deque()
-        self._answer_written = asyncio.Event()
+        self._response_written = asyncio.Event()
         self._last_write: asyncio.Task[None] | None = None
         self._is_aborting = False
         self._is_closing = False
@@ -131,8 +134,8 @@
         try:
             while await self._read_request():
                 while self.pending >= _MAX_PENDING_REQUESTS:
-                    self._answer_written.clear()
-                    await self._answer_written.wait()
+                    self._response_written.clear()
+                    await self._response_written.wait()
         finally:
             for task in self._tasks:
                 task.cancel()
@@ -142,7 +145,7 @@
         self._writer.close()
 
     def abort_pending(self) -> asyncio.Task[None]:
-        """Abort unanswered requests and return the task that writes the last answer."""
+        """Abort unanswered requests and return the task that writes the last response."""
         self._is_aborting = True
         for task in self._tasks:
             task.cancel()
@@ -163,7 +166,8 @@
             await self._reject(request)
             return False
         if self._is_closing:
-            # Not run: the client repeats requests that it sent after the last answered one.
+            # This request is not run: the client repeats requests that it sent after the one whose
+            # response announced the close.
             return False
         self._start_request(request)
         return True
@@ -174,7 +178,7 @@
         if self._request_reader.has_partial_request:
             read_timeout_seconds: float | None = limits.header_seconds
         else:
-            # A client that is waiting for an answer is not idle.
+            # A client that is waiting for a response is not idle.
             read_timeout_seconds = (
                 None if self.pending else limits.idle_seconds + _IDLE_MARGIN_SECONDS
             )
@@ -206,10 +210,10 @@
         """Answer an invalid request after all previous requests, and end the connection."""
         if self._last_write is not None:
             await asyncio.wait([self._last_write])
-        answer = to_http(NotRun(failure.reason, failure.detail))
+        response = to_http(NotRun(failure.reason, failure.detail))
         logger.bind(reason=failure.reason.value, detail=failure.detail).info('request_unreadable')
         try:
-            encoded = encode_response(self._request_reader.exchange, answer, is_last=True)
+            encoded = encode_response(self._request_reader.exchange, response, is_last=True)
         except h11.LocalProtocolError as error:
             logger.bind(error=str(error)).debug('refusal_unwritable')
             return
@@ -217,10 +221,12 @@
         await self._writer.drain()
 
     def _start_request(self, request: HttpRequest) -> None:
-        answer_task = asyncio.create_task(self._answer(request))
-        self._tasks.append(answer_task)
+        response_task = asyncio.create_task(self._answer(request))
+        self._tasks.append(response_task)
         self.pending += 1
-        self._last_write = asyncio.create_task(self._write(request, answer_task, self._last_write))
+        self._last_write = asyncio.create_task(
+            self._write(request, response_task, self._last_write)
+        )
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         try:
@@ -237,27 +243,27 @@
     async def _write(
         self,
         request: HttpRequest,
-        answer_task: asyncio.Task[HttpResponse],
+        response_task: asyncio.Task[HttpResponse],
         previous_write: asyncio.Task[None] | None,
     ) -> None:
         if previous_write is not None:
             await asyncio.wait([previous_write])
-        await asyncio.wait([answer_task])
+        await asyncio.wait([response_task])
         self._tasks.popleft()
         self.pending -= 1
-        self._answer_written.set()
-        if answer_task.cancelled() or self._writer.is_closing():
+        self._response_written.set()
+        if response_task.cancelled() or self._writer.is_closing():
             return
-        await self._write_answer(request, answer_task.result())
+        await self._write_response(request, response_task.result())
 
-    async def _write_answer(self, request: HttpRequest, answer: HttpResponse) -> None:
+    async def _write_response(self, request: HttpRequest, response: HttpResponse) -> None:
         # The connection stays open while requests are pending: a server may have run the ones after
-        # this request, and their answers must still be delivered.
+        # this request, and their responses must still be delivered.
         self._is_closing = self._listener.is_draining and not self.pending
         try:
             encoded = encode_response(
                 request.exchange,
-                answer,
+                response,
                 is_last=self._is_closing,
                 method=request.method,
             )
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -26,16 +26,16 @@
 
 
 class ServerDialect(Protocol):
-    """Conventions of the backend server for headers and answers."""
+    """Conventions of the backend server for headers and responses."""
 
     def request_headers(self, order: WorkOrder, *, remaining_seconds: float) -> Headers:
         """Return the headers of the request to the server."""
 
     def read_response(self, response: ServerResponse) -> DecodedResponse:
-        """Return the decoded answer of the server."""
+        """Return the response of the server with its headers decoded."""
 
     def read_identity(self, response: ServerResponse) -> str | None:
-        """Return the identifier in the answer of a healthy server, or None."""
+        """Return the identifier in the health check response of a healthy server, or None."""
 
 
 class ServerClient:
@@ -46,7 +46,7 @@
     address
         Address of the server.
     dialect
-        Conventions of the server for headers and answers.
+        Conventions of the server for headers and responses.
     """
 
     def __init__(self, address: Address, dialect: ServerDialect) -> None:
@@ -122,5 +122,5 @@
         if not encoded:
             return OutcomeUnknown(
                 Reason.ANSWER_INCOMPLETE,
-                'the backend server closed the connection before a complete answer',
+                'the backend server closed the connection before a complete response',
             )
