--- a/packages/turmericwharf-cli/src/turmericwharf_cli/explain.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/explain.py
@@ -18,7 +18,7 @@
         'answer_incomplete': 'the server broke the connection after it had the request',
         'answer_timeout': 'the server did not respond in time',
         'peer_link_lost': 'the link to the node of the server was lost after the request was sent',
-        'process_replaced': 'the node of the server was restarted after it had received the request',
+        'process_replaced': 'the node of the server was restarted after the request was sent to it',
         'server_draining': 'the server or its node was draining',
         'configuration_outdated': 'a newer configuration routes the request elsewhere',
         'no_capacity': 'no node announced a server of the service',
