--- a/packages/turmericwharf-cli/src/turmericwharf_cli/client.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/client.py
@@ -9,7 +9,7 @@
 
 from turmericwharf.transport import FetchFailure, fetch, make_client
 
-# Exceeds the time after which a node gives up on a log that does not answer.
+# Exceeds the time after which a node gives up on a log that does not respond.
 _REQUEST_TIMEOUT_SECONDS = 40.0
 _UNREACHABLE_STATUS = 599
 
--- a/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
@@ -59,7 +59,13 @@
         self._port = port
 
     async def run(self, order: Execute, *, remaining_seconds: float) -> Outcome:
-        """Run one request; `NotRun` is returned only if no byte of it was written."""
+        """Run one request.
+
+        Returns
+        -------
+        Outcome
+            `NotRun` only if no byte of the request was written or the server shed it.
+        """
         if self._port is None:
             return NotRun(Reason.SERVER_UNKNOWN, 'the backend server has not announced itself')
         try:
--- a/packages/turmericwharf/src/turmericwharf/transport/log_output.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/log_output.py
@@ -16,6 +16,8 @@
 class JsonLineSink:
     """Sink for loguru that drops and counts lines above the rate limit or on a full pipe.
 
+    The rate limit drops only lines of the levels DEBUG and INFO.
+
     Parameters
     ----------
     stream
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -54,7 +54,13 @@
         self._dialect = dialect
 
     async def run(self, order: WorkOrder, *, remaining_seconds: float) -> Outcome:
-        """Run one request; `NotRun` is returned if no byte of it was written."""
+        """Run one request.
+
+        Returns
+        -------
+        Outcome
+            `NotRun` only if no byte of the request was written or the server did not run it.
+        """
         headers = self._dialect.request_headers(order, remaining_seconds=remaining_seconds)
         reader = ResponseReader()
         encoded = reader.encode_request(order.method, order.target, headers, order.body)
