--- a/packages/turmericwharf/src/turmericwharf/protocol/http1.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http1.py
@@ -14,7 +14,7 @@
 _HEADERS_TOO_LARGE_STATUS = 431
 # Responses with these statuses have no body.
 _BODILESS_STATUSES = frozenset((204, 304))
-# Margin of the limit of h11 on an incomplete message over the limit on its headers.
+# h11 limits an incomplete message to the header limit plus this margin.
 _READ_ALLOWANCE_BYTES = 4096
 
 
