--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -59,7 +59,8 @@
         Returns
         -------
         Outcome
-            `NotRun` only if no byte of the request was written or the server reports that it did not run it.
+            `NotRun` only if no byte of the request was written or the server reports that it did
+            not run it.
         """
         headers = self._dialect.request_headers(order, remaining_seconds=remaining_seconds)
         reader = ResponseReader()
