--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -26,16 +26,16 @@
 
 
 class ServerDialect(Protocol):
-    """Conventions of the backend server for headers and answers."""
+    """Conventions of the backend server for headers and responses."""
 
     def request_headers(self, order: WorkOrder, *, remaining_seconds: float) -> Headers:
         """Return the headers of the request to the server."""
 
     def read_response(self, response: ServerResponse) -> DecodedResponse:
-        """Return the decoded answer of the server."""
+        """Return the response of the server with its headers decoded."""
 
     def read_identity(self, response: ServerResponse) -> str | None:
-        """Return the identifier in the answer of a healthy server, or None."""
+        """Return the identifier in the health check response of a healthy server, or None."""
 
 
 class ServerClient:
@@ -46,7 +46,7 @@
     address
         Address of the server.
     dialect
-        Conventions of the server for headers and answers.
+        Conventions of the server for headers and responses.
     """
 
     def __init__(self, address: Address, dialect: ServerDialect) -> None:
@@ -54,7 +54,14 @@
         self._dialect = dialect
 
     async def run(self, order: WorkOrder, *, remaining_seconds: float) -> Outcome:
-        """Run one request; `NotRun` is returned if no byte of it was written."""
+        """Run one request.
+
+        Returns
+        -------
+        Outcome
+            `NotRun` only if no byte of the request was written or the server reports that it did
+            not run it.
+        """
         headers = self._dialect.request_headers(order, remaining_seconds=remaining_seconds)
         reader = ResponseReader()
         encoded = reader.encode_request(order.method, order.target, headers, order.body)
@@ -122,5 +129,5 @@
         if not encoded:
             return OutcomeUnknown(
                 Reason.ANSWER_INCOMPLETE,
-                'the backend server closed the connection before a complete answer',
+                'the backend server closed the connection before a complete response',
             )
