--- a/benchmarks/sidecar_slopes.py
+++ b/benchmarks/sidecar_slopes.py
@@ -8,9 +8,9 @@
 import tracemalloc
 from types import SimpleNamespace
 
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders
+from turmericwharf.coordination.sidecar.quota import FixedShareBuckets, FixedShareHolders
 from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.platform.configuration import decode_configuration
 from turmericwharf.protocol import encode_node_entry
@@ -67,7 +67,7 @@
 def measure_configuration(organisations: int, routes: int) -> str:
     encoded = make_configuration(organisations, routes)
     tracemalloc.start()
-    holder = ConfigurationHolder(decode_configuration)
+    holder = ActiveConfiguration(decode_configuration)
     milliseconds = timed(lambda: holder.apply_if_newer(encoded, source='benchmark'))
     megabytes = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
@@ -87,14 +87,14 @@
         directory.apply(StoredEntry(make_entry(number), number), source='benchmark')
     kilobytes = tracemalloc.get_traced_memory()[0] / 1e3
     tracemalloc.stop()
-    holder = ConfigurationHolder(decode_configuration)
+    holder = ActiveConfiguration(decode_configuration)
     holder.apply_if_newer(make_configuration(45_000, 1), source='benchmark')
-    holders = QuotaHolders(directory, holder, clock)
+    holders = FixedShareHolders(directory, holder, clock)
     holders.refresh()
     directory.apply(StoredEntry(make_entry(count), count), source='benchmark')
     refresh = timed(holders.refresh)
     bounds = SidecarBounds(0.2, 64, 10, 6, 5, 0.1, 20)
-    buckets = QuotaBuckets(holders, holder, clock, SimpleNamespace(current=bounds))
+    buckets = FixedShareBuckets(holders, holder, clock, SimpleNamespace(current=bounds))
     grant = timed(lambda: buckets.grant('t1'), ROUNDS)
     selector = ServerSelector(directory, clock)
     select = timed(lambda: selector.select('service-0', frozenset()), ROUNDS)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from turmericwharf.coordination.sidecar.entry_point import name_outcome
-from turmericwharf.coordination.sidecar.messages import answer_peer
+from turmericwharf.coordination.sidecar.peer_messages import answer_peer
 from turmericwharf.coordination.sidecar.node import (
     SidecarNode,
     SidecarPorts,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_holder.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/active_configuration.py
@@ -3,7 +3,7 @@
 from loguru import logger
 
 from turmericwharf.coordination.sidecar.ports import ConfigurationDecoder
-from turmericwharf.coordination.sidecar.routes import RouteTable
+from turmericwharf.coordination.sidecar.routes import HostRouteIndex
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import KeyDigest
 from turmericwharf.state.sidecar import (
@@ -13,7 +13,7 @@
 )
 
 
-class ConfigurationHolder:
+class ActiveConfiguration:
     """Holds the newest known configuration; never reverts to an older version.
 
     Parameters
@@ -27,7 +27,7 @@
         self._organisations_by_key: dict[KeyDigest, OrganisationRule] = {}
         self.encoded = b''
         self.current = FleetConfiguration()
-        self.routes = RouteTable(())
+        self.routes = HostRouteIndex(())
 
     @property
     def version(self) -> int:
@@ -55,7 +55,7 @@
         ).info('configuration_applied')
         self.encoded = encoded
         self.current = configuration
-        self.routes = RouteTable(configuration.routes)
+        self.routes = HostRouteIndex(configuration.routes)
         self._organisations_by_key = {
             digest: organisation
             for organisation in configuration.organisations_by_id.values()
@@ -69,7 +69,7 @@
 
 
 @describe.register
-def _(part: ConfigurationHolder) -> ConfigurationHolderDump:
+def _(part: ActiveConfiguration) -> ConfigurationHolderDump:
     return ConfigurationHolderDump(
         version=part.version,
         routes=len(part.current.routes),
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.routes import choose_service
 from turmericwharf.state import (
     KEY_MISSING,
@@ -25,7 +25,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class FleetAdmission:
+class AdmittedFleetRequest:
     """A request that passed validation against the configuration.
 
     Parameters
@@ -46,16 +46,16 @@
     rank: int
     admitted_at: float
     deadline: float
-    target_at: float
+    latency_target_at: float
     version: int
 
     @property
-    def is_server_call(self) -> bool:
+    def has_no_organisation(self) -> bool:
         """Whether a backend server sent the request while processing another one."""
         return self.organisation == NO_ORGANISATION
 
 
-class RequestChecks:
+class RequestValidator:
     """Validates requests against the current configuration.
 
     Parameters
@@ -66,11 +66,11 @@
         Clock of the node.
     """
 
-    def __init__(self, holder: ConfigurationHolder, clock: Clock) -> None:
+    def __init__(self, holder: ActiveConfiguration, clock: Clock) -> None:
         self._holder = holder
         self._clock = clock
 
-    def admit(self, request: FleetRequest) -> FleetAdmission | RequestFailure:
+    def admit(self, request: FleetRequest) -> AdmittedFleetRequest | RequestFailure:
         """Return the admitted request, or the reason for refusing it."""
         if not self._holder.is_known:
             return NOT_READY
@@ -106,12 +106,12 @@
         route: RouteRule,
         service: ServiceId,
         organisation: OrganisationRule | None,
-    ) -> FleetAdmission:
+    ) -> AdmittedFleetRequest:
         now = self._clock.now()
         remaining = route.timeout_seconds
         if request.remaining_seconds is not None:
             remaining = min(remaining, request.remaining_seconds)
-        return FleetAdmission(
+        return AdmittedFleetRequest(
             request=request,
             route=route,
             service=service,
@@ -119,7 +119,7 @@
             rank=_rank(route, organisation),
             admitted_at=now,
             deadline=now + remaining,
-            target_at=now + min(route.target_seconds, remaining),
+            latency_target_at=now + min(route.target_seconds, remaining),
             version=self._holder.version,
         )
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -4,8 +4,8 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.sidecar.local_entry import LocalEntryPublisher
-from turmericwharf.coordination.sidecar.server_gate import ServerGate
+from turmericwharf.coordination.sidecar.local_node_publisher import LocalNodePublisher
+from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.state.sidecar import AnnouncedServer, NodeEntry, ServerPhase
 
@@ -30,8 +30,8 @@
     def __init__(
         self,
         record: ServerRecord,
-        gate: ServerGate,
-        publisher: LocalEntryPublisher,
+        gate: OrderExecutor,
+        publisher: LocalNodePublisher,
     ) -> None:
         self._record = record
         self._gate = gate
@@ -39,7 +39,7 @@
         self._previous_entry: NodeEntry | None = None
         self.is_stopping = False
 
-    async def announce(self, server: AnnouncedServer) -> None:
+    async def apply_announcement(self, server: AnnouncedServer) -> None:
         """Apply an announcement; the caller may acknowledge it after this returns."""
         if self._was_leaving(server):
             server = dataclasses.replace(server, phase=ServerPhase.LEAVING)
@@ -51,7 +51,7 @@
         self._gate.queue.resize(max(server.slots, 1))
         await self._publish_and_confirm()
 
-    async def leave(self, server: AnnouncedServer) -> None:
+    async def apply_leave_notice(self, server: AnnouncedServer) -> None:
         """Apply the notice that a server has stopped or is about to stop."""
         if self._record.mark_leaving(server):
             await self._publish_and_confirm()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -6,9 +6,9 @@
 from loguru import logger
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.sidecar.admission import FleetAdmission
-from turmericwharf.coordination.sidecar.orders import OrderSender
-from turmericwharf.coordination.sidecar.retry_allowance import RetryAllowance
+from turmericwharf.coordination.sidecar.admission import AdmittedFleetRequest
+from turmericwharf.coordination.sidecar.order_sender import OrderSender
+from turmericwharf.coordination.sidecar.retry_budget import FleetRetryBudget
 from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.state import (
     DEADLINE_PASSED,
@@ -84,7 +84,7 @@
         *,
         selector: ServerSelector,
         sender: OrderSender,
-        allowance: RetryAllowance,
+        allowance: FleetRetryBudget,
         clock: Clock,
     ) -> None:
         self._selector = selector
@@ -92,9 +92,11 @@
         self._allowance = allowance
         self._clock = clock
 
-    async def run(self, admitted: FleetAdmission) -> Outcome:
+    async def run(self, admitted: AdmittedFleetRequest) -> Outcome:
         """Return the final outcome of a request."""
-        self._allowance.record_request(admitted.service, is_server_call=admitted.is_server_call)
+        self._allowance.record_request(
+            admitted.service, has_no_organisation=admitted.has_no_organisation
+        )
         progress = _Progress()
         is_final = False
         while not is_final and self._remaining_seconds(admitted) > _MIN_REMAINING_SECONDS:
@@ -105,10 +107,10 @@
                 is_final = await self._run_attempts(admitted, entry, progress)
         return progress.outcome or NotRun(DEADLINE_PASSED.reason, DEADLINE_PASSED.detail)
 
-    def _remaining_seconds(self, admitted: FleetAdmission) -> float:
+    def _remaining_seconds(self, admitted: AdmittedFleetRequest) -> float:
         return admitted.deadline - self._clock.now()
 
-    async def _wait_for_retry(self, admitted: FleetAdmission, progress: _Progress) -> bool:
+    async def _wait_for_retry(self, admitted: AdmittedFleetRequest, progress: _Progress) -> bool:
         """Wait before all servers are tried again; return False if that is not worthwhile."""
         if progress.outcome is None:
             progress.outcome = NotRun(NO_CAPACITY.reason, NO_CAPACITY.detail)
@@ -118,9 +120,9 @@
         progress.excluded.clear()
         return True
 
-    def _should_give_up(self, admitted: FleetAdmission, progress: _Progress) -> bool:
+    def _should_give_up(self, admitted: AdmittedFleetRequest, progress: _Progress) -> bool:
         # An early refusal leaves the caller time to fall back to an alternative.
-        target_seconds = admitted.target_at - admitted.admitted_at
+        target_seconds = admitted.latency_target_at - admitted.admitted_at
         pending_seconds = self._clock.now() - admitted.admitted_at
         return (
             progress.overload_refusals >= _MAX_OVERLOAD_REFUSALS
@@ -130,7 +132,7 @@
 
     async def _run_attempts(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         entry: NodeEntry,
         progress: _Progress,
     ) -> bool:
@@ -150,7 +152,7 @@
 
     def _start(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         entry: NodeEntry,
         progress: _Progress,
         *,
@@ -160,27 +162,29 @@
         progress.excluded.add(entry.instance)
         self._selector.start(entry.instance)
         # A hedge must not be a trial of a failing server.
-        may_try = not in_flight and self._has_attempts_left(admitted, progress, in_flight=1)
+        may_be_trial = not in_flight and self._has_attempts_left(admitted, progress, in_flight=1)
         sending = self._sender.send(
             admitted,
             entry,
             number=progress.number,
             allowed_seconds=self._remaining_seconds(admitted),
             target_seconds=self._remaining_target_seconds(admitted),
-            may_try=may_try and admitted.route.idempotent,
+            may_be_trial=may_be_trial and admitted.route.idempotent,
             is_repeat=progress.servers_reached + in_flight > 0,
         )
         load, load_age = self._selector.last_reported_load(entry.instance)
         return _Attempt(entry, progress.number, load, load_age, asyncio.create_task(sending))
 
-    def _remaining_target_seconds(self, admitted: FleetAdmission) -> float:
+    def _remaining_target_seconds(self, admitted: AdmittedFleetRequest) -> float:
         # The calling server occupies a slot while it waits, so a call may queue until its deadline.
-        target_at = admitted.deadline if admitted.is_server_call else admitted.target_at
-        return max(target_at - self._clock.now(), 0)
+        latency_target_at = (
+            admitted.deadline if admitted.has_no_organisation else admitted.latency_target_at
+        )
+        return max(latency_target_at - self._clock.now(), 0)
 
     async def _hedge(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         attempts: list[_Attempt],
         progress: _Progress,
     ) -> None:
@@ -202,7 +206,7 @@
 
     async def _collect(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         attempts: list[_Attempt],
         progress: _Progress,
     ) -> bool:
@@ -224,7 +228,7 @@
 
     async def _record_outcome(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         ended: _Attempt,
         progress: _Progress,
         *,
@@ -259,7 +263,7 @@
 
     async def _may_retry(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         outcome: Outcome,
         progress: _Progress,
     ) -> bool:
@@ -271,13 +275,13 @@
         return admitted.route.idempotent and await self._acquire_retry(admitted, progress)
 
     def _has_attempts_left(
-        self, admitted: FleetAdmission, progress: _Progress, *, in_flight: int
+        self, admitted: AdmittedFleetRequest, progress: _Progress, *, in_flight: int
     ) -> bool:
         return progress.runs + in_flight < admitted.route.attempts
 
     async def _acquire_retry(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         progress: _Progress,
         *,
         in_flight: int = 0,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/breaker.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/breaker.py
@@ -48,18 +48,18 @@
         """Whether the breaker lets only trials through."""
         return self._is_open
 
-    def allows(self, *, may_try: bool) -> bool:
+    def allows(self, *, may_be_trial: bool) -> bool:
         """Return whether a request may be sent now; an allowed trial counts as started.
 
         Parameters
         ----------
-        may_try
+        may_be_trial
             Whether the request could be sent to another server after a failure.
         """
         if not self._is_open:
             return True
         now = self._clock.now()
-        if now < self._next_trial_at or not (may_try or self._only_rejects):
+        if now < self._next_trial_at or not (may_be_trial or self._only_rejects):
             return False
         self._next_trial_at = now + _TRIAL_INTERVAL_SECONDS
         return True
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
@@ -42,7 +42,7 @@
 
     def __init__(
         self,
-        holder: ConfigurationHolder,
+        holder: ActiveConfiguration,
         directory: NodeDirectory,
         links: FleetLinks,
         follower: TopicFollower,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/data_centre_ranking.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/data_centre_ranking.py
@@ -22,8 +22,8 @@
 
     def ranked_nodes(self, role: str) -> list[InstanceId]:
         """Return the running, unsuspected nodes, the one responsible for a role first."""
-        if self._ranked_at_change != self._directory.changes:
-            self._ranked_at_change = self._directory.changes
+        if self._ranked_at_change != self._directory.change_number:
+            self._ranked_at_change = self._directory.change_number
             self._ranked_by_role.clear()
         ranked = self._ranked_by_role.get(role)
         if ranked is None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
@@ -49,7 +49,7 @@
         self._suspicions_by_id: dict[InstanceId, _Suspicion] = {}
         self._connected_process_by_id: dict[InstanceId, ProcessId] = {}
         self._local = local
-        self.changes = 0
+        self.change_number = 0
 
     @property
     def local(self) -> NodeEntry:
@@ -96,7 +96,7 @@
         """Wait for a change later than a change number, or until the timeout."""
         try:
             async with asyncio.timeout(timeout_seconds):
-                while self.changes <= after:
+                while self.change_number <= after:
                     self._changed.clear()
                     await self._changed.wait()
         except TimeoutError:
@@ -173,8 +173,8 @@
         self._suspicions_by_id.pop(entry.instance, None)
 
     def _record_change(self, instance: InstanceId) -> None:
-        self.changes += 1
-        self._changed_at_by_id[instance] = self.changes
+        self.change_number += 1
+        self._changed_at_by_id[instance] = self.change_number
         self._changed.set()
 
     def _is_older(self, entry: NodeEntry, known: NodeEntry) -> bool:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -46,7 +46,7 @@
         Selects the nodes to poll.
     links
         Connections to other nodes.
-    store_needed
+    reads_store
         Set while this node reads the store itself.
     follower
         Reads the entries from the store.
@@ -60,21 +60,21 @@
         directory: NodeDirectory,
         readers: StoreReaders,
         links: FleetLinks,
-        store_needed: asyncio.Event,
+        reads_store: asyncio.Event,
         follower: TopicFollower,
         on_applied: Callable[[], None],
     ) -> None:
         self._directory = directory
         self._readers = readers
         self._links = links
-        self._store_needed = store_needed
+        self._reads_store = reads_store
         self.follower = follower
         self._on_applied = on_applied
         self._cursors_by_id: dict[InstanceId, _ChangeCursor] = {}
 
     async def run(self) -> None:
         """Poll until cancelled."""
-        self._store_needed.set()
+        self._reads_store.set()
         while True:
             if await self._poll_readers():
                 self._switch_source(to_store=False)
@@ -91,9 +91,9 @@
         await self._directory.wait_for_change(after, min(request.wait_seconds, _LONG_POLL_SECONDS))
         return DirectoryReply(
             process=local.process,
-            changes=self._directory.changes,
+            changes=self._directory.change_number,
             nodes=self._directory.entries_changed_after(after),
-            is_current=self._store_needed.is_set() and self.follower.is_connected,
+            is_current=self._reads_store.is_set() and self.follower.is_connected,
         )
 
     async def _poll_readers(self) -> bool:
@@ -140,10 +140,10 @@
         return reply.is_current
 
     def _switch_source(self, *, to_store: bool) -> None:
-        if to_store == self._store_needed.is_set():
+        if to_store == self._reads_store.is_set():
             return
         logger.bind(own_reads=to_store).info('directory_source_changed')
         if to_store:
-            self._store_needed.set()
+            self._reads_store.set()
         else:
-            self._store_needed.clear()
+            self._reads_store.clear()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/entry_point.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/entry_point.py
@@ -5,9 +5,9 @@
 from loguru import logger
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, RequestChecks
+from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, RequestValidator
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
-from turmericwharf.coordination.sidecar.quota import QuotaLimiter
+from turmericwharf.coordination.sidecar.quota import FleetRateLimiter
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import SHUTDOWN, Answered, NotRun, OrganisationId, Outcome, RequestFailure
 from turmericwharf.state.sidecar import EntryPointDump, FleetRequest
@@ -30,8 +30,8 @@
 
     def __init__(
         self,
-        checks: RequestChecks,
-        quota: QuotaLimiter,
+        checks: RequestValidator,
+        quota: FleetRateLimiter,
         attempts: AttemptRunner,
         clock: Clock,
     ) -> None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/local_entry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/local_node_publisher.py
@@ -13,7 +13,7 @@
 _RETRY_DELAY_SECONDS = 0.3
 
 
-class LocalEntryPublisher:
+class LocalNodePublisher:
     """Writes the local entry when it changes, and retries until the store accepts it.
 
     Parameters
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -4,19 +4,19 @@
 import dataclasses
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.sidecar.admission import RequestChecks
+from turmericwharf.coordination.sidecar.admission import RequestValidator
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
-from turmericwharf.coordination.sidecar.bounds import ReloadableBounds
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.reloadable_bounds import ReloadableBounds
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.directory_relay import DirectoryRelay
 from turmericwharf.coordination.sidecar.entry_point import RequestEntryPoint
-from turmericwharf.coordination.sidecar.membership import FleetMembership
-from turmericwharf.coordination.sidecar.order_checks import OrderChecks
+from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
+from turmericwharf.coordination.sidecar.order_validator import OrderValidator
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
-from turmericwharf.coordination.sidecar.orders import OrderSender
-from turmericwharf.coordination.sidecar.local_entry import LocalEntryPublisher
+from turmericwharf.coordination.sidecar.order_sender import OrderSender
+from turmericwharf.coordination.sidecar.local_node_publisher import LocalNodePublisher
 from turmericwharf.coordination.sidecar.ports import (
     ConfigurationDecoder,
     FleetLinks,
@@ -25,11 +25,15 @@
     NodeStore,
     ServerConnection,
 )
-from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders, QuotaLimiter
+from turmericwharf.coordination.sidecar.quota import (
+    FixedShareBuckets,
+    FixedShareHolders,
+    FleetRateLimiter,
+)
 from turmericwharf.coordination.sidecar.recovery import ServerRecovery
-from turmericwharf.coordination.sidecar.retry_allowance import RetryAllowance, RetryPool
+from turmericwharf.coordination.sidecar.retry_budget import FleetRetryBudget, ExtraRetryPool
 from turmericwharf.coordination.sidecar.server_selector import ServerSelector
-from turmericwharf.coordination.sidecar.server_gate import ServerGate
+from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
@@ -66,15 +70,15 @@
 
     settings: SidecarSettings
     directory: NodeDirectory
-    holder: ConfigurationHolder
+    holder: ActiveConfiguration
     entry: RequestEntryPoint
-    gate: ServerGate
-    quota: QuotaLimiter
-    allowance: RetryAllowance
-    checks: OrderChecks
+    gate: OrderExecutor
+    quota: FleetRateLimiter
+    allowance: FleetRetryBudget
+    checks: OrderValidator
     record: ServerRecord
     announcements: AnnouncementService
-    publisher: LocalEntryPublisher
+    publisher: LocalNodePublisher
     spread: ConfigurationSync
     relay: DirectoryRelay
     configuration_follower: TopicFollower
@@ -99,18 +103,18 @@
     clock = ports.clock
     bounds = ReloadableBounds(settings)
     directory = NodeDirectory(local, clock)
-    holder = ConfigurationHolder(ports.decode_configuration)
-    request_checks = RequestChecks(holder, clock)
+    holder = ActiveConfiguration(ports.decode_configuration)
+    request_checks = RequestValidator(holder, clock)
     record = ServerRecord()
-    checks = OrderChecks(record, holder, request_checks)
-    gate = ServerGate(server=ports.server, checks=checks, directory=directory, clock=clock)
-    holders = QuotaHolders(directory, holder, clock)
-    quota = QuotaLimiter(
-        QuotaBuckets(holders, holder, clock, bounds), ports.links, directory, holder
+    checks = OrderValidator(record, holder, request_checks)
+    gate = OrderExecutor(server=ports.server, checks=checks, directory=directory, clock=clock)
+    holders = FixedShareHolders(directory, holder, clock)
+    quota = FleetRateLimiter(
+        FixedShareBuckets(holders, holder, clock, bounds), ports.links, directory, holder
     )
-    publisher = LocalEntryPublisher(ports.store, directory)
+    publisher = LocalNodePublisher(ports.store, directory)
     announcements = AnnouncementService(record, gate, publisher)
-    membership = FleetMembership(directory, announcements, publisher, ports.decode_entry, holders)
+    membership = NodeEntryUpdates(directory, announcements, publisher, ports.decode_entry, holders)
     follower = TopicFollower(
         ports.log,
         StoreTopic.CONFIGURATION,
@@ -127,13 +131,13 @@
         clock=clock,
         caller_service=settings.service,
     )
-    allowance = RetryAllowance(
-        pool=RetryPool(directory, ranking, bounds, clock),
+    allowance = FleetRetryBudget(
+        pool=ExtraRetryPool(directory, ranking, bounds, clock),
         links=ports.links,
         directory=directory,
         bounds=bounds,
         clock=clock,
-        repeated_share=lambda: gate.repeated_share,
+        retry_share=lambda: gate.retry_share,
     )
     attempts = AttemptRunner(
         selector=ServerSelector(directory, clock),
@@ -167,29 +171,29 @@
     ports: SidecarPorts,
     directory: NodeDirectory,
     ranking: DataCentreRanking,
-    membership: FleetMembership,
-    holders: QuotaHolders,
+    membership: NodeEntryUpdates,
+    holders: FixedShareHolders,
 ) -> DirectoryRelay:
-    store_needed = asyncio.Event()
+    reads_store = asyncio.Event()
     follower = TopicFollower(
         ports.log,
         StoreTopic.NODES,
         membership.apply,
         wait_seconds=_NODES_LONG_POLL_SECONDS,
         batch_seconds=_NODES_BATCH_SECONDS,
-        enabled=store_needed,
+        reads_store=reads_store,
     )
     return DirectoryRelay(
         directory=directory,
         readers=StoreReaders(directory, ranking),
         links=ports.links,
-        store_needed=store_needed,
+        reads_store=reads_store,
         follower=follower,
         on_applied=holders.refresh,
     )
 
 
-def _apply_configurations(holder: ConfigurationHolder, page: KeyedPage) -> None:
+def _apply_configurations(holder: ActiveConfiguration, page: KeyedPage) -> None:
     for record in page.records_by_key.values():
         if record.encoded:
             holder.apply_if_newer(record.encoded, source='store')
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/membership.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node_entry_updates.py
@@ -2,13 +2,13 @@
 
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.local_entry import LocalEntryPublisher
+from turmericwharf.coordination.sidecar.local_node_publisher import LocalNodePublisher
 from turmericwharf.coordination.sidecar.ports import NodeEntryDecoder
-from turmericwharf.coordination.sidecar.quota import QuotaHolders
+from turmericwharf.coordination.sidecar.quota import FixedShareHolders
 from turmericwharf.state.sidecar import KeyedPage, StoredEntry
 
 
-class FleetMembership:
+class NodeEntryUpdates:
     """Applies pages of the nodes topic.
 
     Parameters
@@ -29,9 +29,9 @@
         self,
         directory: NodeDirectory,
         announcements: AnnouncementService,
-        publisher: LocalEntryPublisher,
+        publisher: LocalNodePublisher,
         decode: NodeEntryDecoder,
-        holders: QuotaHolders,
+        holders: FixedShareHolders,
     ) -> None:
         self._directory = directory
         self._announcements = announcements
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_table.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_deduplicator.py
@@ -37,7 +37,7 @@
     is_sent: bool = False
 
 
-class OrderTable:
+class OrderDeduplicator:
     """Joins a repeated order to its first run, or returns the retained answer.
 
     Parameters
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
@@ -12,8 +12,8 @@
 from turmericwharf.coordination.sidecar.backlog import Backlog
 from turmericwharf.coordination.sidecar.breaker import CircuitBreaker
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.order_checks import OrderChecks
-from turmericwharf.coordination.sidecar.order_table import OrderTable
+from turmericwharf.coordination.sidecar.order_validator import OrderValidator
+from turmericwharf.coordination.sidecar.order_deduplicator import OrderDeduplicator
 from turmericwharf.coordination.sidecar.ports import ServerConnection
 from turmericwharf.coordination.sidecar.run_times import RunTimes
 from turmericwharf.coordination.state_dump import describe
@@ -40,7 +40,7 @@
 _WAIT_SAFETY_FACTOR = 0.6
 
 
-class ServerGate:
+class OrderExecutor:
     """Assigns server slots to orders, and refuses orders that would not finish in time.
 
     Parameters
@@ -59,7 +59,7 @@
         self,
         *,
         server: ServerConnection,
-        checks: OrderChecks,
+        checks: OrderValidator,
         directory: NodeDirectory,
         clock: Clock,
     ) -> None:
@@ -68,7 +68,7 @@
         self._directory = directory
         self._clock = clock
         self._run_times = RunTimes()
-        self.orders = OrderTable(clock)
+        self.orders = OrderDeduplicator(clock)
         self.breaker = CircuitBreaker(clock)
         self.queue = FairQueue(1, _QUEUE_LENGTH, clock)
         self.backlog = Backlog()
@@ -80,7 +80,7 @@
         return answer or self._answer(NotRun(CALLER_LEFT.reason, CALLER_LEFT.detail), version)
 
     @property
-    def repeated_share(self) -> float:
+    def retry_share(self) -> float:
         """Share of the running orders whose request had reached another server before."""
         running = sum(self._running_by_is_repeat.values())
         return self._running_by_is_repeat[True] / running if running else 0
@@ -93,7 +93,7 @@
         received_at = self._clock.now()
         refusal = self._checks.find_refusal(order, self._directory.local)
         is_trial = self.breaker.is_open
-        if refusal is None and not self.breaker.allows(may_try=order.may_try):
+        if refusal is None and not self.breaker.allows(may_be_trial=order.may_try):
             refusal = BREAKER_OPEN
         if refusal is not None:
             return self._refuse(order, refusal, version)
@@ -212,7 +212,7 @@
 
 
 @describe.register
-def _(gate: ServerGate) -> ServerGateDump:
+def _(gate: OrderExecutor) -> ServerGateDump:
     return ServerGateDump(
         running=gate.queue.in_progress,
         waiting=gate.queue.waiting,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/orders.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
@@ -6,11 +6,11 @@
 from loguru import logger
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.sidecar.admission import FleetAdmission
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.admission import AdmittedFleetRequest
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import FleetLinks
-from turmericwharf.coordination.sidecar.server_gate import ServerGate
+from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
 from turmericwharf.state import (
     LinkFailure,
     DeliveryUnknown,
@@ -51,10 +51,10 @@
     def __init__(
         self,
         *,
-        gate: ServerGate,
+        gate: OrderExecutor,
         links: FleetLinks,
         directory: NodeDirectory,
-        holder: ConfigurationHolder,
+        holder: ActiveConfiguration,
         clock: Clock,
         caller_service: ServiceId,
     ) -> None:
@@ -67,20 +67,20 @@
 
     async def send(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         entry: NodeEntry,
         *,
         number: int,
         allowed_seconds: float,
         target_seconds: float,
-        may_try: bool,
+        may_be_trial: bool,
         is_repeat: bool,
     ) -> WorkAnswer:
         """Return the answer to an order; a cancellation is forwarded to the receiving node."""
         expires_at = self._clock.now() + allowed_seconds
         order = dataclasses.replace(
             self._build_order(admitted, entry, number, expires_at),
-            may_try=may_try,
+            may_try=may_be_trial,
             is_repeat=is_repeat,
             target_seconds=target_seconds,
         )
@@ -141,7 +141,7 @@
 
     def _build_order(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         entry: NodeEntry,
         number: int,
         expires_at: float,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_checks.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_validator.py
@@ -1,7 +1,7 @@
 """Final checks of a work order at the node beside the server that would run it."""
 
-from turmericwharf.coordination.sidecar.admission import RequestChecks
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.admission import RequestValidator
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.state import (
     CONFIGURATION_OUTDATED,
@@ -19,7 +19,7 @@
 )
 
 
-class OrderChecks:
+class OrderValidator:
     """Checks conditions that may have changed since the entry node selected the server.
 
     Parameters
@@ -35,8 +35,8 @@
     def __init__(
         self,
         record: ServerRecord,
-        holder: ConfigurationHolder,
-        checks: RequestChecks,
+        holder: ActiveConfiguration,
+        checks: RequestValidator,
     ) -> None:
         self._record = record
         self._holder = holder
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -14,9 +14,9 @@
 
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.membership.rendezvous import partition_of, rank_instances
-from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, FleetAdmission
-from turmericwharf.coordination.sidecar.bounds import ReloadableBounds
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, AdmittedFleetRequest
+from turmericwharf.coordination.sidecar.reloadable_bounds import ReloadableBounds
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.state import (
@@ -53,7 +53,7 @@
     updated_at: float
 
 
-class QuotaHolders:
+class FixedShareHolders:
     """Selects the nodes that hold shares of an organisation's rate.
 
     Parameters
@@ -69,7 +69,7 @@
     def __init__(
         self,
         directory: NodeDirectory,
-        holder: ConfigurationHolder,
+        holder: ActiveConfiguration,
         clock: Clock,
     ) -> None:
         self._directory = directory
@@ -83,7 +83,9 @@
         self._holders_per_data_centre = 1
         self.share_count = 1
 
-    def by_data_centre(self, organisation: OrganisationId) -> dict[DataCentreId, list[InstanceId]]:
+    def holders_by_data_centre(
+        self, organisation: OrganisationId
+    ) -> dict[DataCentreId, list[InstanceId]]:
         """Return the holders of an organisation's shares in each data centre."""
         self.refresh()
         partition = partition_of(organisation)
@@ -103,7 +105,7 @@
 
     def refresh(self) -> None:
         """Update the holders after a change of the nodes or of the configuration."""
-        versions = (self._directory.changes, self._holder.version)
+        versions = (self._directory.change_number, self._holder.version)
         if versions == self._applied_versions:
             return
         if versions[1] != self._applied_versions[1]:
@@ -137,7 +139,7 @@
         return rank_instances(f'rates/{partition}', instances)[: self._holders_per_data_centre]
 
 
-class QuotaBuckets:
+class FixedShareBuckets:
     """Token buckets of the shares that this node holds.
 
     A bucket is empty when the node becomes its holder, so that a change of holders never grants a
@@ -157,8 +159,8 @@
 
     def __init__(
         self,
-        holders: QuotaHolders,
-        holder: ConfigurationHolder,
+        holders: FixedShareHolders,
+        holder: ActiveConfiguration,
         clock: Clock,
         bounds: ReloadableBounds,
     ) -> None:
@@ -198,7 +200,7 @@
         return (allowed * bounds.rate_overage + bounds.rate_slack) * _STARTUP_OVERAGE_SHARE
 
 
-class QuotaLimiter:
+class FleetRateLimiter:
     """Acquires rate tokens for admitted requests.
 
     Parameters
@@ -215,17 +217,17 @@
 
     def __init__(
         self,
-        buckets: QuotaBuckets,
+        buckets: FixedShareBuckets,
         links: FleetLinks,
         directory: NodeDirectory,
-        holder: ConfigurationHolder,
+        holder: ActiveConfiguration,
     ) -> None:
         self.buckets = buckets
         self._links = links
         self._directory = directory
         self._holder = holder
 
-    async def acquire(self, admitted: FleetAdmission) -> RequestFailure | None:
+    async def acquire(self, admitted: AdmittedFleetRequest) -> RequestFailure | None:
         """Acquire a token; return None, or the reason for refusing the request."""
         if admitted.organisation == NO_ORGANISATION:
             return None
@@ -262,7 +264,7 @@
         return min(waits)
 
     def _ordered_holders(self, organisation: OrganisationId) -> list[InstanceId]:
-        holders = self.buckets.holders.by_data_centre(organisation)
+        holders = self.buckets.holders.holders_by_data_centre(organisation)
         local = self._directory.local.data_centre
         # Requests to local holders cause no traffic between data centres.
         data_centres = sorted(holders, key=lambda data_centre: (data_centre != local, data_centre))
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.ports import ServerConnection
 
 _POLL_INTERVAL_SECONDS = 0.1
@@ -30,7 +30,7 @@
     def __init__(
         self,
         announcements: AnnouncementService,
-        holder: ConfigurationHolder,
+        holder: ActiveConfiguration,
         server: ServerConnection,
     ) -> None:
         self._announcements = announcements
@@ -56,5 +56,5 @@
         is_same = identifier == server.server
         logger.bind(server=server.server, found=identifier).info('server_identified')
         if is_same and self._announcements.recoverable_server() == server:
-            await self._announcements.announce(server)
+            await self._announcements.apply_announcement(server)
         return True
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_allowance.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_budget.py
@@ -14,7 +14,7 @@
 
 from turmericwharf.coordination.ports import Clock
 from turmericwharf.coordination.routing.retries import RetryBudget, RetryLimits
-from turmericwharf.coordination.sidecar.bounds import ReloadableBounds
+from turmericwharf.coordination.sidecar.reloadable_bounds import ReloadableBounds
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.ports import FleetLinks
@@ -30,7 +30,7 @@
 _REQUEST_TIMEOUT_SECONDS = 0.1
 
 
-class RetryPool:
+class ExtraRetryPool:
     """Grants the extra retries of the local data centre, beyond the ratio.
 
     Parameters
@@ -86,7 +86,7 @@
         return self._bounds.current.retry_extra / len(data_centres)
 
 
-class RetryAllowance:
+class FleetRetryBudget:
     """Decides whether a request may reach one more server.
 
     Parameters
@@ -101,32 +101,32 @@
         Limits of the retry budget.
     clock
         Clock of the node.
-    repeated_share
+    retry_share
         Returns the share of the requests running at the local server that are retries.
     """
 
     def __init__(
         self,
         *,
-        pool: RetryPool,
+        pool: ExtraRetryPool,
         links: FleetLinks,
         directory: NodeDirectory,
         bounds: ReloadableBounds,
         clock: Clock,
-        repeated_share: Callable[[], float],
+        retry_share: Callable[[], float],
     ) -> None:
         self.pool = pool
         self._links = links
         self._directory = directory
         self._bounds = bounds
         self._budget = RetryBudget(self._local_limits, clock)
-        self._repeated_share = repeated_share
+        self._retry_share = retry_share
 
-    def record_request(self, service: ServiceId, *, is_server_call: bool) -> None:
+    def record_request(self, service: ServiceId, *, has_no_organisation: bool) -> None:
         """Count a request from a local client or from the local server."""
         self._budget.record_request(service)
         # A call does not identify the request that caused it, so its share of retries is sampled.
-        if is_server_call and random.random() < self._repeated_share():
+        if has_no_organisation and random.random() < self._retry_share():
             self._budget.record_retry(service)
 
     async def acquire(self, service: ServiceId) -> bool:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/routes.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/routes.py
@@ -8,7 +8,7 @@
 from turmericwharf.state.sidecar import Destination, RouteRule
 
 
-class RouteTable:
+class HostRouteIndex:
     """Finds routes by host and longest path prefix.
 
     Parameters
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
@@ -30,7 +30,7 @@
         Longest time that one read waits for a change.
     batch_seconds
         Delay after a page, so that changes close together arrive in one page.
-    enabled
+    reads_store
         Set while the topic is to be read; if None, it is always read.
     """
 
@@ -42,14 +42,14 @@
         *,
         wait_seconds: float,
         batch_seconds: float = 0.0,
-        enabled: asyncio.Event | None = None,
+        reads_store: asyncio.Event | None = None,
     ) -> None:
         self._log = log
         self._topic = topic
         self._on_page = on_page
         self._wait_seconds = wait_seconds
         self._batch_seconds = batch_seconds
-        self._enabled = enabled
+        self._reads_store = reads_store
         self._next_offset: int | None = None
         self.is_connected = False
         self.has_read = False
@@ -58,8 +58,8 @@
         """Follow the topic until cancelled."""
         backoff_seconds = _MIN_BACKOFF_SECONDS
         while True:
-            if self._enabled is not None:
-                await self._enabled.wait()
+            if self._reads_store is not None:
+                await self._reads_store.wait()
             if await self._read_once():
                 backoff_seconds = _MIN_BACKOFF_SECONDS
                 await asyncio.sleep(self._batch_seconds)
--- a/packages/turmericwharf/src/turmericwharf/platform/handlers.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/handlers.py
@@ -48,11 +48,11 @@
         if heartbeat is not None:
             announcement = read_heartbeat(heartbeat.group(1), request.body)
             if announcement is not None:
-                await self._node.announcements.announce(announcement)
+                await self._node.announcements.apply_announcement(announcement)
         elif leave is not None:
             announcement = read_leave(leave.group(1), request.body)
             if announcement is not None:
-                await self._node.announcements.leave(announcement)
+                await self._node.announcements.apply_leave_notice(announcement)
         else:
             return HttpResponse(_NOT_FOUND, _JSON, b'{}')
         if announcement is None:
--- a/tests/coordination/sidecar/test_attempts.py
+++ b/tests/coordination/sidecar/test_attempts.py
@@ -3,10 +3,10 @@
 
 from tests.coordination.sidecar.samples import make_entry, make_request, make_route
 from tests.virtual_time import LoopClock, run_in_virtual_time
-from turmericwharf.coordination.sidecar.admission import FleetAdmission
+from turmericwharf.coordination.sidecar.admission import AdmittedFleetRequest
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.orders import refused_answer, unknown_answer
+from turmericwharf.coordination.sidecar.order_sender import refused_answer, unknown_answer
 from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.state import Answered, NotRun, OutcomeUnknown, Reason
 from turmericwharf.state.sidecar import StoredEntry, WorkAnswer
@@ -29,9 +29,9 @@
         self.repeats = []
         self.cancelled = 0
 
-    async def send(self, admitted, entry, *, number, may_try, is_repeat, **times):
+    async def send(self, admitted, entry, *, number, may_be_trial, is_repeat, **times):
         self.repeats.append(is_repeat)
-        self.sent.append((entry.instance, may_try))
+        self.sent.append((entry.instance, may_be_trial))
         answer = self.answers[min(number, len(self.answers)) - 1]
         if answer is NO_ANSWER:
             try:
@@ -49,7 +49,7 @@
     def __init__(self, retries) -> None:
         self.remaining = retries
 
-    def record_request(self, service, *, is_server_call) -> None:
+    def record_request(self, service, *, has_no_organisation) -> None:
         """Ignore requests; they add no retries here."""
 
     async def acquire(self, service):
@@ -64,7 +64,7 @@
         for number in range(servers - 1):
             directory.apply(StoredEntry(make_entry(f'n{number}'), 0), source='test')
         rule = make_route(**route)
-        admitted = FleetAdmission(
+        admitted = AdmittedFleetRequest(
             request=make_request(),
             route=rule,
             service=service,
@@ -72,7 +72,7 @@
             rank=0,
             admitted_at=clock.now(),
             deadline=clock.now() + rule.timeout_seconds,
-            target_at=clock.now() + rule.target_seconds,
+            latency_target_at=clock.now() + rule.target_seconds,
             version=5,
         )
         runner = AttemptRunner(
@@ -144,10 +144,10 @@
     """A trial that fails would lose a request that has no attempt left."""
     sender = ScriptedSender(BROKEN, SUCCESS)
     run(sender, idempotent=True, attempts=2)
-    assert [may_try for _, may_try in sender.sent] == [True, False]
+    assert [may_be_trial for _, may_be_trial in sender.sent] == [True, False]
     sender = ScriptedSender(SUCCESS)
     run(sender, idempotent=False)
-    assert [may_try for _, may_try in sender.sent] == [False]
+    assert [may_be_trial for _, may_be_trial in sender.sent] == [False]
 
 
 def test_idempotent_request_is_hedged_when_a_server_does_not_answer():
@@ -163,7 +163,7 @@
     """A running request must not be abandoned because the hedge was refused."""
 
     class SlowFirstSender(ScriptedSender):
-        async def send(self, admitted, entry, *, number, may_try, **times):
+        async def send(self, admitted, entry, *, number, may_be_trial, **times):
             if number > 1:
                 return FULL
             await asyncio.sleep(1.2)
--- a/tests/coordination/sidecar/test_breaker.py
+++ b/tests/coordination/sidecar/test_breaker.py
@@ -18,7 +18,7 @@
     """A server that resets connections must not receive more non-idempotent requests."""
     breaker = open_breaker(ManualClock())
     assert breaker.is_open
-    assert not breaker.allows(may_try=False)
+    assert not breaker.allows(may_be_trial=False)
 
 
 def test_only_single_requests_with_an_alternative_server_are_trials():
@@ -26,9 +26,9 @@
     clock = ManualClock()
     breaker = open_breaker(clock)
     clock.at += 1
-    assert not breaker.allows(may_try=False)
-    assert breaker.allows(may_try=True)
-    assert not breaker.allows(may_try=True)
+    assert not breaker.allows(may_be_trial=False)
+    assert breaker.allows(may_be_trial=True)
+    assert not breaker.allows(may_be_trial=True)
 
 
 def test_closes_after_consecutive_successes():
@@ -85,8 +85,8 @@
     assert breaker.is_open
     clock.at += 1
     # A rejected request has not run, so any request may be a trial.
-    assert breaker.allows(may_try=False)
-    assert not breaker.allows(may_try=False)
+    assert breaker.allows(may_be_trial=False)
+    assert not breaker.allows(may_be_trial=False)
     breaker.record(SUCCESS, is_overdue=False)
     assert not breaker.is_open
 
@@ -111,5 +111,5 @@
     for _ in range(5):
         breaker.record(SHED, is_overdue=False)
     clock.at += 1
-    assert not breaker.allows(may_try=False)
-    assert breaker.allows(may_try=True)
+    assert not breaker.allows(may_be_trial=False)
+    assert breaker.allows(may_be_trial=True)
--- a/tests/coordination/sidecar/test_directory.py
+++ b/tests/coordination/sidecar/test_directory.py
@@ -96,14 +96,14 @@
     async def main():
         directory, _ = make_directory()
         apply(directory, make_entry('a'), 1)
-        seen = directory.changes
+        seen = directory.change_number
         waiting = asyncio.create_task(directory.wait_for_change(seen, 5))
         await asyncio.sleep(1)
         assert not waiting.done()
         apply(directory, make_entry('b'), 2)
         await asyncio.wait_for(waiting, 0.1)
         assert directory.entries_changed_after(seen) == (StoredEntry(make_entry('b'), 2),)
-        assert not directory.entries_changed_after(directory.changes)
-        await asyncio.wait_for(directory.wait_for_change(directory.changes, 1), 1.5)
+        assert not directory.entries_changed_after(directory.change_number)
+        await asyncio.wait_for(directory.wait_for_change(directory.change_number, 1), 1.5)
 
     run_in_virtual_time(main())
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -26,18 +26,18 @@
         directory = NodeDirectory(local, LoopClock())
         for position, other in enumerate(self.entries):
             directory.apply(StoredEntry(other, position), source='store')
-        store_needed = asyncio.Event()
+        reads_store = asyncio.Event()
         follower = SimpleNamespace(is_connected=True)
         relay = DirectoryRelay(
             directory=directory,
             readers=StoreReaders(directory, DataCentreRanking(directory)),
             links=self,
-            store_needed=store_needed,
+            reads_store=reads_store,
             follower=follower,
             on_applied=lambda: self.notified.append(local.instance),
         )
         return SimpleNamespace(
-            directory=directory, store_needed=store_needed, follower=follower, relay=relay
+            directory=directory, reads_store=reads_store, follower=follower, relay=relay
         )
 
     async def request(self, peer, message, *, timeout_seconds):
@@ -48,7 +48,7 @@
 
     @property
     def store_readers(self):
-        return {name for name, node in self.nodes_by_id.items() if node.store_needed.is_set()}
+        return {name for name, node in self.nodes_by_id.items() if node.reads_store.is_set()}
 
     def make_change(self):
         """Return a changed entry for a node that does not read the store."""
--- a/tests/coordination/sidecar/test_order_table.py
+++ b/tests/coordination/sidecar/test_order_deduplicator.py
@@ -4,8 +4,8 @@
 
 from tests.coordination.fakes import ManualClock
 from tests.coordination.sidecar.samples import make_order
-from turmericwharf.coordination.sidecar import order_table
-from turmericwharf.coordination.sidecar.order_table import OrderTable
+from turmericwharf.coordination.sidecar import order_deduplicator
+from turmericwharf.coordination.sidecar.order_deduplicator import OrderDeduplicator
 from turmericwharf.state import Answered
 from turmericwharf.state.sidecar import WorkAnswer
 
@@ -30,7 +30,7 @@
 
 async def test_repeated_order_runs_once():
     """An order that is sent again after a lost connection must not run a second time."""
-    table, scripted_run = OrderTable(ManualClock()), ScriptedRun()
+    table, scripted_run = OrderDeduplicator(ManualClock()), ScriptedRun()
     first = asyncio.create_task(table.join(make_order(), scripted_run.run))
     second = asyncio.create_task(table.join(make_order(), scripted_run.run))
     await asyncio.sleep(0.001)
@@ -42,7 +42,7 @@
 
 async def test_run_continues_when_its_caller_is_disconnected():
     """A connection reset between two nodes must not cancel a running command."""
-    table, scripted_run = OrderTable(ManualClock()), ScriptedRun()
+    table, scripted_run = OrderDeduplicator(ManualClock()), ScriptedRun()
     first = asyncio.create_task(table.join(make_order(), scripted_run.run))
     await asyncio.sleep(0.001)
     first.cancel()
@@ -57,7 +57,7 @@
 async def test_sent_non_idempotent_order_is_not_cancelled():
     """Cancelling a command that was sent to the server would interrupt it halfway."""
     table, scripted_run, order = (
-        OrderTable(ManualClock()),
+        OrderDeduplicator(ManualClock()),
         ScriptedRun(),
         make_order(idempotent=False),
     )
@@ -77,7 +77,7 @@
 ):
     """Servers must not work for callers that have left."""
     table, scripted_run, order = (
-        OrderTable(ManualClock()),
+        OrderDeduplicator(ManualClock()),
         ScriptedRun(),
         make_order(idempotent=idempotent),
     )
@@ -92,8 +92,8 @@
 
 async def test_orphaned_order_is_cancelled_after_a_timeout(monkeypatch):
     """An order that its entry node never sends again must not keep its slot."""
-    monkeypatch.setattr(order_table, '_ORPHAN_TIMEOUT_SECONDS', 0.01)
-    table, scripted_run = OrderTable(ManualClock()), ScriptedRun()
+    monkeypatch.setattr(order_deduplicator, '_ORPHAN_TIMEOUT_SECONDS', 0.01)
+    table, scripted_run = OrderDeduplicator(ManualClock()), ScriptedRun()
     joined = asyncio.create_task(table.join(make_order(idempotent=True), scripted_run.run))
     await asyncio.sleep(0.001)
     joined.cancel()
@@ -104,7 +104,7 @@
 async def test_answers_are_evicted_after_the_retention_time():
     """Retained answers must not fill the memory."""
     clock = ManualClock()
-    table, scripted_run = OrderTable(clock), ScriptedRun()
+    table, scripted_run = OrderDeduplicator(clock), ScriptedRun()
     scripted_run.ended.set()
     await table.join(make_order(), scripted_run.run)
     clock.at += 60
--- a/tests/coordination/sidecar/test_order_checks.py
+++ b/tests/coordination/sidecar/test_order_validator.py
@@ -7,9 +7,9 @@
     make_order,
     make_route,
 )
-from turmericwharf.coordination.sidecar.admission import RequestChecks
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
-from turmericwharf.coordination.sidecar.order_checks import OrderChecks
+from turmericwharf.coordination.sidecar.admission import RequestValidator
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
+from turmericwharf.coordination.sidecar.order_validator import OrderValidator
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.state import Reason
 from turmericwharf.state.sidecar import AnnouncedServer, Destination, ServerPhase
@@ -28,9 +28,9 @@
         **server_changes,
     }
     record.apply(AnnouncedServer(**fields))
-    holder = ConfigurationHolder(lambda encoded: configuration or make_configuration())
+    holder = ActiveConfiguration(lambda encoded: configuration or make_configuration())
     holder.apply_if_newer(b'', source='test')
-    return OrderChecks(record, holder, RequestChecks(holder, ManualClock()))
+    return OrderValidator(record, holder, RequestValidator(holder, ManualClock()))
 
 
 def test_order_for_the_current_server_passes():
--- a/tests/coordination/sidecar/test_quota.py
+++ b/tests/coordination/sidecar/test_quota.py
@@ -3,9 +3,9 @@
 
 from tests.coordination.fakes import ManualClock
 from tests.coordination.sidecar.samples import make_configuration, make_entry
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.quota import QuotaBuckets, QuotaHolders
+from turmericwharf.coordination.sidecar.quota import FixedShareBuckets, FixedShareHolders
 from turmericwharf.state.sidecar import OrganisationRule, ServerPhase, SidecarBounds, StoredEntry
 
 RATE = 30
@@ -36,12 +36,12 @@
             directory = NodeDirectory(local, self.clock)
             for other in entries:
                 directory.apply(StoredEntry(other, 0), source='test')
-            holder = ConfigurationHolder(lambda encoded: make_configuration())
+            holder = ActiveConfiguration(lambda encoded: make_configuration())
             holder.apply_if_newer(b'', source='test')
-            holders = QuotaHolders(directory, holder, self.clock)
+            holders = FixedShareHolders(directory, holder, self.clock)
             holders.refresh()
             self.directories.append(directory)
-            self.buckets_by_id[local.instance] = QuotaBuckets(
+            self.buckets_by_id[local.instance] = FixedShareBuckets(
                 holders,
                 holder,
                 self.clock,
--- a/tests/coordination/sidecar/test_retry_allowance.py
+++ b/tests/coordination/sidecar/test_retry_budget.py
@@ -5,7 +5,7 @@
 from tests.coordination.sidecar.samples import make_entry
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
-from turmericwharf.coordination.sidecar.retry_allowance import RetryAllowance, RetryPool
+from turmericwharf.coordination.sidecar.retry_budget import FleetRetryBudget, ExtraRetryPool
 from turmericwharf.state import PEER_UNREACHABLE
 from turmericwharf.state.sidecar import RetryReply, SidecarBounds, StoredEntry
 
@@ -27,7 +27,7 @@
     def __init__(self, count=9, data_centres=3) -> None:
         self.clock = ManualClock()
         self.unreachable = set()
-        self.repeated_share = 0.0
+        self.retry_share = 0.0
         entries = [
             make_entry(f'n{n}', data_centre=f'place-{n % data_centres}') for n in range(count)
         ]
@@ -40,14 +40,14 @@
 
     def start(self, name, directory):
         bounds = SimpleNamespace(current=BOUNDS)
-        pool = RetryPool(directory, DataCentreRanking(directory), bounds, self.clock)
-        self.nodes_by_id[name] = RetryAllowance(
+        pool = ExtraRetryPool(directory, DataCentreRanking(directory), bounds, self.clock)
+        self.nodes_by_id[name] = FleetRetryBudget(
             pool=pool,
             links=self,
             directory=directory,
             bounds=bounds,
             clock=self.clock,
-            repeated_share=lambda: self.repeated_share,
+            retry_share=lambda: self.retry_share,
         )
 
     async def request(self, peer, message, *, timeout_seconds):
@@ -84,7 +84,7 @@
     requests = 0
     for number, allowance in enumerate(fleet.nodes_by_id.values()):
         for _ in range(10 * number):
-            allowance.record_request('bookings', is_server_call=False)
+            allowance.record_request('bookings', has_no_organisation=False)
             requests += 1
     taken = fleet.take_all()
     assert 0.5 * EXTRA < taken <= EXTRA + RATIO * requests
@@ -120,12 +120,12 @@
     allowance = fleet.nodes_by_id['n0']
     fleet.take_all()
     fleet.clock.at += WINDOW_SECONDS + 1
-    fleet.repeated_share = 1.0
+    fleet.retry_share = 1.0
     for _ in range(100):
-        allowance.record_request('bookings', is_server_call=True)
+        allowance.record_request('bookings', has_no_organisation=True)
     # The sampled calls have used up the ratio; client requests use nothing.
     assert fleet.take_all() <= EXTRA
     fleet.clock.at += WINDOW_SECONDS + 1
     for _ in range(100):
-        allowance.record_request('bookings', is_server_call=False)
+        allowance.record_request('bookings', has_no_organisation=False)
     assert fleet.take_all() > 0.5 * RATIO * 100 + 0.5 * EXTRA
--- a/tests/coordination/sidecar/test_routes.py
+++ b/tests/coordination/sidecar/test_routes.py
@@ -1,7 +1,7 @@
 import collections
 
 from tests.coordination.sidecar.samples import make_route
-from turmericwharf.coordination.sidecar.routes import RouteTable, choose_service
+from turmericwharf.coordination.sidecar.routes import HostRouteIndex, choose_service
 from turmericwharf.state.sidecar import Destination
 
 
@@ -10,7 +10,7 @@
     short = make_route(route='short', path_prefix='/a/')
     long = make_route(route='long', path_prefix='/a/b/')
     other = make_route(route='other', host='b.example', path_prefix='/a/b/c/')
-    table = RouteTable((short, long, other))
+    table = HostRouteIndex((short, long, other))
     assert table.find('a.example', '/a/b/c/1?x=/') is long
     assert table.find('a.example', '/a/x') is short
     assert table.find('a.example', '/a') is None
@@ -21,7 +21,7 @@
 def test_root_prefix_matches_all_paths():
     """A route for the whole host must match every path."""
     root = make_route(path_prefix='/')
-    assert RouteTable((root,)).find('a.example', '/x/y') is root
+    assert HostRouteIndex((root,)).find('a.example', '/x/y') is root
 
 
 def test_traffic_split_follows_the_weights():
--- a/tests/coordination/sidecar/test_topic_follower.py
+++ b/tests/coordination/sidecar/test_topic_follower.py
@@ -28,11 +28,13 @@
         return self.pages.pop(0)
 
 
-def follow(log, seconds, *, enabled=None):
+def follow(log, seconds, *, reads_store=None):
     async def main():
         pages = []
-        event = enabled() if enabled else None
-        follower = TopicFollower(log, StoreTopic.NODES, pages.append, wait_seconds=5, enabled=event)
+        event = reads_store() if reads_store else None
+        follower = TopicFollower(
+            log, StoreTopic.NODES, pages.append, wait_seconds=5, reads_store=event
+        )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(seconds)
         task.cancel()
@@ -67,5 +69,5 @@
 def test_topic_is_not_read_while_disabled():
     """Guards against reads of the store by nodes that get the entries from a reader."""
     log = Log(PAGE)
-    follow(log, 5, enabled=asyncio.Event)
+    follow(log, 5, reads_store=asyncio.Event)
     assert not log.calls
