--- a/benchmarks/control_memory.py
+++ b/benchmarks/control_memory.py
@@ -1,7 +1,7 @@
-"""Measures start-up time and memory of the control state at the size planned for two years.
+"""Start-up time and memory of the control state at the size planned for two years ahead.
 
-Run as `python -m benchmarks.control_memory [SNAPSHOTS]`: a child process reads a stream with
-SNAPSHOTS snapshots (default 3, as many as a retention holds) and prints what it used.
+Run as `python -m benchmarks.control_memory [SNAPSHOTS]`. A child process reads a stream with
+SNAPSHOTS snapshots (default 3, the number that the log retains) and prints its usage.
 """
 
 import asyncio
@@ -38,25 +38,29 @@
 
 
 def full_size_change() -> Publish:
-    """Return one change that holds everything of the planned size."""
+    """Return one change with all objects of the planned configuration."""
     return Publish(
         publish_id='size',
         base_version=-1,
         operator='benchmark',
         organisations=tuple(
-            Organisation(f'organisation-{one}', 3.1, 20.0) for one in range(ORGANISATIONS)
+            Organisation(f'organisation-{number}', 3.1, 20.0) for number in range(ORGANISATIONS)
         ),
         classes=(WorkClass('read', 1000),),
-        services=tuple(Service(f'service-{one}') for one in range(SERVICES)),
+        services=tuple(Service(f'service-{number}') for number in range(SERVICES)),
         routes=tuple(
             Route(
-                f'route-{one}', ('GET',), f'/area-{one % 90}/{one}', f'service-{one % 200}', 'read'
+                f'route-{number}',
+                ('GET',),
+                f'/area-{number % 90}/{number}',
+                f'service-{number % 200}',
+                'read',
             )
-            for one in range(ROUTES)
+            for number in range(ROUTES)
         ),
         keys=tuple(
-            Key(digest_key(str(one)), secrets.token_hex(12), f'organisation-{one}')
-            for one in range(ORGANISATIONS)
+            Key(digest_key(str(number)), secrets.token_hex(12), f'organisation-{number}')
+            for number in range(ORGANISATIONS)
         ),
     )
 
@@ -74,8 +78,8 @@
     started = time.perf_counter()
     parts = [
         part
-        for one in range(snapshots)
-        for part in SnapshotEncoding().encode(state, f'snapshot-{one}')
+        for number in range(snapshots)
+        for part in SnapshotEncoding().encode(state, f'snapshot-{number}')
     ]
     seconds = (time.perf_counter() - started) / snapshots
     size = sum(len(part.encoded) for part in parts) / snapshots / 2**20
@@ -89,7 +93,7 @@
 
 
 class FileLog:
-    """Answers the first read with the page of a file."""
+    """Log that returns the page in a file for the first read, and empty pages afterwards."""
 
     def __init__(self, path: Path) -> None:
         self.path = path
@@ -111,15 +115,15 @@
 
 
 def peak_mib() -> float:
-    # Unlike ru_maxrss, this does not count the parent's memory at the time of the fork.
+    # Unlike ru_maxrss, VmHWM excludes the memory of the parent at the time of the fork.
     lines = Path('/proc/self/status').read_text().splitlines()
     return next(int(line.split()[1]) for line in lines if line.startswith('VmHWM')) / 1024
 
 
 async def measure(path: Path) -> None:
-    base = resident_mib()
+    initial_mib = resident_mib()
     started = time.perf_counter()
-    # A task that returned the state would make asyncio build its representation as text.
+    # Awaited directly, because asyncio would build the repr of a state that a task returns.
     state = await read_newest_snapshot(FileLog(path), SnapshotEncoding())
     index = RouteIndex(state.configuration.routes_by_id.values())
     seconds = time.perf_counter() - started
@@ -128,13 +132,13 @@
     assert len(state.configuration.keys_by_digest) == ORGANISATIONS
     peak = peak_mib()
     started = time.perf_counter()
-    for one in range(ROUTES):
-        assert index.find('GET', f'/area-{one % 90}/{one}/more').route == f'route-{one}'
-    lookup = (time.perf_counter() - started) / ROUTES * 1e6
+    for number in range(ROUTES):
+        assert index.find('GET', f'/area-{number % 90}/{number}/more').route == f'route-{number}'
+    lookup_microseconds = (time.perf_counter() - started) / ROUTES * 1e6
     print(
-        f'start from the snapshot: {seconds:.2f} s; resident {base:.0f} MiB before, '
+        f'start from the snapshot: {seconds:.2f} s; resident {initial_mib:.0f} MiB before, '
         f'{resident_mib():.0f} MiB after, {peak:.0f} MiB at the peak (bound {LIMIT_MIB}); '
-        f'a route lookup {lookup:.1f} us'
+        f'a route lookup {lookup_microseconds:.1f} us'
     )
 
 
--- a/benchmarks/gossip_bytes.py
+++ b/benchmarks/gossip_bytes.py
@@ -1,8 +1,8 @@
-"""Prints the bytes a second that gossip costs a node, for a few fleet sizes.
+"""Gossip traffic of a node in bytes per second, for several fleet sizes.
 
-The nodes make, encode, decode and merge real messages; links are function calls on a virtual
-clock. Every node knows as many reports as there are nodes, or `--servers`. Run as
-`python -m benchmarks.gossip_bytes`.
+Nodes create, encode, decode and merge real messages; links are function calls on a virtual
+clock. Every node holds as many reports as there are nodes, or `--servers` if that is more. Run
+as `python -m benchmarks.gossip_bytes`.
 """
 
 import argparse
@@ -28,13 +28,13 @@
     TimingSettings,
 )
 
-# Headers of a websocket frame, of TCP with time stamps and of IP, and one pure acknowledgement.
+# Headers of a WebSocket frame, of TCP with timestamps and of IP; and one acknowledgement.
 HEADER_BYTES = 4 + 32 + 20
 ACKNOWLEDGEMENT_BYTES = 52
 WARM_UP_ROUNDS = 8
 ROUNDS = 12
-# 590 instances a day are restarted, replaced or fail; each changes its report about four times.
-CHANGES_A_SECOND_AT_500 = 590 * 4 / 86400
+# 590 instances a day restart, fail or are replaced; each changes its report about four times.
+CHANGES_PER_SECOND_AT_500 = 590 * 4 / 86400
 
 
 class Clock:
@@ -63,30 +63,30 @@
         return decode_frame(encoded[1]).message
 
 
-def member(number: int) -> Member:
+def make_member(number: int) -> Member:
     name = InstanceId(f'node-{number:04d}')
     return Member(name, IncarnationId('019b00000000-abcdef12'), '10.0.0.1', 7000, 'dc')
 
 
-def report(owner: Member, sequence: int) -> ServerReport:
+def make_report(owner: Member, sequence: int) -> ServerReport:
     service = ServiceId(f'service-{hash(owner.instance) % 200}')
     return ServerReport(owner.instance, owner.incarnation, sequence, service, 4, ServerState.READY)
 
 
-def build(
+def build_fleet(
     nodes: int, reports: int, timing: TimingSettings, clock: Clock
 ) -> tuple[Links, dict[InstanceId, MembershipView]]:
-    members = {one.instance: one for one in map(member, range(nodes))}
+    members = {member.instance: member for member in map(make_member, range(nodes))}
     links = Links({})
     views = {}
-    for instance, own in members.items():
-        view = MembershipView(own, timing, clock)
+    for instance, local_member in members.items():
+        view = MembershipView(local_member, timing, clock)
         standing = Standing(timing, clock)
         log = ControlLog(log=None, standing=standing, members=view, timing=timing, clock=clock)
         view.apply(Membership(1, members))
         view.is_caught_up = True
         for number in range(reports):
-            view.report_table.put(report(member(number), 1), 0.0)
+            view.report_table.put(make_report(make_member(number), 1), 0.0)
         views[instance] = view
         links.gossipers[instance] = Gossiper(
             members=view,
@@ -101,33 +101,33 @@
 
 async def measure(nodes: int, slots: int, peers: int) -> None:
     clock, timing = Clock(), TimingSettings(gossip_peers=peers)
-    links, views = build(nodes, slots, timing, clock)
+    links, views = build_fleet(nodes, slots, timing, clock)
     gossipers = links.gossipers
-    alive, standing_count, samples, sequence, oldest = 0.0, 0, 0, 1, 0.0
-    chance = random.Random(1)
+    alive, standing_samples, samples, sequence, max_contact_age = 0.0, 0, 0, 1, 0.0
+    rng = random.Random(1)
     order = list(gossipers)
     started_at = 0.0
     for round_number in range(WARM_UP_ROUNDS + ROUNDS):
         if round_number == WARM_UP_ROUNDS:
             links.payload_bytes = links.frames = 0
             started_at = time.process_time()
-        asked = min(peers, nodes - 1)
-        for part in range(asked):
-            chance.shuffle(order)
+        peer_count = min(peers, nodes - 1)
+        for part in range(peer_count):
+            rng.shuffle(order)
             for instance in order:
-                # Nodes act one after another, so that their questions are not in step.
-                clock.seconds += timing.gossip_seconds / nodes / asked
-                if not part and chance.random() < CHANGES_A_SECOND_AT_500 / 500:
+                # Advance the clock for each node, so that gossip requests are not synchronised.
+                clock.seconds += timing.gossip_seconds / nodes / peer_count
+                if not part and rng.random() < CHANGES_PER_SECOND_AT_500 / 500:
                     sequence += 1
-                    views[instance].record_report(report(views[instance].own, sequence))
+                    views[instance].record_report(make_report(views[instance].own, sequence))
                 peer = gossipers[instance].choose_peer()
                 await gossipers[instance].pull(peer)
         if round_number >= WARM_UP_ROUNDS:
-            for watched in list(views.values())[:20]:
-                alive += len(watched.live_members()) / nodes
-                heard_at = watched.majority_contact_at()
-                standing_count += clock.now() - heard_at <= timing.standing_seconds
-                oldest = max(oldest, clock.now() - heard_at)
+            for view in list(views.values())[:20]:
+                alive += len(view.live_members()) / nodes
+                contact_at = view.majority_contact_at()
+                standing_samples += clock.now() - contact_at <= timing.standing_seconds
+                max_contact_age = max(max_contact_age, clock.now() - contact_at)
                 samples += 1
     seconds = ROUNDS * timing.gossip_seconds
     payload = links.payload_bytes / nodes / seconds
@@ -137,7 +137,8 @@
     print(
         f'{nodes:5d} nodes {slots:5d} reports {peers} peers: sent {payload:6.0f} B/s a node, '
         f'{wire:6.0f} with headers; seen alive {100 * alive / samples:5.1f} %, '
-        f'majority fresh {100 * standing_count / samples:5.1f} % (oldest {oldest:.2f} s), '
+        f'majority fresh {100 * standing_samples / samples:5.1f} % '
+        f'(oldest {max_contact_age:.2f} s), '
         f'processor {100 * processor:.2f} % of a core',
         flush=True,
     )
--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -1,7 +1,7 @@
-"""Latency that the fleet adds to a request, and requests a second for each core.
+"""Latency that the fleet adds to a request, and requests per second for each core.
 
-Direct calls to the backend server stand-in are the baseline of the same run. Requests
-alternate between the paths, so that noise of the machine hits all of them.
+Direct calls to the backend server stand-in in the same run are the baseline. Requests alternate
+between the paths, so that noise of the machine affects all paths equally.
 """
 
 import asyncio
@@ -21,7 +21,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Distribution:
-    """Latencies of one path in milliseconds."""
+    """Latency percentiles of one path in milliseconds."""
 
     p50: float
     p99: float
@@ -30,7 +30,7 @@
 
 
 async def measure_latency(*, requests: int = 1500, callers: int = 1) -> dict[str, Any]:
-    """Return the latencies of the direct, the local and the one-hop path."""
+    """Measure the latencies of the direct, the local and the one-hop path."""
     async with Fleet(['catalogue', 'bookings'], slots=64) as fleet:
         change = example_change()
         change['organisations'][0].update(rate_per_second=100000.0, burst=100000.0)
@@ -38,22 +38,22 @@
         issued = await fleet.issue_key('cafe-chain')
         await asyncio.sleep(_SETTLE_SECONDS)
         headers = {'Authorization': f'Bearer {issued["key"]}'}
-        near, far = fleet.nodes
+        serving_node, other_node = fleet.nodes
         urls_by_path = {
-            'direct': f'{near.server_url}/catalogue/1',
-            'local': f'{near.url}/catalogue/1',
-            'one_hop': f'{far.url}/catalogue/1',
+            'direct': f'{serving_node.server_url}/catalogue/1',
+            'local': f'{serving_node.url}/catalogue/1',
+            'one_hop': f'{other_node.url}/catalogue/1',
         }
-        samples_by_path = await _alternate(fleet, urls_by_path, headers, requests, callers)
-        cost = await _cost_of_requests(fleet, near, urls_by_path['local'], headers)
-    by_path = {path: _distribution(one) for path, one in samples_by_path.items()}
+        samples_by_path = await _sample_paths(fleet, urls_by_path, headers, requests, callers)
+        cost = await _measure_request_cost(fleet, serving_node, urls_by_path['local'], headers)
+    by_path = {path: _distribution(samples) for path, samples in samples_by_path.items()}
     direct = by_path['direct']
     return {
         'callers': callers,
-        'paths': {path: dataclasses.asdict(one) for path, one in by_path.items()},
+        'paths': {path: dataclasses.asdict(latencies) for path, latencies in by_path.items()},
         'added': {
-            path: {'p50': one.p50 - direct.p50, 'p99': one.p99 - direct.p99}
-            for path, one in by_path.items()
+            path: {'p50': latencies.p50 - direct.p50, 'p99': latencies.p99 - direct.p99}
+            for path, latencies in by_path.items()
             if path != 'direct'
         },
         'bound_added_p99': TARGET_ADDED_P99_MILLISECONDS,
@@ -61,7 +61,7 @@
     }
 
 
-async def _alternate(
+async def _sample_paths(
     fleet: Fleet,
     urls_by_path: dict[str, str],
     headers: dict[str, str],
@@ -84,7 +84,7 @@
     return samples_by_path
 
 
-async def _cost_of_requests(
+async def _measure_request_cost(
     fleet: Fleet, node: FleetNode, url: str, headers: dict[str, str]
 ) -> dict[str, float]:
     assert node.node_process is not None
@@ -96,16 +96,16 @@
             await fleet.fetch(url, headers=headers)
 
     await asyncio.gather(*(call() for _ in range(16)))
-    spent = processor_seconds(node.node_process.pid) - before
+    used_seconds = processor_seconds(node.node_process.pid) - before
     return {
-        'processor_milliseconds_per_request': spent * _MILLISECONDS / count,
-        'requests_per_core_second': count / spent,
+        'processor_milliseconds_per_request': used_seconds * _MILLISECONDS / count,
+        'requests_per_core_second': count / used_seconds,
         'requests_per_second_offered': count / (time.perf_counter() - started),
     }
 
 
 def processor_seconds(process_id: int) -> float:
-    """Return the processor time that a process has used."""
+    """Return the processor time that a process has used, in seconds."""
     fields = Path(f'/proc/{process_id}/stat').read_text().rpartition(')')[2].split()
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_SECOND
 
--- a/benchmarks/planned_size.py
+++ b/benchmarks/planned_size.py
@@ -1,4 +1,4 @@
-"""Start-up time and memory of a whole node with the planned 45,000 organisations and 4,500 routes.
+"""Start-up time and memory of a node with the planned 45,000 organisations and 4,500 routes.
 
 A real node process reads the configuration from the log stand-in. Run as
 `python -m benchmarks.planned_size`.
@@ -14,11 +14,11 @@
 from tests.fleet_processes import Fleet
 from turmericwharf.protocol import encode_record
 
-_WAIT_SECONDS = 60.0
+_TIMEOUT_SECONDS = 60.0
 
 
 async def measure_planned_size() -> dict[str, Any]:
-    """Return seconds until the configuration is in force after a restart, and the memory."""
+    """Measure the seconds from a restart until the configuration is in force, and the memory."""
     async with Fleet(['catalogue']) as fleet:
         node = fleet.nodes[0]
         body = json.dumps({'records': [encode_record(full_size_change())]})
@@ -39,13 +39,13 @@
 
 
 async def _wait_for_routes(fleet: Fleet) -> None:
-    deadline = time.monotonic() + _WAIT_SECONDS
+    deadline = time.monotonic() + _TIMEOUT_SECONDS
     while time.monotonic() < deadline:
         state = await fleet.dump(fleet.nodes[0])
         if state and state['parts']['control_log']['routes']:
             return
         await asyncio.sleep(0.05)
-    raise TimeoutError('the configuration is not in force')
+    raise TimeoutError('the configuration did not come into force in time')
 
 
 if __name__ == '__main__':
--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -1,5 +1,8 @@
-"""Times of the promises on a small fleet: configuration and withdrawal in force, recovery,
-and refusals inside the rate against a static split of the rate.
+"""Guaranteed times on a small fleet, and requests refused below the rate limit.
+
+Measures the time until a configuration and the withdrawal of a key are in force, and the time
+until a killed node serves again. The share of refused requests is compared with a static split
+of the rate.
 """
 
 import asyncio
@@ -17,26 +20,26 @@
 
 
 async def measure_promises() -> dict[str, Any]:
-    """Return named figures with their units and bounds."""
+    """Measure and return the figures by name, with units and bounds."""
     async with Fleet(['catalogue'] * 3, slots=32) as fleet:
         change = example_change()
         change['organisations'][0].update(rate_per_second=_RATE_PER_SECOND, burst=20.0)
         started = time.monotonic()
         await fleet.publish(change)
-        published = time.monotonic() - started
+        publish_seconds = time.monotonic() - started
         issued = await fleet.issue_key('cafe-chain')
         key = issued['key']
         await fleet.wait_until_served(f'{fleet.nodes[0].url}/catalogue/probe', key)
         await asyncio.sleep(4)
-        whole = await _refused_share(fleet, key)
-        recovery = await _recovery_seconds(fleet, key)
-        withdrawal = await _withdrawal_seconds(fleet, issued)
+        refused_share = await _measure_refused_share(fleet, key)
+        recovery_seconds = await _measure_recovery(fleet, key)
+        withdrawal_seconds = await _measure_withdrawal(fleet, issued)
     return {
-        'configuration in force everywhere': _row(published, 's', _IN_FORCE_BOUND_SECONDS),
-        'withdrawal in force everywhere': _row(withdrawal, 's', _IN_FORCE_BOUND_SECONDS),
-        'service after kill and restart of a node': _row(recovery, 's'),
-        'refused inside the rate, one entry node, whole fleet': _row(whole, '', 0.0),
-        # A static split gives an organisation that uses one of three nodes a third of its rate.
+        'configuration in force everywhere': _row(publish_seconds, 's', _IN_FORCE_BOUND_SECONDS),
+        'withdrawal in force everywhere': _row(withdrawal_seconds, 's', _IN_FORCE_BOUND_SECONDS),
+        'service after kill and restart of a node': _row(recovery_seconds, 's'),
+        'refused inside the rate, one entry node, whole fleet': _row(refused_share, '', 0.0),
+        # In a static split, an organisation that uses one of three nodes has a third of its rate.
         'refused inside the rate, static split (calculated)': _row(1 - 1 / 3 / _LOAD_FACTOR, ''),
     }
 
@@ -45,20 +48,20 @@
     return {'figure': figure, 'unit': unit, 'bound': bound}
 
 
-async def _refused_share(fleet: Fleet, key: str) -> float:
+async def _measure_refused_share(fleet: Fleet, key: str) -> float:
     count = int(_RATE_PER_SECOND * _LOAD_FACTOR * _LOAD_SECONDS)
-    pause = 1 / (_RATE_PER_SECOND * _LOAD_FACTOR)
+    interval = 1 / (_RATE_PER_SECOND * _LOAD_FACTOR)
     headers = {'Authorization': f'Bearer {key}'}
     calls = []
     for _ in range(count):
         call = fleet.fetch(f'{fleet.nodes[0].url}/catalogue/1', headers=headers)
         calls.append(asyncio.create_task(call))
-        await asyncio.sleep(pause)
+        await asyncio.sleep(interval)
     codes = [response.code for response in await asyncio.gather(*calls)]
     return codes.count(429) / count
 
 
-async def _recovery_seconds(fleet: Fleet, key: str) -> float:
+async def _measure_recovery(fleet: Fleet, key: str) -> float:
     node = fleet.nodes[2]
     node.signal(signal.SIGKILL)
     assert node.node_process is not None
@@ -69,16 +72,16 @@
     return time.monotonic() - started
 
 
-async def _withdrawal_seconds(fleet: Fleet, issued: dict[str, Any]) -> float:
+async def _measure_withdrawal(fleet: Fleet, issued: dict[str, Any]) -> float:
     started = time.monotonic()
-    withdrawing = asyncio.create_task(
+    withdrawal = asyncio.create_task(
         asyncio.to_thread(fleet.run_cli, fleet.nodes[1], 'withdraw-key', issued['key_id'])
     )
     headers = {'Authorization': f'Bearer {issued["key"]}'}
     while not all([await _is_refused(fleet, node, headers) for node in fleet.nodes]):
         await asyncio.sleep(0.02)
     elapsed = time.monotonic() - started
-    await withdrawing
+    await withdrawal
     return elapsed
 
 
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -1,7 +1,7 @@
-"""Runs all benchmarks: one JSON result and a table with the bound beside each figure.
+"""Runs all benchmarks; writes a JSON result and prints a table of figures and their bounds.
 
-`make bench` takes under ten minutes. The exit status is 0 also when a bound is missed: the
-table says so, and KNOWN-RED.txt lists it.
+`make bench` takes less than ten minutes. The exit status is 0 even if a bound is missed: the
+table marks missed bounds, and KNOWN-RED.txt lists them.
 """
 
 import asyncio
@@ -21,7 +21,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Row:
-    """One figure with its bound, if a target is stated for it."""
+    """One figure with its bound, if there is a target for it."""
 
     name: str
     figure: float
@@ -42,9 +42,9 @@
         rows.append(
             Row(f'added latency, {path}, p99', added['p99'], 'ms', result['bound_added_p99'])
         )
-    for path, one in result['paths'].items():
-        rows.append(Row(f'latency, {path}, p50', one['p50'], 'ms'))
-        rows.append(Row(f'latency, {path}, p99', one['p99'], 'ms'))
+    for path, latencies in result['paths'].items():
+        rows.append(Row(f'latency, {path}, p50', latencies['p50'], 'ms'))
+        rows.append(Row(f'latency, {path}, p99', latencies['p99'], 'ms'))
     cost = result['local_node']
     rows.append(Row('requests a core-second', cost['requests_per_core_second'], '1/s'))
     return rows
@@ -84,7 +84,10 @@
 
 
 def _promise_rows(result: dict[str, Any]) -> list[Row]:
-    return [Row(name, one['figure'], one['unit'], one.get('bound')) for name, one in result.items()]
+    return [
+        Row(name, entry['figure'], entry['unit'], entry.get('bound'))
+        for name, entry in result.items()
+    ]
 
 
 async def _measure() -> tuple[dict[str, Any], list[Row]]:
@@ -96,7 +99,7 @@
 
 
 def main() -> int:
-    """Run, write the result and print the table."""
+    """Run the benchmarks, write the result and print the table."""
     started = time.monotonic()
     result, rows = asyncio.run(_measure())
     RESULT.parent.mkdir(exist_ok=True)
--- a/benchmarks/sidecar_slopes.py
+++ b/benchmarks/sidecar_slopes.py
@@ -1,6 +1,6 @@
-"""Costs of a sidecar node's parts over nodes, organisations and routes.
+"""Cost of the components of a sidecar node by number of nodes, organisations and routes.
 
-Run as `python -m benchmarks.sidecar_slopes`; prints a table. In one process, without sockets.
+Run as `python -m benchmarks.sidecar_slopes`; prints a table. Runs in one process without sockets.
 """
 
 import json
@@ -17,7 +17,7 @@
 from turmericwharf.state.sidecar import NodeEntry, ServerPhase, SidecarBounds, StoredEntry
 from turmericwharf.transport.clock import BootClock
 
-PLACES = 4
+DATA_CENTRES = 4
 SERVICES = 200
 ROUNDS = 2000
 
@@ -28,7 +28,7 @@
         process=f'{number:024x}',
         host=f'10.0.{number // 250}.{number % 250}',
         peer_port=7000,
-        data_centre=f'place-{number % PLACES}',
+        data_centre=f'place-{number % DATA_CENTRES}',
         server=f'server-{number}',
         service=f'service-{number % SERVICES}',
         slots=3,
@@ -57,25 +57,27 @@
     ).encode()
 
 
-def timed(work, rounds: int = 1) -> float:
-    began_at = time.perf_counter()
+def measure_milliseconds(operation, rounds: int = 1) -> float:
+    started_at = time.perf_counter()
     for _ in range(rounds):
-        work()
-    return (time.perf_counter() - began_at) / rounds * 1000
+        operation()
+    return (time.perf_counter() - started_at) / rounds * 1000
 
 
 def measure_configuration(organisations: int, routes: int) -> str:
     encoded = make_configuration(organisations, routes)
     tracemalloc.start()
     holder = ConfigurationHolder(decode_configuration)
-    milliseconds = timed(lambda: holder.apply_if_newer(encoded, source='benchmark'))
+    milliseconds = measure_milliseconds(lambda: holder.apply_if_newer(encoded, source='benchmark'))
     megabytes = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
-    find = timed(lambda: holder.routes.find('h1.example', '/p1/a/b/c'), ROUNDS)
+    route_milliseconds = measure_milliseconds(
+        lambda: holder.routes.find('h1.example', '/p1/a/b/c'), ROUNDS
+    )
     return (
         f'{organisations} organisations, {routes} routes: {len(encoded) / 1e6:.2f} MB on the wire, '
         f'applied in {milliseconds:.0f} ms with tracing, {megabytes:.1f} MB, '
-        f'route {find * 1000:.1f} us'
+        f'route {route_milliseconds * 1000:.1f} us'
     )
 
 
@@ -92,16 +94,19 @@
     holders = QuotaHolders(directory, holder, clock)
     holders.refresh()
     directory.apply(StoredEntry(make_entry(count), count), source='benchmark')
-    refresh = timed(holders.refresh)
+    refresh_milliseconds = measure_milliseconds(holders.refresh)
     bounds = SidecarBounds(0.2, 64, 10, 6, 5, 0.1, 20)
     buckets = QuotaBuckets(holders, holder, clock, SimpleNamespace(current=bounds))
-    grant = timed(lambda: buckets.grant('t1'), ROUNDS)
+    grant_milliseconds = measure_milliseconds(lambda: buckets.grant('t1'), ROUNDS)
     selector = ServerSelector(directory, clock)
-    select = timed(lambda: selector.select('service-0', frozenset()), ROUNDS)
+    select_milliseconds = measure_milliseconds(
+        lambda: selector.select('service-0', frozenset()), ROUNDS
+    )
     return (
         f'{count} nodes: directory {kilobytes:.0f} kB, '
-        f'holders of 45,000 rates {refresh:.0f} ms after a change, token {grant * 1000:.1f} us, '
-        f'choice {select * 1000:.1f} us, entry {len(encode_node_entry(make_entry(1)))} bytes'
+        f'holders of 45,000 rates {refresh_milliseconds:.0f} ms after a change, '
+        f'token {grant_milliseconds * 1000:.1f} us, choice {select_milliseconds * 1000:.1f} us, '
+        f'entry {len(encode_node_entry(make_entry(1)))} bytes'
     )
 
 
--- a/tests/checkers.py
+++ b/tests/checkers.py
@@ -1,4 +1,4 @@
-"""Invariant checkers over what callers got and what backend servers ran."""
+"""Invariant checks over the answers of callers and the requests that backend servers ran."""
 
 import collections
 import dataclasses
@@ -9,14 +9,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class CallerRecord:
-    """One request as its caller saw it.
+    """One request as recorded by its caller.
 
     Parameters
     ----------
     token
-        Names the work; a retry of the same work has the same token.
+        Identifier of the work; retries of the same work carry the same token.
     outcome
-        Text of the outcome header, or 'connection lost'.
+        Value of the outcome header, or 'connection lost'.
     """
 
     token: str
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Violation:
-    """A broken invariant and what showed it."""
+    """A violated invariant and the evidence for it."""
 
     invariant: str
     detail: str
@@ -38,7 +38,7 @@
 def check_at_most_once(
     records: Iterable[CallerRecord], runs: Iterable[dict[str, Any]]
 ) -> list[Violation]:
-    """I6: non-idempotent work ran at most once, by the backend servers' own records."""
+    """I6: according to the backend servers' records, non-idempotent work ran at most once."""
     counts = count_runs(runs)
     tokens = {record.token for record in records if record.non_idempotent}
     return [
@@ -51,58 +51,62 @@
 def check_refusals(
     records: Iterable[CallerRecord], runs: Iterable[dict[str, Any]]
 ) -> list[Violation]:
-    """I5: work of which every answer said "not run" did not run."""
+    """I5: work whose attempts were all answered "not run" did not run."""
     counts = count_runs(runs)
     outcomes_by_token: dict[str, set[str]] = collections.defaultdict(set)
     for record in records:
         outcomes_by_token[record.token].add(record.outcome)
     return [
-        Violation('not run', f'{token} was refused as not run but ran')
+        Violation('not run', f'{token} was answered "not run" but ran')
         for token, outcomes in outcomes_by_token.items()
         if outcomes == {'not-run'} and counts[token]
     ]
 
 
 def check_answers(records: Iterable[CallerRecord]) -> list[Violation]:
-    """I4: an answered request got the whole answer to its own target."""
+    """I4: an answered request received the complete answer for its own target."""
     return [
-        Violation('whole answer', f'{record.token} got {record.body!r}')
+        Violation('whole answer', f'{record.token} received {record.body!r}')
         for record in records
-        if record.outcome == 'answered' and not _is_own_answer(record)
+        if record.outcome == 'answered' and not _matches_target(record)
     ]
 
 
 def check_key_hidden(key: str, runs: Iterable[dict[str, Any]]) -> list[Violation]:
-    """I2: no backend server saw the key."""
+    """I2: no backend server received the key."""
     return [
-        Violation('key hidden', f'{run["target"]} shows the key') for run in runs if key in str(run)
+        Violation('key hidden', f'{run["target"]} contains the key')
+        for run in runs
+        if key in str(run)
     ]
 
 
-def check_rate(moments: list[float], rate_per_second: float, burst: float) -> list[Violation]:
-    """I3: never more than rate x window + burst, over every window between two requests."""
-    ordered = sorted(moments)
-    worst = 0.0
-    # Largest count minus rate x window over all windows, in one pass (maximum subarray).
-    running = 0.0
+def check_rate(timestamps: list[float], rate_per_second: float, burst: float) -> list[Violation]:
+    """I3: at most rate x window + burst requests, for every window between two requests."""
+    sorted_timestamps = sorted(timestamps)
+    max_excess = 0.0
+    # Maximum of count - rate x window over all windows, in one pass (maximum subarray).
+    excess = 0.0
     previous = None
-    for moment in ordered:
+    for timestamp in sorted_timestamps:
         if previous is not None:
-            running = max(running - rate_per_second * (moment - previous), 0)
-        running += 1
-        worst = max(worst, running)
-        previous = moment
-    if worst > burst + 1:
-        return [Violation('rate', f'{worst:.1f} requests above the rate; the burst is {burst}')]
+            excess = max(excess - rate_per_second * (timestamp - previous), 0)
+        excess += 1
+        max_excess = max(max_excess, excess)
+        previous = timestamp
+    if max_excess > burst + 1:
+        return [
+            Violation('rate', f'{max_excess:.1f} requests above the rate; the burst is {burst}')
+        ]
     return []
 
 
 def count_runs(runs: Iterable[dict[str, Any]]) -> collections.Counter[str]:
-    """Return how often each token ran; the token is the last part of the path."""
+    """Return the number of runs by token, which is the last segment of the path."""
     return collections.Counter(run['target'].rsplit('/', 1)[-1] for run in runs)
 
 
-def _is_own_answer(record: CallerRecord) -> bool:
+def _matches_target(record: CallerRecord) -> bool:
     if record.status >= 500:
         return True
     try:
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -1,8 +1,8 @@
 """Writes docs/fault-matrix.md from the marks of the tests.
 
-A test that brings about a fault at a step carries `@pytest.mark.fault_cell(step, fault)`.
-`python -m tests.fault_matrix` writes the page; with `--check` it only compares, and the
-exit status is 1 if the page is not current.
+A test that injects a fault at a step is marked with `@pytest.mark.fault_cell(step, fault)`.
+`python -m tests.fault_matrix` writes the page. With `--check` it only compares, and exits with
+status 1 if the page is out of date.
 """
 
 import collections
@@ -55,7 +55,7 @@
 
 
 def cannot_occur() -> dict[tuple[str, str], str]:
-    """Return why a fault cannot occur at a step, by (step, fault)."""
+    """Return the reason why a fault cannot occur at a step, by (step, fault)."""
     reasons = {}
     for step in STEPS:
         subject = step.split(':')[0]
@@ -66,13 +66,13 @@
             reasons[step, 'racing operators'] = _NO_OPERATOR
         if subject == 'rate loan' or step == 'membership: liveness':
             reasons |= {(step, fault): _NO_LOG for fault in _LOG_FAULTS}
-    # Withdrawing is itself a change of the configuration.
+    # Withdrawing a key is itself a change of the configuration.
     for step in ('configuration: append', 'configuration: read back', 'configuration: in force'):
         reasons.pop((step, 'key withdrawn'), None)
     return reasons
 
 
-class _Collector:
+class _CellCollector:
     def __init__(self) -> None:
         self.tests_by_cell: dict[tuple[str, str], set[str]] = collections.defaultdict(set)
 
@@ -80,18 +80,20 @@
         for item in items:
             for mark in item.iter_markers('fault_cell'):
                 name = f'{item.path.stem}::{item.originalname}'  # type: ignore[attr-defined]
-                self.tests_by_cell[_checked(mark.args)].add(name)
+                self.tests_by_cell[_validate_cell(mark.args)].add(name)
 
 
-def _checked(cell: tuple[str, str]) -> tuple[str, str]:
+def _validate_cell(cell: tuple[str, str]) -> tuple[str, str]:
     step, fault = cell
     if step not in STEPS or fault not in FAULTS:
-        raise ValueError(f'{cell} is not one of {STEPS} with one of {FAULTS}')
+        raise ValueError(
+            f'invalid fault_cell {cell}: expected a step of {STEPS} and a fault of {FAULTS}'
+        )
     return cell
 
 
 def render(tests_by_cell: dict[tuple[str, str], set[str]]) -> str:
-    """Return the page."""
+    """Return the page as Markdown."""
     names = sorted({name for tests in tests_by_cell.values() for name in tests})
     numbers = {name: str(number) for number, name in enumerate(names, 1)}
     reasons = cannot_occur()
@@ -107,22 +109,22 @@
         '| step | ' + ' | '.join(FAULTS) + ' |',
         '| --- |' + ' --- |' * len(FAULTS),
     ]
-    open_cells = 0
+    unproved_cells = 0
     for step in STEPS:
         cells = []
         for fault in FAULTS:
             tests = tests_by_cell.get((step, fault))
             if tests:
-                cells.append(', '.join(sorted((numbers[one] for one in tests), key=int)))
+                cells.append(', '.join(sorted((numbers[name] for name in tests), key=int)))
             elif (step, fault) in reasons:
                 cells.append(reason_letters[reasons[step, fault]])
             else:
                 cells.append('**not proved**')
-                open_cells += 1
+                unproved_cells += 1
         lines.append(f'| {step} | ' + ' | '.join(cells) + ' |')
     lines += [
         '',
-        f'Cells not proved: {open_cells} of {len(STEPS) * len(FAULTS)}.',
+        f'Cells not proved: {unproved_cells} of {len(STEPS) * len(FAULTS)}.',
         '',
         'Tests:',
         '',
@@ -134,8 +136,8 @@
 
 
 def main() -> int:
-    """Write or check the page."""
-    collector = _Collector()
+    """Write the page, or compare it with `--check`; return the exit status."""
+    collector = _CellCollector()
     arguments = ['--collect-only', '-p', 'no:terminal', '-p', 'no:syrupy', 'tests']
     status = pytest.main(arguments, plugins=[collector])
     if status != pytest.ExitCode.OK:
@@ -143,7 +145,7 @@
     page = render(collector.tests_by_cell)
     if '--check' in sys.argv:
         if PAGE.read_text() != page:
-            print(f'{PAGE} is not current; run `make fault-matrix`')
+            print(f'{PAGE} is out of date; run `make fault-matrix`')
             return 1
         return 0
     PAGE.write_text(page)
--- a/tests/fleet_processes.py
+++ b/tests/fleet_processes.py
@@ -1,4 +1,4 @@
-"""Starts a small fleet of real processes on loopback for tests, the demo and benchmarks."""
+"""Fleet of real processes on loopback, for tests, the demo and benchmarks."""
 
 import asyncio
 import hashlib
@@ -24,24 +24,24 @@
 FLEET_SECRET = 'a fleet secret for tests, of 32 characters or more'
 OPERATOR_TOKEN = 'operator-token-for-tests'
 START_TIMEOUT_SECONDS = 20.0
-LOG = HOST
+LOG_ADDRESS = HOST
 _FIRST_PORT = 11000
-_WORKERS = 10
-_PORTS_OF_A_WORKER = 2000
-# Starts at random, so that two runs at a time on one machine rarely meet.
-_port_numbers = itertools.count(random.SystemRandom().randrange(_PORTS_OF_A_WORKER))
+_MAX_WORKERS = 10
+_PORTS_PER_WORKER = 2000
+# Starts at random, so that two concurrent test runs on one machine rarely use the same port.
+_port_numbers = itertools.count(random.SystemRandom().randrange(_PORTS_PER_WORKER))
 
 
 def free_port(host: str = HOST) -> int:
-    """Return a port below the system's own range, from a part that no other test process uses.
+    """Return a free port below the ephemeral range, from the block of this test worker.
 
-    A port of the system's range could be given to another process while a killed node's
-    backend server still announces itself there.
+    No other test process uses that block. The system could assign an ephemeral port to another
+    process while the backend server of a killed node still sends announcements to it.
     """
-    worker = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
+    worker_number = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
     while True:
-        number = next(_port_numbers) % _PORTS_OF_A_WORKER
-        port = _FIRST_PORT + worker % _WORKERS * _PORTS_OF_A_WORKER + number
+        number = next(_port_numbers) % _PORTS_PER_WORKER
+        port = _FIRST_PORT + worker_number % _MAX_WORKERS * _PORTS_PER_WORKER + number
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -62,14 +62,14 @@
 
 
 class FleetNode:
-    """One node and the backend server stand-in beside it."""
+    """One node and its local backend server stand-in."""
 
     def __init__(self, fleet: 'Fleet', number: int, service: str, slots: int) -> None:
         self.fleet = fleet
         self.instance = f'node-{number}'
         self.service = service
         self.slots = slots
-        # An address of its own lets the relays tell who connects.
+        # Relays identify the source of a connection by its address, so each node has its own.
         self.host = f'127.0.0.{10 + number}'
         self.caller_port = free_port(self.host)
         self.peer_port = free_port(self.host)
@@ -95,7 +95,7 @@
         return f'http://{HOST}:{self.server_port}'
 
     def settings(self) -> dict[str, Any]:
-        plain = {
+        node_settings = {
             'instance': self.instance,
             'data_centre': 'dc-1',
             'fleet_secret': FLEET_SECRET,
@@ -108,16 +108,16 @@
                 'advertised_peer_port': self.relay_port,
             },
             'seeds': [
-                {'instance': one.instance, 'host': one.host, 'port': one.relay_port}
-                for one in self.fleet.nodes
-                if one is not self
+                {'instance': node.instance, 'host': node.host, 'port': node.relay_port}
+                for node in self.fleet.nodes
+                if node is not self
             ],
             'log': {'url': f'http://{HOST}:{self.fleet.log_relay_port}'},
             'operator_digests': {'test': hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()},
         }
         for section, changes in {**self.fleet.overrides, **self.overrides}.items():
-            plain[section] = {**plain.get(section, {}), **changes}
-        return plain
+            node_settings[section] = {**node_settings.get(section, {}), **changes}
+        return node_settings
 
     def start(self) -> None:
         self.start_node()
@@ -163,7 +163,7 @@
 
 
 class Fleet:
-    """Log stand-in, nodes and backend servers; use as an asynchronous context manager."""
+    """Log stand-in, nodes and backend servers, as an asynchronous context manager."""
 
     def __init__(
         self,
@@ -190,7 +190,9 @@
             Relay(self.network, node.host, node.host, node.relay_port, node.peer_port)
             for node in self.nodes
         ]
-        self._relays.append(Relay(self.network, LOG, HOST, self.log_relay_port, self.log_port))
+        self._relays.append(
+            Relay(self.network, LOG_ADDRESS, HOST, self.log_relay_port, self.log_port)
+        )
         self.log_process: subprocess.Popen | None = None
         self.client = CurlAsyncHTTPClient(force_instance=True, max_clients=256)
 
@@ -198,7 +200,7 @@
         try:
             await self._start()
         except BaseException:
-            # Without this, a fleet that does not start leaves its processes behind.
+            # `__aexit__` is not called if `__aenter__` raises; the processes would be left running.
             await self.__aexit__()
             raise
         return self
@@ -214,18 +216,18 @@
         await self.wait_until_converged()
 
     def cut_one_way(self, source: FleetNode, destination: FleetNode) -> None:
-        """Deliver nothing from one node to another; the other direction works."""
+        """Block traffic from one node to another; the other direction still works."""
         self.network.cut(source.host, destination.host)
 
-    def cut_both_ways(self, one: FleetNode, other: FleetNode) -> None:
-        """Deliver nothing between two nodes."""
-        self.cut_one_way(one, other)
-        self.cut_one_way(other, one)
+    def cut_both_ways(self, first: FleetNode, second: FleetNode) -> None:
+        """Block traffic between two nodes in both directions."""
+        self.cut_one_way(first, second)
+        self.cut_one_way(second, first)
 
     def cut_log(self, node: FleetNode) -> None:
-        """Deliver nothing between a node and the log."""
-        self.network.cut(node.host, LOG)
-        self.network.cut(LOG, node.host)
+        """Block traffic between a node and the log in both directions."""
+        self.network.cut(node.host, LOG_ADDRESS)
+        self.network.cut(LOG_ADDRESS, node.host)
 
     async def __aexit__(self, *error: object) -> None:
         for node in self.nodes:
@@ -239,29 +241,29 @@
         self._temporary.cleanup()
 
     async def wait_until_converged(self) -> None:
-        """Wait until every node knows every member and every backend server."""
+        """Wait until every node knows all members and all backend servers."""
         deadline = time.monotonic() + self.start_timeout_seconds
         expected = {node.instance for node in self.nodes}
         for node in self.nodes:
             while not await self._knows_all(node, expected):
                 if time.monotonic() > deadline:
-                    raise TimeoutError(f'{node.instance} does not know all of {expected}')
+                    raise TimeoutError(f'{node.instance} has not discovered all of {expected}')
                 await asyncio.sleep(0.1)
 
     async def wait_until_served(self, url: str, key: str) -> None:
-        """Wait until a read is answered, as shares of a rate are used once members have settled."""
+        """Wait until a read succeeds; nodes use shares of a rate only once members have settled."""
         deadline = time.monotonic() + START_TIMEOUT_SECONDS
         headers = {'Authorization': f'Bearer {key}'}
         while (await self.fetch(url, headers=headers)).code != 200:
             if time.monotonic() > deadline:
-                raise TimeoutError(f'{url} is not served')
+                raise TimeoutError(f'{url} did not return status 200 in time')
             await asyncio.sleep(0.2)
 
     async def _knows_all(self, node: FleetNode, expected: set[str]) -> bool:
         state = await self.dump(node)
         if state is None or not state['has_standing']:
             return False
-        reported = {one['instance'] for one in state['reports'] if one['state'] == 'ready'}
+        reported = {entry['instance'] for entry in state['reports'] if entry['state'] == 'ready'}
         live = set(state['live_members'])
         return expected <= reported and expected <= live
 
@@ -322,7 +324,7 @@
         return [run for node in self.nodes for run in await self.runs(node)]
 
     def run_cli(self, node: FleetNode, *arguments: str) -> subprocess.CompletedProcess:
-        """Run the operators' command line."""
+        """Run the command line for operators."""
         return subprocess.run(
             [
                 sys.executable,
@@ -342,23 +344,23 @@
         )
 
     async def publish(self, change: dict[str, Any], node: FleetNode | None = None) -> dict:
-        """Publish a change with the command line and return what it printed."""
+        """Publish a change through the command line and return its parsed output."""
         path = self.folder / f'change-{time.monotonic_ns()}.json'
         path.write_text(json.dumps(change))
-        done = await asyncio.to_thread(self.run_cli, node or self.nodes[0], 'publish', str(path))
-        assert done.returncode == 0, done.stdout + done.stderr
-        return json.loads(done.stdout)
+        result = await asyncio.to_thread(self.run_cli, node or self.nodes[0], 'publish', str(path))
+        assert result.returncode == 0, result.stdout + result.stderr
+        return json.loads(result.stdout)
 
     async def issue_key(self, organisation: str, node: FleetNode | None = None) -> dict:
-        done = await asyncio.to_thread(
+        result = await asyncio.to_thread(
             self.run_cli, node or self.nodes[0], 'issue-key', organisation
         )
-        assert done.returncode == 0, done.stdout + done.stderr
-        return json.loads(done.stdout)
+        assert result.returncode == 0, result.stdout + result.stderr
+        return json.loads(result.stdout)
 
 
 def example_change() -> dict[str, Any]:
-    """A configuration with a read, a booking and one organisation."""
+    """Return a configuration change with a read route, a booking route and one organisation."""
     return {
         'organisations': [
             {'organisation': 'cafe-chain', 'rate_per_second': 200.0, 'burst': 100.0},
--- a/tests/sidecar_fleet.py
+++ b/tests/sidecar_fleet.py
@@ -1,4 +1,4 @@
-"""Starts sidecar nodes as separate processes, with stand-ins for the platform around them."""
+"""Fleet of sidecar nodes as separate processes, with stand-ins for the platform."""
 
 import asyncio
 import contextlib
@@ -38,12 +38,12 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free on all loopback addresses of the fleet."""
+    """Return ports that are free on all loopback addresses that the fleet uses."""
     with contextlib.ExitStack() as stack:
         sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind(('0.0.0.0', 0))
-        return [one.getsockname()[1] for one in sockets]
+        for bound_socket in sockets:
+            bound_socket.bind(('0.0.0.0', 0))
+        return [bound_socket.getsockname()[1] for bound_socket in sockets]
 
 
 def make_configuration(version: int = 1, **changes) -> dict:
@@ -81,14 +81,14 @@
 
 
 class SidecarNode:
-    """One node's process and the backend server beside it."""
+    """One node process and its local backend server."""
 
     def __init__(self, fleet: 'SidecarFleet', number: int) -> None:
         self.fleet = fleet
         self.name = f'node-{number}'
         self.host = f'127.0.0.{10 + number}'
         self.server = PlatformServer(self.host, fleet.ports, 'bookings', f'server-{number}')
-        # Each node has a relay of its own to the store, so that it alone can be cut off.
+        # Each node has its own relay to the store, so that it can be partitioned individually.
         self.store_relay = Relay(
             fleet.network,
             f'store-of-{self.name}',
@@ -141,20 +141,23 @@
 
     def events(self, name: str) -> list[dict]:
         lines = [line for line in self.log_path.read_text().splitlines() if line.startswith('{')]
-        return [one for one in map(json.loads, lines) if one['event'] == name]
+        return [record for record in map(json.loads, lines) if record['event'] == name]
 
     async def is_ready(self) -> bool:
-        # A process that ends in the middle of a check gives no answer, which counts as not ready.
+        # A process that exits during the check closes the connection, which counts as not ready.
         with contextlib.suppress(OSError, HTTPError):
-            found = await self.fleet.fetch(f'http://{self.host}:{self.fleet.ports.readiness}/ready')
-            return found.code == 200
+            response = await self.fleet.fetch(
+                f'http://{self.host}:{self.fleet.ports.readiness}/ready'
+            )
+            return response.code == 200
         return False
 
     async def send_request(self, target: str, *, method: str = 'GET', key: str = KEY, **options):
-        """Send a request as a client on this node's machine."""
+        """Send a request as a client on the machine of this node."""
         headers = {
             'Host': 'a.example',
-            'Turmericwharf-Attempt-Id': options.get('request') or f'r{next(self.fleet.numbers)}',
+            'Turmericwharf-Attempt-Id': options.get('request')
+            or f'r{next(self.fleet.request_numbers)}',
             'Turmericwharf-Deadline-Ms': str(options.get('deadline_milliseconds', 3000)),
             'Api-Key': key,
         }
@@ -167,17 +170,17 @@
 
 
 class SidecarFleet:
-    """A store, nodes and servers on loopback."""
+    """Store, nodes and backend servers on loopback."""
 
     def __init__(self, count: int, folder: Path) -> None:
-        found = free_ports(6)
+        ports = free_ports(6)
         self.folder = folder
-        # The second peer port is the next one; a clash shows as a node that does not start.
-        self.ports = Ports(*found[:5])
-        self.store_port = found[5]
+        # The second peer port is the next number; if it is in use, the node does not start.
+        self.ports = Ports(*ports[:5])
+        self.store_port = ports[5]
         self.store = PlatformStore()
         self.network = Network()
-        self.numbers = itertools.count(1)
+        self.request_numbers = itertools.count(1)
         self.nodes = [SidecarNode(self, number) for number in range(count)]
 
     async def start(self) -> None:
@@ -190,11 +193,11 @@
         await self.wait_until_converged()
 
     async def wait_until_converged(self) -> None:
-        """Wait until all nodes are ready and the store names all servers."""
+        """Wait until all nodes are ready and the store has an entry for every server."""
         async with asyncio.timeout(START_TIMEOUT_SECONDS):
             while not all([await node.is_ready() for node in self.nodes]):
                 await asyncio.sleep(0.05)
-            while len(self.store.newest.get('keyed.nodes', {})) < len(self.nodes):
+            while len(self.store.newest_by_topic.get('keyed.nodes', {})) < len(self.nodes):
                 await asyncio.sleep(0.05)
             await asyncio.sleep(0.6)
 
@@ -220,7 +223,7 @@
 
 @contextlib.asynccontextmanager
 async def running_fleet(count: int = 3):
-    """Yield a fleet that serves."""
+    """Yield a fleet that is ready to serve requests."""
     with tempfile.TemporaryDirectory() as folder:
         fleet = SidecarFleet(count, Path(folder))
         try:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,8 @@
-"""Randomized fault soak of sidecar nodes: real processes, faults from outside, promises checked.
+"""Randomized fault soak of sidecar nodes: real processes, injected faults, checked guarantees.
 
-Run as `python -m tests.soak SEED...`; a seed may be a range such as `1-50`. Each seed plays faults
-in series and overlapping while clients go on, and checks what clients and servers saw.
+Run as `python -m tests.soak SEED...`; a seed may be a range such as `1-50`. Each seed injects
+sequential and overlapping faults while clients send requests, and then checks the records of
+clients and backend servers for violated guarantees.
 """
 
 import asyncio
@@ -23,41 +24,42 @@
 NODES = 4
 SOAK_SECONDS = 12.0
 SETTLE_SECONDS = 8.0
-CLIENTS_A_NODE = 3
-FROZEN_SECONDS = (0.2, 3.0)
-DOWN_SECONDS = (0.1, 1.5)
-NEVER_HELD_KEY = 'key-of-nobody'
-# A fault withdraws it for good; afterwards nothing may run for it once the faults have ended.
+CLIENTS_PER_NODE = 3
+PAUSE_SECONDS = (0.2, 3.0)
+DOWNTIME_SECONDS = (0.1, 1.5)
+UNKNOWN_KEY = 'key-of-nobody'
+# Withdrawn permanently by a fault. Once the faults have ended, no request with it may run.
 WITHDRAWN_KEY = 'key-to-be-withdrawn'
 WITHDRAWAL_SECONDS = 5.0
-# Answers that promise that the request has not run and never will.
-NOT_RUN = frozenset((408, 421, 429, 503))
-# The organisation of the last check has this rate and burst, in requests.
+# Status codes which guarantee that the request has not run and will not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Rate (requests per second) and burst (requests) of the organisation used by the rate check.
 SMALL_RATE = 20
 SMALL_BURST = 20
 SMALL_KEY = 'key-of-the-small-one'
 WINDOW_SECONDS = 5.0
-# Requests above rate and burst that the bounds of the settings allow in a window.
-OVERAGE = 0.1
-SLACK = 20
+# Overrun of rate and burst that the bounds in the settings allow in a window: a fraction of the
+# limit, plus a number of requests.
+OVERAGE_FRACTION = 0.1
+SLACK_REQUESTS = 20
 
 
 @dataclasses.dataclass(frozen=True)
 class RequestRecord:
-    """What a client sent and got; the status is None if the connection ended."""
+    """One request as recorded by its client; the status is None without an answer."""
 
     request: str
     key: str
     idempotent: bool
-    at: float
+    sent_at: float
     status: int | None
     body: bytes
-    named: str | None
+    answered_request: str | None
 
 
 @dataclasses.dataclass
 class Soak:
-    """One seed: a fleet, its faults and what was seen."""
+    """Run of one seed: the fleet, its faults and the records of the clients."""
 
     fleet: SidecarFleet
     random: random.Random
@@ -65,35 +67,35 @@
     timeline: list[str] = dataclasses.field(default_factory=list)
     version: int = 1
     withdrawn_at: float | None = None
-    began_at: float = dataclasses.field(default_factory=time.monotonic)
+    started_at: float = dataclasses.field(default_factory=time.monotonic)
 
-    def note(self, text: str) -> None:
-        self.timeline.append(f'{time.monotonic() - self.began_at:7.2f} s  {text}')
+    def log_event(self, text: str) -> None:
+        self.timeline.append(f'{time.monotonic() - self.started_at:7.2f} s  {text}')
 
     async def run(self) -> list[str]:
-        """Play the seed and return the broken promises."""
+        """Run the seed and return the violated guarantees."""
         self.configure()
-        ended = asyncio.Event()
+        stop_event = asyncio.Event()
         clients = [
-            asyncio.create_task(self.call(node, ended))
+            asyncio.create_task(self.call(node, stop_event))
             for node in self.fleet.nodes
-            for _ in range(CLIENTS_A_NODE)
+            for _ in range(CLIENTS_PER_NODE)
         ]
-        deadline = time.monotonic() + SOAK_SECONDS
+        faults_end_at = time.monotonic() + SOAK_SECONDS
         faults: set[asyncio.Task] = set()
-        while time.monotonic() < deadline:
+        while time.monotonic() < faults_end_at:
             fault = self.random.choice(FAULTS)
             faults.add(asyncio.create_task(fault(self)))
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
         await asyncio.gather(*faults)
         ended_at = time.monotonic()
         self.fleet.store.fault = ''
-        self.note('faults ended')
+        self.log_event('faults ended')
         await asyncio.sleep(SETTLE_SECONDS)
-        ended.set()
+        stop_event.set()
         await asyncio.gather(*clients)
         return [
-            *self.find_violations(deadline + SETTLE_SECONDS / 2),
+            *self.find_violations(faults_end_at + SETTLE_SECONDS / 2),
             *self.find_runs_after_withdrawal(ended_at),
         ]
 
@@ -104,10 +106,10 @@
         tenants = {'cafe': {'apiKeys': keys, 'ratePerS': 5000, 'burst': 5000}, 'small': small}
         self.fleet.store.configure(make_configuration(self.version, tenants=tenants))
 
-    async def call(self, node, ended: asyncio.Event) -> None:
-        """Send requests on one machine until the soak ends."""
-        while not ended.is_set():
-            keys = (KEY, SMALL_KEY, WITHDRAWN_KEY, NEVER_HELD_KEY)
+    async def call(self, node, stop_event: asyncio.Event) -> None:
+        """Send requests on one machine until the soak is stopped."""
+        while not stop_event.is_set():
+            keys = (KEY, SMALL_KEY, WITHDRAWN_KEY, UNKNOWN_KEY)
             key = self.random.choices(keys, (10, 10, 2, 1))[0]
             idempotent = self.random.random() < 0.5
             await self.call_once(node, key, idempotent=idempotent)
@@ -115,129 +117,141 @@
 
     async def call_once(self, node, key: str, *, idempotent: bool) -> None:
         request = f's{next(self.fleet.numbers)}'
-        at = time.monotonic()
+        sent_at = time.monotonic()
         target, method = ('/read/1', 'GET') if idempotent else ('/book/1', 'POST')
         try:
-            found = await node.send_request(target, method=method, key=key, request=request)
+            response = await node.send_request(target, method=method, key=key, request=request)
         except (OSError, HTTPError):
-            self.records.append(RequestRecord(request, key, idempotent, at, None, b'', None))
+            self.records.append(RequestRecord(request, key, idempotent, sent_at, None, b'', None))
             await asyncio.sleep(0.05)
             return
-        named = found.headers.get('Turmericwharf-Attempt-Id')
-        status = None if found.code == 599 else found.code
+        answered_request = response.headers.get('Turmericwharf-Attempt-Id')
+        status = None if response.code == 599 else response.code
         self.records.append(
-            RequestRecord(request, key, idempotent, at, status, found.body or b'', named)
+            RequestRecord(
+                request, key, idempotent, sent_at, status, response.body or b'', answered_request
+            )
         )
 
     def find_violations(self, healed_at: float):
-        """Yield what clients and servers saw that must not be."""
-        for one in self.records:
-            runs = self.fleet.runs(one.request)
-            if not one.idempotent and runs > 1:
-                yield f'{one.request} must run once at most and ran {runs} times'
-            if one.status in NOT_RUN and not one.idempotent and runs:
-                yield f'{one.request} was answered {one.status} and ran'
-            if one.key == NEVER_HELD_KEY and runs:
-                yield f'{one.request} ran for a key that nobody holds'
-            if one.status == 200 and (one.named != one.request or not runs):
-                yield f'{one.request} got the answer of {one.named}'
+        """Yield a message for each guarantee that the records of clients and servers violate."""
+        for record in self.records:
+            runs = self.fleet.runs(record.request)
+            if not record.idempotent and runs > 1:
+                yield f'{record.request} must run at most once, but ran {runs} times'
+            if record.status in NOT_RUN_STATUSES and not record.idempotent and runs:
+                yield f'{record.request} was answered {record.status}, but ran'
+            if record.key == UNKNOWN_KEY and runs:
+                yield f'{record.request} ran for an unknown key'
+            if record.status == 200 and (record.answered_request != record.request or not runs):
+                yield f'{record.request} received the answer of {record.answered_request}'
         yield from self.find_rate_violations()
-        late = [one for one in self.records if one.at > healed_at and one.key == KEY]
-        served = sum(one.status == 200 for one in late)
+        late = [
+            record for record in self.records if record.sent_at > healed_at and record.key == KEY
+        ]
+        served = sum(record.status == 200 for record in late)
         if served < 0.9 * len(late) or not late:
-            yield f'only {served} of {len(late)} requests were served after the faults'
+            yield f'only {served} of {len(late)} requests succeeded after the faults'
 
     def find_runs_after_withdrawal(self, ended_at: float):
-        """Yield requests that ran for a key that was withdrawn before."""
+        """Yield a message for each request that ran after its key was withdrawn."""
         if self.withdrawn_at is None:
             return
         in_force_at = max(self.withdrawn_at, ended_at) + WITHDRAWAL_SECONDS
-        for one in self.records:
-            if one.key == WITHDRAWN_KEY and one.at > in_force_at and self.fleet.runs(one.request):
-                yield f'{one.request} ran for a withdrawn key'
+        for record in self.records:
+            if (
+                record.key == WITHDRAWN_KEY
+                and record.sent_at > in_force_at
+                and self.fleet.runs(record.request)
+            ):
+                yield f'{record.request} ran for a withdrawn key'
 
     def find_rate_violations(self):
-        """Yield windows in which more requests of the small organisation ran than it may."""
-        allowed = (SMALL_RATE * WINDOW_SECONDS + SMALL_BURST) * (1 + OVERAGE) + SLACK
-        ran = [
-            one.at for one in self.records if one.key == SMALL_KEY and self.fleet.runs(one.request)
+        """Yield a message if the small organisation exceeded its rate in any window."""
+        allowed = (SMALL_RATE * WINDOW_SECONDS + SMALL_BURST) * (
+            1 + OVERAGE_FRACTION
+        ) + SLACK_REQUESTS
+        run_times = [
+            record.sent_at
+            for record in self.records
+            if record.key == SMALL_KEY and self.fleet.runs(record.request)
         ]
         window: collections.deque[float] = collections.deque()
-        for at in sorted(ran):
-            window.append(at)
-            while window[0] < at - WINDOW_SECONDS:
+        for sent_at in sorted(run_times):
+            window.append(sent_at)
+            while window[0] < sent_at - WINDOW_SECONDS:
                 window.popleft()
             if len(window) > allowed:
-                yield f'{len(window)} requests ran in a window that allows {allowed:.0f}'
+                yield f'{len(window)} requests ran in a window with a limit of {allowed:.0f}'
                 return
 
 
 async def kill(soak: Soak) -> None:
-    """Kill a node's process and start it again."""
+    """Kill a node process and restart it."""
     await _restart(soak, signal.SIGKILL)
 
 
 async def terminate(soak: Soak) -> None:
-    """Stop a node's process gracefully and start it again."""
+    """Stop a node process gracefully and restart it."""
     await _restart(soak, signal.SIGTERM)
 
 
-async def _restart(soak: Soak, number: signal.Signals) -> None:
+async def _restart(soak: Soak, stop_signal: signal.Signals) -> None:
     node = soak.random.choice(soak.fleet.nodes)
     if node.process.returncode is not None:
         return
-    soak.note(f'{node.name} gets {number.name}')
-    await node.stop(number)
-    await asyncio.sleep(soak.random.uniform(*DOWN_SECONDS))
-    # Two overlapping faults may have stopped the same node.
+    soak.log_event(f'{node.name} receives {stop_signal.name}')
+    await node.stop(stop_signal)
+    await asyncio.sleep(soak.random.uniform(*DOWNTIME_SECONDS))
+    # Overlapping faults may have stopped the same node, and another one may have restarted it.
     if node.process.returncode is not None:
         await node.start()
-        soak.note(f'{node.name} starts')
+        soak.log_event(f'{node.name} is restarted')
 
 
-async def freeze(soak: Soak) -> None:
-    """Pause a node's process."""
+async def pause(soak: Soak) -> None:
+    """Suspend a node process and resume it."""
     node = soak.random.choice(soak.fleet.nodes)
     if node.process.returncode is not None:
         return
-    soak.note(f'{node.name} is paused')
+    soak.log_event(f'{node.name} is paused')
     node.process.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(soak.random.uniform(*FROZEN_SECONDS))
+    await asyncio.sleep(soak.random.uniform(*PAUSE_SECONDS))
     if node.process.returncode is None:
         node.process.send_signal(signal.SIGCONT)
-        soak.note(f'{node.name} goes on')
+        soak.log_event(f'{node.name} is resumed')
 
 
 async def fail_server(soak: Soak) -> None:
-    """Let a backend server misbehave for a while."""
+    """Inject a fault into a backend server for a limited time."""
     server = soak.random.choice(soak.fleet.nodes).server
     server.behaviour = soak.random.choice(('reset', 'hang', 'error', 'reject'))
-    soak.note(f'{server.name} does {server.behaviour}')
+    soak.log_event(f'{server.name}: {server.behaviour}')
     await asyncio.sleep(soak.random.uniform(0.5, 3))
     server.behaviour = 'answer'
-    soak.note(f'{server.name} answers')
+    soak.log_event(f'{server.name}: recovered')
 
 
 async def fail_store(soak: Soak) -> None:
-    """Let the store misbehave for a while."""
+    """Inject a fault into the store for a limited time."""
     soak.fleet.store.fault = soak.random.choice(('busy', 'silent', 'lost'))
-    soak.note(f'the store is {soak.fleet.store.fault}')
+    soak.log_event(f'store: {soak.fleet.store.fault}')
     await asyncio.sleep(soak.random.uniform(0.5, 4))
     soak.fleet.store.fault = ''
-    soak.note('the store answers')
+    soak.log_event('store: recovered')
 
 
-async def forget_history(soak: Soak) -> None:
-    """Drop the store's history."""
+async def truncate_store(soak: Soak) -> None:
+    """Drop the history of the store."""
     soak.fleet.store.truncate()
-    soak.note('the store forgets its history')
+    soak.log_event('store: history dropped')
 
 
 async def disturb_store_link(soak: Soak) -> None:
-    """Reset, delay, cut one way or silence a node's connections to the store."""
+    """Reset, delay or block (one way or both ways) the connections of a node to the store."""
     relay = soak.random.choice(soak.fleet.nodes).store_relay
     disturbance = soak.random.choice(('reset', 'delay', 'cut answers', 'silence'))
-    soak.note(f'{relay.name}: {disturbance}')
+    soak.log_event(f'{relay.name}: {disturbance}')
     if disturbance == 'reset':
         relay.reset()
     elif disturbance == 'delay':
@@ -248,70 +262,70 @@
             soak.fleet.network.cut(LOOPBACK, relay.name)
     await asyncio.sleep(soak.random.uniform(1, 5))
     soak.fleet.network.heal()
-    soak.note(f'{relay.name}: healed')
+    soak.log_event(f'{relay.name}: healed')
 
 
 async def withdraw_key(soak: Soak) -> None:
-    """Withdraw a key for good."""
+    """Withdraw a key permanently."""
     if soak.withdrawn_at is None:
         soak.withdrawn_at = time.monotonic()
         soak.configure()
-        soak.note(f'the key is withdrawn by version {soak.version}')
+        soak.log_event(f'configuration version {soak.version} withdraws the key')
 
 
 async def configure(soak: Soak) -> None:
-    """Write another version of the configuration."""
+    """Write a new version of the configuration."""
     soak.configure()
-    soak.note(f'version {soak.version} is written')
+    soak.log_event(f'configuration version {soak.version} is written')
 
 
 FAULTS = (
     kill,
     terminate,
-    freeze,
+    pause,
     fail_server,
     fail_server,
     fail_store,
     disturb_store_link,
-    forget_history,
+    truncate_store,
     configure,
     withdraw_key,
 )
 
 
 async def play(seed: int) -> dict:
-    """Play one seed and return a report."""
+    """Run one seed and return its report."""
     with tempfile.TemporaryDirectory() as folder:
         fleet = SidecarFleet(NODES, Path(folder))
         try:
             await fleet.start()
             soak = Soak(fleet, random.Random(seed))
-            broken = await soak.run()
+            violations = await soak.run()
         finally:
             await fleet.close()
-        statuses = collections.Counter(str(one.status) for one in soak.records)
+        statuses = collections.Counter(str(record.status) for record in soak.records)
         return {
             'seed': seed,
-            'broken': broken,
+            'broken': violations,
             'requests': len(soak.records),
             'statuses': dict(statuses),
             'timeline': soak.timeline,
         }
 
 
-def read_seeds(texts: list[str]) -> list[int]:
-    """Return seeds of arguments such as `7` and `1-50`."""
+def parse_seeds(arguments: list[str]) -> list[int]:
+    """Parse seeds from arguments such as `7` and `1-50`."""
     seeds = []
-    for text in texts:
+    for text in arguments:
         first, _, last = text.partition('-')
         seeds.extend(range(int(first), int(last or first) + 1))
     return seeds
 
 
-def main(texts: list[str]) -> int:
-    """Play seeds, print a line for each and the timeline of those that failed."""
+def main(arguments: list[str]) -> int:
+    """Run the seeds; print one line for each, and the timeline of those that failed."""
     failed = 0
-    for seed in read_seeds(texts):
+    for seed in parse_seeds(arguments):
         report = asyncio.run(play(seed))
         failed += bool(report['broken'])
         verdict = 'broken' if report['broken'] else 'kept'
@@ -322,7 +336,7 @@
         if report['broken']:
             print('\n'.join(report['timeline'] + report['broken'][:10]), flush=True)
             Path(f'build/soak-{seed}.json').write_text(json.dumps(report, indent=1))
-    print(f'{failed} of {len(read_seeds(texts))} seeds failed')
+    print(f'{failed} of {len(parse_seeds(arguments))} seeds failed')
     return min(failed, 1)
 
 
--- a/tests/stand_ins/backend_server.py
+++ b/tests/stand_ins/backend_server.py
@@ -1,9 +1,9 @@
-"""Stand-in for a backend server, with faults on command.
+"""Stand-in for a backend server, with injected faults.
 
 Run as `python -m tests.stand_ins.backend_server PORT ANNOUNCE_PORT SERVICE SLOTS`.
-`GET /stand-in/runs` returns what ran; `POST /stand-in/faults` sets faults: `first_byte_seconds`,
-`trickle_seconds`, `half_answer`, `error_share`, `report_load`, `close_unanswered`, `shed_share`;
-`POST /stand-in/state` announces another state.
+`GET /stand-in/runs` returns the requests that ran. `POST /stand-in/faults` sets the faults
+`first_byte_seconds`, `trickle_seconds`, `half_answer`, `error_share`, `report_load`,
+`close_unanswered` and `shed_share`. `POST /stand-in/state` announces another state.
 """
 
 import asyncio
@@ -15,7 +15,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 from tornado.web import Application, RequestHandler
 
-ANNOUNCE_SECONDS = 0.5
+ANNOUNCE_INTERVAL_SECONDS = 0.5
 
 
 class BackendServer:
@@ -26,7 +26,7 @@
         self.slots = slots
         self.state = 'ready'
         self.running = 0
-        self.most_running = 0
+        self.max_running = 0
         self.runs: list[dict] = []
         self.cancelled: list[str] = []
         self.random = random.Random(port)
@@ -41,14 +41,14 @@
         }
 
     def application(self) -> Application:
-        mine = {'server': self}
+        arguments = {'server': self}
         return Application(
             [
-                (r'/stand-in/runs', RunsHandler, mine),
-                (r'/stand-in/faults', FaultsHandler, mine),
-                (r'/stand-in/state', StateHandler, mine),
-                (r'/turmericwharf/cancel/(.+)', CancelHandler, mine),
-                (r'/.*', WorkHandler, mine),
+                (r'/stand-in/runs', RunsHandler, arguments),
+                (r'/stand-in/faults', FaultsHandler, arguments),
+                (r'/stand-in/state', StateHandler, arguments),
+                (r'/turmericwharf/cancel/(.+)', CancelHandler, arguments),
+                (r'/.*', WorkHandler, arguments),
             ]
         )
 
@@ -71,7 +71,7 @@
     async def announce_forever(self) -> None:
         while True:
             await self.announce()
-            await asyncio.sleep(ANNOUNCE_SECONDS)
+            await asyncio.sleep(ANNOUNCE_INTERVAL_SECONDS)
 
 
 class StandInHandler(RequestHandler):
@@ -85,7 +85,7 @@
             {
                 'runs': self.server.runs,
                 'cancelled': self.server.cancelled,
-                'most_running': self.server.most_running,
+                'most_running': self.server.max_running,
             }
         )
 
@@ -119,9 +119,9 @@
             self.set_status(503)
             self.set_header('Turmericwharf-Shed', 'not-run')
             return
-        self._record()
+        self._record_run()
         server.running += 1
-        server.most_running = max(server.most_running, server.running)
+        server.max_running = max(server.max_running, server.running)
         try:
             await asyncio.sleep(faults['first_byte_seconds'])
             await self._answer()
@@ -129,10 +129,12 @@
             server.running -= 1
 
     def _load(self) -> str:
-        reported = self.server.faults['report_load']
-        return str(self.server.running / self.server.slots if reported is None else reported)
+        load_override = self.server.faults['report_load']
+        return str(
+            self.server.running / self.server.slots if load_override is None else load_override
+        )
 
-    def _record(self) -> None:
+    def _record_run(self) -> None:
         headers = {name: value for name, value in self.request.headers.get_all()}
         self.server.runs.append(
             {
--- a/tests/stand_ins/log_service.py
+++ b/tests/stand_ins/log_service.py
@@ -1,8 +1,8 @@
-"""Stand-in for the platform's log service, with faults on command.
+"""Stand-in for the platform's log service, with injected faults.
 
-Run as `python -m tests.stand_ins.log_service PORT`. Faults are set by
-`POST /faults` with JSON: `away`, `delay_seconds`, `lose_answers` (number of appends
-that take effect without an answer), `cut_readers`.
+Run as `python -m tests.stand_ins.log_service PORT [RETENTION_SECONDS]`. `POST /faults` sets
+faults as JSON: `away`, `delay_seconds` and `lose_answers` (number of appends that take effect
+without an answer).
 """
 
 import asyncio
@@ -25,8 +25,8 @@
         return self.earliest + len(self.records)
 
     def expire(self, retention_seconds: float) -> None:
-        oldest = time.monotonic() - retention_seconds
-        while self.records and self.records[0]['at'] < oldest:
+        expiry_time = time.monotonic() - retention_seconds
+        while self.records and self.records[0]['at'] < expiry_time:
             self.records.pop(0)
             self.earliest += 1
 
@@ -94,7 +94,8 @@
             raise asyncio.CancelledError
         first = max(offset - stream.earliest, 0)
         page = [
-            {'offset': one['offset'], 'record': one['record']} for one in stream.records[first:]
+            {'offset': entry['offset'], 'record': entry['record']}
+            for entry in stream.records[first:]
         ]
         body = json.dumps(
             {
--- a/tests/stand_ins/platform_server.py
+++ b/tests/stand_ins/platform_server.py
@@ -1,4 +1,4 @@
-"""Stand-in for a backend server on the platform; runs in the loop of the test."""
+"""Stand-in for a backend server on the platform; runs in the event loop of the test."""
 
 import asyncio
 import collections
@@ -12,10 +12,10 @@
 
 
 class PlatformServer:
-    """Counts the runs of each request, announces itself, and fails on command.
+    """Counts the runs of each request, sends heartbeats, and injects faults.
 
-    `behaviour` is one of `'answer'`, `'reset'` (breaks off after the run began), `'hang'`,
-    `'error'` and `'reject'` (says that it did not run the request).
+    `behaviour` is one of `'answer'`, `'reset'` (closes the connection after the run has started),
+    `'hang'`, `'error'` and `'reject'` (answers that it did not run the request).
     """
 
     def __init__(self, host: str, ports, service: str, name: str) -> None:
@@ -43,24 +43,24 @@
             ),
         )
         self._server.listen(self.ports.server, self.host)
-        self._heartbeat_task = asyncio.create_task(self._beat_for_ever())
+        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
 
     def stop(self) -> None:
         self._heartbeat_task.cancel()
         self._server.stop()
 
     async def announce_state(self, state: str) -> int:
-        """Announce a state; return the status of the acknowledgement."""
+        """Announce a state and return the status code of the acknowledgement."""
         self.state = state
-        return await self._beat()
+        return await self._send_heartbeat()
 
-    async def _beat_for_ever(self) -> None:
+    async def _send_heartbeats(self) -> None:
         while True:
             with contextlib.suppress(OSError):
-                await self._beat()
+                await self._send_heartbeat()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
-    async def _beat(self) -> int:
+    async def _send_heartbeat(self) -> int:
         self.sequence += 1
         body = (
             f'{{"address":"{self.host}:{self.ports.server}","born":1000,'
@@ -100,7 +100,7 @@
 
     async def work(self) -> None:
         server, headers = self.server, self.request.headers
-        name = headers['Turmericwharf-Attempt-Id']
+        attempt_id = headers['Turmericwharf-Attempt-Id']
         if headers['Turmericwharf-Expected-Instance'] != server.name:
             self.set_status(421)
             return
@@ -108,15 +108,15 @@
             self.set_status(503)
             self.set_header('Turmericwharf-Not-Executed', '1')
             return
-        server.runs_by_request[name] += 1
-        server.headers_by_request[name] = dict(headers)
+        server.runs_by_request[attempt_id] += 1
+        server.headers_by_request[attempt_id] = dict(headers)
         await asyncio.sleep(3600 if server.behaviour == 'hang' else server.work_seconds)
         if server.behaviour == 'reset':
             self.request.connection.stream.close()
             return
         self.set_status(500 if server.behaviour == 'error' else 200)
-        self.set_header('Turmericwharf-Attempt-Id', name)
-        self.set_header('Turmericwharf-Response-Stamp', f'stamp-{name}')
+        self.set_header('Turmericwharf-Attempt-Id', attempt_id)
+        self.set_header('Turmericwharf-Response-Stamp', f'stamp-{attempt_id}')
         self.write(f'{server.name}:'.encode() + self.request.body)
 
     get = post = delete = work
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -1,7 +1,7 @@
-"""Stand-in for the platform's store: keyed topics with one partition, and faults on command.
+"""Stand-in for the platform's store: keyed topics with one partition, and injected faults.
 
-Runs in the loop of the test. `fault` is one of `''`, `'busy'` (503), `'silent'` (no answer) and
-`'lost'` (appends take effect without an answer).
+Runs in the event loop of the test. `fault` is one of `''`, `'busy'` (status 503), `'silent'`
+(no answer) and `'lost'` (appends take effect, but are not answered).
 """
 
 import asyncio
@@ -29,7 +29,7 @@
 class PlatformStore:
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = {}
-        self.newest: dict[str, dict[str, tuple[int, bytes]]] = {}
+        self.newest_by_topic: dict[str, dict[str, tuple[int, bytes]]] = {}
         self.fault = ''
         self.calls = 0
         self._server: HTTPServer | None = None
@@ -40,7 +40,7 @@
     def put(self, name: str, key: str, content: bytes) -> None:
         topic = self.topic(name)
         topic.records.append((key, content))
-        newest = self.newest.setdefault(name, {})
+        newest = self.newest_by_topic.setdefault(name, {})
         if content:
             newest[key] = (topic.end - 1, content)
         else:
@@ -52,7 +52,7 @@
         self.put(CONFIGURATION_TOPIC, 'config', json.dumps(configuration).encode())
 
     def truncate(self) -> None:
-        """Drop the history of all topics; the newest record of each key stays."""
+        """Drop the history of all topics, but keep the newest record of each key."""
         for topic in self.topics.values():
             topic.first = topic.end
             topic.records.clear()
@@ -93,13 +93,13 @@
 
 class AppendHandler(StoreHandler):
     async def post(self) -> None:
-        body, place, first = self.request.body, 0, self.topic.end
-        while place < len(body):
-            length = struct.unpack_from('>I', body, place)[0]
-            record = body[place + 4 : place + 4 + length]
+        body, position, first = self.request.body, 0, self.topic.end
+        while position < len(body):
+            length = struct.unpack_from('>I', body, position)[0]
+            record = body[position + 4 : position + 4 + length]
             key = record[1 : 1 + record[0]].decode()
             self.store.put(self.get_query_argument('topic'), key, record[1 + record[0] :])
-            place += 4 + length
+            position += 4 + length
         if self.store.fault == 'lost':
             await asyncio.sleep(3600)
         self.write({'offset': first, 'end': self.topic.end})
@@ -126,7 +126,7 @@
 
 class NewestHandler(StoreHandler):
     async def get(self) -> None:
-        newest = self.store.newest.get(self.get_query_argument('topic'), {})
+        newest = self.store.newest_by_topic.get(self.get_query_argument('topic'), {})
         items = [
             {'key': key, 'value': base64.b64encode(content).decode(), 'offset': offset}
             for key, (offset, content) in newest.items()
--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -1,7 +1,7 @@
-"""Relay in front of a TCP port that cuts or delays each direction by source address.
+"""Relay in front of a TCP port that blocks or delays each direction by source address.
 
-A cut direction delivers nothing until it is healed, as a network does that loses all packets
-of one direction. The connection itself stays open.
+A blocked direction delivers nothing until it is healed, like a network that loses all packets
+in one direction. The connection itself stays open.
 """
 
 import asyncio
@@ -15,29 +15,29 @@
 
 @dataclasses.dataclass(frozen=True)
 class LinkFaults:
-    """Faults of the bytes from one address to another."""
+    """Faults of the traffic from one address to another."""
 
     cut: bool = False
     delay_seconds: float = 0.0
 
 
 class Network:
-    """Faults by (source, destination) of all relays."""
+    """Faults of all relays by (source, destination), and counts of the bytes forwarded."""
 
     def __init__(self) -> None:
         self._faults: dict[tuple[str, str], LinkFaults] = {}
         self.bytes_by_link: collections.Counter[tuple[str, str]] = collections.Counter()
 
     def cut(self, source: str, destination: str) -> None:
-        """Deliver nothing from source to destination."""
+        """Block traffic from source to destination."""
         self._faults[source, destination] = LinkFaults(cut=True)
 
     def delay(self, source: str, destination: str, seconds: float) -> None:
-        """Deliver everything from source to destination later."""
+        """Delay traffic from source to destination."""
         self._faults[source, destination] = LinkFaults(delay_seconds=seconds)
 
     def heal(self) -> None:
-        """End all faults."""
+        """Remove all faults."""
         self._faults.clear()
 
     def faults(self, source: str, destination: str) -> LinkFaults:
@@ -46,9 +46,9 @@
 
 
 class Relay:
-    """Forwards connections on one port to another; the source is the client's IP address.
+    """Forwards connections on one port to another; the source is the IP address of the client.
 
-    With port 0 the system chooses the port when the relay starts.
+    With port 0 the system assigns a port when the relay starts.
     """
 
     def __init__(self, network: Network, name: str, host: str, port: int, target_port: int) -> None:
@@ -63,16 +63,16 @@
 
     @property
     def name(self) -> str:
-        """Name of the relay's own end of the link."""
+        """Name of the relay's end in each link of the network."""
         return self._name
 
     @property
     def port(self) -> int:
-        """Port of the relay, known once it has started."""
+        """Port of the relay, assigned once it has started."""
         return self._port
 
     def reset(self) -> None:
-        """Reset all connections."""
+        """Abort all connections."""
         for writer in self._writers:
             writer.transport.abort()
 
@@ -104,8 +104,8 @@
         self._writers |= {writer, target_writer}
         try:
             await asyncio.gather(
-                self._pump(reader, target_writer, lambda: (source, self._name)),
-                self._pump(target_reader, writer, lambda: (self._name, source)),
+                self._forward(reader, target_writer, lambda: (source, self._name)),
+                self._forward(target_reader, writer, lambda: (self._name, source)),
             )
         except (OSError, asyncio.CancelledError):
             pass
@@ -114,7 +114,7 @@
             target_writer.close()
             writer.close()
 
-    async def _pump(
+    async def _forward(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
