--- a/tests/soak.py
+++ b/tests/soak.py
@@ -116,7 +116,7 @@
             await asyncio.sleep(self.random.uniform(0, 0.05))
 
     async def call_once(self, node, key: str, *, idempotent: bool) -> None:
-        request = f's{next(self.fleet.numbers)}'
+        request = f's{next(self.fleet.request_numbers)}'
         sent_at = time.monotonic()
         target, method = ('/read/1', 'GET') if idempotent else ('/book/1', 'POST')
         try:
