--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.sidecar import classify_answer
+from turmericwharf.coordination.sidecar import classify_response
 from turmericwharf.protocol import ServerResponse, ResponseReader
 from turmericwharf.state import (
     Headers,
@@ -19,23 +19,23 @@
     ProtocolFailure,
     Reason,
 )
-from turmericwharf.state.sidecar import Address, ServerAnswer, WorkOrder
+from turmericwharf.state.sidecar import Address, DecodedResponse, WorkOrder
 
 _READ_BYTES = 65536
 _CONNECT_TIMEOUT_SECONDS = 0.5
 
 
 class ServerDialect(Protocol):
-    """Conventions of the backend server for headers and answers."""
+    """Conventions of the backend server for headers and responses."""
 
     def request_headers(self, order: WorkOrder, *, remaining_seconds: float) -> Headers:
         """Return the headers of the request to the server."""
 
-    def read_answer(self, response: ServerResponse) -> ServerAnswer:
-        """Return the decoded answer of the server."""
+    def read_response(self, response: ServerResponse) -> DecodedResponse:
+        """Return the response of the server with its headers decoded."""
 
     def read_identity(self, response: ServerResponse) -> str | None:
-        """Return the identifier in the answer of a healthy server, or None."""
+        """Return the identifier in the health check response of a healthy server, or None."""
 
 
 class ServerClient:
@@ -46,7 +46,7 @@
     address
         Address of the server.
     dialect
-        Conventions of the server for headers and answers.
+        Conventions of the server for headers and responses.
     """
 
     def __init__(self, address: Address, dialect: ServerDialect) -> None:
@@ -54,7 +54,14 @@
         self._dialect = dialect
 
     async def run(self, order: WorkOrder, *, remaining_seconds: float) -> Outcome:
-        """Run one request; `NotRun` is returned if no byte of it was written."""
+        """Run one request.
+
+        Returns
+        -------
+        Outcome
+            `NotRun` only if no byte of the request was written or the server reports that it did
+            not run it.
+        """
         headers = self._dialect.request_headers(order, remaining_seconds=remaining_seconds)
         reader = ResponseReader()
         encoded = reader.encode_request(order.method, order.target, headers, order.body)
@@ -67,7 +74,7 @@
             )
         if isinstance(response, NotRun | OutcomeUnknown):
             return response
-        return classify_answer(order.request, self._dialect.read_answer(response))
+        return classify_response(order.request, self._dialect.read_response(response))
 
     async def identify(self, path: str, *, timeout_seconds: float) -> str | None:
         """Return the identifier that a healthy server reports at its health path, or None."""
@@ -122,5 +129,5 @@
         if not encoded:
             return OutcomeUnknown(
                 Reason.ANSWER_INCOMPLETE,
-                'the backend server closed the connection before a complete answer',
+                'the backend server closed the connection before a complete response',
             )
