--- a/tests/soak.py
+++ b/tests/soak.py
@@ -81,9 +81,9 @@
             for node in self.fleet.nodes
             for _ in range(CLIENTS_PER_NODE)
         ]
-        faults_end_at = time.monotonic() + SOAK_SECONDS
+        injection_ends_at = time.monotonic() + SOAK_SECONDS
         faults: set[asyncio.Task] = set()
-        while time.monotonic() < faults_end_at:
+        while time.monotonic() < injection_ends_at:
             fault = self.random.choice(FAULTS)
             faults.add(asyncio.create_task(fault(self)))
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
@@ -95,7 +95,7 @@
         stop_event.set()
         await asyncio.gather(*clients)
         return [
-            *self.find_violations(faults_end_at + SETTLE_SECONDS / 2),
+            *self.find_violations(injection_ends_at + SETTLE_SECONDS / 2),
             *self.find_runs_after_withdrawal(ended_at),
         ]
 
