--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -18,7 +18,8 @@
 
 from tests.simulated_fleet import Faults, SimulatedFleet
 from tests.virtual_time import LoopClock, run_in_virtual_time
-from turmericwharf.coordination import FairQueue, Router, harm, outliers
+from turmericwharf.coordination import FairQueue, Router
+from turmericwharf.coordination.routing import harm, outliers
 from turmericwharf.state import Answered, Importance
 
 PROCESSES = 3
@@ -60,13 +61,13 @@
         super().__init__(*arguments)
         self.limits: dict[str, float] = collections.defaultdict(lambda: 4.0)
 
-    def record_outcome(self, admitted: Any, choice: Any, outcome: Any) -> None:
-        seconds = self._clock.now() - choice.started_at
+    def record_outcome(self, admitted: Any, attempt: Any, outcome: Any) -> None:
+        seconds = self._clock.now() - attempt.started_at
         is_good = isinstance(outcome, Answered) and outcome.status < 500
         is_good = is_good and seconds < admitted.target_seconds / 4
-        limit = self.limits[choice.instance]
-        self.limits[choice.instance] = min(limit + 0.1, 8) if is_good else max(limit / 2, 0.1)
-        super().record_outcome(admitted, choice, outcome)
+        limit = self.limits[attempt.instance]
+        self.limits[attempt.instance] = min(limit + 0.1, 8) if is_good else max(limit / 2, 0.1)
+        super().record_outcome(admitted, attempt, outcome)
 
     def _cost(self, report: Any) -> tuple[float, float]:
         in_flight = self._in_flight.count(report.instance)
@@ -77,11 +78,11 @@
     if outcome.status >= 500:
         return 1.0
     seconds = outcome.first_byte_milliseconds / 1000
-    return harm.latency_harm(seconds, attempt.typical_seconds, attempt.target_seconds)
+    return harm.latency_harm(seconds, attempt.expected_seconds, attempt.target_seconds)
 
 
-def _ratio_only(seconds: float, typical_seconds: float, target_seconds: float) -> float:
-    return float(seconds > 4 * typical_seconds > 0)
+def _ratio_only(seconds: float, expected_seconds: float, target_seconds: float) -> float:
+    return float(seconds > 4 * expected_seconds > 0)
 
 
 def _never_eject(*arguments: Any) -> None:
@@ -92,21 +93,24 @@
     """Eject by a fixed threshold on the recent harm."""
     others_harm = rest[0]
     scores = (99.0,) if evidence.recent_harm > 0.3 + others_harm else (0.0,)
-    return DEFAULT_EVALUATE(
+    return DEFAULT_PROPOSE_EJECTION(
         self, report, subject, dataclasses.replace(evidence, scores=scores), *rest
     )
 
 
-DEFAULT_EVALUATE = outliers.OutlierDetector._evaluate
+DEFAULT_PROPOSE_EJECTION = outliers.OutlierDetector._propose_ejection
 VARIANTS: dict[str, dict[str, Any]] = {
     'chosen': {},
     'small odds only': {'_ODDS_RATIOS': (4.0,)},
     'large odds only': {'_ODDS_RATIOS': (30.0,)},
-    'moving average over 0.3': {'evaluate': _moving_average},
+    'moving average over 0.3': {'propose_ejection': _moving_average},
     'ratio to the baseline only': {'latency_harm': _ratio_only},
     'first byte only': {'first_byte': True},
-    'concurrency limits, no ejection': {'evaluate': _never_eject, 'router': ConcurrencyRouter},
-    'no detection': {'evaluate': _never_eject},
+    'concurrency limits, no ejection': {
+        'propose_ejection': _never_eject,
+        'router': ConcurrencyRouter,
+    },
+    'no detection': {'propose_ejection': _never_eject},
 }
 
 
@@ -141,7 +145,9 @@
         mock.patch.object(outliers, '_ODDS_RATIOS', odds),
         mock.patch.object(outliers, '_NO_EVIDENCE', initial_evidence),
         mock.patch.object(
-            outliers.OutlierDetector, '_evaluate', variant.get('evaluate', DEFAULT_EVALUATE)
+            outliers.OutlierDetector,
+            '_propose_ejection',
+            variant.get('propose_ejection', DEFAULT_PROPOSE_EJECTION),
         ),
         mock.patch.object(harm, 'latency_harm', variant.get('latency_harm', harm.latency_harm)),
     ):
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/held_slices.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/held_slices.py
@@ -19,15 +19,17 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._slices_by_id: dict[OrganisationId, tuple[HeldSlice, ...]] = {}
+        self._slices_by_organisation: dict[OrganisationId, tuple[HeldSlice, ...]] = {}
         self._reports: defaultdict[
             tuple[InstanceId, OrganisationId],
             tuple[SliceReport, ...],
         ] = defaultdict(tuple)
 
     def add(self, organisation: OrganisationId, held: HeldSlice) -> None:
-        """Add a granted slice."""
-        self._slices_by_id[organisation] = (*self._slices_by_id.get(organisation, ()), held)
+        self._slices_by_organisation[organisation] = (
+            *self._slices_by_organisation.get(organisation, ()),
+            held,
+        )
 
     def try_spend(self, organisation: OrganisationId) -> bool:
         """Spend one token; return whether one was available."""
@@ -35,7 +37,7 @@
         if not current:
             return False
         remainder = replace(current[0], tokens=current[0].tokens - 1)
-        self._slices_by_id[organisation] = (remainder, *current[1:])
+        self._slices_by_organisation[organisation] = (remainder, *current[1:])
         return True
 
     def count(self, organisation: OrganisationId, at: float) -> int:
@@ -55,7 +57,7 @@
         self,
     ) -> Iterator[tuple[tuple[InstanceId, OrganisationId], tuple[SliceReport, ...]]]:
         """Remove all reports and yield them by holder and organisation."""
-        for organisation in tuple(self._slices_by_id):
+        for organisation in tuple(self._slices_by_organisation):
             self._prune(organisation)
         reports = dict(self._reports)
         self._reports.clear()
@@ -63,12 +65,12 @@
 
     def _prune(self, organisation: OrganisationId) -> tuple[HeldSlice, ...]:
         now = self._clock.now()
-        held = self._slices_by_id.pop(organisation, ())
+        held = self._slices_by_organisation.pop(organisation, ())
         current = tuple(each for each in held if each.tokens and each.ends_at > now)
         for ended in held:
             if ended not in current:
                 report = SliceReport(ended.slice_id, ended.tokens)
                 self._reports[ended.holder, organisation] += (report,)
         if current:
-            self._slices_by_id[organisation] = current
+            self._slices_by_organisation[organisation] = current
         return current
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_buckets.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_buckets.py
@@ -49,11 +49,11 @@
         self._timing = timing
         self._clock = clock
         self._slice_numbers = itertools.count(1)
-        self._buckets_by_id: dict[OrganisationId, Bucket] = {}
+        self._buckets_by_organisation: dict[OrganisationId, Bucket] = {}
 
     def __len__(self) -> int:
         """Return the number of buckets in memory."""
-        return len(self._buckets_by_id)
+        return len(self._buckets_by_organisation)
 
     def try_acquire(self, organisation: Organisation) -> bool:
         """Spend one token of the local bucket; return whether one was available."""
@@ -61,32 +61,32 @@
         has_token = bucket.tokens >= 1 - _TOKEN_TOLERANCE
         if has_token:
             bucket = dataclasses.replace(bucket, tokens=max(bucket.tokens - 1, 0))
-        self._buckets_by_id[organisation.organisation] = bucket
+        self._buckets_by_organisation[organisation.organisation] = bucket
         return has_token
 
     def grant(self, request: SliceRequest) -> SliceGranted:
-        """Apply an entry node's reports and grant it a slice, or refuse with a waiting time."""
+        """Apply an entry node's reports and grant it a slice, or deny it with a waiting time."""
         organisation = self._control_log.configuration.organisations_by_id.get(request.organisation)
         if organisation is None:
             # The entry node has applied a newer configuration than this node.
-            return self._refusal(request.organisation, self._timing.slice_seconds, 0)
+            return self._denial(request.organisation, self._timing.slice_seconds, 0)
         bucket, share = self._refilled(organisation)
         bucket = _with_reports(bucket, request, organisation.burst * share)
         granted = _grantable_tokens(bucket.tokens, request)
         if not granted:
-            self._buckets_by_id[organisation.organisation] = bucket
+            self._buckets_by_organisation[organisation.organisation] = bucket
             missing = 1 - bucket.tokens
             wait = missing / max(organisation.rate_per_second * share, _TOKEN_TOLERANCE)
-            return self._refusal(organisation.organisation, wait, share)
+            return self._denial(organisation.organisation, wait, share)
         return self._open_slice(organisation.organisation, bucket, granted, share)
 
     def drop_idle(self) -> None:
         """Drop buckets that are equivalent to a new one, and those of deleted organisations."""
         organisations_by_id = self._control_log.configuration.organisations_by_id
-        for organisation_id in tuple(self._buckets_by_id):
+        for organisation_id in tuple(self._buckets_by_organisation):
             organisation = organisations_by_id.get(organisation_id)
             if organisation is None or self._is_idle(organisation):
-                self._buckets_by_id.pop(organisation_id)
+                self._buckets_by_organisation.pop(organisation_id)
 
     def _is_idle(self, organisation: Organisation) -> bool:
         kept, _ = self._refilled(organisation)
@@ -97,8 +97,8 @@
     def _refilled(self, organisation: Organisation) -> tuple[Bucket, float]:
         segments = self._loans.segments(partition_of(organisation.organisation))
         now = self._clock.now()
-        bucket = self._buckets_by_id.get(organisation.organisation, _EMPTY_BUCKET)
-        # Slices that ended since the last refill count against the capacity until now.
+        bucket = self._buckets_by_organisation.get(organisation.organisation, _EMPTY_BUCKET)
+        # The refill includes slices that ended since the last one; they are removed only after it.
         bucket = refill_bucket(bucket, segments, organisation, now)
         still_open = tuple(each for each in bucket.open_slices if each.ends_at > now)
         return dataclasses.replace(bucket, open_slices=still_open), segments[-1].share
@@ -114,7 +114,7 @@
         seconds = self._timing.slice_seconds
         slice_id = SliceId(next(self._slice_numbers))
         opened = OpenSlice(slice_id, tokens, now + seconds * _OPEN_SLICE_LIFETIMES)
-        self._buckets_by_id[organisation] = Bucket(
+        self._buckets_by_organisation[organisation] = Bucket(
             max(bucket.tokens - tokens, 0),
             bucket.filled_at,
             (*bucket.open_slices, opened),
@@ -122,7 +122,7 @@
         self._loans.record_slice(partition_of(organisation), now + seconds)
         return SliceGranted(organisation, slice_id, tokens, seconds, share)
 
-    def _refusal(self, organisation: OrganisationId, wait: float, share: float) -> SliceGranted:
+    def _denial(self, organisation: OrganisationId, wait: float, share: float) -> SliceGranted:
         wait = min(max(wait, _MINIMUM_WAIT_SECONDS), self._timing.slice_seconds)
         return SliceGranted(organisation, SliceId(0), 0, wait, share)
 
@@ -150,13 +150,13 @@
 
 def _with_reports(bucket: Bucket, request: SliceRequest, capacity: float) -> Bucket:
     """Close the reported slices and return the unspent tokens of those that were still open."""
-    unspent_by_id = {report.slice_id: report.unspent for report in request.reports}
+    unspent_by_slice = {report.slice_id: report.unspent for report in request.reports}
     returned = sum(
-        min(unspent_by_id[each.slice_id], each.tokens)
+        min(unspent_by_slice[each.slice_id], each.tokens)
         for each in bucket.open_slices
-        if each.slice_id in unspent_by_id
+        if each.slice_id in unspent_by_slice
     )
-    still_open = tuple(each for each in bucket.open_slices if each.slice_id not in unspent_by_id)
+    still_open = tuple(each for each in bucket.open_slices if each.slice_id not in unspent_by_slice)
     free_capacity = max(capacity - sum(each.tokens for each in still_open), 0)
     return Bucket(min(bucket.tokens + returned, free_capacity), bucket.filled_at, still_open)
 
@@ -164,7 +164,8 @@
 def _grantable_tokens(tokens: float, request: SliceRequest) -> int:
     """Return the whole tokens to grant.
 
-    Waiting requests get all they need; expected requests get at most half of the rest.
+    Waiting requests get all they need. Expected requests get at most half of the rest, which leaves
+    tokens for other entry nodes.
     """
     available = math.floor(tokens + _TOKEN_TOLERANCE)
     needed = min(request.needed, available)
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_limits.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/rate_limits.py
@@ -24,12 +24,14 @@
     TimingSettings,
 )
 
-# The owner and the next holder are tried before a request is refused.
+# The owner and the next holder are tried before a request is rejected.
 _MAX_HOLDERS_ASKED = 2
 # A request that waited for the slice request of earlier requests may need one of its own.
 _MAX_ATTEMPTS = 3
-_MIN_BUSY_REQUESTS = 2
-_DEMAND_MARGIN = 1.25
+# Tokens for expected requests are requested from this number of requests in a slice lifetime on.
+_MIN_BUSY_REQUESTS_PER_SLICE = 2
+# Tokens requested for each request expected in a slice lifetime.
+_DEMAND_FACTOR = 1.25
 # Tokens for expected requests are requested at most once in this fraction of a slice's lifetime.
 # Without this limit, an organisation at its rate caused one slice request for each request.
 _PREFETCH_FRACTION = 0.2
@@ -40,7 +42,7 @@
 # carries them.
 _REPORT_PERIOD_SECONDS = 0.05
 _CLEANUP_PERIOD_SECONDS = 5.0
-_NEVER = float('-inf')
+_LONG_AGO = float('-inf')
 
 
 class RateLimiter:
@@ -77,10 +79,10 @@
         self._counts: Counter[str] = Counter()
         self._next_cleanup_at = clock.now()
         self._slices = HeldSlices(clock)
-        self._demand_by_id: dict[OrganisationId, Demand] = {}
-        self._waiting_by_id: Counter[OrganisationId] = Counter()
-        self._slice_requests_by_id: dict[OrganisationId, asyncio.Task[str]] = {}
-        self._refused_until_by_id: dict[OrganisationId, tuple[float, str]] = {}
+        self._demand_by_organisation: dict[OrganisationId, Demand] = {}
+        self._waiting_by_organisation: Counter[OrganisationId] = Counter()
+        self._slice_requests_by_organisation: dict[OrganisationId, asyncio.Task[str]] = {}
+        self._denied_until_by_organisation: dict[OrganisationId, tuple[float, str]] = {}
         self._suspect_until_by_holder: dict[InstanceId, float] = {}
 
     async def run(self) -> None:
@@ -96,7 +98,10 @@
         self._drop_idle()
 
     async def admit(self, organisation: Organisation) -> bool:
-        """Acquire one token; return whether the request is within the rate."""
+        """Acquire one token; return whether one was granted.
+
+        No token is granted if the organisation exceeds its rate, or if too few holders answered.
+        """
         name = organisation.organisation
         self._record_arrival(name)
         cause = ''
@@ -105,8 +110,8 @@
                 self._counts['admitted'] += 1
                 self._counts['admitted_without_question'] += not attempt
                 return True
-            refused_until, cause = self._refused_until_by_id.get(name, (_NEVER, ''))
-            if self._clock.now() < refused_until:
+            denied_until, cause = self._denied_until_by_organisation.get(name, (_LONG_AGO, ''))
+            if self._clock.now() < denied_until:
                 break
             cause = await self._wait_for_slice(organisation)
         self._counts[cause or 'refused_unanswered'] += 1
@@ -116,62 +121,66 @@
         """Return the counters since the start of the node."""
         return RateCounters(
             **self._counts,
-            partitions_owned=self.loans.count_owned(),
+            partitions_owned=self.loans.count_whole_shares(),
             buckets=len(self.buckets),
         )
 
     def _try_admit_locally(self, organisation: Organisation) -> bool:
         name = organisation.organisation
-        holder = next(iter(self._candidates(name)), None)
+        holder = next(iter(self._eligible_holders_in_order(name)), None)
         if holder == self.loans.members.own.instance and self.buckets.try_acquire(organisation):
             return True
         if not self._slices.try_spend(name):
             return False
         if not self._expected_requests(name):
-            # The token of a lone request counts against a small burst until it is reported, so
-            # the report is sent at once.
-            for candidate in self._candidates(name)[:_MAX_HOLDERS_ASKED]:
+            # A slice counts against the burst until it is reported. No later slice request would
+            # carry the report of a lone request, so the report is sent at once.
+            for candidate in self._eligible_holders_in_order(name)[:_MAX_HOLDERS_ASKED]:
                 self._send_report(candidate, name, self._slices.pop_reports(candidate, name))
-        elif self._should_prefetch(name) and name not in self._slice_requests_by_id:
+        elif self._should_prefetch(name) and name not in self._slice_requests_by_organisation:
             self._start_slice_request(organisation)
         return True
 
-    def _candidates(self, organisation: OrganisationId) -> list[InstanceId]:
+    def _eligible_holders_in_order(self, organisation: OrganisationId) -> list[InstanceId]:
         now = self._clock.now()
-        candidates = self.loans.candidates(partition_of(organisation))
+        eligible_holders = self.loans.eligible_holders(partition_of(organisation))
         return sorted(
-            candidates,
-            key=lambda holder: self._suspect_until_by_holder.get(holder, _NEVER) > now,
+            eligible_holders,
+            key=lambda holder: self._suspect_until_by_holder.get(holder, _LONG_AGO) > now,
         )
 
     def _record_arrival(self, organisation: OrganisationId) -> None:
         now = self._clock.now()
-        demand = self._demand_by_id.get(organisation, Demand(0, now, 0))
+        demand = self._demand_by_organisation.get(organisation, Demand(0, now, 0))
         elapsed = now - demand.since
         if elapsed >= self._timing.slice_seconds:
             per_slice = demand.arrivals * self._timing.slice_seconds / elapsed
             demand = Demand(0, now, per_slice, demand.asked_at)
-        self._demand_by_id[organisation] = dataclasses.replace(
+        self._demand_by_organisation[organisation] = dataclasses.replace(
             demand,
             arrivals=demand.arrivals + 1,
         )
 
     def _expected_requests(self, organisation: OrganisationId) -> int:
-        demand = self._demand_by_id.get(organisation)
+        demand = self._demand_by_organisation.get(organisation)
         if demand is None:
             return 0
         per_slice = max(demand.per_slice, demand.arrivals)
-        return math.ceil(per_slice * _DEMAND_MARGIN) if per_slice >= _MIN_BUSY_REQUESTS else 0
+        return (
+            math.ceil(per_slice * _DEMAND_FACTOR)
+            if per_slice >= _MIN_BUSY_REQUESTS_PER_SLICE
+            else 0
+        )
 
     def _should_prefetch(self, organisation: OrganisationId) -> bool:
         expected = self._expected_requests(organisation)
         now = self._clock.now()
-        refused_until, _ = self._refused_until_by_id.get(organisation, (_NEVER, ''))
+        denied_until, _ = self._denied_until_by_organisation.get(organisation, (_LONG_AGO, ''))
         # The demand is missing if the process was paused after the arrival was recorded and the
         # demand was dropped as idle in the meantime.
-        demand = self._demand_by_id.get(organisation)
-        asked_at = _NEVER if demand is None else demand.asked_at
-        if now < max(refused_until, asked_at + self._timing.slice_seconds * _PREFETCH_FRACTION):
+        demand = self._demand_by_organisation.get(organisation)
+        asked_at = _LONG_AGO if demand is None else demand.asked_at
+        if now < max(denied_until, asked_at + self._timing.slice_seconds * _PREFETCH_FRACTION):
             return False
         horizon = now + self._timing.slice_seconds / 2
         remaining = self._slices.count(organisation, horizon)
@@ -179,21 +188,23 @@
 
     async def _wait_for_slice(self, organisation: Organisation) -> str:
         name = organisation.organisation
-        self._waiting_by_id[name] += 1
+        self._waiting_by_organisation[name] += 1
         try:
-            task = self._slice_requests_by_id.get(name) or self._start_slice_request(organisation)
+            task = self._slice_requests_by_organisation.get(name) or self._start_slice_request(
+                organisation
+            )
             # Shielded, because other requests still need the slice if this caller disconnects.
             return await asyncio.shield(task)
         finally:
-            self._waiting_by_id[name] -= 1
-            if not self._waiting_by_id[name]:
-                self._waiting_by_id.pop(name)
+            self._waiting_by_organisation[name] -= 1
+            if not self._waiting_by_organisation[name]:
+                self._waiting_by_organisation.pop(name)
 
     def _start_slice_request(self, organisation: Organisation) -> asyncio.Task[str]:
         name = organisation.organisation
         task = asyncio.create_task(self._request_slice(name))
-        self._slice_requests_by_id[name] = task
-        task.add_done_callback(lambda _: self._slice_requests_by_id.pop(name))
+        self._slice_requests_by_organisation[name] = task
+        task.add_done_callback(lambda _: self._slice_requests_by_organisation.pop(name))
         return task
 
     async def _request_slice(self, organisation: OrganisationId) -> str:
@@ -202,11 +213,11 @@
         Returns
         -------
         str
-            Name of the counter for the refusal, or an empty string if tokens were granted.
+            Name of the counter for the denial, or an empty string if tokens were granted.
         """
         backoffs = [_UNANSWERED_BACKOFF_SECONDS]
         cause = 'refused_unanswered'
-        for holder in self._candidates(organisation)[:_MAX_HOLDERS_ASKED]:
+        for holder in self._eligible_holders_in_order(organisation)[:_MAX_HOLDERS_ASKED]:
             answer = await self._request_slice_from(holder, organisation)
             if answer is None:
                 continue
@@ -218,8 +229,8 @@
                 cause = 'refused_above_rate'
                 backoffs = [answer.seconds]
                 break
-        refused_until = self._clock.now() + min(backoffs)
-        self._refused_until_by_id[organisation] = (refused_until, cause)
+        denied_until = self._clock.now() + min(backoffs)
+        self._denied_until_by_organisation[organisation] = (denied_until, cause)
         return cause
 
     async def _request_slice_from(
@@ -228,10 +239,10 @@
         organisation: OrganisationId,
     ) -> SliceGranted | None:
         asked_at = self._clock.now()
-        demand = self._demand_by_id.get(organisation, Demand(0, asked_at, 0))
-        self._demand_by_id[organisation] = dataclasses.replace(demand, asked_at=asked_at)
+        demand = self._demand_by_organisation.get(organisation, Demand(0, asked_at, 0))
+        self._demand_by_organisation[organisation] = dataclasses.replace(demand, asked_at=asked_at)
         # Includes every request that waits by now; the first is counted before this task starts.
-        needed = self._waiting_by_id[organisation]
+        needed = self._waiting_by_organisation[organisation]
         request = SliceRequest(
             organisation=organisation,
             wanted=needed + self._expected_requests(organisation),
@@ -284,13 +295,15 @@
             return
         self._next_cleanup_at = now + _CLEANUP_PERIOD_SECONDS
         self.buckets.drop_idle()
-        self._demand_by_id = {
+        self._demand_by_organisation = {
             name: demand
-            for name, demand in self._demand_by_id.items()
+            for name, demand in self._demand_by_organisation.items()
             if now - demand.since < _CLEANUP_PERIOD_SECONDS
         }
-        self._refused_until_by_id = {
-            name: refused for name, refused in self._refused_until_by_id.items() if refused[0] > now
+        self._denied_until_by_organisation = {
+            name: denied
+            for name, denied in self._denied_until_by_organisation.items()
+            if denied[0] > now
         }
         self._suspect_until_by_holder = {
             holder: until for holder, until in self._suspect_until_by_holder.items() if until > now
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/share_holders.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/share_holders.py
@@ -6,14 +6,15 @@
 from turmericwharf.coordination.membership.rendezvous import PARTITION_COUNT, rank_instances
 from turmericwharf.state import InstanceId
 
+# Maximum number of members that hold shares of a partition.
 HOLDER_COUNT = 8
 
 
 class ShareHolders:
     """Holders of all partitions in this node's view of the membership.
 
-    A holder *serves* a partition if it is alive and its join has settled. The first serving
-    holder is the owner.
+    A holder is *eligible* if it is alive and its join has settled. The first eligible holder of a
+    partition is its owner.
     """
 
     def __init__(self, members: MembershipView) -> None:
@@ -38,9 +39,9 @@
         holders = self.holders(partition)
         return 1 / len(holders) if self._members.own.instance in holders else 0
 
-    def serving_holders(self, partition: int) -> tuple[InstanceId, ...]:
-        """Return the holders that serve a partition, the owner first."""
-        return tuple(filter(self._is_serving, self.holders(partition)))
+    def eligible_holders(self, partition: int) -> tuple[InstanceId, ...]:
+        """Return the eligible holders of a partition, the owner first."""
+        return tuple(filter(self._is_eligible, self.holders(partition)))
 
     def may_borrow(self, partition: int, borrower: InstanceId) -> bool:
         """Whether a holder may borrow this node's share: it ranks higher or is the owner."""
@@ -50,19 +51,19 @@
             return False
         if holders.index(borrower) < holders.index(local):
             return True
-        return next(filter(self._is_serving, holders), None) == borrower
+        return next(filter(self._is_eligible, holders), None) == borrower
 
     def partitions_by_lender(self) -> dict[InstanceId, list[int]]:
         """Return the owned partitions of which this node should borrow shares, by lender."""
         local = self._members.own.instance
-        serving_holders = frozenset(filter(self._is_serving, self._members.live_members()))
+        eligible_holders = frozenset(filter(self._is_eligible, self._members.live_members()))
         partitions_by_lender: defaultdict[InstanceId, list[int]] = defaultdict(list)
         for partition in range(PARTITION_COUNT):
-            holders = [holder for holder in self.holders(partition) if holder in serving_holders]
+            holders = [holder for holder in self.holders(partition) if holder in eligible_holders]
             if holders[:1] == [local]:
                 for lender in holders[1:]:
                     partitions_by_lender[lender].append(partition)
         return partitions_by_lender
 
-    def _is_serving(self, holder: InstanceId) -> bool:
+    def _is_eligible(self, holder: InstanceId) -> bool:
         return self._members.is_alive(holder) and self._members.settling.has_settled(holder)
--- a/packages/turmericwharf/src/turmericwharf/coordination/rates/share_loans.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/rates/share_loans.py
@@ -27,7 +27,8 @@
 _RENEWAL_FRACTION = 0.4
 # The lenders depend on liveness, which takes seconds to change.
 _LENDERS_REFRESH_SECONDS = 1.0
-# A bucket that was last used before the oldest kept segment counts as empty at its start.
+# Older segments are dropped. A bucket that has not been used since then counts as empty at the
+# start of the oldest kept segment.
 _MAX_SEGMENTS = 16
 
 
@@ -69,14 +70,14 @@
         self._links = links
         self._timing = timing
         self._clock = clock
-        self._fresh_until = float('-inf')
+        self._standing_expires_at = float('-inf')
         self._shares_by_partition: dict[int, PartitionShares] = {}
         self._requested_at_by_lender: dict[InstanceId, float] = {}
         self._loan_requests: set[asyncio.Task[None]] = set()
         self._holders = ShareHolders(members)
-        self._inputs = _ShareInputs()
+        self._share_inputs = _ShareInputs()
         self._lenders: dict[InstanceId, list[int]] = {}
-        self._lenders_until = float('-inf')
+        self._lenders_valid_until = float('-inf')
 
     async def run(self) -> None:
         """Run `tick` periodically until cancelled."""
@@ -86,11 +87,13 @@
 
     def tick(self) -> None:
         """Update all shares and request the loans that are due."""
-        self._refresh_inputs()
+        self._refresh_shares()
         now = self._clock.now()
-        if now >= self._lenders_until:
-            self._lenders = self._holders.partitions_by_lender() if self._inputs.is_usable else {}
-            self._lenders_until = now + _LENDERS_REFRESH_SECONDS
+        if now >= self._lenders_valid_until:
+            self._lenders = (
+                self._holders.partitions_by_lender() if self._share_inputs.is_usable else {}
+            )
+            self._lenders_valid_until = now + _LENDERS_REFRESH_SECONDS
         for lender, partitions in self._lenders.items():
             requested_at = self._requested_at_by_lender.get(lender, float('-inf'))
             if now - requested_at >= self._timing.loan_seconds * _RENEWAL_FRACTION:
@@ -99,14 +102,14 @@
                 self._loan_requests.add(loan_request)
                 loan_request.add_done_callback(self._loan_requests.discard)
 
-    def candidates(self, partition: int) -> tuple[InstanceId, ...]:
-        """Return the holders that can serve a partition, the owner first."""
-        self._refresh_inputs()
-        return self._holders.serving_holders(partition)
+    def eligible_holders(self, partition: int) -> tuple[InstanceId, ...]:
+        """Return the eligible holders of a partition, the owner first."""
+        self._refresh_shares()
+        return self._holders.eligible_holders(partition)
 
     def segments(self, partition: int) -> tuple[ShareSegment, ...]:
         """Return the shares of a partition that this node used over time, up to now."""
-        self._refresh_inputs()
+        self._refresh_shares()
         return self._update_shares(partition, self._clock.now()).segments
 
     def record_slice(self, partition: int, ends_at: float) -> None:
@@ -119,7 +122,7 @@
 
     def lend(self, request: LoanRequest) -> LoanGranted | LoanRefused:
         """Lend this node's shares of the requested partitions where that is allowed."""
-        self._refresh_inputs()
+        self._refresh_shares()
         shares_by_partition: dict[int, float] = {}
         if self._is_usable() and self.members.is_current(request.borrower, request.incarnation):
             shares_by_partition = {
@@ -135,13 +138,13 @@
             seconds=self._timing.loan_seconds,
         )
 
-    def count_owned(self) -> int:
+    def count_whole_shares(self) -> int:
         """Return the number of partitions of which this node uses the whole rate."""
         whole = 1 - SHARE_TOLERANCE
         known = tuple(self._shares_by_partition)
         return sum(self.segments(partition)[-1].share >= whole for partition in known)
 
-    def _refresh_inputs(self) -> None:
+    def _refresh_shares(self) -> None:
         """Update all shares if the standing or the members with shares changed."""
         now = self._clock.now()
         inputs = _ShareInputs(
@@ -149,13 +152,13 @@
             membership_version=self.members.membership.version,
             settled_version=self.members.settling.settled_version,
         )
-        has_lapsed = self._fresh_until <= now
+        has_lapsed = self._standing_expires_at <= now
         if has_lapsed:
-            self._end_shares(self._fresh_until)
-        self._fresh_until = self._standing.fresh_until
-        if has_lapsed or inputs != self._inputs:
-            self._inputs = inputs
-            self._lenders_until = now
+            self._end_shares(self._standing_expires_at)
+        self._standing_expires_at = self._standing.fresh_until
+        if has_lapsed or inputs != self._share_inputs:
+            self._share_inputs = inputs
+            self._lenders_valid_until = now
             self._holders.invalidate()
             for partition in self._shares_by_partition:
                 self._update_shares(partition, now)
@@ -170,7 +173,7 @@
             )
 
     def _update_shares(self, partition: int, now: float) -> PartitionShares:
-        """Return a partition's shares, updated for the loans that ended by now."""
+        """Update and return a partition's shares, without the loans that ended by now."""
         shares = self._shares_by_partition.get(partition)
         if shares is None:
             shares = PartitionShares((ShareSegment(now, 0),))
@@ -185,7 +188,7 @@
         return self._standing.has_standing and self.members.settling.is_settled
 
     def _current_share(self, partition: int, shares: PartitionShares) -> float:
-        if not self._inputs.is_usable:
+        if not self._share_inputs.is_usable:
             return 0
         borrowed = sum(loan.share for loan in shares.borrowed_by_id.values())
         return borrowed if shares.lent else borrowed + self._holders.local_share(partition)
@@ -221,7 +224,7 @@
             return
         # Slices granted from a loan must end before the lender uses the share again.
         seconds = answer.seconds * (1 - MAX_CLOCK_DRIFT_RATIO) - self._timing.slice_seconds
-        self._refresh_inputs()
+        self._refresh_shares()
         for partition, share in zip(answer.partitions, answer.shares, strict=True):
             self._apply_loan(partition, lender, BorrowedShare(share, requested_at + seconds))
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/dispatching.py
@@ -31,7 +31,7 @@
     RequestId,
 )
 
-_MILLISECONDS = 1000
+_MILLISECONDS_PER_SECOND = 1000
 _PROBE_TIMEOUT_FRACTION = 0.5
 # The executing node times out before the entry node, so that its answer distinguishes a slow
 # server from a faulty network path.
@@ -60,7 +60,7 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._cancelled: set[RequestId] = set()
-        self._attempts_by_id: dict[RequestId, tuple[InstanceId, RequestId]] = {}
+        self._attempt_by_request: dict[RequestId, tuple[InstanceId, RequestId]] = {}
         self.budget = RetryBudget(lambda: RetryLimits(limits.retry_fraction), clock)
 
     async def dispatch(self, admitted: AdmittedRequest) -> Outcome:
@@ -68,12 +68,12 @@
         tried: set[InstanceId] = set()
         outcome: Outcome = not_run(NO_CAPACITY)
         self.budget.record_request(admitted.service)
-        for attempt in range(self._limits.attempts):
-            choice = self._choose(admitted, tried)
-            if choice is None:
+        for attempt_index in range(self._limits.attempts):
+            attempt = self._choose(admitted, tried)
+            if attempt is None:
                 break
-            tried.add(choice.instance)
-            latest = await self._attempt(admitted, choice, attempt)
+            tried.add(attempt.instance)
+            latest = await self._attempt(admitted, attempt, attempt_index)
             outcome = _merge_outcomes(outcome, latest)
             if not is_retryable(latest, idempotent=admitted.idempotent):
                 break
@@ -88,10 +88,10 @@
             Whether an attempt was in flight. If not, the request will not run after this call.
         """
         self._cancelled.add(request)
-        attempt = self._attempts_by_id.get(request)
-        if attempt is None:
+        sent_attempt = self._attempt_by_request.get(request)
+        if sent_attempt is None:
             return False
-        self._cancel_attempt(*attempt)
+        self._cancel_attempt(*sent_attempt)
         return True
 
     def discard_cancellation(self, request: RequestId) -> None:
@@ -101,29 +101,29 @@
     def _choose(self, admitted: AdmittedRequest, tried: set[InstanceId]) -> StartedAttempt | None:
         if tried and not self.budget.allows(admitted.service):
             return None
-        choice = self._router.choose(admitted, tried)
-        if tried and choice is not None:
+        attempt = self._router.choose(admitted, tried)
+        if tried and attempt is not None:
             self.budget.record_retry(admitted.service)
-        return choice
+        return attempt
 
     async def _attempt(
         self,
         admitted: AdmittedRequest,
-        choice: StartedAttempt,
-        attempt: int,
+        attempt: StartedAttempt,
+        attempt_index: int,
     ) -> Outcome:
         outcome: Outcome | None = None
         try:
-            outcome = await self._send_before_deadline(admitted, choice, attempt)
+            outcome = await self._send_before_deadline(admitted, attempt, attempt_index)
         finally:
             if outcome is None:
-                self._router.record_abandoned(choice)
+                self._router.record_abandoned(attempt)
             else:
-                self._router.record_outcome(admitted, choice, outcome)
+                self._router.record_outcome(admitted, attempt, outcome)
         logger.bind(
             request=admitted.request.request,
-            instance=choice.instance,
-            attempt=attempt,
+            instance=attempt.instance,
+            attempt=attempt_index,
             outcome=type(outcome).__name__,
         ).debug('request_attempted')
         return outcome
@@ -131,8 +131,8 @@
     async def _send_before_deadline(
         self,
         admitted: AdmittedRequest,
-        choice: StartedAttempt,
-        attempt: int,
+        attempt: StartedAttempt,
+        attempt_index: int,
     ) -> Outcome:
         request = admitted.request.request
         if request in self._cancelled:
@@ -140,19 +140,19 @@
         remaining = admitted.deadline - self._clock.now()
         if remaining <= 0:
             return not_run(DEADLINE_PASSED)
-        if choice.probe:
+        if attempt.probe:
             # Leaves time to try another server if the probe is not answered.
             remaining *= _PROBE_TIMEOUT_FRACTION
-        order = self._make_order(admitted, remaining * _EXECUTION_TIMEOUT_FRACTION, attempt)
-        self._attempts_by_id[request] = (choice.instance, order.request)
+        order = self._make_order(admitted, remaining * _EXECUTION_TIMEOUT_FRACTION, attempt_index)
+        self._attempt_by_request[request] = (attempt.instance, order.request)
         try:
             return await self._send(
-                choice.instance,
+                attempt.instance,
                 order,
                 self._timeout_seconds(admitted, remaining),
             )
         finally:
-            self._attempts_by_id.pop(request, None)
+            self._attempt_by_request.pop(request, None)
 
     async def _send(self, instance: InstanceId, order: Execute, timeout_seconds: float) -> Outcome:
         if instance == self._members.own.instance:
@@ -181,18 +181,18 @@
         self,
         admitted: AdmittedRequest,
         remaining: float,
-        attempt: int,
+        attempt_index: int,
     ) -> Execute:
         request = admitted.request
         return Execute(
             # Each attempt has its own id, so that a late answer is not taken for another attempt.
-            request=RequestId(f'{request.request}-{attempt}'),
+            request=RequestId(f'{request.request}-{attempt_index}'),
             organisation=admitted.organisation,
             key_digest=request.key_digest or KeyDigest(''),
             service=admitted.service,
             importance=admitted.importance,
             idempotent=admitted.idempotent,
-            remaining_milliseconds=remaining * _MILLISECONDS,
+            remaining_milliseconds=remaining * _MILLISECONDS_PER_SECOND,
             method=request.method,
             target=request.target,
             headers=request.headers,
@@ -216,4 +216,7 @@
         return NotRun(answer.reason, answer.detail)
     if isinstance(answer, DeliveryUnknown):
         return OutcomeUnknown(answer.reason, answer.detail)
-    return OutcomeUnknown(Reason.FRAME_TYPE_UNKNOWN, f'unexpected {type(answer).__name__}')
+    return OutcomeUnknown(
+        Reason.FRAME_TYPE_UNKNOWN,
+        f'expected Answered, NotRun or OutcomeUnknown, got {type(answer).__name__}',
+    )
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/entry_service.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/entry_service.py
@@ -1,4 +1,4 @@
-"""Admission at the entry node: authentication, route lookup and rate limiting."""
+"""Requests at the entry node: authentication, route matching, rate limits, claims, dispatch."""
 
 import asyncio
 import dataclasses
@@ -45,9 +45,9 @@
     new_identifier,
 )
 
-_MILLISECONDS = 1000
+_MILLISECONDS_PER_SECOND = 1000
 _MAX_CLAIM_ATTEMPTS = 3
-_IN_PROGRESS = not_run(CLAIM_IN_PROGRESS)
+_CLAIM_IN_PROGRESS_OUTCOME = not_run(CLAIM_IN_PROGRESS)
 _CLAIM_RELEASED = NotRun(
     Reason.CLAIM_RELEASED, 'the claim that held the idempotency key was released'
 )
@@ -77,7 +77,7 @@
 
     @property
     def in_progress(self) -> int:
-        """Number of claimed requests in progress, including those whose callers disconnected."""
+        """Number of requests with an idempotency key in progress, also after the caller left."""
         return len(self._detached_tasks)
 
     @property
@@ -87,6 +87,8 @@
 
     async def serve(self, request: CallerRequest) -> Outcome:
         """Run a caller's request, or return the reason why it was rejected."""
+        # A pause of the process may have delayed the request, so the earliest possible arrival
+        # time counts.
         received_at = self.pause_detector.earliest_arrival()
         organisation = self._authenticate(request)
         if isinstance(organisation, RequestFailure):
@@ -108,9 +110,9 @@
         return await self._serve_detached(admitted)
 
     def _authenticate(self, request: CallerRequest) -> Organisation | RequestFailure:
-        refusal = self._refusal(request)
-        if refusal is not None:
-            return refusal
+        rejection = self._find_rejection(request)
+        if rejection is not None:
+            return rejection
         configuration = self._control_log.configuration
         if request.key_digest is None:
             return KEY_MISSING
@@ -121,7 +123,7 @@
             return KEY_WITHDRAWN
         return configuration.organisations_by_id.get(key.organisation) or KEY_UNKNOWN
 
-    def _refusal(self, request: CallerRequest) -> RequestFailure | None:
+    def _find_rejection(self, request: CallerRequest) -> RequestFailure | None:
         checks = (
             (not self._control_log.is_ready, NOT_READY),
             (not self._standing.has_standing, NO_STANDING),
@@ -147,8 +149,8 @@
             service=route.service,
             importance=work_class.importance,
             idempotent=ExecutionSemantics.AT_MOST_ONCE not in {work_class.run, request.run},
-            deadline=received_at + allowed_milliseconds / _MILLISECONDS,
-            target_seconds=work_class.answer_within_milliseconds / _MILLISECONDS,
+            deadline=received_at + allowed_milliseconds / _MILLISECONDS_PER_SECOND,
+            target_seconds=work_class.answer_within_milliseconds / _MILLISECONDS_PER_SECOND,
         )
 
     async def _serve_detached(self, admitted: AdmittedRequest) -> Outcome:
@@ -202,7 +204,10 @@
         fingerprint: str,
         existing: ClaimTaken,
     ) -> Outcome:
-        # This request does not run, but the earlier one with the same key may have run.
+        """Return the outcome for a request whose key an earlier one claimed.
+
+        Only the earlier request may run, or have run.
+        """
         if existing.content != content_digest_of(admitted.request):
             return not_run(IDEMPOTENCY_KEY_REUSED)
         answer: ClaimTaken | ClaimFailed = existing
@@ -210,7 +215,11 @@
             remaining = admitted.deadline - self._clock.now()
             answer = await self._claims.wait_for_outcome(fingerprint, remaining)
         if isinstance(answer, ClaimFailed):
-            return _CLAIM_RELEASED if answer.reason is Reason.CLAIM_RELEASED else _IN_PROGRESS
+            return (
+                _CLAIM_RELEASED
+                if answer.reason is Reason.CLAIM_RELEASED
+                else _CLAIM_IN_PROGRESS_OUTCOME
+            )
         if answer.status is None:
-            return _IN_PROGRESS
+            return _CLAIM_IN_PROGRESS_OUTCOME
         return await self._claims.fetch_answer(answer) or not_run(ALREADY_RUN)
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/in_flight.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/in_flight.py
@@ -6,18 +6,19 @@
 from turmericwharf.coordination.routing.harm import RouteMedians, latency_harm
 from turmericwharf.state import AdmittedRequest, InstanceId, RouteId, ServerReport
 
-# Attempts that are in flight for a shorter time are no evidence. This fraction of the target is
-# far beyond typical times.
+# An attempt is overdue once its time beyond normal variation exceeds this fraction of the latency
+# target, which is far beyond usual latencies. Attempts in flight for a shorter time are no
+# evidence.
 _MIN_OVERDUE_HARM = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartedAttempt:
-    """Server selected for one attempt.
+    """An attempt that has started, and the server selected for it.
 
     Parameters
     ----------
-    number
+    attempt_id
         Number of the attempt, unique within the node.
     report
         Report of the server at the time of the selection.
@@ -27,7 +28,7 @@
         Whether the attempt probes an ejected server.
     """
 
-    number: int
+    attempt_id: int
     report: ServerReport
     started_at: float
     probe: bool
@@ -40,9 +41,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _MeasuredAttempt:
-    """An attempt in flight, with the data needed to compute its harm."""
+    """An attempt in flight, with the route and target needed to compute its harm."""
 
-    choice: StartedAttempt
+    attempt: StartedAttempt
     route: RouteId
     target_seconds: float
 
@@ -51,8 +52,8 @@
     """Tracks the attempts in flight to each instance and finds overdue ones."""
 
     def __init__(self) -> None:
-        self._numbers = itertools.count()
-        self._started_by_id: dict[InstanceId, dict[int, _MeasuredAttempt]] = {}
+        self._attempt_ids = itertools.count()
+        self._attempts_by_instance: dict[InstanceId, dict[int, _MeasuredAttempt]] = {}
 
     def start(
         self,
@@ -63,35 +64,36 @@
         probe: bool,
     ) -> StartedAttempt:
         """Register a new attempt as in flight."""
-        choice = StartedAttempt(next(self._numbers), report, now, probe)
-        started = self._started_by_id.setdefault(report.instance, {})
-        started[choice.number] = _MeasuredAttempt(choice, admitted.route, admitted.target_seconds)
-        return choice
-
-    def end(self, choice: StartedAttempt) -> None:
-        """Remove an attempt that has ended."""
-        started = self._started_by_id.get(choice.instance, {})
-        started.pop(choice.number, None)
-        if not started:
-            self._started_by_id.pop(choice.instance, None)
+        attempt = StartedAttempt(next(self._attempt_ids), report, now, probe)
+        attempts = self._attempts_by_instance.setdefault(report.instance, {})
+        attempts[attempt.attempt_id] = _MeasuredAttempt(
+            attempt, admitted.route, admitted.target_seconds
+        )
+        return attempt
+
+    def end(self, attempt: StartedAttempt) -> None:
+        attempts = self._attempts_by_instance.get(attempt.instance, {})
+        attempts.pop(attempt.attempt_id, None)
+        if not attempts:
+            self._attempts_by_instance.pop(attempt.instance, None)
 
     def count(self, instance: InstanceId) -> int:
         """Return the number of attempts in flight to an instance."""
-        return len(self._started_by_id.get(instance, ()))
+        return len(self._attempts_by_instance.get(instance, ()))
 
     def overdue_harms(
         self,
         instance: InstanceId,
-        typical_times: RouteMedians,
+        route_medians: RouteMedians,
         now: float,
     ) -> list[float]:
         """Return the harm so far of each overdue attempt to an instance."""
         harms = (
             latency_harm(
-                now - started.choice.started_at,
-                typical_times.seconds(started.route),
-                started.target_seconds,
+                now - measured.attempt.started_at,
+                route_medians.seconds(measured.route),
+                measured.target_seconds,
             )
-            for started in self._started_by_id.get(instance, {}).values()
+            for measured in self._attempts_by_instance.get(instance, {}).values()
         )
         return [harm for harm in harms if harm > _MIN_OVERDUE_HARM]
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/lookups.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/lookups.py
@@ -25,7 +25,7 @@
     ExecutionSemantics,
 )
 
-_MILLISECONDS = 1000
+_MILLISECONDS_PER_SECOND = 1000
 _NO_ORGANISATION = OrganisationId('')
 
 
@@ -68,9 +68,9 @@
         if route is None:
             return not_run(ROUTE_UNKNOWN)
         origin = self._find_origin(request)
-        refusal = self._refusal(request, route, origin)
-        if refusal is not None:
-            return not_run(refusal)
+        rejection = self._find_rejection(request, route, origin)
+        if rejection is not None:
+            return not_run(rejection)
         return await self._entry.serve_admitted(self._admit(request, route, origin))
 
     def _find_origin(self, request: CallerRequest) -> _Origin | None:
@@ -82,7 +82,7 @@
         order = served.order
         return _Origin(order.organisation, order.importance, served.deadline)
 
-    def _refusal(
+    def _find_rejection(
         self,
         request: CallerRequest,
         route: Route,
@@ -93,6 +93,7 @@
             (not self._control_log.is_ready, NOT_READY),
             (is_open and not self._standing.has_standing, NO_STANDING),
             (request.key_misplaced, KEY_MISPLACED),
+            # A route open to callers is served only for a request in progress of an organisation.
             (is_open and (origin is None or not origin.organisation), ROUTE_INTERNAL),
             (origin is not None and origin.deadline <= self._clock.now(), DEADLINE_PASSED),
         )
@@ -105,11 +106,13 @@
         origin: _Origin | None,
     ) -> AdmittedRequest:
         work_class = self._control_log.configuration.classes_by_id[route.work_class]
-        target_seconds = work_class.answer_within_milliseconds / _MILLISECONDS
+        target_seconds = work_class.answer_within_milliseconds / _MILLISECONDS_PER_SECOND
         now = self._clock.now()
         allowed_seconds = target_seconds
         if request.remaining_milliseconds is not None:
-            allowed_seconds = min(allowed_seconds, request.remaining_milliseconds / _MILLISECONDS)
+            allowed_seconds = min(
+                allowed_seconds, request.remaining_milliseconds / _MILLISECONDS_PER_SECOND
+            )
         if origin is None:
             origin = _Origin(_NO_ORGANISATION, Importance.BACKGROUND, now + allowed_seconds)
         return AdmittedRequest(
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/outcome_counts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/outcome_counts.py
@@ -15,7 +15,7 @@
 
     def record(self, outcome: Outcome) -> None:
         """Count the outcome of one request."""
-        self._counts[_label(outcome)] += 1
+        self._counts[_outcome_name(outcome)] += 1
 
     def dump(self) -> OutcomesDump:
         """Return the counters for the state dump."""
@@ -28,20 +28,20 @@
 
 
 @singledispatch
-def _label(outcome: object) -> str:
-    raise TypeError(f'not an outcome: {outcome!r}')
+def _outcome_name(outcome: object) -> str:
+    raise TypeError(f'expected the outcome of a request, got {outcome!r}')
 
 
-@_label.register
+@_outcome_name.register
 def _(outcome: Answered) -> str:
     return 'answered'
 
 
-@_label.register
+@_outcome_name.register
 def _(outcome: NotRun) -> str:
     return f'not_run_{outcome.reason.value}'
 
 
-@_label.register
+@_outcome_name.register
 def _(outcome: OutcomeUnknown) -> str:
     return f'unknown_{outcome.reason.value}'
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/outliers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/outliers.py
@@ -2,9 +2,11 @@
 
 The detector is a sequential test (CUSUM). Each request adds the log-likelihood ratio of its harm
 under a faulty server against a healthy server to a cumulative sum. For harm between 0 and 1 with
-a mean of at most the healthy share, the sum exceeds log(N) at most once in N requests on average,
-whatever the distribution of the harm. The healthy share rises with the median harm of the other
-servers, so that load on all servers of a service ejects none of them.
+a mean of at most the healthy mean harm, the sum exceeds log(N) at most once in N requests on
+average, whatever the distribution of the harm. N is the setting `requests_between_false_ejections`,
+or `hinted_requests_between_false_ejections` for a server that a peer has ejected. The healthy mean
+harm is the largest mean harm that still counts as healthy. It rises with the median harm of the
+other servers, so that load on all servers of a service ejects none of them.
 """
 
 import dataclasses
@@ -34,20 +36,27 @@
 # small ratio detects rare errors, the large one total failure; see
 # docs/decisions/outlier-detection.md for the measurements.
 _ODDS_RATIOS = (4.0, 30.0)
+# Weight of the newest request in the moving averages of the harm and of the latency ratio.
 _RECENT_HARM_WEIGHT = 0.1
-_USUAL_RATIO_WEIGHT = 0.01
-_MAX_USUAL_RATIO = math.log(2)
+_LOG_LATENCY_RATIO_WEIGHT = 0.01
+# Limits the expected time of a server to twice the median time of the route.
+_MAX_LOG_LATENCY_RATIO = math.log(2)
+# The healthy mean harm is the tolerated harm plus this multiple of the median harm of the others.
 _OTHERS_HARM_FACTOR = 1.25
-_MAX_HEALTHY_SHARE = 0.9
-# Besides failing the test, an ejected server must be clearly worse than the others: its recent harm
-# must reach the median harm of the others times this factor, plus this constant.
+# Keeps the healthy mean harm below 1, where the likelihood ratio is undefined.
+_MAX_HEALTHY_MEAN_HARM = 0.9
+# A server is ejected only if, in addition to the test, its recent harm reaches the median harm of
+# the others times this factor, plus this constant.
 _CLEARLY_WORSE_FACTOR = 2.0
 _CLEARLY_WORSE_HARM = 0.04
-# A probe fails if its harm exceeds this. Unanswered requests have the same minimum in `in_flight`,
-# so that recently sent requests are no evidence.
+# A probe fails if its harm exceeds this and the harm of the others. Unanswered requests have the
+# same minimum in `in_flight`, so that recently sent requests are no evidence.
 _PROBE_FAILURE_HARM = 0.1
-_MAX_HOLD_DOUBLINGS = 16
+_MAX_EJECTION_TIME_DOUBLINGS = 16
+# Maximum probability that a server passes all probes with unchanged harm of at least
+# `_MIN_PROBED_HARM`.
 _FALSE_PASS_PROBABILITY = 0.05
+# Limits the number of probes that are needed after an ejection for less harm than this.
 _MIN_PROBED_HARM = 0.1
 
 _GroupKey: TypeAlias = tuple[ServiceId, EvidenceSubject]
@@ -65,19 +74,19 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Strikes:
-    """Number of ejections of one server in short succession, and the end of the last one."""
+class _EjectionHistory:
+    """Number of ejections of one server in short succession, and end and duration of the last."""
 
     count: int
-    returned_at: float
-    hold_seconds: float
+    reinstated_at: float
+    ejection_seconds: float
 
 
-def add_harm(evidence: Evidence, harm: float, healthy_share: float) -> Evidence:
+def add_harm(evidence: Evidence, harm: float, healthy_mean_harm: float) -> Evidence:
     """Return the evidence updated with the harm of one request."""
     scores = tuple(
-        max(score + _log_likelihood_ratio(harm, healthy_share, odds), 0)
-        for score, odds in zip(evidence.scores, _ODDS_RATIOS, strict=True)
+        max(score + _log_likelihood_ratio(harm, healthy_mean_harm, odds_ratio), 0)
+        for score, odds_ratio in zip(evidence.scores, _ODDS_RATIOS, strict=True)
     )
     is_suspect = any(scores)
     return dataclasses.replace(
@@ -91,9 +100,9 @@
 
 
 def add_latency_ratio(evidence: Evidence, ratio: float) -> Evidence:
-    """Return the evidence updated with a latency of `ratio` times the typical one."""
-    logarithm = min(max(math.log(ratio), 0), _MAX_USUAL_RATIO)
-    step = _USUAL_RATIO_WEIGHT * (logarithm - evidence.usual_ratio)
+    """Return the evidence updated with a latency of `ratio` times the median of the route."""
+    logarithm = min(max(math.log(ratio), 0), _MAX_LOG_LATENCY_RATIO)
+    step = _LOG_LATENCY_RATIO_WEIGHT * (logarithm - evidence.usual_ratio)
     return dataclasses.replace(evidence, usual_ratio=evidence.usual_ratio + step)
 
 
@@ -115,15 +124,15 @@
     floor_fraction
         Fraction of the ready slots that must stay in use.
     """
-    slots_by_id = {report.instance: report.slots for report in ready}
-    capacity = sum(slots_by_id.values())
+    slots_by_instance = {report.instance: report.slots for report in ready}
+    capacity = sum(slots_by_instance.values())
     spare = capacity - capacity * floor_fraction
     allowed: set[InstanceId] = set()
-    relevant = [ejection for ejection in ejections if ejection.instance in slots_by_id]
+    relevant = [ejection for ejection in ejections if ejection.instance in slots_by_instance]
     for ejection in sorted(relevant, key=_severity, reverse=True):
-        slots = slots_by_id[ejection.instance]
+        slots = slots_by_instance[ejection.instance]
         # One server stays in use even if the floor is zero; otherwise no request could be served.
-        if slots <= spare and len(allowed) + 1 < len(slots_by_id):
+        if slots <= spare and len(allowed) + 1 < len(slots_by_instance):
             spare -= slots
             allowed.add(ejection.instance)
     return frozenset(allowed)
@@ -148,7 +157,7 @@
         self._hints: dict[_EjectionKey, _Hint] = {}
         self._evidence_by_group: dict[_GroupKey, dict[InstanceId, Evidence]] = {}
         self._ejections: dict[_EjectionKey, Ejection] = {}
-        self._strikes: dict[_EjectionKey, _Strikes] = {}
+        self._history_by_server: dict[_EjectionKey, _EjectionHistory] = {}
 
     def evidence(
         self, service: ServiceId, subject: EvidenceSubject, instance: InstanceId
@@ -187,31 +196,31 @@
         previous = group.get(report.instance, _NO_EVIDENCE)
         others_harm = _median_harm_of_others(group, report.instance)
         evidence = add_latency_ratio(
-            add_harm(previous, harm, self._healthy_share(others_harm)), ratio
+            add_harm(previous, harm, self._healthy_mean_harm(others_harm)), ratio
         )
         group[report.instance] = evidence
-        return self._evaluate(report, subject, evidence, others_harm, target_seconds)
+        return self._propose_ejection(report, subject, evidence, others_harm, target_seconds)
 
-    def record_overdue(
+    def propose_overdue_ejections(
         self,
         reports: Sequence[ServerReport],
-        harms_by_id: dict[InstanceId, list[float]],
+        harms_by_instance: dict[InstanceId, list[float]],
         target_seconds: float,
     ) -> list[Ejection]:
-        """Return the ejections justified by unanswered requests, without storing their evidence."""
+        """Return the ejections that unanswered requests justify; stores no evidence."""
         group = {
             report.instance: self._evidence_with_overdue(
-                report, harms_by_id.get(report.instance, [])
+                report, harms_by_instance.get(report.instance, [])
             )
             for report in reports
         }
         proposed = []
         for report in reports:
-            if harms_by_id.get(report.instance):
+            if harms_by_instance.get(report.instance):
                 others_harm = _median_harm_of_others(group, report.instance)
                 evidence = group[report.instance]
                 proposed.append(
-                    self._evaluate(
+                    self._propose_ejection(
                         report, EvidenceSubject.UNANSWERED, evidence, others_harm, target_seconds
                     ),
                 )
@@ -223,13 +232,13 @@
         self._hints[hint.service, hint.instance] = _Hint(hint.incarnation, expires_at)
 
     def eject(self, ejection: Ejection) -> None:
-        """Exclude a server from selection until its hold time has expired and its probes pass."""
+        """Exclude a server from selection until its ejection time has passed and probes succeed."""
         key = (ejection.service, ejection.instance)
         self._ejections[key] = ejection
         _log_ejection(ejection, 'server_ejected', hold_seconds=ejection.until - ejection.since)
 
     def record_probe(self, ejection: Ejection, harm: float) -> None:
-        """Record a probe: a failure doubles the hold, enough successes reinstate the server."""
+        """Record a probe: a failure doubles the ejection time, enough successes reinstate."""
         others_harm = ejection.others_harm
         if harm > max(_PROBE_FAILURE_HARM, others_harm):
             now = self._clock.now()
@@ -253,8 +262,10 @@
         """Return a server to selection and reset the evidence about it."""
         key = (ejection.service, ejection.instance)
         self._ejections.pop(key, None)
-        hold_seconds = ejection.until - ejection.since
-        self._strikes[key] = _Strikes(ejection.strikes, self._clock.now(), hold_seconds)
+        ejection_seconds = ejection.until - ejection.since
+        self._history_by_server[key] = _EjectionHistory(
+            ejection.strikes, self._clock.now(), ejection_seconds
+        )
         for subject in EvidenceSubject:
             group = self._evidence_by_group.get((ejection.service, subject), {})
             previous = group.pop(ejection.instance, _NO_EVIDENCE)
@@ -265,21 +276,22 @@
 
     def prune(self, service: ServiceId, reports: Sequence[ServerReport]) -> None:
         """Drop evidence and ejections of servers that have left or been replaced."""
-        incarnations_by_id = {report.instance: report.incarnation for report in reports}
+        incarnations_by_instance = {report.instance: report.incarnation for report in reports}
         for ejection in self.ejections_of(service):
-            if incarnations_by_id.get(ejection.instance) != ejection.incarnation:
+            if incarnations_by_instance.get(ejection.instance) != ejection.incarnation:
                 self.reinstate(ejection, ReinstatementCause.SERVER_REPLACED)
-                self._strikes.pop((service, ejection.instance), None)
+                self._history_by_server.pop((service, ejection.instance), None)
         for subject in EvidenceSubject:
             group = self._evidence_by_group.get((service, subject), {})
-            for departed in group.keys() - incarnations_by_id.keys():
+            for departed in group.keys() - incarnations_by_instance.keys():
                 group.pop(departed)
-                self._strikes.pop((service, departed), None)
+                self._history_by_server.pop((service, departed), None)
                 self._hints.pop((service, departed), None)
 
-    def _healthy_share(self, others_harm: float) -> float:
+    def _healthy_mean_harm(self, others_harm: float) -> float:
         return min(
-            self._settings.tolerated_harm + _OTHERS_HARM_FACTOR * others_harm, _MAX_HEALTHY_SHARE
+            self._settings.tolerated_harm + _OTHERS_HARM_FACTOR * others_harm,
+            _MAX_HEALTHY_MEAN_HARM,
         )
 
     def _evidence_with_overdue(self, report: ServerReport, harms: list[float]) -> Evidence:
@@ -288,7 +300,7 @@
             evidence = add_harm(evidence, harm, self._settings.tolerated_harm)
         return evidence
 
-    def _evaluate(
+    def _propose_ejection(
         self,
         report: ServerReport,
         subject: EvidenceSubject,
@@ -310,7 +322,7 @@
             service=report.service,
             subject=subject,
             since=now,
-            until=now + self._hold_seconds(strikes, target_seconds),
+            until=now + self._ejection_seconds(strikes, target_seconds),
             harm=evidence.run_harm / evidence.run_requests,
             others_harm=others_harm,
             requests=evidence.requests,
@@ -330,26 +342,26 @@
         return self._hinted_threshold
 
     def _strikes_before(self, report: ServerReport, now: float) -> int:
-        strikes = self._strikes.get((report.service, report.instance))
-        if strikes is None:
+        history = self._history_by_server.get((report.service, report.instance))
+        if history is None:
             return 0
-        # Each hold time that passes without an ejection clears one strike.
-        forgiven = int((now - strikes.returned_at) / strikes.hold_seconds)
-        return max(strikes.count - forgiven, 0)
+        # One ejection expires for each ejection time that passes without a new one.
+        expired = int((now - history.reinstated_at) / history.ejection_seconds)
+        return max(history.count - expired, 0)
 
-    def _hold_seconds(self, strikes: int, target_seconds: float) -> float:
+    def _ejection_seconds(self, strikes: int, target_seconds: float) -> float:
         first_seconds = max(
             self._settings.hold_targets * target_seconds,
             self._settings.least_hold_seconds,
         )
-        doubled_seconds = math.ldexp(first_seconds, min(strikes, _MAX_HOLD_DOUBLINGS))
+        doubled_seconds = math.ldexp(first_seconds, min(strikes, _MAX_EJECTION_TIME_DOUBLINGS))
         return min(doubled_seconds, self._settings.most_hold_seconds)
 
 
-def _log_likelihood_ratio(harm: float, healthy_share: float, odds: float) -> float:
-    faulty_share = odds * healthy_share / (1 + (odds - 1) * healthy_share)
-    harmed = math.log(faulty_share / healthy_share)
-    unharmed = math.log((1 - faulty_share) / (1 - healthy_share))
+def _log_likelihood_ratio(harm: float, healthy_mean_harm: float, odds_ratio: float) -> float:
+    faulty_mean_harm = odds_ratio * healthy_mean_harm / (1 + (odds_ratio - 1) * healthy_mean_harm)
+    harmed = math.log(faulty_mean_harm / healthy_mean_harm)
+    unharmed = math.log((1 - faulty_mean_harm) / (1 - healthy_mean_harm))
     return harm * harmed + (1 - harm) * unharmed
 
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/retries.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/retries.py
@@ -32,7 +32,7 @@
     fraction
         Maximum ratio of retries to requests in a window.
     minimum
-        Retries that are always allowed in a window, regardless of the number of requests.
+        Retries allowed in a window in addition to the fraction.
     window_seconds
         Length of the sliding window.
     """
@@ -43,7 +43,7 @@
 
 
 class RetryBudget:
-    """Limits retries to a fraction of the recent requests of a service.
+    """Limits retries to a fraction of the recent requests of a service plus a constant.
 
     Parameters
     ----------
@@ -56,46 +56,46 @@
     def __init__(self, limits: Callable[[], RetryLimits], clock: Clock) -> None:
         self._limits = limits
         self._clock = clock
-        self._requests_by_id: dict[ServiceId, collections.deque[float]] = {}
-        self._retries_by_id: dict[ServiceId, collections.deque[float]] = {}
-        self._refused_by_id: collections.Counter[ServiceId] = collections.Counter()
+        self._requests_by_service: dict[ServiceId, collections.deque[float]] = {}
+        self._retries_by_service: dict[ServiceId, collections.deque[float]] = {}
+        self._denied_by_service: collections.Counter[ServiceId] = collections.Counter()
 
     def record_request(self, service: ServiceId) -> None:
         """Count a first attempt."""
-        self._recent_timestamps(self._requests_by_id, service).append(self._clock.now())
+        self._recent_timestamps(self._requests_by_service, service).append(self._clock.now())
 
     def allows(self, service: ServiceId) -> bool:
         """Return whether the budget allows one more retry; count a denial if not."""
-        requests = self._recent_timestamps(self._requests_by_id, service)
-        retries = self._recent_timestamps(self._retries_by_id, service)
+        requests = self._recent_timestamps(self._requests_by_service, service)
+        retries = self._recent_timestamps(self._retries_by_service, service)
         limits = self._limits()
         is_allowed = len(retries) + 1 <= len(requests) * limits.fraction + limits.extra_retries
         if not is_allowed:
-            self._refused_by_id[service] += 1
+            self._denied_by_service[service] += 1
         return is_allowed
 
     def record_retry(self, service: ServiceId) -> None:
         """Count a retry against the budget."""
-        self._recent_timestamps(self._retries_by_id, service).append(self._clock.now())
+        self._recent_timestamps(self._retries_by_service, service).append(self._clock.now())
 
     def reports(self) -> list[RetryReport]:
         """Return the request and retry counts of each service, for the state dump."""
         return [
             RetryReport(
                 service=service,
-                requests=len(self._recent_timestamps(self._requests_by_id, service)),
-                retries=len(self._recent_timestamps(self._retries_by_id, service)),
-                refused=self._refused_by_id[service],
+                requests=len(self._recent_timestamps(self._requests_by_service, service)),
+                retries=len(self._recent_timestamps(self._retries_by_service, service)),
+                refused=self._denied_by_service[service],
             )
-            for service in sorted(self._requests_by_id)
+            for service in sorted(self._requests_by_service)
         ]
 
     def _recent_timestamps(
         self,
-        timestamps_by_id: dict[ServiceId, collections.deque[float]],
+        timestamps_by_service: dict[ServiceId, collections.deque[float]],
         service: ServiceId,
     ) -> collections.deque[float]:
-        timestamps = timestamps_by_id.setdefault(service, collections.deque())
+        timestamps = timestamps_by_service.setdefault(service, collections.deque())
         oldest = self._clock.now() - self._limits().window_seconds
         while timestamps and timestamps[0] < oldest:
             timestamps.popleft()
--- a/packages/turmericwharf/src/turmericwharf/coordination/routing/server_selection.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/routing/server_selection.py
@@ -33,10 +33,11 @@
     EvidenceSubject,
 )
 
-_MILLISECONDS = 1000
-_DEFAULT_FLOOR = 0.5
+_MILLISECONDS_PER_SECOND = 1000
+_DEFAULT_MIN_CAPACITY_FRACTION = 0.5
 # An older load report does not reflect the requests that other nodes are sending now.
 _MAX_LOAD_AGE_SECONDS = 1.0
+# Power of two choices: comparing two random servers prevents all nodes from choosing the same one.
 _SAMPLE_SIZE = 2
 # Unanswered requests are checked at this interval for each service rather than at each selection.
 _OVERDUE_CHECK_INTERVAL_SECONDS = 0.02
@@ -51,7 +52,10 @@
 
 
 class Router:
-    """Selects by the local requests in flight first and by the reported load of the server second.
+    """Selects the server with the fewest requests in flight from this node per slot.
+
+    Compares the local server and two random ones. Ties go to the server with the lower reported
+    load. The router also ejects faulty servers and probes ejected ones.
 
     Parameters
     ----------
@@ -61,7 +65,7 @@
         Settings of outlier detection.
     clock
         Clock of the node.
-    floor_of
+    min_capacity_fraction_of
         Returns the fraction of a service's ready slots that must stay in use, or None for the
         default.
     links
@@ -73,21 +77,21 @@
         members: MembershipView,
         settings: OutlierSettings,
         clock: Clock,
-        floor_of: Callable[[ServiceId], float | None],
+        min_capacity_fraction_of: Callable[[ServiceId], float | None],
         links: PeerLinks,
     ) -> None:
         self._members = members
         self._settings = settings
         self._clock = clock
-        self._floor_of = floor_of
+        self._min_capacity_fraction_of = min_capacity_fraction_of
         self._links = links
         self._detector = OutlierDetector(settings, clock)
-        self._server_times = RouteMedians()
-        self._path_times = RouteMedians()
+        self._server_medians = RouteMedians()
+        self._path_medians = RouteMedians()
         self._in_flight = InFlightAttempts()
-        self._load_by_id: dict[InstanceId, _ReportedLoad] = {}
-        self._checked_at_by_id: dict[ServiceId, float] = {}
-        self._probed_at_by_id: dict[InstanceId, float] = {}
+        self._load_by_instance: dict[InstanceId, _ReportedLoad] = {}
+        self._checked_at_by_service: dict[ServiceId, float] = {}
+        self._probed_at_by_instance: dict[InstanceId, float] = {}
 
     def choose(self, admitted: AdmittedRequest, excluded: Set[InstanceId]) -> StartedAttempt | None:
         """Choose a server and register the attempt as in flight; None if no server is left."""
@@ -117,26 +121,28 @@
         )
 
     def record_outcome(
-        self, admitted: AdmittedRequest, choice: StartedAttempt, outcome: Outcome
+        self, admitted: AdmittedRequest, attempt: StartedAttempt, outcome: Outcome
     ) -> None:
         """End an attempt and record its harm for the server and the network path."""
-        self._in_flight.end(choice)
+        self._in_flight.end(attempt)
         if isinstance(outcome, Answered):
-            self._load_by_id[choice.instance] = _ReportedLoad(outcome.load, self._clock.now())
-        attempt = self._measure_attempt(admitted, choice, outcome)
-        harms = [(EvidenceSubject.SERVER, server_harm(outcome, attempt))]
-        if choice.instance != self._members.own.instance:
-            harms.append((EvidenceSubject.PATH, path_harm(outcome, attempt)))
-        ejection = self._detector.find_ejection(admitted.service, choice.instance)
+            self._load_by_instance[attempt.instance] = _ReportedLoad(
+                outcome.load, self._clock.now()
+            )
+        timing = self._measure_attempt(admitted, attempt, outcome)
+        harms = [(EvidenceSubject.SERVER, server_harm(outcome, timing))]
+        if attempt.instance != self._members.own.instance:
+            harms.append((EvidenceSubject.PATH, path_harm(outcome, timing)))
+        ejection = self._detector.find_ejection(admitted.service, attempt.instance)
         if ejection is not None:
             known_harms = [harm for _, harm in harms if harm is not None]
-            if choice.probe and known_harms:
+            if attempt.probe and known_harms:
                 self._detector.record_probe(ejection, max(known_harms))
             return
         ratio = self._latency_ratio(admitted.route, outcome)
         for subject, harm in harms:
             if harm is not None:
-                self._record_harm(choice.report, subject, harm, ratio, admitted.target_seconds)
+                self._record_harm(attempt.report, subject, harm, ratio, admitted.target_seconds)
 
     def receive_hint(self, hint: OutlierHint) -> None:
         """Record a hint that a peer ejected a server."""
@@ -144,9 +150,9 @@
         if _contains_instance(reports, hint.instance):
             self._detector.record_hint(hint)
 
-    def record_abandoned(self, choice: StartedAttempt) -> None:
+    def record_abandoned(self, attempt: StartedAttempt) -> None:
         """End an attempt whose caller disconnected; it is no evidence about the server."""
-        self._in_flight.end(choice)
+        self._in_flight.end(attempt)
 
     def dump(self) -> RoutingDump:
         """Return the ejections and the evidence about servers, for the state dump."""
@@ -173,15 +179,15 @@
         ejections = self._detector.ejections_of(service)
         if not ejections:
             return frozenset()
-        allowed = within_floor(ready, ejections, self._floor(service))
+        allowed = within_floor(ready, ejections, self._min_capacity_fraction(service))
         for ejection in ejections:
             if ejection.instance not in allowed and _contains_instance(ready, ejection.instance):
                 self._detector.reinstate(ejection, ReinstatementCause.FLOOR)
         return allowed
 
-    def _floor(self, service: ServiceId) -> float:
-        floor = self._floor_of(service)
-        return _DEFAULT_FLOOR if floor is None else floor
+    def _min_capacity_fraction(self, service: ServiceId) -> float:
+        fraction = self._min_capacity_fraction_of(service)
+        return _DEFAULT_MIN_CAPACITY_FRACTION if fraction is None else fraction
 
     def _record_harm(
         self,
@@ -204,7 +210,9 @@
     def _eject_within_floor(self, proposed: Ejection) -> None:
         ready = self._ready_servers(proposed.service)
         ejections = [*self._detector.ejections_of(proposed.service), proposed]
-        if proposed.instance in within_floor(ready, ejections, self._floor(proposed.service)):
+        if proposed.instance in within_floor(
+            ready, ejections, self._min_capacity_fraction(proposed.service)
+        ):
             self._detector.eject(proposed)
             self._send_hint(proposed)
             # The floor may now require that a less harmful server is reinstated.
@@ -229,20 +237,24 @@
         target_seconds: float,
     ) -> None:
         now = self._clock.now()
-        if now - self._checked_at_by_id.get(service, 0) < _OVERDUE_CHECK_INTERVAL_SECONDS:
+        if now - self._checked_at_by_service.get(service, 0) < _OVERDUE_CHECK_INTERVAL_SECONDS:
             return
-        self._checked_at_by_id[service] = now
+        self._checked_at_by_service[service] = now
         in_use = [
             report
             for report in ready
             if self._detector.find_ejection(service, report.instance) is None
         ]
-        harms_by_id = {
-            report.instance: self._in_flight.overdue_harms(report.instance, self._server_times, now)
+        harms_by_instance = {
+            report.instance: self._in_flight.overdue_harms(
+                report.instance, self._server_medians, now
+            )
             for report in in_use
         }
-        if any(harms_by_id.values()):
-            for proposed in self._detector.record_overdue(in_use, harms_by_id, target_seconds):
+        if any(harms_by_instance.values()):
+            for proposed in self._detector.propose_overdue_ejections(
+                in_use, harms_by_instance, target_seconds
+            ):
                 self._eject_within_floor(proposed)
 
     def _choose_probe(
@@ -258,40 +270,42 @@
             ejection = self._detector.find_ejection(admitted.service, report.instance)
             if ejection is None or now < ejection.until or self._in_flight.count(report.instance):
                 continue
-            waited = now - self._probed_at_by_id.get(report.instance, ejection.since)
+            waited = now - self._probed_at_by_instance.get(report.instance, ejection.since)
             if waited > wait_seconds or random.random() < self._settings.probe_share:
-                self._probed_at_by_id[report.instance] = now
+                self._probed_at_by_instance[report.instance] = now
                 return report
         return None
 
     def _measure_attempt(
-        self, admitted: AdmittedRequest, choice: StartedAttempt, outcome: Outcome
+        self, admitted: AdmittedRequest, attempt: StartedAttempt, outcome: Outcome
     ) -> AttemptTiming:
         service, route = admitted.service, admitted.route
-        seconds = self._clock.now() - choice.started_at
+        seconds = self._clock.now() - attempt.started_at
         if isinstance(outcome, Answered):
-            self._server_times.record(route, outcome.server_milliseconds / _MILLISECONDS)
-            if choice.instance != self._members.own.instance:
-                self._path_times.record(route, path_seconds(seconds, outcome))
-        usual_ratio = self._detector.evidence(
-            service, EvidenceSubject.SERVER, choice.instance
+            self._server_medians.record(
+                route, outcome.server_milliseconds / _MILLISECONDS_PER_SECOND
+            )
+            if attempt.instance != self._members.own.instance:
+                self._path_medians.record(route, path_seconds(seconds, outcome))
+        log_latency_ratio = self._detector.evidence(
+            service, EvidenceSubject.SERVER, attempt.instance
         ).usual_ratio
         return AttemptTiming(
             seconds=seconds,
             target_seconds=admitted.target_seconds,
-            typical_seconds=self._server_times.seconds(route) * math.exp(usual_ratio),
-            typical_path_seconds=self._path_times.seconds(route),
+            expected_seconds=self._server_medians.seconds(route) * math.exp(log_latency_ratio),
+            median_path_seconds=self._path_medians.seconds(route),
         )
 
     def _latency_ratio(self, route: RouteId, outcome: Outcome) -> float:
-        typical_seconds = self._server_times.seconds(route)
-        if not isinstance(outcome, Answered) or not typical_seconds:
+        median_seconds = self._server_medians.seconds(route)
+        if not isinstance(outcome, Answered) or not median_seconds:
             return 1
-        return max(outcome.server_milliseconds / _MILLISECONDS / typical_seconds, 1)
+        return max(outcome.server_milliseconds / _MILLISECONDS_PER_SECOND / median_seconds, 1)
 
     def _cost(self, report: ServerReport) -> tuple[float, float]:
         in_flight = self._in_flight.count(report.instance)
-        latest = self._load_by_id.get(report.instance)
+        latest = self._load_by_instance.get(report.instance)
         is_fresh = (
             latest is not None and self._clock.now() - latest.received_at < _MAX_LOAD_AGE_SECONDS
         )
--- a/packages/turmericwharf/src/turmericwharf/state/failures.py
+++ b/packages/turmericwharf/src/turmericwharf/state/failures.py
@@ -123,14 +123,26 @@
     'the API key occurs outside the headers Authorization and X-Api-Key',
 )
 ROUTE_UNKNOWN = RequestFailure(Reason.ROUTE_UNKNOWN, 'no route matches the method and path')
-ROUTE_INTERNAL = RequestFailure(Reason.ROUTE_INTERNAL, 'the route can be called by services only')
-RATE_EXCEEDED = RequestFailure(Reason.RATE_EXCEEDED, 'the organisation exceeds its rate')
+ROUTE_INTERNAL = RequestFailure(
+    Reason.ROUTE_INTERNAL,
+    'the route can be called by services only, or a call from a service does not name a request '
+    'in progress of an organisation in Turmericwharf-Serves',
+)
+RATE_EXCEEDED = RequestFailure(
+    Reason.RATE_EXCEEDED,
+    'no token was granted: the organisation exceeds its rate, or holders of its rate did not '
+    'answer',
+)
 BODY_TOO_LARGE = RequestFailure(Reason.BODY_TOO_LARGE, 'the request body exceeds the size limit')
 DEADLINE_PASSED = RequestFailure(
     Reason.DEADLINE_PASSED, 'the deadline passed before the request was run'
 )
 NO_CAPACITY = RequestFailure(Reason.NO_CAPACITY, 'no backend server of the service is available')
-QUEUE_FULL = RequestFailure(Reason.QUEUE_FULL, 'the queue of the backend server is full')
+QUEUE_FULL = RequestFailure(
+    Reason.QUEUE_FULL,
+    'the queue of the backend server is full, or the expected wait exceeds the time that the '
+    'request can wait',
+)
 QUEUE_DISPLACED = RequestFailure(
     Reason.QUEUE_FULL,
     'another request displaced this one from the full queue',
--- a/tests/coordination/routing/test_outliers.py
+++ b/tests/coordination/routing/test_outliers.py
@@ -117,7 +117,8 @@
 def test_hold_doubles_while_a_server_flaps_and_shrinks_when_it_is_stable():
     """Guards against a flapping server that keeps harming the same share of requests.
 
-    Each ejection in short succession doubles the hold, up to the maximum; stable time reduces it.
+    Each ejection in short succession doubles the ejection time, up to the maximum; stable time
+    reduces it.
     """
     clock = ManualClock()
     detector = OutlierDetector(OutlierSettings(), clock)
--- a/tests/coordination/routing/test_retries.py
+++ b/tests/coordination/routing/test_retries.py
@@ -28,7 +28,7 @@
         attempts = sum(node.server.attempts for node in fleet.nodes.values())
         retries = attempts - requests
         assert sum(report.refused for report in reports) > 0
-        # The run spans two windows of 10 s; each node may make the minimum of 3 retries in each.
+        # The run spans two windows of 10 s; each node may make 3 extra retries in each.
         assert 0 < retries <= requests * 0.1 + 2 * 3 * NODES
 
     run_in_virtual_time(scenario())
