--- a/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/backend_client.py
@@ -40,7 +40,7 @@
 )
 
 
-class HttpBackendServer:
+class HttpBackendClient:
     """Client of the backend server on the local instance, connected over loopback.
 
     Parameters
@@ -59,7 +59,13 @@
         self._port = port
 
     async def run(self, order: Execute, *, remaining_seconds: float) -> Outcome:
-        """Run one request; `NotRun` is returned only if no byte of it was written."""
+        """Run one request.
+
+        Returns
+        -------
+        Outcome
+            `NotRun` only if no byte of the request was written or the server shed it.
+        """
         if self._port is None:
             return NotRun(Reason.SERVER_UNKNOWN, 'the backend server has not announced itself')
         try:
@@ -122,7 +128,8 @@
     if has_body and not _LENGTH_HEADERS.intersection(response.headers):
         # Without a length, a closed connection does not prove that the body is complete.
         return OutcomeUnknown(
-            Reason.ANSWER_INCOMPLETE, 'the answer has neither Content-Length nor Transfer-Encoding'
+            Reason.ANSWER_INCOMPLETE,
+            'the response has neither Content-Length nor Transfer-Encoding',
         )
     headers = tuple(pair for pair in response.headers.get_all() if pair[0] not in _CLIENT_HEADERS)
     return Answered(
