--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
@@ -20,8 +20,8 @@
 NO_ORGANISATION = OrganisationId('')
 # A call from a backend server blocks the request that the server is processing, so it ranks before
 # all client requests.
-_SERVER_CALL_RANK = 1_000
-_URGENCY_STEPS = 20
+_NO_ORGANISATION_PRIORITY = 1_000
+_MAX_URGENCY = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,7 +43,7 @@
     route: RouteRule
     service: ServiceId
     organisation: OrganisationId
-    rank: int
+    queue_priority: int
     admitted_at: float
     deadline: float
     latency_target_at: float
@@ -60,21 +60,21 @@
 
     Parameters
     ----------
-    holder
+    configuration
         Holds the current configuration.
     clock
         Clock of the node.
     """
 
-    def __init__(self, holder: ActiveConfiguration, clock: Clock) -> None:
-        self._holder = holder
+    def __init__(self, configuration: ActiveConfiguration, clock: Clock) -> None:
+        self._configuration = configuration
         self._clock = clock
 
     def admit(self, request: FleetRequest) -> AdmittedFleetRequest | RequestFailure:
         """Return the admitted request, or the reason for refusing it."""
-        if not self._holder.is_known:
+        if not self._configuration.is_known:
             return NOT_READY
-        route = self._holder.routes.find(request.host, request.target)
+        route = self._configuration.routes.find(request.host, request.target)
         if route is None:
             return ROUTE_UNKNOWN
         organisation = self.find_organisation(request, route)
@@ -94,11 +94,11 @@
 
         Returns None if the request needs no organisation.
         """
-        if route.public or not self._holder.current.has_organisations:
+        if route.public or not self._configuration.current.has_organisations:
             return None
         if request.key_digest is None:
             return KEY_MISSING
-        return self._holder.find_organisation(request.key_digest) or KEY_UNKNOWN
+        return self._configuration.find_organisation(request.key_digest) or KEY_UNKNOWN
 
     def _build_admission(
         self,
@@ -116,18 +116,18 @@
             route=route,
             service=service,
             organisation=NO_ORGANISATION if organisation is None else organisation.organisation,
-            rank=_rank(route, organisation),
+            queue_priority=_queue_priority(route, organisation),
             admitted_at=now,
             deadline=now + remaining,
             latency_target_at=now + min(route.target_seconds, remaining),
-            version=self._holder.version,
+            version=self._configuration.version,
         )
 
 
-def _rank(route: RouteRule, organisation: OrganisationRule | None) -> int:
+def _queue_priority(route: RouteRule, organisation: OrganisationRule | None) -> int:
     if organisation is None:
-        return _SERVER_CALL_RANK - route.priority
+        return _NO_ORGANISATION_PRIORITY - route.priority
     priority = route.priority if organisation.priority is None else organisation.priority
     # Within one priority, requests with shorter latency targets rank first.
-    urgency = round(_URGENCY_STEPS / (1 + route.target_seconds))
-    return urgency - (_URGENCY_STEPS + 1) * priority
+    urgency = round(_MAX_URGENCY / (1 + route.target_seconds))
+    return urgency - (_MAX_URGENCY + 1) * priority
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -21,7 +21,7 @@
     ----------
     record
         Current state of the backend server.
-    gate
+    executor
         Dispatches work to the server.
     publisher
         Publishes the local entry to the fleet.
@@ -30,25 +30,25 @@
     def __init__(
         self,
         record: ServerRecord,
-        gate: OrderExecutor,
+        executor: OrderExecutor,
         publisher: LocalNodePublisher,
     ) -> None:
         self._record = record
-        self._gate = gate
+        self._executor = executor
         self._publisher = publisher
         self._previous_entry: NodeEntry | None = None
         self.is_stopping = False
 
     async def apply_announcement(self, server: AnnouncedServer) -> None:
         """Apply an announcement; the caller may acknowledge it after this returns."""
-        if self._was_leaving(server):
+        if self._left_under_previous_process(server):
             server = dataclasses.replace(server, phase=ServerPhase.LEAVING)
         previous = self._record.current
         if not self._record.apply(server):
             return
         if (previous.server, previous.born) != (server.server, server.born):
-            self._gate.breaker.reset()
-        self._gate.queue.resize(max(server.slots, 1))
+            self._executor.breaker.reset()
+        self._executor.queue.resize(max(server.slots, 1))
         await self._publish_and_confirm()
 
     async def apply_leave_notice(self, server: AnnouncedServer) -> None:
@@ -61,7 +61,7 @@
         if self._previous_entry is not None:
             return
         self._previous_entry = entry
-        if self._was_leaving(self._record.current):
+        if self._left_under_previous_process(self._record.current):
             self._record.mark_leaving(self._record.current)
         if self._record.current.phase is ServerPhase.ABSENT:
             # Published again for the next process, in case this one ends before the server
@@ -89,7 +89,7 @@
             return None
         return None if previous.phase is ServerPhase.LEAVING else _server_from_entry(previous)
 
-    def _was_leaving(self, server: AnnouncedServer) -> bool:
+    def _left_under_previous_process(self, server: AnnouncedServer) -> bool:
         # A server that began to leave under the previous process must not become ready again.
         previous = self._previous_entry
         return (
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -22,28 +22,28 @@
 )
 from turmericwharf.state.sidecar import NodeEntry, WorkAnswer
 
-_SERVER_ERROR = 500
+_MIN_SERVER_ERROR_STATUS = 500
 # Delay before servers that refused are tried again.
 _RETRY_DELAY_SECONDS = 0.06
 _MIN_REMAINING_SECONDS = 0.01
 # A request that no server has accepted is refused after this share of its latency target.
-_MAX_PENDING_SHARE = 0.35
+_MAX_PENDING_FRACTION = 0.35
 _MAX_REFUSALS = 12
 # After this many refusals because of load, the other servers are assumed to be as loaded.
 _MAX_OVERLOAD_REFUSALS = 3
 # Refusals that every other server of the fleet would repeat.
-_FINAL_REFUSALS = frozenset((Reason.KEY_WITHDRAWN, Reason.CONFIGURATION_OUTDATED))
-_OVERLOAD_REFUSALS = frozenset((Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
+_NON_RETRYABLE_REASONS = frozenset((Reason.KEY_WITHDRAWN, Reason.CONFIGURATION_OUTDATED))
+_OVERLOAD_REASONS = frozenset((Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
 # An idempotent request without an answer is hedged after this share of its remaining time.
-_HEDGE_SHARE = 0.5
+_HEDGE_DELAY_FRACTION = 0.5
 
 
 @dataclasses.dataclass(slots=True)
 class _Progress:
     """State of a request so far; updated by each attempt."""
 
-    number: int = 0
-    runs: int = 0
+    last_attempt_number: int = 0
+    attempts_run: int = 0
     # Servers that received the request, and retries that the budget granted for further servers.
     servers_reached: int = 0
     retries_granted: int = 0
@@ -58,7 +58,7 @@
     """A work order in flight, and the load by which its server was selected."""
 
     entry: NodeEntry
-    number: int
+    attempt_number: int
     load: int
     load_age: float | None
     task: asyncio.Task[WorkAnswer]
@@ -73,7 +73,7 @@
         Selects servers.
     sender
         Sends a work order and returns its answer.
-    allowance
+    retry_budget
         Limits how many requests may reach a further server.
     clock
         Clock of the node.
@@ -84,17 +84,17 @@
         *,
         selector: ServerSelector,
         sender: OrderSender,
-        allowance: FleetRetryBudget,
+        retry_budget: FleetRetryBudget,
         clock: Clock,
     ) -> None:
         self._selector = selector
         self._sender = sender
-        self._allowance = allowance
+        self._retry_budget = retry_budget
         self._clock = clock
 
     async def run(self, admitted: AdmittedFleetRequest) -> Outcome:
         """Return the final outcome of a request."""
-        self._allowance.record_request(
+        self._retry_budget.record_request(
             admitted.service, has_no_organisation=admitted.has_no_organisation
         )
         progress = _Progress()
@@ -127,7 +127,7 @@
         return (
             progress.overload_refusals >= _MAX_OVERLOAD_REFUSALS
             or progress.refusals >= _MAX_REFUSALS
-            or pending_seconds > _MAX_PENDING_SHARE * target_seconds
+            or pending_seconds > _MAX_PENDING_FRACTION * target_seconds
         )
 
     async def _run_attempts(
@@ -144,7 +144,7 @@
                 and admitted.route.idempotent
             ):
                 await self._hedge(admitted, attempts, progress)
-            return await self._collect(admitted, attempts, progress)
+            return await self._await_attempts(admitted, attempts, progress)
         finally:
             for attempt in attempts:
                 attempt.task.cancel()
@@ -158,7 +158,7 @@
         *,
         in_flight: int = 0,
     ) -> _Attempt:
-        progress.number += 1
+        progress.last_attempt_number += 1
         progress.excluded.add(entry.instance)
         self._selector.start(entry.instance)
         # A hedge must not be a trial of a failing server.
@@ -166,21 +166,23 @@
         sending = self._sender.send(
             admitted,
             entry,
-            number=progress.number,
+            attempt_number=progress.last_attempt_number,
             allowed_seconds=self._remaining_seconds(admitted),
             target_seconds=self._remaining_target_seconds(admitted),
             may_be_trial=may_be_trial and admitted.route.idempotent,
             is_repeat=progress.servers_reached + in_flight > 0,
         )
         load, load_age = self._selector.last_reported_load(entry.instance)
-        return _Attempt(entry, progress.number, load, load_age, asyncio.create_task(sending))
+        return _Attempt(
+            entry, progress.last_attempt_number, load, load_age, asyncio.create_task(sending)
+        )
 
     def _remaining_target_seconds(self, admitted: AdmittedFleetRequest) -> float:
         # The calling server occupies a slot while it waits, so a call may queue until its deadline.
-        latency_target_at = (
+        useful_until = (
             admitted.deadline if admitted.has_no_organisation else admitted.latency_target_at
         )
-        return max(latency_target_at - self._clock.now(), 0)
+        return max(useful_until - self._clock.now(), 0)
 
     async def _hedge(
         self,
@@ -190,13 +192,15 @@
     ) -> None:
         """Send an unanswered request to a second server as well; the first attempt continues."""
         first = attempts[0]
-        await asyncio.wait([first.task], timeout=self._remaining_seconds(admitted) * _HEDGE_SHARE)
+        await asyncio.wait(
+            [first.task], timeout=self._remaining_seconds(admitted) * _HEDGE_DELAY_FRACTION
+        )
         if first.task.done():
             return
-        self._selector.avoid(first.entry.instance)
+        self._selector.deprioritise(first.entry.instance)
         entry = self._selector.select(admitted.service, progress.excluded)
         if entry is not None and await self._acquire_retry(admitted, progress, in_flight=1):
-            progress.runs += 1
+            progress.attempts_run += 1
             attempts.append(self._start(admitted, entry, progress, in_flight=1))
             logger.bind(
                 request=admitted.request.request,
@@ -204,7 +208,7 @@
                 instance=entry.instance,
             ).info('request_hedged')
 
-    async def _collect(
+    async def _await_attempts(
         self,
         admitted: AdmittedFleetRequest,
         attempts: list[_Attempt],
@@ -213,7 +217,7 @@
         """Record answers as they arrive; return whether the outcome is final."""
         if len(attempts) > 1:
             # Both attempts are counted when they end; undo the count from the start of the hedge.
-            progress.runs -= 1
+            progress.attempts_run -= 1
         attempts_by_task = {attempt.task: attempt for attempt in attempts}
         is_final = False
         while attempts_by_task and not is_final:
@@ -238,30 +242,30 @@
         self._selector.record_answer(ended.entry.instance, answer)
         outcome = _extract_outcome(answer)
         progress.servers_reached += answer.reached_server
-        progress.runs += not isinstance(outcome, NotRun)
+        progress.attempts_run += not isinstance(outcome, NotRun)
         if isinstance(outcome, NotRun):
             progress.refusals += 1
-            progress.overload_refusals += outcome.reason in _OVERLOAD_REFUSALS
+            progress.overload_refusals += outcome.reason in _OVERLOAD_REASONS
         if not isinstance(outcome, NotRun) or isinstance(progress.outcome, NotRun | None):
             # The outcome at a server takes precedence over a later refusal by another node.
             progress.outcome = outcome
-        is_success = isinstance(outcome, Answered) and outcome.status < _SERVER_ERROR
+        is_success = isinstance(outcome, Answered) and outcome.status < _MIN_SERVER_ERROR_STATUS
         is_final = is_success
         if not is_success and not in_flight:
-            is_final = not await self._may_retry(admitted, outcome, progress)
+            is_final = not await self._acquire_retry_after(admitted, outcome, progress)
         logger.bind(
             request=admitted.request.request,
-            attempt=ended.number,
+            attempt=ended.attempt_number,
             instance=ended.entry.instance,
             server=ended.entry.server,
-            outcome=_outcome_label(outcome),
+            outcome=_status_or_reason(outcome),
             load=ended.load,
             load_age=ended.load_age,
             final=is_final,
         ).info('attempt_ended')
         return is_final
 
-    async def _may_retry(
+    async def _acquire_retry_after(
         self,
         admitted: AdmittedFleetRequest,
         outcome: Outcome,
@@ -270,14 +274,16 @@
         if not self._has_attempts_left(admitted, progress, in_flight=0):
             return False
         if isinstance(outcome, NotRun):
-            is_final = outcome.reason in _FINAL_REFUSALS or self._should_give_up(admitted, progress)
+            is_final = outcome.reason in _NON_RETRYABLE_REASONS or self._should_give_up(
+                admitted, progress
+            )
             return not is_final and await self._acquire_retry(admitted, progress)
         return admitted.route.idempotent and await self._acquire_retry(admitted, progress)
 
     def _has_attempts_left(
         self, admitted: AdmittedFleetRequest, progress: _Progress, *, in_flight: int
     ) -> bool:
-        return progress.runs + in_flight < admitted.route.attempts
+        return progress.attempts_run + in_flight < admitted.route.attempts
 
     async def _acquire_retry(
         self,
@@ -292,7 +298,7 @@
         """
         if progress.retries_granted >= progress.servers_reached + in_flight:
             return True
-        is_granted = await self._allowance.acquire(admitted.service)
+        is_granted = await self._retry_budget.acquire(admitted.service)
         progress.retries_granted += is_granted
         return is_granted
 
@@ -302,5 +308,5 @@
     return outcome or OutcomeUnknown(Reason.FRAME_MALFORMED, 'the work answer contains no outcome')
 
 
-def _outcome_label(outcome: Outcome) -> str:
+def _status_or_reason(outcome: Outcome) -> str:
     return str(outcome.status) if isinstance(outcome, Answered) else outcome.reason.value
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/backlog.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/backlog.py
@@ -6,7 +6,7 @@
 from turmericwharf.coordination.execution.fair_queue import FairQueue
 
 # On average, a running request has this share of its mean run time left.
-_RUNNING_SHARE = 0.5
+_REMAINING_RUN_FRACTION = 0.5
 # Floating-point residue: sums of added and subtracted seconds can end slightly above zero.
 _MIN_WAITING_SECONDS = 0.001
 
@@ -18,7 +18,7 @@
         self._waiting_by_rank: dict[int, float] = {}
         self._running_seconds = 0.0
 
-    def expected_wait(self, rank: int, queue: FairQueue) -> float:
+    def expected_wait_seconds(self, rank: int, queue: FairQueue) -> float:
         """Return the expected seconds until a new request of a rank gets a slot."""
         if not queue.waiting and queue.in_progress < queue.slots:
             return 0
@@ -29,7 +29,7 @@
         )
         slots = max(queue.slots, 1)
         # The first of the running requests to end frees a slot.
-        remaining_seconds = self._running_seconds * _RUNNING_SHARE / slots
+        remaining_seconds = self._running_seconds * _REMAINING_RUN_FRACTION / slots
         return (ahead_seconds + remaining_seconds) / slots
 
     def add_waiting(self, rank: int, seconds: float) -> None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/breaker.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/breaker.py
@@ -10,12 +10,12 @@
 
 _TRIAL_INTERVAL_SECONDS = 0.8
 _TRIALS_TO_CLOSE = 3
-_SERVER_ERROR = 500
+_MIN_SERVER_ERROR_STATUS = 500
 # Weight of the newest outcome in the moving averages of errors and rejections.
-_ERROR_WEIGHT = 0.25
-_MAX_ERROR_SHARE = 0.55
+_NEWEST_OUTCOME_WEIGHT = 0.25
+_MAX_ERROR_FRACTION = 0.55
 # A server that rejects some of its requests still serves the others, and a rejection is cheap.
-_MAX_REJECTED_SHARE = 0.9
+_MAX_REJECTED_FRACTION = 0.9
 _CAUSE_REJECTED = 'requests_rejected'
 # Reasons of an unknown outcome that do not indicate a broken connection to the server.
 _NOT_CONNECTION_FAILURES = frozenset((Reason.ANSWER_TIMEOUT, Reason.CALLER_LEFT))
@@ -90,13 +90,13 @@
         self._rejected_share = 0.0
 
     def _record_rejection(self, *, rejected: bool) -> None:
-        self._rejected_share += _ERROR_WEIGHT * (rejected - self._rejected_share)
-        if rejected and self._rejected_share > _MAX_REJECTED_SHARE:
+        self._rejected_share += _NEWEST_OUTCOME_WEIGHT * (rejected - self._rejected_share)
+        if rejected and self._rejected_share > _MAX_REJECTED_FRACTION:
             self._open(_CAUSE_REJECTED)
 
     def _record_error(self, *, failed: bool) -> None:
-        self._error_share += _ERROR_WEIGHT * (failed - self._error_share)
-        if self._error_share > _MAX_ERROR_SHARE:
+        self._error_share += _NEWEST_OUTCOME_WEIGHT * (failed - self._error_share)
+        if self._error_share > _MAX_ERROR_FRACTION:
             self._open('answers_failed')
         elif not failed:
             self._count_success()
@@ -140,7 +140,11 @@
 
 @_classify.register
 def _(outcome: Answered, *, is_overdue: bool) -> _HealthSignal:
-    return _HealthSignal.FAILED if outcome.status >= _SERVER_ERROR else _HealthSignal.HEALTHY
+    return (
+        _HealthSignal.FAILED
+        if outcome.status >= _MIN_SERVER_ERROR_STATUS
+        else _HealthSignal.HEALTHY
+    )
 
 
 @_classify.register
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
@@ -17,8 +17,8 @@
 )
 
 _REQUEST_TIMEOUT_SECONDS = 0.5
-_INTERVAL_SECONDS = 1.0
-_OFFLINE_INTERVAL_SECONDS = 0.4
+_POLL_INTERVAL_SECONDS = 1.0
+_OFFLINE_POLL_INTERVAL_SECONDS = 0.4
 
 
 class ConfigurationSync:
@@ -30,7 +30,7 @@
 
     Parameters
     ----------
-    holder
+    configuration
         Holds the configuration in force.
     directory
         Known nodes.
@@ -42,12 +42,12 @@
 
     def __init__(
         self,
-        holder: ActiveConfiguration,
+        configuration: ActiveConfiguration,
         directory: NodeDirectory,
         links: FleetLinks,
         follower: TopicFollower,
     ) -> None:
-        self._holder = holder
+        self._configuration = configuration
         self._directory = directory
         self._links = links
         self._follower = follower
@@ -56,7 +56,7 @@
     def record_version(self, instance: InstanceId, version: int) -> None:
         """Record the version that another node has; fetch it if it is newer."""
         entry = self._directory.find(instance)
-        if entry is None or version <= self._holder.version or self._fetches:
+        if entry is None or version <= self._configuration.version or self._fetches:
             return
         task = asyncio.create_task(self._fetch(entry))
         self._fetches.add(task)
@@ -66,7 +66,9 @@
         """Poll random nodes until cancelled, more often while the store is unreachable."""
         while True:
             is_offline = not self._follower.is_connected
-            interval_seconds = _OFFLINE_INTERVAL_SECONDS if is_offline else _INTERVAL_SECONDS
+            interval_seconds = (
+                _OFFLINE_POLL_INTERVAL_SECONDS if is_offline else _POLL_INTERVAL_SECONDS
+            )
             await asyncio.sleep(interval_seconds * random.uniform(0.8, 1.2))
             await asyncio.gather(
                 *(self._fetch(peer) for peer in self._choose_peers(is_offline=is_offline))
@@ -87,10 +89,10 @@
     async def _fetch(self, peer: NodeEntry) -> None:
         reply = await self._links.request(
             peer,
-            ConfigurationRequest(self._holder.version),
+            ConfigurationRequest(self._configuration.version),
             timeout_seconds=_REQUEST_TIMEOUT_SECONDS,
         )
         if not isinstance(reply, ConfigurationReply):
             logger.bind(instance=peer.instance).debug('configuration_not_fetched')
         elif reply.encoded:
-            self._holder.apply_if_newer(reply.encoded, source=peer.instance)
+            self._configuration.apply_if_newer(reply.encoded, source=peer.instance)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/data_centre_ranking.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/data_centre_ranking.py
@@ -17,13 +17,13 @@
 
     def __init__(self, directory: NodeDirectory) -> None:
         self._directory = directory
-        self._ranked_at_change = -1
+        self._ranked_at_change_number = -1
         self._ranked_by_role: dict[str, list[InstanceId]] = {}
 
     def ranked_nodes(self, role: str) -> list[InstanceId]:
         """Return the running, unsuspected nodes, the one responsible for a role first."""
-        if self._ranked_at_change != self._directory.change_number:
-            self._ranked_at_change = self._directory.change_number
+        if self._ranked_at_change_number != self._directory.change_number:
+            self._ranked_at_change_number = self._directory.change_number
             self._ranked_by_role.clear()
         ranked = self._ranked_by_role.get(role)
         if ranked is None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
@@ -42,12 +42,12 @@
 
     def __init__(self, local: NodeEntry, clock: Clock) -> None:
         self._clock = clock
-        self._entries_by_id: dict[InstanceId, NodeEntry] = {}
-        self._positions_by_id: dict[InstanceId, int] = {}
-        self._changed_at_by_id: dict[InstanceId, int] = {}
+        self._entries_by_instance: dict[InstanceId, NodeEntry] = {}
+        self._positions_by_instance: dict[InstanceId, int] = {}
+        self._change_numbers_by_instance: dict[InstanceId, int] = {}
         self._changed = asyncio.Event()
-        self._suspicions_by_id: dict[InstanceId, _Suspicion] = {}
-        self._connected_process_by_id: dict[InstanceId, ProcessId] = {}
+        self._suspicions_by_instance: dict[InstanceId, _Suspicion] = {}
+        self._connected_processes_by_instance: dict[InstanceId, ProcessId] = {}
         self._local = local
         self.change_number = 0
 
@@ -65,16 +65,16 @@
     @property
     def peers(self) -> list[NodeEntry]:
         """Entries of all other nodes."""
-        return list(self._entries_by_id.values())
+        return list(self._entries_by_instance.values())
 
     @property
     def entries(self) -> tuple[NodeEntry, ...]:
         """Entries of all nodes, this one included."""
-        return (self.local, *self._entries_by_id.values())
+        return (self.local, *self._entries_by_instance.values())
 
     def find(self, instance: InstanceId) -> NodeEntry | None:
         """Return the entry of another node, or None."""
-        return self._entries_by_id.get(instance)
+        return self._entries_by_instance.get(instance)
 
     def nodes_serving(self, service: ServiceId) -> list[NodeEntry]:
         """Return the nodes whose server runs a service and is ready."""
@@ -84,12 +84,12 @@
             if entry.service == service and entry.phase is ServerPhase.READY
         ]
 
-    def entries_changed_after(self, change: int) -> tuple[StoredEntry, ...]:
+    def entries_changed_after(self, change_number: int) -> tuple[StoredEntry, ...]:
         """Return the entries that changed after a change number."""
         return tuple(
-            StoredEntry(entry, self._positions_by_id.get(entry.instance, NOT_STORED))
+            StoredEntry(entry, self._positions_by_instance.get(entry.instance, NOT_STORED))
             for entry in self.entries
-            if self._changed_at_by_id.get(entry.instance, 0) > change
+            if self._change_numbers_by_instance.get(entry.instance, 0) > change_number
         )
 
     async def wait_for_change(self, after: int, timeout_seconds: float) -> None:
@@ -109,55 +109,55 @@
         their offset in the store.
         """
         entry = stored.entry
-        known = self._entries_by_id.get(entry.instance)
-        position = self._positions_by_id.get(entry.instance, NOT_STORED)
+        known = self._entries_by_instance.get(entry.instance)
+        position = self._positions_by_instance.get(entry.instance, NOT_STORED)
         if stored.position > position:
-            self._positions_by_id[entry.instance] = stored.position
+            self._positions_by_instance[entry.instance] = stored.position
         elif known is not None and known.process != entry.process:
             return
         self._update(entry, source=source)
 
     def record_connection(self, entry: NodeEntry) -> None:
         """Apply the entry that a node sent over a new connection."""
-        self._connected_process_by_id[entry.instance] = entry.process
+        self._connected_processes_by_instance[entry.instance] = entry.process
         self._update(entry, source='connection')
 
     def record_disconnection(self, instance: InstanceId) -> None:
         """Record that the connection to a node ended."""
-        self._connected_process_by_id.pop(instance, None)
+        self._connected_processes_by_instance.pop(instance, None)
 
     def remove(self, key: str) -> None:
         """Drop a node that was removed from the store."""
-        if self._entries_by_id.pop(InstanceId(key), None) is not None:
+        if self._entries_by_instance.pop(InstanceId(key), None) is not None:
             self._record_change(InstanceId(key))
             logger.bind(instance=key).info('node_removed')
 
     def suspect(self, instance: InstanceId) -> None:
         """Avoid a node for a time that doubles with each consecutive failure, up to a maximum."""
-        previous = self._suspicions_by_id.get(instance)
+        previous = self._suspicions_by_instance.get(instance)
         seconds = _MIN_SUSPICION_SECONDS
         if previous is not None:
             seconds = min(previous.duration_seconds * 2, _MAX_SUSPICION_SECONDS)
-        self._suspicions_by_id[instance] = _Suspicion(self._clock.now() + seconds, seconds)
+        self._suspicions_by_instance[instance] = _Suspicion(self._clock.now() + seconds, seconds)
         logger.bind(instance=instance, seconds=seconds).info('node_suspected')
 
     def clear_suspicion(self, instance: InstanceId) -> None:
         """End the suspicion of a node that answered."""
-        if self._suspicions_by_id.pop(instance, None) is not None:
+        if self._suspicions_by_instance.pop(instance, None) is not None:
             logger.bind(instance=instance).info('node_trusted')
 
     def is_suspected(self, instance: InstanceId) -> bool:
         """Whether a node is avoided now."""
-        suspicion = self._suspicions_by_id.get(instance)
+        suspicion = self._suspicions_by_instance.get(instance)
         return suspicion is not None and suspicion.until > self._clock.now()
 
     def process_of(self, instance: InstanceId) -> ProcessId | None:
         """Return the last known process of an instance, or None."""
-        entry = self._entries_by_id.get(instance)
+        entry = self._entries_by_instance.get(instance)
         return None if entry is None else entry.process
 
     def _update(self, entry: NodeEntry, *, source: str) -> None:
-        known = self._entries_by_id.get(entry.instance)
+        known = self._entries_by_instance.get(entry.instance)
         if entry.instance == self.local.instance or known == entry:
             return
         if known is not None and self._is_older(entry, known):
@@ -168,20 +168,20 @@
             phase=entry.phase.value,
             source=source,
         ).info('node_entry_changed')
-        self._entries_by_id[entry.instance] = entry
+        self._entries_by_instance[entry.instance] = entry
         self._record_change(entry.instance)
-        self._suspicions_by_id.pop(entry.instance, None)
+        self._suspicions_by_instance.pop(entry.instance, None)
 
     def _record_change(self, instance: InstanceId) -> None:
         self.change_number += 1
-        self._changed_at_by_id[instance] = self.change_number
+        self._change_numbers_by_instance[instance] = self.change_number
         self._changed.set()
 
     def _is_older(self, entry: NodeEntry, known: NodeEntry) -> bool:
         if entry.process == known.process:
             return entry.revision <= known.revision
         # The process at the other end of a live connection is the one that runs.
-        connected = self._connected_process_by_id.get(entry.instance)
+        connected = self._connected_processes_by_instance.get(entry.instance)
         return connected is not None and connected != entry.process
 
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -32,7 +32,7 @@
     """Last change number received from a process."""
 
     process: ProcessId
-    changes: int = 0
+    change_number: int = 0
 
 
 class DirectoryRelay:
@@ -70,7 +70,7 @@
         self._reads_store = reads_store
         self.follower = follower
         self._on_applied = on_applied
-        self._cursors_by_id: dict[InstanceId, _ChangeCursor] = {}
+        self._cursors_by_instance: dict[InstanceId, _ChangeCursor] = {}
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -123,16 +123,16 @@
 
     async def _poll(self, peer: NodeEntry, wait_seconds: float) -> bool:
         """Apply the changes that a node reports; return whether it reads the store now."""
-        cursor = self._cursors_by_id.get(peer.instance, _ChangeCursor(peer.process))
+        cursor = self._cursors_by_instance.get(peer.instance, _ChangeCursor(peer.process))
         reply = await self._links.request(
             peer,
-            DirectoryRequest(cursor.process, cursor.changes, wait_seconds),
+            DirectoryRequest(cursor.process, cursor.change_number, wait_seconds),
             timeout_seconds=wait_seconds + _REPLY_MARGIN_SECONDS,
         )
         if not isinstance(reply, DirectoryReply):
             self._directory.suspect(peer.instance)
             return False
-        self._cursors_by_id[peer.instance] = _ChangeCursor(reply.process, reply.changes)
+        self._cursors_by_instance[peer.instance] = _ChangeCursor(reply.process, reply.changes)
         for stored in reply.nodes:
             self._directory.apply(stored, source=peer.instance)
         if reply.nodes:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/entry_point.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/entry_point.py
@@ -18,9 +18,9 @@
 
     Parameters
     ----------
-    checks
+    request_validator
         Validates requests against the configuration.
-    quota
+    rate_limiter
         Enforces the rates of organisations.
     attempts
         Sends admitted requests to servers.
@@ -30,13 +30,13 @@
 
     def __init__(
         self,
-        checks: RequestValidator,
-        quota: FleetRateLimiter,
+        request_validator: RequestValidator,
+        rate_limiter: FleetRateLimiter,
         attempts: AttemptRunner,
         clock: Clock,
     ) -> None:
-        self._checks = checks
-        self._quota = quota
+        self._request_validator = request_validator
+        self._rate_limiter = rate_limiter
         self._attempts = attempts
         self._clock = clock
         self.outcomes_by_name: collections.Counter[str] = collections.Counter()
@@ -54,10 +54,10 @@
         return outcome
 
     async def _serve(self, request: FleetRequest) -> Outcome:
-        admitted = SHUTDOWN if self.is_closed else self._checks.admit(request)
+        admitted = SHUTDOWN if self.is_closed else self._request_validator.admit(request)
         if isinstance(admitted, RequestFailure):
             return _refuse(request, admitted, NO_ORGANISATION)
-        refusal = await self._quota.acquire(admitted)
+        refusal = await self._rate_limiter.acquire(admitted)
         if refusal is not None:
             return _refuse(request, refusal, admitted.organisation)
         outcome = await self._attempts.run(admitted)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -103,65 +103,70 @@
     clock = ports.clock
     bounds = ReloadableBounds(settings)
     directory = NodeDirectory(local, clock)
-    holder = ActiveConfiguration(ports.decode_configuration)
-    request_checks = RequestValidator(holder, clock)
+    configuration = ActiveConfiguration(ports.decode_configuration)
+    request_validator = RequestValidator(configuration, clock)
     record = ServerRecord()
-    checks = OrderValidator(record, holder, request_checks)
-    gate = OrderExecutor(server=ports.server, checks=checks, directory=directory, clock=clock)
-    holders = FixedShareHolders(directory, holder, clock)
-    quota = FleetRateLimiter(
-        FixedShareBuckets(holders, holder, clock, bounds), ports.links, directory, holder
+    order_validator = OrderValidator(record, configuration, request_validator)
+    executor = OrderExecutor(
+        server=ports.server, order_validator=order_validator, directory=directory, clock=clock
+    )
+    holders = FixedShareHolders(directory, configuration, clock)
+    rate_limiter = FleetRateLimiter(
+        FixedShareBuckets(holders, configuration, clock, bounds),
+        ports.links,
+        directory,
+        configuration,
     )
     publisher = LocalNodePublisher(ports.store, directory)
-    announcements = AnnouncementService(record, gate, publisher)
+    announcements = AnnouncementService(record, executor, publisher)
     membership = NodeEntryUpdates(directory, announcements, publisher, ports.decode_entry, holders)
     follower = TopicFollower(
         ports.log,
         StoreTopic.CONFIGURATION,
-        lambda page: _apply_configurations(holder, page),
+        lambda page: _apply_configurations(configuration, page),
         wait_seconds=_CONFIGURATION_LONG_POLL_SECONDS,
     )
     ranking = DataCentreRanking(directory)
     relay = _build_relay(ports, directory, ranking, membership, holders)
     sender = OrderSender(
-        gate=gate,
+        executor=executor,
         links=ports.links,
         directory=directory,
-        holder=holder,
+        configuration=configuration,
         clock=clock,
         caller_service=settings.service,
     )
-    allowance = FleetRetryBudget(
+    retry_budget = FleetRetryBudget(
         pool=ExtraRetryPool(directory, ranking, bounds, clock),
         links=ports.links,
         directory=directory,
         bounds=bounds,
         clock=clock,
-        retry_share=lambda: gate.retry_share,
+        retry_share=lambda: executor.retry_share,
     )
     attempts = AttemptRunner(
         selector=ServerSelector(directory, clock),
         sender=sender,
-        allowance=allowance,
+        retry_budget=retry_budget,
         clock=clock,
     )
     return SidecarNode(
         settings=settings,
         directory=directory,
-        holder=holder,
-        entry=RequestEntryPoint(request_checks, quota, attempts, clock),
-        gate=gate,
-        quota=quota,
-        allowance=allowance,
-        checks=checks,
+        holder=configuration,
+        entry=RequestEntryPoint(request_validator, rate_limiter, attempts, clock),
+        gate=executor,
+        quota=rate_limiter,
+        allowance=retry_budget,
+        checks=order_validator,
         record=record,
         announcements=announcements,
         publisher=publisher,
-        spread=ConfigurationSync(holder, directory, ports.links, follower),
+        spread=ConfigurationSync(configuration, directory, ports.links, follower),
         relay=relay,
         configuration_follower=follower,
         membership_follower=relay.follower,
-        recovery=ServerRecovery(announcements, holder, ports.server),
+        recovery=ServerRecovery(announcements, configuration, ports.server),
         bounds=bounds,
         clock=clock,
     )
@@ -193,7 +198,7 @@
     )
 
 
-def _apply_configurations(holder: ActiveConfiguration, page: KeyedPage) -> None:
+def _apply_configurations(configuration: ActiveConfiguration, page: KeyedPage) -> None:
     for record in page.records_by_key.values():
         if record.encoded:
-            holder.apply_if_newer(record.encoded, source='store')
+            configuration.apply_if_newer(record.encoded, source='store')
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_deduplicator.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_deduplicator.py
@@ -33,7 +33,7 @@
 
     task: asyncio.Task[WorkAnswer]
     idempotent: bool
-    callers: int = 0
+    waiters: int = 0
     is_sent: bool = False
 
 
@@ -70,7 +70,7 @@
         if tracked is None:
             tracked = _TrackedOrder(asyncio.create_task(run()), order.idempotent)
             self._start(key, tracked)
-        tracked.callers += 1
+        tracked.waiters += 1
         try:
             return await asyncio.shield(tracked.task)
         except asyncio.CancelledError:
@@ -79,7 +79,7 @@
             self._schedule_orphan_check(key)
             raise
         finally:
-            tracked.callers -= 1
+            tracked.waiters -= 1
 
     def mark_sent(self, order: WorkOrder) -> None:
         """Record that an order is about to be sent to the server."""
@@ -100,7 +100,7 @@
 
     def _cancel_orphan(self, key: OrderKey) -> None:
         tracked = self._orders_by_key.get(key)
-        if tracked is not None and not tracked.callers:
+        if tracked is not None and not tracked.waiters:
             self.cancel(key)
 
     def _start(self, key: OrderKey, order: _TrackedOrder) -> None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
@@ -35,7 +35,7 @@
 _OVERDUE_FACTOR = 3.0
 # Accepted wait beyond the useful time, in mean run times, so that a short queue does not lead to a
 # refusal.
-_LATE_TOLERANCE = 0.5
+_LATE_TOLERANCE_RUNS = 0.5
 # The wait is underestimated when server calls overtake queued requests.
 _WAIT_SAFETY_FACTOR = 0.6
 
@@ -47,7 +47,7 @@
     ----------
     server
         Connection to the backend server.
-    checks
+    order_validator
         Final checks before an order runs.
     directory
         Holds the entry of the local node.
@@ -59,12 +59,12 @@
         self,
         *,
         server: ServerConnection,
-        checks: OrderValidator,
+        order_validator: OrderValidator,
         directory: NodeDirectory,
         clock: Clock,
     ) -> None:
         self._server = server
-        self._checks = checks
+        self._order_validator = order_validator
         self._directory = directory
         self._clock = clock
         self._run_times = RunTimes()
@@ -91,7 +91,7 @@
 
     async def _run(self, order: WorkOrder, version: int) -> WorkAnswer:
         received_at = self._clock.now()
-        refusal = self._checks.find_refusal(order, self._directory.local)
+        refusal = self._order_validator.find_refusal(order, self._directory.local)
         is_trial = self.breaker.is_open
         if refusal is None and not self.breaker.allows(may_be_trial=order.may_try):
             refusal = BREAKER_OPEN
@@ -109,9 +109,9 @@
         run_seconds = max(self._run_times.mean_seconds(order.route), _MIN_RUN_SECONDS)
         # An answer after the latency target is worth less than the queue slot that it occupies.
         useful_seconds = max(order.target_seconds - run_seconds, 0) * _WAIT_SAFETY_FACTOR
-        useful_seconds += _LATE_TOLERANCE * run_seconds
+        useful_seconds += _LATE_TOLERANCE_RUNS * run_seconds
         wait_seconds = min(order.remaining_seconds - run_seconds, useful_seconds)
-        if self.backlog.expected_wait(order.rank, self.queue) > wait_seconds:
+        if self.backlog.expected_wait_seconds(order.rank, self.queue) > wait_seconds:
             return QUEUE_FULL
         self.backlog.add_waiting(order.rank, run_seconds)
         try:
@@ -128,7 +128,7 @@
         is_trial: bool,
     ) -> WorkAnswer:
         # The server may have left, or the key may have been withdrawn, while the order waited.
-        refusal = self._checks.find_refusal(order, self._directory.local)
+        refusal = self._order_validator.find_refusal(order, self._directory.local)
         if refusal is None and self.breaker.is_open and not (is_trial or order.may_try):
             refusal = BREAKER_OPEN
         started_at = self._clock.now()
@@ -154,7 +154,7 @@
             attempt=order.attempt,
             waited=round(started_at - received_at, 3),
             ran=round(ran_seconds, 3),
-            outcome=_outcome_label(outcome),
+            outcome=_status_or_reason(outcome),
         ).info('order_ran')
         return self._answer(outcome, version, reached_server=True)
 
@@ -180,7 +180,7 @@
             reason=failure.reason.value,
             running=self.queue.in_progress,
             waiting=self.queue.waiting,
-            expected_wait=round(self.backlog.expected_wait(order.rank, self.queue), 3),
+            expected_wait=round(self.backlog.expected_wait_seconds(order.rank, self.queue), 3),
             breaker_open=self.breaker.is_open,
             version=version,
             order_version=order.version,
@@ -205,17 +205,17 @@
         )
 
 
-def _outcome_label(outcome: Outcome) -> str:
+def _status_or_reason(outcome: Outcome) -> str:
     if isinstance(outcome, Answered):
         return str(outcome.status)
     return outcome.reason.value
 
 
 @describe.register
-def _(gate: OrderExecutor) -> ServerGateDump:
+def _(executor: OrderExecutor) -> ServerGateDump:
     return ServerGateDump(
-        running=gate.queue.in_progress,
-        waiting=gate.queue.waiting,
-        orders_in_progress=gate.orders.in_progress,
-        breaker_open=gate.breaker.is_open,
+        running=executor.queue.in_progress,
+        waiting=executor.queue.waiting,
+        orders_in_progress=executor.orders.in_progress,
+        breaker_open=executor.breaker.is_open,
     )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
@@ -34,13 +34,13 @@
 
     Parameters
     ----------
-    gate
+    executor
         Runs orders on the local backend server.
     links
         Connections to other nodes.
     directory
         Known nodes.
-    holder
+    configuration
         Holds the current configuration.
     clock
         Clock of the node.
@@ -51,17 +51,17 @@
     def __init__(
         self,
         *,
-        gate: OrderExecutor,
+        executor: OrderExecutor,
         links: FleetLinks,
         directory: NodeDirectory,
-        holder: ActiveConfiguration,
+        configuration: ActiveConfiguration,
         clock: Clock,
         caller_service: ServiceId,
     ) -> None:
-        self._gate = gate
+        self._executor = executor
         self._links = links
         self._directory = directory
-        self._holder = holder
+        self._configuration = configuration
         self._clock = clock
         self._caller_service = caller_service
 
@@ -70,7 +70,7 @@
         admitted: AdmittedFleetRequest,
         entry: NodeEntry,
         *,
-        number: int,
+        attempt_number: int,
         allowed_seconds: float,
         target_seconds: float,
         may_be_trial: bool,
@@ -79,7 +79,7 @@
         """Return the answer to an order; a cancellation is forwarded to the receiving node."""
         expires_at = self._clock.now() + allowed_seconds
         order = dataclasses.replace(
-            self._build_order(admitted, entry, number, expires_at),
+            self._build_order(admitted, entry, attempt_number, expires_at),
             may_try=may_be_trial,
             is_repeat=is_repeat,
             target_seconds=target_seconds,
@@ -98,8 +98,8 @@
 
     async def _send(self, order: WorkOrder, entry: NodeEntry, expires_at: float) -> WorkAnswer:
         if entry.instance == self._directory.local.instance:
-            return await self._gate.serve(order, self._holder.version)
-        sends = 0
+            return await self._executor.serve(order, self._configuration.version)
+        failed_sends = 0
         is_uncertain = False
         while True:
             remaining = expires_at - self._clock.now()
@@ -112,22 +112,22 @@
                 self._directory.suspect(entry.instance)
                 return refused_answer(answer.reason, answer.detail)
             is_uncertain = True
-            sends += 1
+            failed_sends += 1
             logger.bind(
                 request=order.request,
                 instance=entry.instance,
-                sends=sends,
+                sends=failed_sends,
                 reason=_reason_label(answer),
             ).info('order_sent_again')
-            if self._is_lost(order, entry, sends):
+            if self._should_stop_resending(order, entry, failed_sends):
                 self._directory.suspect(entry.instance)
                 return unknown_answer(
                     Reason.PEER_LINK_LOST, 'the connection to the node beside the server was lost'
                 )
             await asyncio.sleep(_RESEND_DELAY_SECONDS)
 
-    def _is_lost(self, order: WorkOrder, entry: NodeEntry, sends: int) -> bool:
-        if order.idempotent and sends > _MAX_IDEMPOTENT_RESENDS:
+    def _should_stop_resending(self, order: WorkOrder, entry: NodeEntry, failed_sends: int) -> bool:
+        if order.idempotent and failed_sends > _MAX_IDEMPOTENT_RESENDS:
             return True
         process = self._directory.process_of(entry.instance)
         return process is not None and process != order.process
@@ -135,7 +135,7 @@
     def _cancel(self, order: WorkOrder, entry: NodeEntry) -> None:
         message = WorkCancel(order.request, order.attempt)
         if entry.instance == self._directory.local.instance:
-            self._gate.cancel(message)
+            self._executor.cancel(message)
         else:
             self._links.notify(entry, message)
 
@@ -143,21 +143,21 @@
         self,
         admitted: AdmittedFleetRequest,
         entry: NodeEntry,
-        number: int,
+        attempt_number: int,
         expires_at: float,
     ) -> WorkOrder:
         request = admitted.request
         now = self._clock.now()
         return WorkOrder(
             request=request.request,
-            attempt=number,
+            attempt=attempt_number,
             process=entry.process,
             server=entry.server,
             service=admitted.service,
             route=admitted.route.route,
             organisation=admitted.organisation,
             key_digest=request.key_digest,
-            rank=admitted.rank,
+            rank=admitted.queue_priority,
             idempotent=admitted.route.idempotent,
             may_try=False,
             is_repeat=False,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_validator.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_validator.py
@@ -26,21 +26,21 @@
     ----------
     record
         Last known state of the backend server beside the node.
-    holder
+    configuration
         Holds the local configuration, which may be newer than that of the entry node.
-    checks
+    request_validator
         Validates requests against the configuration.
     """
 
     def __init__(
         self,
         record: ServerRecord,
-        holder: ActiveConfiguration,
-        checks: RequestValidator,
+        configuration: ActiveConfiguration,
+        request_validator: RequestValidator,
     ) -> None:
         self._record = record
-        self._holder = holder
-        self._checks = checks
+        self._configuration = configuration
+        self._request_validator = request_validator
         self.is_stopping = False
 
     def find_refusal(self, order: WorkOrder, local: NodeEntry) -> RequestFailure | None:
@@ -57,9 +57,9 @@
         return failure or self._check_configuration(order)
 
     def _check_configuration(self, order: WorkOrder) -> RequestFailure | None:
-        if order.version >= self._holder.version:
+        if order.version >= self._configuration.version:
             return None
-        route = self._holder.routes.find(order.host, order.target)
+        route = self._configuration.routes.find(order.host, order.target)
         if route is None or all(
             destination.service != order.service for destination in route.destinations
         ):
@@ -73,7 +73,7 @@
             body=b'',
             key_digest=order.key_digest,
         )
-        organisation = self._checks.find_organisation(request, route)
+        organisation = self._request_validator.find_organisation(request, route)
         if isinstance(organisation, RequestFailure):
             return KEY_WITHDRAWN
         if organisation is not None and organisation.organisation != order.organisation:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -38,7 +38,7 @@
 # share before the restart.
 _STARTUP_SECONDS = 3.0
 # Two restarts of all processes within one rate window stay within the permitted overage.
-_STARTUP_OVERAGE_SHARE = 0.45
+_STARTUP_OVERAGE_FRACTION = 0.45
 _MAX_WAIT_SECONDS = 0.1
 # A failed holder makes at most one of this many shares of a rate unavailable.
 _MIN_SHARES = 3
@@ -60,7 +60,7 @@
     ----------
     directory
         Known nodes; a node whose server is leaving holds no share.
-    holder
+    configuration
         Holds the current configuration.
     clock
         Clock of the node.
@@ -69,11 +69,11 @@
     def __init__(
         self,
         directory: NodeDirectory,
-        holder: ActiveConfiguration,
+        configuration: ActiveConfiguration,
         clock: Clock,
     ) -> None:
         self._directory = directory
-        self._holder = holder
+        self._configuration = configuration
         self._clock = clock
         self._applied_versions = (-1, -1)
         self._partitions: frozenset[int] = frozenset()
@@ -98,18 +98,18 @@
             self._holders_by_partition[partition] = holders
         return holders
 
-    def held_since(self, organisation: OrganisationId) -> float | None:
+    def share_held_since(self, organisation: OrganisationId) -> float | None:
         """Return the time since which this node has held a share, or None."""
         self.refresh()
         return self._held_since_by_partition.get(partition_of(organisation))
 
     def refresh(self) -> None:
         """Update the holders after a change of the nodes or of the configuration."""
-        versions = (self._directory.change_number, self._holder.version)
+        versions = (self._directory.change_number, self._configuration.version)
         if versions == self._applied_versions:
             return
         if versions[1] != self._applied_versions[1]:
-            organisations = self._holder.current.organisations_by_id
+            organisations = self._configuration.current.organisations_by_id
             # Organisations of one partition have the same holders, so the cost of a change of the
             # nodes does not depend on the number of organisations.
             self._partitions = frozenset(partition_of(name) for name in organisations)
@@ -149,7 +149,7 @@
     ----------
     holders
         Selects the holders of each share.
-    holder
+    configuration
         Holds the current configuration.
     clock
         Clock of the node.
@@ -160,33 +160,35 @@
     def __init__(
         self,
         holders: FixedShareHolders,
-        holder: ActiveConfiguration,
+        configuration: ActiveConfiguration,
         clock: Clock,
         bounds: ReloadableBounds,
     ) -> None:
         self._bounds = bounds
         self._started_at = clock.now()
         self.holders = holders
-        self._holder = holder
+        self._configuration = configuration
         self._clock = clock
-        self._levels_by_id: dict[OrganisationId, _BucketLevel] = {}
+        self._levels_by_organisation: dict[OrganisationId, _BucketLevel] = {}
 
     def grant(self, organisation: OrganisationId) -> TokenReply:
         """Take one token from the local share, or return the seconds until the next token."""
-        rule = self._holder.current.organisations_by_id.get(organisation)
-        held_since = self.holders.held_since(organisation)
+        rule = self._configuration.current.organisations_by_id.get(organisation)
+        held_since = self.holders.share_held_since(organisation)
         if rule is None or held_since is None or not rule.is_limited:
             return TokenReply(granted=False, wait_seconds=0)
         share = 1 / self.holders.share_count
         tokens = self._refilled_tokens(rule, share, held_since)
         granted = tokens >= 1
-        self._levels_by_id[organisation] = _BucketLevel(tokens - granted, self._clock.now())
+        self._levels_by_organisation[organisation] = _BucketLevel(
+            tokens - granted, self._clock.now()
+        )
         missing_seconds = (1 - tokens) / (rule.rate_per_second * share)
         return TokenReply(granted=granted, wait_seconds=max(missing_seconds, 0))
 
     def _refilled_tokens(self, rule: OrganisationRule, share: float, held_since: float) -> float:
         now = self._clock.now()
-        level = self._levels_by_id.get(rule.organisation)
+        level = self._levels_by_organisation.get(rule.organisation)
         if level is None or level.updated_at < held_since:
             level = _BucketLevel(self._initial_tokens(rule, held_since) * share, held_since)
         refill = (now - level.updated_at) * rule.rate_per_second * share
@@ -197,7 +199,7 @@
             return 0
         bounds = self._bounds.current
         allowed = rule.rate_per_second * bounds.rate_window_seconds + rule.burst
-        return (allowed * bounds.rate_overage + bounds.rate_slack) * _STARTUP_OVERAGE_SHARE
+        return (allowed * bounds.rate_overage + bounds.rate_slack) * _STARTUP_OVERAGE_FRACTION
 
 
 class FleetRateLimiter:
@@ -211,7 +213,7 @@
         Connections to the other holders.
     directory
         Known nodes.
-    holder
+    configuration
         Holds the current configuration.
     """
 
@@ -220,18 +222,18 @@
         buckets: FixedShareBuckets,
         links: FleetLinks,
         directory: NodeDirectory,
-        holder: ActiveConfiguration,
+        configuration: ActiveConfiguration,
     ) -> None:
         self.buckets = buckets
         self._links = links
         self._directory = directory
-        self._holder = holder
+        self._configuration = configuration
 
     async def acquire(self, admitted: AdmittedFleetRequest) -> RequestFailure | None:
         """Acquire a token; return None, or the reason for refusing the request."""
         if admitted.organisation == NO_ORGANISATION:
             return None
-        rule = self._holder.current.organisations_by_id.get(admitted.organisation)
+        rule = self._configuration.current.organisations_by_id.get(admitted.organisation)
         if rule is None or not rule.is_limited:
             return None
         wait_seconds = await self._request_from_holders(admitted.organisation)
@@ -281,7 +283,7 @@
         entry = self._directory.find(instance)
         if entry is None or self._directory.is_suspected(instance):
             return None
-        request = TokenRequest(organisation, local.instance, self._holder.version)
+        request = TokenRequest(organisation, local.instance, self._configuration.version)
         reply = await self._links.request(entry, request, timeout_seconds=_REQUEST_TIMEOUT_SECONDS)
         if isinstance(reply, TokenReply):
             return reply
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
@@ -21,7 +21,7 @@
     ----------
     announcements
         Holds the entry that the previous process of this node published.
-    holder
+    configuration
         Holds the configuration with the health path of the service.
     server
         Connection to the backend server.
@@ -30,11 +30,11 @@
     def __init__(
         self,
         announcements: AnnouncementService,
-        holder: ActiveConfiguration,
+        configuration: ActiveConfiguration,
         server: ServerConnection,
     ) -> None:
         self._announcements = announcements
-        self._holder = holder
+        self._configuration = configuration
         self._server = server
 
     async def run(self) -> None:
@@ -49,7 +49,7 @@
         server = self._announcements.recoverable_server()
         if server is None:
             return False
-        path = self._holder.current.health_paths_by_service.get(server.service)
+        path = self._configuration.current.health_paths_by_service.get(server.service)
         if path is None:
             return False
         identifier = await self._server.identify(path, timeout_seconds=_IDENTIFY_TIMEOUT_SECONDS)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_budget.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_budget.py
@@ -23,10 +23,10 @@
 
 # Nodes observe membership changes at different times and count requests at admission, so using the
 # full budget would exceed it at times.
-_RATIO_SHARE = 0.75
-_POOL_SHARE = 0.6
+_RATIO_FRACTION = 0.75
+_POOL_FRACTION = 0.6
 # The previous granting node may have granted its whole share in the same window.
-_NEW_GRANTOR_SHARE = 0.2
+_NEW_GRANTING_NODE_FRACTION = 0.2
 _REQUEST_TIMEOUT_SECONDS = 0.1
 
 
@@ -56,7 +56,7 @@
         self._ranking = ranking
         self._bounds = bounds
         self._clock = clock
-        self._held_since_by_service: dict[ServiceId, float] = {}
+        self._granting_since_by_service: dict[ServiceId, float] = {}
         self._granted_by_service: dict[ServiceId, collections.deque[float]] = {}
 
     def granting_node(self, service: ServiceId) -> InstanceId:
@@ -67,16 +67,18 @@
     def grant(self, service: ServiceId) -> bool:
         """Grant one retry if this node is the granting node and has retries left."""
         if self.granting_node(service) != self._directory.local.instance:
-            self._held_since_by_service.pop(service, None)
+            self._granting_since_by_service.pop(service, None)
             return False
         now = self._clock.now()
         window_seconds = self._bounds.current.retry_window_seconds
         granted = self._granted_by_service.setdefault(service, collections.deque())
         while granted and granted[0] < now - window_seconds:
             granted.popleft()
-        held_seconds = now - self._held_since_by_service.setdefault(service, now)
-        share = _POOL_SHARE if held_seconds >= window_seconds else _NEW_GRANTOR_SHARE
-        if len(granted) + 1 > share * self._data_centre_limit():
+        granting_seconds = now - self._granting_since_by_service.setdefault(service, now)
+        pool_fraction = (
+            _POOL_FRACTION if granting_seconds >= window_seconds else _NEW_GRANTING_NODE_FRACTION
+        )
+        if len(granted) + 1 > pool_fraction * self._data_centre_limit():
             return False
         granted.append(now)
         return True
@@ -119,20 +121,20 @@
         self._links = links
         self._directory = directory
         self._bounds = bounds
-        self._budget = RetryBudget(self._local_limits, clock)
+        self._local_budget = RetryBudget(self._local_limits, clock)
         self._retry_share = retry_share
 
     def record_request(self, service: ServiceId, *, has_no_organisation: bool) -> None:
         """Count a request from a local client or from the local server."""
-        self._budget.record_request(service)
+        self._local_budget.record_request(service)
         # A call does not identify the request that caused it, so its share of retries is sampled.
         if has_no_organisation and random.random() < self._retry_share():
-            self._budget.record_retry(service)
+            self._local_budget.record_retry(service)
 
     async def acquire(self, service: ServiceId) -> bool:
         """Take a retry from the local budget, else from the pool; return True if granted."""
-        if self._budget.allows(service):
-            self._budget.record_retry(service)
+        if self._local_budget.allows(service):
+            self._local_budget.record_retry(service)
             return True
         is_granted = await self._request_grant(service)
         logger.bind(service=service, granted=is_granted).info('retry_asked')
@@ -151,7 +153,7 @@
     def _local_limits(self) -> RetryLimits:
         bounds = self._bounds.current
         return RetryLimits(
-            fraction=bounds.retry_ratio * _RATIO_SHARE,
+            fraction=bounds.retry_ratio * _RATIO_FRACTION,
             minimum=0,
             window_seconds=bounds.retry_window_seconds,
         )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/run_times.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/run_times.py
@@ -2,7 +2,7 @@
 
 from turmericwharf.state import RouteId
 
-_NEWEST_WEIGHT = 0.1
+_NEWEST_RUN_WEIGHT = 0.1
 
 
 class RunTimes:
@@ -14,7 +14,7 @@
     def record(self, route: RouteId, seconds: float) -> None:
         """Update the mean of a route with one run."""
         mean = self._seconds_by_route.get(route, seconds)
-        self._seconds_by_route[route] = mean + _NEWEST_WEIGHT * (seconds - mean)
+        self._seconds_by_route[route] = mean + _NEWEST_RUN_WEIGHT * (seconds - mean)
 
     def mean_seconds(self, route: RouteId) -> float:
         """Return the mean run time of a route in seconds; 0 if it has not run yet."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
@@ -16,8 +16,8 @@
 # A server in another data centre is worth its traffic only if the local servers have at least this
 # many requests more.
 _REMOTE_PENALTY_REQUESTS = 8.0
-_AVOID_SECONDS = 0.3
-_AVOID_SECONDS_BY_REASON: Mapping[Reason | None, float] = MappingProxyType(
+_DEPRIORITISE_SECONDS = 0.3
+_DEPRIORITISE_SECONDS_BY_REASON: Mapping[Reason | None, float] = MappingProxyType(
     {Reason.BREAKER_OPEN: 1.0, Reason.QUEUE_FULL: 0.15, Reason.SERVER_DRAINING: 1.0},
 )
 
@@ -44,9 +44,9 @@
     def __init__(self, directory: NodeDirectory, clock: Clock) -> None:
         self._directory = directory
         self._clock = clock
-        self._in_flight_by_id: collections.Counter[InstanceId] = collections.Counter()
-        self._load_by_id: dict[InstanceId, _ReportedLoad] = {}
-        self._avoided_until_by_id: dict[InstanceId, float] = {}
+        self._in_flight_by_instance: collections.Counter[InstanceId] = collections.Counter()
+        self._load_by_instance: dict[InstanceId, _ReportedLoad] = {}
+        self._deprioritised_until_by_instance: dict[InstanceId, float] = {}
 
     def select(self, service: ServiceId, excluded: Set[InstanceId]) -> NodeEntry | None:
         """Return the node with the lowest cost, or None if no node is left."""
@@ -56,47 +56,49 @@
             if entry.instance not in excluded
         ]
         trusted = [entry for entry in usable if not self._directory.is_suspected(entry.instance)]
-        preferred = [entry for entry in trusted if not self._is_avoided(entry.instance)]
+        preferred = [entry for entry in trusted if not self._is_deprioritised(entry.instance)]
         return min(preferred or trusted or usable, key=self._cost, default=None)
 
     def last_reported_load(self, instance: InstanceId) -> tuple[int, float | None]:
         """Return the last reported number of requests at a server, and its age in seconds."""
-        reported = self._load_by_id.get(instance)
+        reported = self._load_by_instance.get(instance)
         if reported is None:
             return 0, None
         return reported.requests, round(self._clock.now() - reported.reported_at, 3)
 
     def start(self, instance: InstanceId) -> None:
         """Count an attempt that starts at a server."""
-        self._in_flight_by_id[instance] += 1
+        self._in_flight_by_instance[instance] += 1
 
     def end(self, instance: InstanceId) -> None:
         """Count an attempt that ended at a server."""
-        self._in_flight_by_id[instance] -= 1
-        if self._in_flight_by_id[instance] <= 0:
-            self._in_flight_by_id.pop(instance)
+        self._in_flight_by_instance[instance] -= 1
+        if self._in_flight_by_instance[instance] <= 0:
+            self._in_flight_by_instance.pop(instance)
 
     def record_answer(self, instance: InstanceId, answer: WorkAnswer) -> None:
         """Record the reported load; avoid the server for a while if it gave no answer."""
         requests = answer.running + answer.waiting
-        self._load_by_id[instance] = _ReportedLoad(requests, self._clock.now())
+        self._load_by_instance[instance] = _ReportedLoad(requests, self._clock.now())
         if answer.answered is not None:
-            self._avoided_until_by_id.pop(instance, None)
+            self._deprioritised_until_by_instance.pop(instance, None)
             return
         reason = None if answer.refused is None else answer.refused.reason
-        self.avoid(instance, _AVOID_SECONDS_BY_REASON.get(reason, _AVOID_SECONDS))
+        self.deprioritise(
+            instance, _DEPRIORITISE_SECONDS_BY_REASON.get(reason, _DEPRIORITISE_SECONDS)
+        )
 
-    def avoid(self, instance: InstanceId, seconds: float = _AVOID_SECONDS) -> None:
+    def deprioritise(self, instance: InstanceId, seconds: float = _DEPRIORITISE_SECONDS) -> None:
         """Prefer other servers for a limited time."""
-        self._avoided_until_by_id[instance] = self._clock.now() + seconds
+        self._deprioritised_until_by_instance[instance] = self._clock.now() + seconds
 
-    def _is_avoided(self, instance: InstanceId) -> bool:
-        return self._avoided_until_by_id.get(instance, 0) > self._clock.now()
+    def _is_deprioritised(self, instance: InstanceId) -> bool:
+        return self._deprioritised_until_by_instance.get(instance, 0) > self._clock.now()
 
     def _cost(self, entry: NodeEntry) -> float:
         local = self._directory.local
-        requests = float(self._in_flight_by_id[entry.instance])
-        reported = self._load_by_id.get(entry.instance)
+        requests = float(self._in_flight_by_instance[entry.instance])
+        reported = self._load_by_instance.get(entry.instance)
         if (
             reported is not None
             and self._clock.now() - reported.reported_at < _MAX_LOAD_AGE_SECONDS
--- a/tests/coordination/sidecar/test_attempts.py
+++ b/tests/coordination/sidecar/test_attempts.py
@@ -29,10 +29,10 @@
         self.repeats = []
         self.cancelled = 0
 
-    async def send(self, admitted, entry, *, number, may_be_trial, is_repeat, **times):
+    async def send(self, admitted, entry, *, attempt_number, may_be_trial, is_repeat, **times):
         self.repeats.append(is_repeat)
         self.sent.append((entry.instance, may_be_trial))
-        answer = self.answers[min(number, len(self.answers)) - 1]
+        answer = self.answers[min(attempt_number, len(self.answers)) - 1]
         if answer is NO_ANSWER:
             try:
                 await asyncio.sleep(times['allowed_seconds'])
@@ -43,7 +43,7 @@
         return answer
 
 
-class FixedAllowance:
+class FixedRetryBudget:
     """Allows a fixed number of retries."""
 
     def __init__(self, retries) -> None:
@@ -69,7 +69,7 @@
             route=rule,
             service=service,
             organisation='cafe',
-            rank=0,
+            queue_priority=0,
             admitted_at=clock.now(),
             deadline=clock.now() + rule.timeout_seconds,
             latency_target_at=clock.now() + rule.target_seconds,
@@ -78,7 +78,7 @@
         runner = AttemptRunner(
             selector=ServerSelector(directory, clock),
             sender=sender,
-            allowance=FixedAllowance(retries),
+            retry_budget=FixedRetryBudget(retries),
             clock=clock,
         )
         outcome = await runner.run(admitted)
@@ -163,8 +163,8 @@
     """A running request must not be abandoned because the hedge was refused."""
 
     class SlowFirstSender(ScriptedSender):
-        async def send(self, admitted, entry, *, number, may_be_trial, **times):
-            if number > 1:
+        async def send(self, admitted, entry, *, attempt_number, may_be_trial, **times):
+            if attempt_number > 1:
                 return FULL
             await asyncio.sleep(1.2)
             return SUCCESS
--- a/tests/coordination/sidecar/test_breaker.py
+++ b/tests/coordination/sidecar/test_breaker.py
@@ -31,7 +31,7 @@
     assert not breaker.allows(may_be_trial=True)
 
 
-def test_closes_after_consecutive_successes():
+def test_closes_after_enough_successful_trials():
     """One answer in seven requests must not close the breaker of a failing server."""
     breaker = open_breaker(ManualClock())
     breaker.record(SUCCESS, is_overdue=False)
--- a/tests/coordination/sidecar/test_order_validator.py
+++ b/tests/coordination/sidecar/test_order_validator.py
@@ -28,9 +28,13 @@
         **server_changes,
     }
     record.apply(AnnouncedServer(**fields))
-    holder = ActiveConfiguration(lambda encoded: configuration or make_configuration())
-    holder.apply_if_newer(b'', source='test')
-    return OrderValidator(record, holder, RequestValidator(holder, ManualClock()))
+    active_configuration = ActiveConfiguration(
+        lambda encoded: configuration or make_configuration()
+    )
+    active_configuration.apply_if_newer(b'', source='test')
+    return OrderValidator(
+        record, active_configuration, RequestValidator(active_configuration, ManualClock())
+    )
 
 
 def test_order_for_the_current_server_passes():
--- a/tests/coordination/sidecar/test_quota.py
+++ b/tests/coordination/sidecar/test_quota.py
@@ -36,14 +36,14 @@
             directory = NodeDirectory(local, self.clock)
             for other in entries:
                 directory.apply(StoredEntry(other, 0), source='test')
-            holder = ActiveConfiguration(lambda encoded: make_configuration())
-            holder.apply_if_newer(b'', source='test')
-            holders = FixedShareHolders(directory, holder, self.clock)
+            active_configuration = ActiveConfiguration(lambda encoded: make_configuration())
+            active_configuration.apply_if_newer(b'', source='test')
+            holders = FixedShareHolders(directory, active_configuration, self.clock)
             holders.refresh()
             self.directories.append(directory)
             self.buckets_by_id[local.instance] = FixedShareBuckets(
                 holders,
-                holder,
+                active_configuration,
                 self.clock,
                 make_bounds(overage=overage, slack=slack),
             )
@@ -101,7 +101,7 @@
     holders = {
         node.instance
         for node in nodes
-        if fleet.buckets_by_id[node.instance].holders.held_since('cafe') is not None
+        if fleet.buckets_by_id[node.instance].holders.share_held_since('cafe') is not None
     }
     for directory in fleet.directories:
         for leaving in nodes:
@@ -125,6 +125,6 @@
     buckets = fleet.buckets_by_id['n0']
     rule = OrganisationRule('free', (), 0, 0)
     configuration = make_configuration(6, organisations_by_id={'free': rule})
-    buckets._holder._decode = lambda encoded: configuration
-    buckets._holder.apply_if_newer(b'', source='test')
+    buckets._configuration._decode = lambda encoded: configuration
+    buckets._configuration.apply_if_newer(b'', source='test')
     assert not buckets.grant('free').granted
--- a/tests/coordination/sidecar/test_retry_budget.py
+++ b/tests/coordination/sidecar/test_retry_budget.py
@@ -82,9 +82,9 @@
     fleet.take_all()
     fleet.clock.at += WINDOW_SECONDS + 1
     requests = 0
-    for number, allowance in enumerate(fleet.nodes_by_id.values()):
+    for number, retry_budget in enumerate(fleet.nodes_by_id.values()):
         for _ in range(10 * number):
-            allowance.record_request('bookings', has_no_organisation=False)
+            retry_budget.record_request('bookings', has_no_organisation=False)
             requests += 1
     taken = fleet.take_all()
     assert 0.5 * EXTRA < taken <= EXTRA + RATIO * requests
@@ -98,8 +98,8 @@
     fleet.take_all()
     fleet.clock.at += WINDOW_SECONDS + 1
     taken = fleet.take_all()
-    for name, allowance in tuple(fleet.nodes_by_id.items()):
-        fleet.start(name, allowance.pool._directory)
+    for name, retry_budget in tuple(fleet.nodes_by_id.items()):
+        fleet.start(name, retry_budget.pool._directory)
     taken += fleet.take_all()
     assert taken <= EXTRA
 
@@ -117,15 +117,15 @@
 def test_calls_of_retried_requests_count_as_retries():
     """Retried pages call other services again, which must stay within those services' budgets."""
     fleet = Fleet(count=1, data_centres=1)
-    allowance = fleet.nodes_by_id['n0']
+    retry_budget = fleet.nodes_by_id['n0']
     fleet.take_all()
     fleet.clock.at += WINDOW_SECONDS + 1
     fleet.retry_share = 1.0
     for _ in range(100):
-        allowance.record_request('bookings', has_no_organisation=True)
+        retry_budget.record_request('bookings', has_no_organisation=True)
     # The sampled calls have used up the ratio; client requests use nothing.
     assert fleet.take_all() <= EXTRA
     fleet.clock.at += WINDOW_SECONDS + 1
     for _ in range(100):
-        allowance.record_request('bookings', has_no_organisation=False)
+        retry_budget.record_request('bookings', has_no_organisation=False)
     assert fleet.take_all() > 0.5 * RATIO * 100 + 0.5 * EXTRA
