Describe what the sidecar code does where comments contradicted it

Doc comments now name the cases of a request without an organisation, the limits of the order deduplication, when the circuit breaker closes, and which refusals share a reason. The text for an answer without a response stamp no longer mentions a signature.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/active_configuration.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/active_configuration.py
@@ -1,4 +1,4 @@
-"""Holds the configuration that is in force at a node."""
+"""The configuration that is in force at a node."""
 
 from loguru import logger
 
@@ -14,7 +14,7 @@
 
 
 class ActiveConfiguration:
-    """Holds the newest known configuration; never reverts to an older version.
+    """Newest known configuration; never reverts to an older version.
 
     Parameters
     ----------
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
@@ -1,4 +1,4 @@
-"""Validates requests against the configuration; derives service, rank and deadline."""
+"""Validates requests against the configuration; derives service, queue priority and deadline."""
 
 import dataclasses
 
@@ -18,9 +18,11 @@
 from turmericwharf.state.sidecar import FleetRequest, OrganisationRule, RouteRule
 
 NO_ORGANISATION = OrganisationId('')
-# A call from a backend server blocks the request that the server is processing, so it ranks before
-# all client requests.
+# A call from a backend server blocks the request that the server is processing, so it precedes all
+# requests of organisations. Requests of public routes, and all requests while the configuration has
+# no organisations, are ranked in the same way, since they have no organisation either.
 _NO_ORGANISATION_PRIORITY = 1_000
+# Smaller than the distance between two priorities, so urgency orders requests only within one.
 _MAX_URGENCY = 20
 
 
@@ -30,9 +32,10 @@
 
     Parameters
     ----------
-    rank
-        Queue priority; higher ranks are served first.
-    deadline, target_at
+    queue_priority
+        Priority in the queue of the server, which serves higher values first. `WorkOrder` carries
+        it as `rank`.
+    deadline, latency_target_at
         Times on the node's clock: when the final answer is due, and when the latency target of
         the route is reached, after which an answer is worth less.
     version
@@ -51,7 +54,11 @@
 
     @property
     def has_no_organisation(self) -> bool:
-        """Whether a backend server sent the request while processing another one."""
+        """Whether the request is exempt from API keys and rates.
+
+        True for calls that a backend server sends while it processes another request, for public
+        routes, and for all requests if the configuration has no organisations.
+        """
         return self.organisation == NO_ORGANISATION
 
 
@@ -61,7 +68,7 @@
     Parameters
     ----------
     configuration
-        Holds the current configuration.
+        Configuration in force.
     clock
         Clock of the node.
     """
@@ -128,6 +135,6 @@
     if organisation is None:
         return _NO_ORGANISATION_PRIORITY - route.priority
     priority = route.priority if organisation.priority is None else organisation.priority
-    # Within one priority, requests with shorter latency targets rank first.
+    # Lower configured priorities come first; within one, requests with shorter latency targets do.
     urgency = round(_MAX_URGENCY / (1 + route.target_seconds))
     return urgency - (_MAX_URGENCY + 1) * priority
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -9,8 +9,8 @@
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.state.sidecar import AnnouncedServer, NodeEntry, ServerPhase
 
-# An acknowledgement does not count if it takes longer than 1 s, so the write to the store gets
-# less than that.
+# The backend server ignores an acknowledgement that takes longer than 1 s, so the write to the
+# store gets less than that.
 _WRITE_TIMEOUT_SECONDS = 0.5
 
 
@@ -22,7 +22,7 @@
     record
         Current state of the backend server.
     executor
-        Dispatches work to the server.
+        Runs orders on the server; its queue and circuit breaker follow the announcements.
     publisher
         Publishes the local entry to the fleet.
     """
@@ -77,12 +77,13 @@
             self._publish()
 
     def recoverable_server(self) -> AnnouncedServer | None:
-        """Return the server that the previous process served.
+        """Return the server that the previous process of this node served.
 
         Returns
         -------
-        None
-            If no previous entry or a newer announcement is known, or if the server was leaving.
+        AnnouncedServer or None
+            None if no entry of the previous process is known, if the server was leaving, or if a
+            server has been announced to this process.
         """
         previous = self._previous_entry
         if previous is None or self._record.current.phase is not ServerPhase.ABSENT:
@@ -90,7 +91,8 @@
         return None if previous.phase is ServerPhase.LEAVING else _server_from_entry(previous)
 
     def _left_under_previous_process(self, server: AnnouncedServer) -> bool:
-        # A server that began to leave under the previous process must not become ready again.
+        # True for a server that announces itself as ready although it began to leave while the
+        # previous process ran; such a server must not become ready again.
         previous = self._previous_entry
         return (
             previous is not None
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -26,15 +26,16 @@
 # Delay before servers that refused are tried again.
 _RETRY_DELAY_SECONDS = 0.06
 _MIN_REMAINING_SECONDS = 0.01
-# A request that no server has accepted is refused after this share of its latency target.
+# A request that no server has accepted is refused after this fraction of its latency target.
 _MAX_PENDING_FRACTION = 0.35
 _MAX_REFUSALS = 12
 # After this many refusals because of load, the other servers are assumed to be as loaded.
 _MAX_OVERLOAD_REFUSALS = 3
-# Refusals that every other server of the fleet would repeat.
+# Refusals that every other server of the fleet would return as well.
 _NON_RETRYABLE_REASONS = frozenset((Reason.KEY_WITHDRAWN, Reason.CONFIGURATION_OUTDATED))
+# The queue of a server reports `DEADLINE_PASSED` when the permitted wait ends.
 _OVERLOAD_REASONS = frozenset((Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
-# An idempotent request without an answer is hedged after this share of its remaining time.
+# An idempotent request without an answer is hedged after this fraction of its remaining time.
 _HEDGE_DELAY_FRACTION = 0.5
 
 
@@ -42,10 +43,13 @@
 class _Progress:
     """State of a request so far; updated by each attempt."""
 
+    # Attempts of a request are numbered from 1.
     last_attempt_number: int = 0
+    # Attempts that ran or may have run.
     attempts_run: int = 0
-    # Servers that received the request, and retries that the budget granted for further servers.
+    # Servers that received the request.
     servers_reached: int = 0
+    # Retries that the budget granted, each for one further server.
     retries_granted: int = 0
     refusals: int = 0
     overload_refusals: int = 0
@@ -74,7 +78,7 @@
     sender
         Sends a work order and returns its answer.
     retry_budget
-        Limits how many requests may reach a further server.
+        Grants the retries for further servers.
     clock
         Clock of the node.
     """
@@ -111,7 +115,7 @@
         return admitted.deadline - self._clock.now()
 
     async def _wait_for_retry(self, admitted: AdmittedFleetRequest, progress: _Progress) -> bool:
-        """Wait before all servers are tried again; return False if that is not worthwhile."""
+        """Wait before all servers are tried again; return False if the request should fail now."""
         if progress.outcome is None:
             progress.outcome = NotRun(NO_CAPACITY.reason, NO_CAPACITY.detail)
         if not isinstance(progress.outcome, NotRun) or self._should_give_up(admitted, progress):
@@ -161,7 +165,7 @@
         progress.last_attempt_number += 1
         progress.excluded.add(entry.instance)
         self._selector.start(entry.instance)
-        # A hedge must not be a trial of a failing server.
+        # A hedge must not be sent as a trial through an open circuit breaker.
         may_be_trial = not in_flight and self._has_attempts_left(admitted, progress, in_flight=1)
         sending = self._sender.send(
             admitted,
@@ -178,7 +182,8 @@
         )
 
     def _remaining_target_seconds(self, admitted: AdmittedFleetRequest) -> float:
-        # The calling server occupies a slot while it waits, so a call may queue until its deadline.
+        # A calling backend server occupies a slot while it waits, so its call may queue until the
+        # deadline. Client requests without an organisation may do so too.
         useful_until = (
             admitted.deadline if admitted.has_no_organisation else admitted.latency_target_at
         )
@@ -216,7 +221,8 @@
     ) -> bool:
         """Record answers as they arrive; return whether the outcome is final."""
         if len(attempts) > 1:
-            # Both attempts are counted when they end; undo the count from the start of the hedge.
+            # The hedge counted an attempt in advance. Both attempts are counted when they end, so
+            # the advance is taken back.
             progress.attempts_run -= 1
         attempts_by_task = {attempt.task: attempt for attempt in attempts}
         is_final = False
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/backlog.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/backlog.py
@@ -5,7 +5,7 @@
 
 from turmericwharf.coordination.execution.fair_queue import FairQueue
 
-# On average, a running request has this share of its mean run time left.
+# On average, a running request has this fraction of its mean run time left.
 _REMAINING_RUN_FRACTION = 0.5
 # Floating-point residue: sums of added and subtracted seconds can end slightly above zero.
 _MIN_WAITING_SECONDS = 0.001
@@ -28,7 +28,8 @@
             if waiting_rank >= rank
         )
         slots = max(queue.slots, 1)
-        # The first of the running requests to end frees a slot.
+        # Mean remaining time of the running requests. It is divided by the slots once more below,
+        # since the first of these requests to end frees a slot.
         remaining_seconds = self._running_seconds * _REMAINING_RUN_FRACTION / slots
         return (ahead_seconds + remaining_seconds) / slots
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/breaker.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/breaker.py
@@ -24,9 +24,11 @@
 class CircuitBreaker:
     """Opens at the first broken connection, or when most answers are errors or rejections.
 
-    While the breaker is open, single requests are let through as trials; it closes after enough
-    consecutive trials succeed. A trial must be idempotent, unless the server has only rejected
-    requests, since a rejected request has not run.
+    While the breaker is open, single requests are let through as trials. It closes after
+    `_TRIALS_TO_CLOSE` successes, or after one if the server has only rejected requests. The count
+    of successes starts again at a broken connection and when the share of errors or rejections
+    exceeds its limit, not at each error. A trial must be idempotent, unless the server has only
+    rejected requests, since a rejected request has not run.
 
     Parameters
     ----------
@@ -54,7 +56,8 @@
         Parameters
         ----------
         may_be_trial
-            Whether the request could be sent to another server after a failure.
+            Whether the request may be sent as a trial: it is idempotent, and its route permits
+            another attempt if the trial fails.
         """
         if not self._is_open:
             return True
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
@@ -31,7 +31,7 @@
     Parameters
     ----------
     configuration
-        Holds the configuration in force.
+        Configuration in force.
     directory
         Known nodes.
     links
@@ -69,6 +69,7 @@
             interval_seconds = (
                 _OFFLINE_POLL_INTERVAL_SECONDS if is_offline else _POLL_INTERVAL_SECONDS
             )
+            # Jitter keeps the nodes from polling at the same time.
             await asyncio.sleep(interval_seconds * random.uniform(0.8, 1.2))
             await asyncio.gather(
                 *(self._fetch(peer) for peer in self._choose_peers(is_offline=is_offline))
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Suspicion:
-    """How long a node that did not answer is avoided."""
+    """Time until which a node that did not answer is suspected, and the length of that time."""
 
     until: float
     duration_seconds: float
@@ -58,7 +58,7 @@
 
     @local.setter
     def local(self, entry: NodeEntry) -> None:
-        """Replace the entry of this node."""
+        """Replace the entry and count a change."""
         self._local = entry
         self._record_change(entry.instance)
 
@@ -85,7 +85,7 @@
         ]
 
     def entries_changed_after(self, change_number: int) -> tuple[StoredEntry, ...]:
-        """Return the entries that changed after a change number."""
+        """Return the entries whose last change has a higher number than the one given."""
         return tuple(
             StoredEntry(entry, self._positions_by_instance.get(entry.instance, NOT_STORED))
             for entry in self.entries
@@ -93,7 +93,7 @@
         )
 
     async def wait_for_change(self, after: int, timeout_seconds: float) -> None:
-        """Wait for a change later than a change number, or until the timeout."""
+        """Wait until the number of the last change exceeds `after`, or until the timeout."""
         try:
             async with asyncio.timeout(timeout_seconds):
                 while self.change_number <= after:
@@ -106,7 +106,7 @@
         """Apply an entry read from the store, directly or through another node.
 
         Entries of the same process are ordered by revision, entries of different processes by
-        their offset in the store.
+        their position, which is their offset in the store.
         """
         entry = stored.entry
         known = self._entries_by_instance.get(entry.instance)
@@ -133,7 +133,7 @@
             logger.bind(instance=key).info('node_removed')
 
     def suspect(self, instance: InstanceId) -> None:
-        """Avoid a node for a time that doubles with each consecutive failure, up to a maximum."""
+        """Suspect a node for a time that doubles with each consecutive failure, up to a maximum."""
         previous = self._suspicions_by_instance.get(instance)
         seconds = _MIN_SUSPICION_SECONDS
         if previous is not None:
@@ -147,7 +147,7 @@
             logger.bind(instance=instance).info('node_trusted')
 
     def is_suspected(self, instance: InstanceId) -> bool:
-        """Whether a node is avoided now."""
+        """Whether the time for which a node is suspected has not passed yet."""
         suspicion = self._suspicions_by_instance.get(instance)
         return suspicion is not None and suspicion.until > self._clock.now()
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ChangeCursor:
-    """Last change number received from a process."""
+    """Number of the last change received from a process."""
 
     process: ProcessId
     change_number: int = 0
@@ -82,6 +82,7 @@
             else:
                 self._switch_source(to_store=True)
                 await self._poll_random_peer()
+                # Jitter keeps the nodes from polling at the same time.
                 await asyncio.sleep(_READER_RETRY_SECONDS * random.uniform(0.7, 1.3))
 
     async def answer(self, request: DirectoryRequest) -> DirectoryReply:
@@ -99,7 +100,8 @@
     async def _poll_readers(self) -> bool:
         polled: set[InstanceId] = set()
         while True:
-            # A reader that does not answer becomes suspected, so the next node replaces it.
+            # A reader that does not answer becomes suspected, so the node ranked next becomes a
+            # reader and is polled instead.
             readers = [
                 reader
                 for reader in self._readers.upstream_readers()
@@ -122,7 +124,13 @@
             await self._poll(random.choice(peers), 0)
 
     async def _poll(self, peer: NodeEntry, wait_seconds: float) -> bool:
-        """Apply the changes that a node reports; return whether it reads the store now."""
+        """Apply the changes that a node reports.
+
+        Returns
+        -------
+        bool
+            Whether that node reads the store and is connected to it.
+        """
         cursor = self._cursors_by_instance.get(peer.instance, _ChangeCursor(peer.process))
         reply = await self._links.request(
             peer,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/entry_point.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/entry_point.py
@@ -14,7 +14,7 @@
 
 
 class RequestEntryPoint:
-    """Serves requests from the clients and the backend server on the local machine.
+    """Serves the requests of callers: clients, and the backend server on the local machine.
 
     Parameters
     ----------
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -89,7 +89,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether clients may send requests to this node."""
+        """Whether callers may send requests to this node."""
         knows_fleet = self.membership_follower.has_read or bool(self.directory.peers)
         return self.holder.is_known and knows_fleet and not self.checks.is_stopping
 
@@ -119,7 +119,9 @@
     )
     publisher = LocalNodePublisher(ports.store, directory)
     announcements = AnnouncementService(record, executor, publisher)
-    membership = NodeEntryUpdates(directory, announcements, publisher, ports.decode_entry, holders)
+    node_entry_updates = NodeEntryUpdates(
+        directory, announcements, publisher, ports.decode_entry, holders
+    )
     follower = TopicFollower(
         ports.log,
         StoreTopic.CONFIGURATION,
@@ -127,7 +129,7 @@
         wait_seconds=_CONFIGURATION_LONG_POLL_SECONDS,
     )
     ranking = DataCentreRanking(directory)
-    relay = _build_relay(ports, directory, ranking, membership, holders)
+    relay = _build_relay(ports, directory, ranking, node_entry_updates, holders)
     sender = OrderSender(
         executor=executor,
         links=ports.links,
@@ -176,14 +178,14 @@
     ports: SidecarPorts,
     directory: NodeDirectory,
     ranking: DataCentreRanking,
-    membership: NodeEntryUpdates,
+    node_entry_updates: NodeEntryUpdates,
     holders: FixedShareHolders,
 ) -> DirectoryRelay:
     reads_store = asyncio.Event()
     follower = TopicFollower(
         ports.log,
         StoreTopic.NODES,
-        membership.apply,
+        node_entry_updates.apply,
         wait_seconds=_NODES_LONG_POLL_SECONDS,
         batch_seconds=_NODES_BATCH_SECONDS,
         reads_store=reads_store,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node_entry_updates.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node_entry_updates.py
@@ -22,7 +22,7 @@
     decode
         Decodes an entry.
     holders
-        Quota holders, refreshed whenever the set of nodes may have changed.
+        Selects the holders of rate shares; refreshed whenever the set of nodes may have changed.
     """
 
     def __init__(
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_deduplicator.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_deduplicator.py
@@ -1,4 +1,4 @@
-"""Deduplicates work orders, so that each runs at most once."""
+"""Deduplicates work orders: each runs once while its answer is retained."""
 
 import asyncio
 import collections
@@ -13,6 +13,8 @@
 OrderKey: TypeAlias = tuple[RequestId, int]
 
 # After a lost connection, an entry node may send an order again until the deadline of the request.
+# The retention time is fixed, and answers are evicted earlier if they exceed the size limit. An
+# order that is sent again after that runs a second time.
 _RETENTION_SECONDS = 20.0
 _MAX_RETAINED_BYTES = 24_000_000
 _ORPHAN_TIMEOUT_SECONDS = 1.0
@@ -29,7 +31,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _TrackedOrder:
-    """The run of an order, with the number of callers that wait for it."""
+    """The run of an order, with the number of tasks that wait for its answer."""
 
     task: asyncio.Task[WorkAnswer]
     idempotent: bool
@@ -38,7 +40,7 @@
 
 
 class OrderDeduplicator:
-    """Joins a repeated order to its first run, or returns the retained answer.
+    """Joins an order that was sent again to its first run, or returns the retained answer.
 
     Parameters
     ----------
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
@@ -31,7 +31,10 @@
 from turmericwharf.state.sidecar import ServerGateDump, WorkAnswer, WorkCancel, WorkOrder
 
 _QUEUE_LENGTH = 64
+# Lower bound of the run time that is assumed for a route. An order is not started with less time
+# left.
 _MIN_RUN_SECONDS = 0.02
+# A run that takes longer than this multiple of the mean run time is overdue.
 _OVERDUE_FACTOR = 3.0
 # Accepted wait beyond the useful time, in mean run times, so that a short queue does not lead to a
 # refusal.
@@ -41,7 +44,7 @@
 
 
 class OrderExecutor:
-    """Assigns server slots to orders, and refuses orders that would not finish in time.
+    """Runs orders in the slots of the server, and refuses orders that would not finish in time.
 
     Parameters
     ----------
@@ -112,6 +115,7 @@
         useful_seconds += _LATE_TOLERANCE_RUNS * run_seconds
         wait_seconds = min(order.remaining_seconds - run_seconds, useful_seconds)
         if self.backlog.expected_wait_seconds(order.rank, self.queue) > wait_seconds:
+            # Reported as a full queue also if few requests wait: the expected wait is too long.
             return QUEUE_FULL
         self.backlog.add_waiting(order.rank, run_seconds)
         try:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
@@ -29,8 +29,9 @@
 class OrderSender:
     """Sends an order, and sends it again after a lost connection to obtain its outcome.
 
-    The receiving process runs an order only once however often it is sent, so sending it again is
-    safe as long as the same process answers.
+    The receiving process runs an order only once while it retains the answer (see
+    `order_deduplicator`), so sending the order again within that time is safe as long as the same
+    process answers.
 
     Parameters
     ----------
@@ -41,7 +42,7 @@
     directory
         Known nodes.
     configuration
-        Holds the current configuration.
+        Configuration in force.
     clock
         Clock of the node.
     caller_service
@@ -113,6 +114,7 @@
                 return refused_answer(answer.reason, answer.detail)
             is_uncertain = True
             failed_sends += 1
+            # Logged for each send without an answer, also for the last one, which is not repeated.
             logger.bind(
                 request=order.request,
                 instance=entry.instance,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_validator.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_validator.py
@@ -1,4 +1,4 @@
-"""Final checks of a work order at the node beside the server that would run it."""
+"""Final validation of a work order at the node beside the server that would run it."""
 
 from turmericwharf.coordination.sidecar.admission import RequestValidator
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
@@ -20,14 +20,14 @@
 
 
 class OrderValidator:
-    """Checks conditions that may have changed since the entry node selected the server.
+    """Validates conditions that may have changed since the entry node selected the server.
 
     Parameters
     ----------
     record
         Last known state of the backend server beside the node.
     configuration
-        Holds the local configuration, which may be newer than that of the entry node.
+        Configuration in force at this node, which may be newer than that of the entry node.
     request_validator
         Validates requests against the configuration.
     """
@@ -74,6 +74,9 @@
             key_digest=order.key_digest,
         )
         organisation = self._request_validator.find_organisation(request, route)
+        # The newer configuration does not assign the key to the organisation of the order: the key
+        # is missing, unknown or assigned to another one. All three are reported as withdrawn, which
+        # is not retried.
         if isinstance(organisation, RequestFailure):
             return KEY_WITHDRAWN
         if organisation is not None and organisation.organisation != order.organisation:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -37,7 +37,8 @@
 # A node that becomes a holder within this time of its process start is assumed to have held the
 # share before the restart.
 _STARTUP_SECONDS = 3.0
-# Two restarts of all processes within one rate window stay within the permitted overage.
+# Below one half, so that two restarts of all processes within one rate window together grant less
+# than the permitted overage.
 _STARTUP_OVERAGE_FRACTION = 0.45
 _MAX_WAIT_SECONDS = 0.1
 # A failed holder makes at most one of this many shares of a rate unavailable.
@@ -61,7 +62,7 @@
     directory
         Known nodes; a node whose server is leaving holds no share.
     configuration
-        Holds the current configuration.
+        Configuration in force.
     clock
         Clock of the node.
     """
@@ -75,6 +76,7 @@
         self._directory = directory
         self._configuration = configuration
         self._clock = clock
+        # Change number of the directory and version of the configuration.
         self._applied_versions = (-1, -1)
         self._partitions: frozenset[int] = frozenset()
         self._holders_by_partition: dict[int, dict[DataCentreId, list[InstanceId]]] = {}
@@ -143,14 +145,14 @@
     """Token buckets of the shares that this node holds.
 
     A bucket is empty when the node becomes its holder, so that a change of holders never grants a
-    burst twice. After a start of the process it holds a share of the permitted overage instead.
+    burst twice. After a start of the process it contains part of the permitted overage instead.
 
     Parameters
     ----------
     holders
         Selects the holders of each share.
     configuration
-        Holds the current configuration.
+        Configuration in force.
     clock
         Clock of the node.
     bounds
@@ -172,7 +174,14 @@
         self._levels_by_organisation: dict[OrganisationId, _BucketLevel] = {}
 
     def grant(self, organisation: OrganisationId) -> TokenReply:
-        """Take one token from the local share, or return the seconds until the next token."""
+        """Take one token from the local share.
+
+        Returns
+        -------
+        TokenReply
+            If no token was granted, `wait_seconds` is the time until the next one, or 0 if this
+            node holds no share, the organisation is unknown or its rate is unlimited.
+        """
         rule = self._configuration.current.organisations_by_id.get(organisation)
         held_since = self.holders.share_held_since(organisation)
         if rule is None or held_since is None or not rule.is_limited:
@@ -214,7 +223,7 @@
     directory
         Known nodes.
     configuration
-        Holds the current configuration.
+        Configuration in force.
     """
 
     def __init__(
@@ -252,10 +261,14 @@
             next_token_seconds=None if math.isinf(wait_seconds) else round(wait_seconds, 3),
             version=admitted.version,
         ).info('token_refused')
+        # Also returned if no holder gave a time until its next token, e.g. if none answered.
         return RATE_EXCEEDED
 
     async def _request_from_holders(self, organisation: OrganisationId) -> float:
-        """Return 0 if a holder granted a token, else the seconds until the next token."""
+        """Return 0 if a holder granted a token, else the seconds until the next token.
+
+        The result is infinite if no holder named a time, e.g. if none answered.
+        """
         waits = [math.inf]
         for instance in self._ordered_holders(organisation):
             reply = await self._request_token(instance, organisation)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
@@ -15,14 +15,17 @@
 
 
 class ServerRecovery:
-    """Identifies the server actively instead of waiting for its next announcement.
+    """Requests the health path of the server that the previous process served.
+
+    If the server reports its identifier there, the node uses it without waiting for its next
+    announcement.
 
     Parameters
     ----------
     announcements
         Holds the entry that the previous process of this node published.
     configuration
-        Holds the configuration with the health path of the service.
+        Configuration in force, with the health path of the service.
     server
         Connection to the backend server.
     """
@@ -38,7 +41,10 @@
         self._server = server
 
     async def run(self) -> None:
-        """Identify the server once its health path is known, within a time limit, then wait."""
+        """Identify the server once its health path is known, within a time limit.
+
+        Then sleeps until cancelled, since the node stops when one of its tasks ends.
+        """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + _RECOVERY_TIMEOUT_SECONDS
         while loop.time() < deadline and not await self._try_once():
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_budget.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_budget.py
@@ -25,7 +25,7 @@
 # full budget would exceed it at times.
 _RATIO_FRACTION = 0.75
 _POOL_FRACTION = 0.6
-# The previous granting node may have granted its whole share in the same window.
+# The previous granting node may have granted all its retries in the same window.
 _NEW_GRANTING_NODE_FRACTION = 0.2
 _REQUEST_TIMEOUT_SECONDS = 0.1
 
@@ -125,9 +125,17 @@
         self._retry_share = retry_share
 
     def record_request(self, service: ServiceId, *, has_no_organisation: bool) -> None:
-        """Count a request from a local client or from the local server."""
+        """Count a request from a local client or from the local server.
+
+        Parameters
+        ----------
+        has_no_organisation
+            Whether the request is treated as a call of the local server; requests of clients have
+            no organisation either on public routes and without configured organisations.
+        """
         self._local_budget.record_request(service)
-        # A call does not identify the request that caused it, so its share of retries is sampled.
+        # A call of a backend server does not identify the request that caused it, so it is counted
+        # as a retry with the probability that a running request is one.
         if has_no_organisation and random.random() < self._retry_share():
             self._local_budget.record_retry(service)
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_answers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_answers.py
@@ -25,5 +25,5 @@
         )
     is_success = _MIN_SUCCESS_STATUS <= answer.status <= _MAX_SUCCESS_STATUS
     if is_success and not answer.is_stamped:
-        return OutcomeUnknown(Reason.STAMP_MISSING, 'the answer is not signed by the server')
+        return OutcomeUnknown(Reason.STAMP_MISSING, 'the successful answer has no response stamp')
     return Answered(status=answer.status, headers=answer.headers, body=answer.body)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
@@ -13,8 +13,8 @@
 
 # An older load does not reflect the requests that other nodes have sent since.
 _MAX_LOAD_AGE_SECONDS = 1.0
-# A server in another data centre is worth its traffic only if the local servers have at least this
-# many requests more.
+# A server in another data centre is selected only if the local servers have at least this many
+# requests more, because of the traffic between data centres.
 _REMOTE_PENALTY_REQUESTS = 8.0
 _DEPRIORITISE_SECONDS = 0.3
 _DEPRIORITISE_SECONDS_BY_REASON: Mapping[Reason | None, float] = MappingProxyType(
@@ -77,7 +77,11 @@
             self._in_flight_by_instance.pop(instance)
 
     def record_answer(self, instance: InstanceId, answer: WorkAnswer) -> None:
-        """Record the reported load; avoid the server for a while if it gave no answer."""
+        """Record the load that an answer reports; deprioritise the server if it did not answer.
+
+        The recorded load is 0 if no answer came from the node and this one was built locally. A
+        refusal or an unknown outcome counts as no answer of the server.
+        """
         requests = answer.running + answer.waiting
         self._load_by_instance[instance] = _ReportedLoad(requests, self._clock.now())
         if answer.answered is not None:
@@ -105,4 +109,5 @@
         ):
             requests = max(requests, reported.requests)
         remote_penalty = 0 if entry.data_centre == local.data_centre else _REMOTE_PENALTY_REQUESTS
+        # The random part, less than half a request, breaks ties.
         return requests + remote_penalty + random.random() / 2
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
@@ -4,7 +4,7 @@
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.state.sidecar import NodeEntry
 
-# Two, because a reader may lose the store or stop at any time.
+# A reader may lose the store or stop at any time.
 _READER_COUNT = 2
 _ROLE = 'store-readers'
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
@@ -31,7 +31,7 @@
     batch_seconds
         Delay after a page, so that changes close together arrive in one page.
     reads_store
-        Set while the topic is to be read; if None, it is always read.
+        Set while this node reads the topic; if None, it always does.
     """
 
     def __init__(
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -93,7 +93,7 @@
         await fleet.apply_at_readers(changed, 100)
         await asyncio.sleep(0.2)
         assert len(fleet.nodes_with_revision(changed.instance, 1)) == 5
-        # Quota shares must start at the change, not at the first request after it.
+        # Rate shares must start at the change, not at the first request after it.
         assert set(fleet.notified) == set(fleet.nodes_by_id) - fleet.store_readers
 
     run_scenario(scenario)
--- a/tests/coordination/sidecar/test_order_deduplicator.py
+++ b/tests/coordination/sidecar/test_order_deduplicator.py
@@ -28,26 +28,26 @@
         return ANSWER
 
 
-async def test_repeated_order_runs_once():
+async def test_order_that_is_sent_again_runs_once():
     """An order that is sent again after a lost connection must not run a second time."""
-    table, scripted_run = OrderDeduplicator(ManualClock()), ScriptedRun()
-    first = asyncio.create_task(table.join(make_order(), scripted_run.run))
-    second = asyncio.create_task(table.join(make_order(), scripted_run.run))
+    deduplicator, scripted_run = OrderDeduplicator(ManualClock()), ScriptedRun()
+    first = asyncio.create_task(deduplicator.join(make_order(), scripted_run.run))
+    second = asyncio.create_task(deduplicator.join(make_order(), scripted_run.run))
     await asyncio.sleep(0.001)
     scripted_run.ended.set()
     assert await first == await second == ANSWER
-    assert await table.join(make_order(), scripted_run.run) == ANSWER
+    assert await deduplicator.join(make_order(), scripted_run.run) == ANSWER
     assert scripted_run.count == 1
 
 
 async def test_run_continues_when_its_caller_is_disconnected():
     """A connection reset between two nodes must not cancel a running command."""
-    table, scripted_run = OrderDeduplicator(ManualClock()), ScriptedRun()
-    first = asyncio.create_task(table.join(make_order(), scripted_run.run))
+    deduplicator, scripted_run = OrderDeduplicator(ManualClock()), ScriptedRun()
+    first = asyncio.create_task(deduplicator.join(make_order(), scripted_run.run))
     await asyncio.sleep(0.001)
     first.cancel()
     await asyncio.gather(first, return_exceptions=True)
-    again = asyncio.create_task(table.join(make_order(), scripted_run.run))
+    again = asyncio.create_task(deduplicator.join(make_order(), scripted_run.run))
     await asyncio.sleep(0.001)
     scripted_run.ended.set()
     assert await again == ANSWER
@@ -56,15 +56,15 @@
 
 async def test_sent_non_idempotent_order_is_not_cancelled():
     """Cancelling a command that was sent to the server would interrupt it halfway."""
-    table, scripted_run, order = (
+    deduplicator, scripted_run, order = (
         OrderDeduplicator(ManualClock()),
         ScriptedRun(),
         make_order(idempotent=False),
     )
-    joined = asyncio.create_task(table.join(order, scripted_run.run))
+    joined = asyncio.create_task(deduplicator.join(order, scripted_run.run))
     await asyncio.sleep(0.001)
-    table.mark_sent(order)
-    table.cancel((order.request, order.attempt))
+    deduplicator.mark_sent(order)
+    deduplicator.cancel((order.request, order.attempt))
     await asyncio.sleep(0.001)
     assert not scripted_run.was_cancelled
     scripted_run.ended.set()
@@ -76,16 +76,16 @@
     idempotent, at_server
 ):
     """Servers must not work for callers that have left."""
-    table, scripted_run, order = (
+    deduplicator, scripted_run, order = (
         OrderDeduplicator(ManualClock()),
         ScriptedRun(),
         make_order(idempotent=idempotent),
     )
-    joined = asyncio.create_task(table.join(order, scripted_run.run))
+    joined = asyncio.create_task(deduplicator.join(order, scripted_run.run))
     await asyncio.sleep(0.001)
     if at_server:
-        table.mark_sent(order)
-    table.cancel((order.request, order.attempt))
+        deduplicator.mark_sent(order)
+    deduplicator.cancel((order.request, order.attempt))
     assert await joined is None
     assert scripted_run.was_cancelled
 
@@ -93,8 +93,8 @@
 async def test_orphaned_order_is_cancelled_after_a_timeout(monkeypatch):
     """An order that its entry node never sends again must not keep its slot."""
     monkeypatch.setattr(order_deduplicator, '_ORPHAN_TIMEOUT_SECONDS', 0.01)
-    table, scripted_run = OrderDeduplicator(ManualClock()), ScriptedRun()
-    joined = asyncio.create_task(table.join(make_order(idempotent=True), scripted_run.run))
+    deduplicator, scripted_run = OrderDeduplicator(ManualClock()), ScriptedRun()
+    joined = asyncio.create_task(deduplicator.join(make_order(idempotent=True), scripted_run.run))
     await asyncio.sleep(0.001)
     joined.cancel()
     await asyncio.sleep(0.05)
@@ -104,10 +104,10 @@
 async def test_answers_are_evicted_after_the_retention_time():
     """Retained answers must not fill the memory."""
     clock = ManualClock()
-    table, scripted_run = OrderDeduplicator(clock), ScriptedRun()
+    deduplicator, scripted_run = OrderDeduplicator(clock), ScriptedRun()
     scripted_run.ended.set()
-    await table.join(make_order(), scripted_run.run)
+    await deduplicator.join(make_order(), scripted_run.run)
     clock.at += 60
-    await table.join(make_order(request='r2'), scripted_run.run)
-    await table.join(make_order(), scripted_run.run)
+    await deduplicator.join(make_order(request='r2'), scripted_run.run)
+    await deduplicator.join(make_order(), scripted_run.run)
     assert scripted_run.count == 3
--- a/tests/coordination/sidecar/test_order_validator.py
+++ b/tests/coordination/sidecar/test_order_validator.py
@@ -17,7 +17,7 @@
 LOCAL = make_entry()
 
 
-def make_checks(configuration=None, **server_changes):
+def make_validator(configuration=None, **server_changes):
     record = ServerRecord()
     fields = {
         'server': LOCAL.server,
@@ -39,7 +39,7 @@
 
 def test_order_for_the_current_server_passes():
     """Guards against refusing all orders."""
-    assert make_checks().find_refusal(make_order(), LOCAL) is None
+    assert make_validator().find_refusal(make_order(), LOCAL) is None
 
 
 @pytest.mark.parametrize(
@@ -52,37 +52,37 @@
 )
 def test_order_for_another_server_is_refused(changes, reason):
     """A request must not run on another server that has taken over the address."""
-    assert make_checks().find_refusal(make_order(**changes), LOCAL).reason is reason
+    assert make_validator().find_refusal(make_order(**changes), LOCAL).reason is reason
 
 
 def test_order_for_a_leaving_server_is_refused():
     """A server that announced that it is leaving must not receive orders from outdated nodes."""
-    checks = make_checks(phase=ServerPhase.LEAVING)
-    assert checks.find_refusal(make_order(), LOCAL).reason is Reason.SERVER_DRAINING
+    validator = make_validator(phase=ServerPhase.LEAVING)
+    assert validator.find_refusal(make_order(), LOCAL).reason is Reason.SERVER_DRAINING
 
 
 def test_stopping_node_refuses_orders():
     """Work that starts after a graceful shutdown has begun would be interrupted."""
-    checks = make_checks()
-    checks.is_stopping = True
-    assert checks.find_refusal(make_order(), LOCAL).reason is Reason.SERVER_DRAINING
+    validator = make_validator()
+    validator.is_stopping = True
+    assert validator.find_refusal(make_order(), LOCAL).reason is Reason.SERVER_DRAINING
 
 
 def test_key_missing_from_a_newer_configuration_is_refused():
     """A withdrawn key must not work through a node with an older configuration."""
-    checks = make_checks(make_configuration(9, organisations_by_id={}))
-    assert checks.find_refusal(make_order(version=5), LOCAL).reason is Reason.KEY_WITHDRAWN
+    validator = make_validator(make_configuration(9, organisations_by_id={}))
+    assert validator.find_refusal(make_order(version=5), LOCAL).reason is Reason.KEY_WITHDRAWN
 
 
 def test_route_that_moved_is_refused():
     """A request must not run on the former service of a route through an outdated node."""
     moved = make_route(destinations=(Destination('records'),))
-    checks = make_checks(make_configuration(9, routes=(moved,)))
-    refusal = checks.find_refusal(make_order(version=5), LOCAL)
+    validator = make_validator(make_configuration(9, routes=(moved,)))
+    refusal = validator.find_refusal(make_order(version=5), LOCAL)
     assert refusal.reason is Reason.CONFIGURATION_OUTDATED
 
 
 def test_order_with_a_newer_configuration_version_passes():
     """A new key must not be refused by a node that reads the configuration later."""
-    checks = make_checks(make_configuration(4, organisations_by_id={}))
-    assert checks.find_refusal(make_order(version=5), LOCAL) is None
+    validator = make_validator(make_configuration(4, organisations_by_id={}))
+    assert validator.find_refusal(make_order(version=5), LOCAL) is None
--- a/tests/coordination/sidecar/test_quota.py
+++ b/tests/coordination/sidecar/test_quota.py
@@ -26,7 +26,7 @@
 
 
 class Fleet:
-    """Quota buckets of nodes that all know the same entries."""
+    """Token buckets of nodes that all know the same entries."""
 
     def __init__(self, entries, *, overage=0.0, slack=0.0) -> None:
         self.clock = ManualClock()
--- a/tests/coordination/sidecar/test_retry_budget.py
+++ b/tests/coordination/sidecar/test_retry_budget.py
@@ -22,7 +22,7 @@
 
 
 class Fleet:
-    """Retry allowances of nodes that are connected in memory."""
+    """Retry budgets of nodes that are connected in memory."""
 
     def __init__(self, count=9, data_centres=3) -> None:
         self.clock = ManualClock()
--- a/tests/coordination/sidecar/test_routes.py
+++ b/tests/coordination/sidecar/test_routes.py
@@ -10,12 +10,12 @@
     short = make_route(route='short', path_prefix='/a/')
     long = make_route(route='long', path_prefix='/a/b/')
     other = make_route(route='other', host='b.example', path_prefix='/a/b/c/')
-    table = HostRouteIndex((short, long, other))
-    assert table.find('a.example', '/a/b/c/1?x=/') is long
-    assert table.find('a.example', '/a/x') is short
-    assert table.find('a.example', '/a') is None
-    assert table.find('a.example', '/ab/') is None
-    assert table.find('c.example', '/a/b/c/') is None
+    index = HostRouteIndex((short, long, other))
+    assert index.find('a.example', '/a/b/c/1?x=/') is long
+    assert index.find('a.example', '/a/x') is short
+    assert index.find('a.example', '/a') is None
+    assert index.find('a.example', '/ab/') is None
+    assert index.find('c.example', '/a/b/c/') is None
 
 
 def test_root_prefix_matches_all_paths():
