--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_budget.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_budget.py
@@ -162,6 +162,6 @@
         bounds = self._bounds.current
         return RetryLimits(
             fraction=bounds.retry_ratio * _RATIO_FRACTION,
-            minimum=0,
+            extra_retries=0,
             window_seconds=bounds.retry_window_seconds,
         )
