--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -29,10 +29,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ChangeCursor:
-    """Last change number received from a process."""
+    """Number of the last change received from a process."""
 
     process: ProcessId
-    changes: int = 0
+    change_number: int = 0
 
 
 class DirectoryRelay:
@@ -70,7 +70,7 @@
         self._reads_store = reads_store
         self.follower = follower
         self._on_applied = on_applied
-        self._cursors_by_id: dict[InstanceId, _ChangeCursor] = {}
+        self._cursors_by_instance: dict[InstanceId, _ChangeCursor] = {}
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -82,6 +82,7 @@
             else:
                 self._switch_source(to_store=True)
                 await self._poll_random_peer()
+                # Jitter keeps the nodes from polling at the same time.
                 await asyncio.sleep(_READER_RETRY_SECONDS * random.uniform(0.7, 1.3))
 
     async def answer(self, request: DirectoryRequest) -> DirectoryReply:
@@ -99,7 +100,8 @@
     async def _poll_readers(self) -> bool:
         polled: set[InstanceId] = set()
         while True:
-            # A reader that does not answer becomes suspected, so the next node replaces it.
+            # A reader that does not answer becomes suspected, so the node ranked next becomes a
+            # reader and is polled instead.
             readers = [
                 reader
                 for reader in self._readers.upstream_readers()
@@ -122,17 +124,23 @@
             await self._poll(random.choice(peers), 0)
 
     async def _poll(self, peer: NodeEntry, wait_seconds: float) -> bool:
-        """Apply the changes that a node reports; return whether it reads the store now."""
-        cursor = self._cursors_by_id.get(peer.instance, _ChangeCursor(peer.process))
+        """Apply the changes that a node reports.
+
+        Returns
+        -------
+        bool
+            Whether that node reads the store and is connected to it.
+        """
+        cursor = self._cursors_by_instance.get(peer.instance, _ChangeCursor(peer.process))
         reply = await self._links.request(
             peer,
-            DirectoryRequest(cursor.process, cursor.changes, wait_seconds),
+            DirectoryRequest(cursor.process, cursor.change_number, wait_seconds),
             timeout_seconds=wait_seconds + _REPLY_MARGIN_SECONDS,
         )
         if not isinstance(reply, DirectoryReply):
             self._directory.suspect(peer.instance)
             return False
-        self._cursors_by_id[peer.instance] = _ChangeCursor(reply.process, reply.changes)
+        self._cursors_by_instance[peer.instance] = _ChangeCursor(reply.process, reply.changes)
         for stored in reply.nodes:
             self._directory.apply(stored, source=peer.instance)
         if reply.nodes:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_deduplicator.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_deduplicator.py
@@ -1,4 +1,4 @@
-"""Deduplicates work orders, so that each runs at most once."""
+"""Deduplicates work orders: each runs once while its answer is retained."""
 
 import asyncio
 import collections
@@ -13,6 +13,8 @@
 OrderKey: TypeAlias = tuple[RequestId, int]
 
 # After a lost connection, an entry node may send an order again until the deadline of the request.
+# The retention time is fixed, and answers are evicted earlier if they exceed the size limit. An
+# order that is sent again after that runs a second time.
 _RETENTION_SECONDS = 20.0
 _MAX_RETAINED_BYTES = 24_000_000
 _ORPHAN_TIMEOUT_SECONDS = 1.0
@@ -29,16 +31,16 @@
 
 @dataclasses.dataclass(slots=True)
 class _TrackedOrder:
-    """The run of an order, with the number of callers that wait for it."""
+    """The run of an order, with the number of tasks that wait for its answer."""
 
     task: asyncio.Task[WorkAnswer]
     idempotent: bool
-    callers: int = 0
+    waiters: int = 0
     is_sent: bool = False
 
 
 class OrderDeduplicator:
-    """Joins a repeated order to its first run, or returns the retained answer.
+    """Joins an order that was sent again to its first run, or returns the retained answer.
 
     Parameters
     ----------
@@ -70,7 +72,7 @@
         if tracked is None:
             tracked = _TrackedOrder(asyncio.create_task(run()), order.idempotent)
             self._start(key, tracked)
-        tracked.callers += 1
+        tracked.waiters += 1
         try:
             return await asyncio.shield(tracked.task)
         except asyncio.CancelledError:
@@ -79,7 +81,7 @@
             self._schedule_orphan_check(key)
             raise
         finally:
-            tracked.callers -= 1
+            tracked.waiters -= 1
 
     def mark_sent(self, order: WorkOrder) -> None:
         """Record that an order is about to be sent to the server."""
@@ -100,7 +102,7 @@
 
     def _cancel_orphan(self, key: OrderKey) -> None:
         tracked = self._orders_by_key.get(key)
-        if tracked is not None and not tracked.callers:
+        if tracked is not None and not tracked.waiters:
             self.cancel(key)
 
     def _start(self, key: OrderKey, order: _TrackedOrder) -> None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_validator.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_validator.py
@@ -1,4 +1,4 @@
-"""Final checks of a work order at the node beside the server that would run it."""
+"""Final validation of a work order at the node beside the server that would run it."""
 
 from turmericwharf.coordination.sidecar.admission import RequestValidator
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
@@ -20,27 +20,27 @@
 
 
 class OrderValidator:
-    """Checks conditions that may have changed since the entry node selected the server.
+    """Validates conditions that may have changed since the entry node selected the server.
 
     Parameters
     ----------
     record
         Last known state of the backend server beside the node.
-    holder
-        Holds the local configuration, which may be newer than that of the entry node.
-    checks
+    configuration
+        Configuration in force at this node, which may be newer than that of the entry node.
+    request_validator
         Validates requests against the configuration.
     """
 
     def __init__(
         self,
         record: ServerRecord,
-        holder: ActiveConfiguration,
-        checks: RequestValidator,
+        configuration: ActiveConfiguration,
+        request_validator: RequestValidator,
     ) -> None:
         self._record = record
-        self._holder = holder
-        self._checks = checks
+        self._configuration = configuration
+        self._request_validator = request_validator
         self.is_stopping = False
 
     def find_refusal(self, order: WorkOrder, local: NodeEntry) -> RequestFailure | None:
@@ -57,9 +57,9 @@
         return failure or self._check_configuration(order)
 
     def _check_configuration(self, order: WorkOrder) -> RequestFailure | None:
-        if order.version >= self._holder.version:
+        if order.version >= self._configuration.version:
             return None
-        route = self._holder.routes.find(order.host, order.target)
+        route = self._configuration.routes.find(order.host, order.target)
         if route is None or all(
             destination.service != order.service for destination in route.destinations
         ):
@@ -73,7 +73,10 @@
             body=b'',
             key_digest=order.key_digest,
         )
-        organisation = self._checks.find_organisation(request, route)
+        organisation = self._request_validator.find_organisation(request, route)
+        # The newer configuration does not assign the key to the organisation of the order: the key
+        # is missing, unknown or assigned to another one. All three are reported as withdrawn, which
+        # is not retried.
         if isinstance(organisation, RequestFailure):
             return KEY_WITHDRAWN
         if organisation is not None and organisation.organisation != order.organisation:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -37,8 +37,9 @@
 # A node that becomes a holder within this time of its process start is assumed to have held the
 # share before the restart.
 _STARTUP_SECONDS = 3.0
-# Two restarts of all processes within one rate window stay within the permitted overage.
-_STARTUP_OVERAGE_SHARE = 0.45
+# Below one half, so that two restarts of all processes within one rate window together grant less
+# than the permitted overage.
+_STARTUP_OVERAGE_FRACTION = 0.45
 _MAX_WAIT_SECONDS = 0.1
 # A failed holder makes at most one of this many shares of a rate unavailable.
 _MIN_SHARES = 3
@@ -60,8 +61,8 @@
     ----------
     directory
         Known nodes; a node whose server is leaving holds no share.
-    holder
-        Holds the current configuration.
+    configuration
+        Configuration in force.
     clock
         Clock of the node.
     """
@@ -69,12 +70,13 @@
     def __init__(
         self,
         directory: NodeDirectory,
-        holder: ActiveConfiguration,
+        configuration: ActiveConfiguration,
         clock: Clock,
     ) -> None:
         self._directory = directory
-        self._holder = holder
+        self._configuration = configuration
         self._clock = clock
+        # Change number of the directory and version of the configuration.
         self._applied_versions = (-1, -1)
         self._partitions: frozenset[int] = frozenset()
         self._holders_by_partition: dict[int, dict[DataCentreId, list[InstanceId]]] = {}
@@ -98,18 +100,18 @@
             self._holders_by_partition[partition] = holders
         return holders
 
-    def held_since(self, organisation: OrganisationId) -> float | None:
+    def share_held_since(self, organisation: OrganisationId) -> float | None:
         """Return the time since which this node has held a share, or None."""
         self.refresh()
         return self._held_since_by_partition.get(partition_of(organisation))
 
     def refresh(self) -> None:
         """Update the holders after a change of the nodes or of the configuration."""
-        versions = (self._directory.change_number, self._holder.version)
+        versions = (self._directory.change_number, self._configuration.version)
         if versions == self._applied_versions:
             return
         if versions[1] != self._applied_versions[1]:
-            organisations = self._holder.current.organisations_by_id
+            organisations = self._configuration.current.organisations_by_id
             # Organisations of one partition have the same holders, so the cost of a change of the
             # nodes does not depend on the number of organisations.
             self._partitions = frozenset(partition_of(name) for name in organisations)
@@ -143,14 +145,14 @@
     """Token buckets of the shares that this node holds.
 
     A bucket is empty when the node becomes its holder, so that a change of holders never grants a
-    burst twice. After a start of the process it holds a share of the permitted overage instead.
+    burst twice. After a start of the process it contains part of the permitted overage instead.
 
     Parameters
     ----------
     holders
         Selects the holders of each share.
-    holder
-        Holds the current configuration.
+    configuration
+        Configuration in force.
     clock
         Clock of the node.
     bounds
@@ -160,33 +162,42 @@
     def __init__(
         self,
         holders: FixedShareHolders,
-        holder: ActiveConfiguration,
+        configuration: ActiveConfiguration,
         clock: Clock,
         bounds: ReloadableBounds,
     ) -> None:
         self._bounds = bounds
         self._started_at = clock.now()
         self.holders = holders
-        self._holder = holder
+        self._configuration = configuration
         self._clock = clock
-        self._levels_by_id: dict[OrganisationId, _BucketLevel] = {}
+        self._levels_by_organisation: dict[OrganisationId, _BucketLevel] = {}
 
     def grant(self, organisation: OrganisationId) -> TokenReply:
-        """Take one token from the local share, or return the seconds until the next token."""
-        rule = self._holder.current.organisations_by_id.get(organisation)
-        held_since = self.holders.held_since(organisation)
+        """Take one token from the local share.
+
+        Returns
+        -------
+        TokenReply
+            If no token was granted, `wait_seconds` is the time until the next one, or 0 if this
+            node holds no share, the organisation is unknown or its rate is unlimited.
+        """
+        rule = self._configuration.current.organisations_by_id.get(organisation)
+        held_since = self.holders.share_held_since(organisation)
         if rule is None or held_since is None or not rule.is_limited:
             return TokenReply(granted=False, wait_seconds=0)
         share = 1 / self.holders.share_count
         tokens = self._refilled_tokens(rule, share, held_since)
         granted = tokens >= 1
-        self._levels_by_id[organisation] = _BucketLevel(tokens - granted, self._clock.now())
+        self._levels_by_organisation[organisation] = _BucketLevel(
+            tokens - granted, self._clock.now()
+        )
         missing_seconds = (1 - tokens) / (rule.rate_per_second * share)
         return TokenReply(granted=granted, wait_seconds=max(missing_seconds, 0))
 
     def _refilled_tokens(self, rule: OrganisationRule, share: float, held_since: float) -> float:
         now = self._clock.now()
-        level = self._levels_by_id.get(rule.organisation)
+        level = self._levels_by_organisation.get(rule.organisation)
         if level is None or level.updated_at < held_since:
             level = _BucketLevel(self._initial_tokens(rule, held_since) * share, held_since)
         refill = (now - level.updated_at) * rule.rate_per_second * share
@@ -197,7 +208,7 @@
             return 0
         bounds = self._bounds.current
         allowed = rule.rate_per_second * bounds.rate_window_seconds + rule.burst
-        return (allowed * bounds.rate_overage + bounds.rate_slack) * _STARTUP_OVERAGE_SHARE
+        return (allowed * bounds.rate_overage + bounds.rate_slack) * _STARTUP_OVERAGE_FRACTION
 
 
 class FleetRateLimiter:
@@ -211,8 +222,8 @@
         Connections to the other holders.
     directory
         Known nodes.
-    holder
-        Holds the current configuration.
+    configuration
+        Configuration in force.
     """
 
     def __init__(
@@ -220,18 +231,18 @@
         buckets: FixedShareBuckets,
         links: FleetLinks,
         directory: NodeDirectory,
-        holder: ActiveConfiguration,
+        configuration: ActiveConfiguration,
     ) -> None:
         self.buckets = buckets
         self._links = links
         self._directory = directory
-        self._holder = holder
+        self._configuration = configuration
 
     async def acquire(self, admitted: AdmittedFleetRequest) -> RequestFailure | None:
         """Acquire a token; return None, or the reason for refusing the request."""
         if admitted.organisation == NO_ORGANISATION:
             return None
-        rule = self._holder.current.organisations_by_id.get(admitted.organisation)
+        rule = self._configuration.current.organisations_by_id.get(admitted.organisation)
         if rule is None or not rule.is_limited:
             return None
         wait_seconds = await self._request_from_holders(admitted.organisation)
@@ -250,10 +261,14 @@
             next_token_seconds=None if math.isinf(wait_seconds) else round(wait_seconds, 3),
             version=admitted.version,
         ).info('token_refused')
+        # Also returned if no holder gave a time until its next token, e.g. if none answered.
         return RATE_EXCEEDED
 
     async def _request_from_holders(self, organisation: OrganisationId) -> float:
-        """Return 0 if a holder granted a token, else the seconds until the next token."""
+        """Return 0 if a holder granted a token, else the seconds until the next token.
+
+        The result is infinite if no holder named a time, e.g. if none answered.
+        """
         waits = [math.inf]
         for instance in self._ordered_holders(organisation):
             reply = await self._request_token(instance, organisation)
@@ -281,7 +296,7 @@
         entry = self._directory.find(instance)
         if entry is None or self._directory.is_suspected(instance):
             return None
-        request = TokenRequest(organisation, local.instance, self._holder.version)
+        request = TokenRequest(organisation, local.instance, self._configuration.version)
         reply = await self._links.request(entry, request, timeout_seconds=_REQUEST_TIMEOUT_SECONDS)
         if isinstance(reply, TokenReply):
             return reply
