Correct three texts of failures and responses

ROUTE_INTERNAL no longer names a header in the state layer and names the case of a request without an organisation, is_stamped states that only the presence of the stamp is tested, and to_http raises the same text for a wrong type as the other functions of outcomes.

--- a/packages/turmericwharf/src/turmericwharf/protocol/http_status.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http_status.py
@@ -56,7 +56,7 @@
 @singledispatch
 def to_http(outcome: object) -> HttpResponse:
     """Return the HTTP response for an outcome."""
-    raise TypeError(f'not an outcome: {outcome!r}')
+    raise TypeError(f'expected the outcome of a request, got {outcome!r}')
 
 
 @to_http.register
--- a/packages/turmericwharf/src/turmericwharf/state/failures.py
+++ b/packages/turmericwharf/src/turmericwharf/state/failures.py
@@ -125,8 +125,8 @@
 ROUTE_UNKNOWN = RequestFailure(Reason.ROUTE_UNKNOWN, 'no route matches the method and path')
 ROUTE_INTERNAL = RequestFailure(
     Reason.ROUTE_INTERNAL,
-    'the route can be called by services only, or a call from a service does not name a request '
-    'in progress of an organisation in Turmericwharf-Serves',
+    'the route can be called by services only, or a call from a service does not name the '
+    'request in progress that it serves, or that request has no organisation',
 )
 RATE_EXCEEDED = RequestFailure(
     Reason.RATE_EXCEEDED,
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
@@ -45,7 +45,7 @@
     request
         Request that the response refers to, or None if it does not state one.
     is_stamped
-        Whether the server signed the response.
+        Whether the response carries the server's stamp.
     is_not_executed
         Whether the server states that it did not run the request.
     is_encoded
