--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/admission.py
@@ -1,9 +1,9 @@
-"""Validates requests against the configuration; derives service, rank and deadline."""
+"""Validates requests against the configuration; derives service, queue priority and deadline."""
 
 import dataclasses
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.routes import choose_service
 from turmericwharf.state import (
     KEY_MISSING,
@@ -18,21 +18,24 @@
 from turmericwharf.state.sidecar import FleetRequest, OrganisationRule, RouteRule
 
 NO_ORGANISATION = OrganisationId('')
-# A call from a backend server blocks the request that the server is processing, so it ranks before
-# all client requests.
-_SERVER_CALL_RANK = 1_000
-_URGENCY_STEPS = 20
+# A call from a backend server blocks the request that the server is processing, so it precedes all
+# requests of organisations. Requests of public routes, and all requests while the configuration has
+# no organisations, are ranked in the same way, since they have no organisation either.
+_NO_ORGANISATION_PRIORITY = 1_000
+# Smaller than the distance between two priorities, so urgency orders requests only within one.
+_MAX_URGENCY = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class FleetAdmission:
+class AdmittedFleetRequest:
     """A request that passed validation against the configuration.
 
     Parameters
     ----------
-    rank
-        Queue priority; higher ranks are served first.
-    deadline, target_at
+    queue_priority
+        Priority in the queue of the server, which serves higher values first. `WorkOrder` carries
+        it as `rank`.
+    deadline, latency_target_at
         Times on the node's clock: when the final answer is due, and when the latency target of
         the route is reached, after which an answer is worth less.
     version
@@ -43,38 +46,42 @@
     route: RouteRule
     service: ServiceId
     organisation: OrganisationId
-    rank: int
+    queue_priority: int
     admitted_at: float
     deadline: float
-    target_at: float
+    latency_target_at: float
     version: int
 
     @property
-    def is_server_call(self) -> bool:
-        """Whether a backend server sent the request while processing another one."""
+    def has_no_organisation(self) -> bool:
+        """Whether the request is exempt from API keys and rates.
+
+        True for calls that a backend server sends while it processes another request, for public
+        routes, and for all requests if the configuration has no organisations.
+        """
         return self.organisation == NO_ORGANISATION
 
 
-class RequestChecks:
+class RequestValidator:
     """Validates requests against the current configuration.
 
     Parameters
     ----------
-    holder
-        Holds the current configuration.
+    configuration
+        Configuration in force.
     clock
         Clock of the node.
     """
 
-    def __init__(self, holder: ConfigurationHolder, clock: Clock) -> None:
-        self._holder = holder
+    def __init__(self, configuration: ActiveConfiguration, clock: Clock) -> None:
+        self._configuration = configuration
         self._clock = clock
 
-    def admit(self, request: FleetRequest) -> FleetAdmission | RequestFailure:
+    def admit(self, request: FleetRequest) -> AdmittedFleetRequest | RequestFailure:
         """Return the admitted request, or the reason for refusing it."""
-        if not self._holder.is_known:
+        if not self._configuration.is_known:
             return NOT_READY
-        route = self._holder.routes.find(request.host, request.target)
+        route = self._configuration.routes.find(request.host, request.target)
         if route is None:
             return ROUTE_UNKNOWN
         organisation = self.find_organisation(request, route)
@@ -94,11 +101,11 @@
 
         Returns None if the request needs no organisation.
         """
-        if route.public or not self._holder.current.has_organisations:
+        if route.public or not self._configuration.current.has_organisations:
             return None
         if request.key_digest is None:
             return KEY_MISSING
-        return self._holder.find_organisation(request.key_digest) or KEY_UNKNOWN
+        return self._configuration.find_organisation(request.key_digest) or KEY_UNKNOWN
 
     def _build_admission(
         self,
@@ -106,28 +113,28 @@
         route: RouteRule,
         service: ServiceId,
         organisation: OrganisationRule | None,
-    ) -> FleetAdmission:
+    ) -> AdmittedFleetRequest:
         now = self._clock.now()
         remaining = route.timeout_seconds
         if request.remaining_seconds is not None:
             remaining = min(remaining, request.remaining_seconds)
-        return FleetAdmission(
+        return AdmittedFleetRequest(
             request=request,
             route=route,
             service=service,
             organisation=NO_ORGANISATION if organisation is None else organisation.organisation,
-            rank=_rank(route, organisation),
+            queue_priority=_queue_priority(route, organisation),
             admitted_at=now,
             deadline=now + remaining,
-            target_at=now + min(route.target_seconds, remaining),
-            version=self._holder.version,
+            latency_target_at=now + min(route.target_seconds, remaining),
+            version=self._configuration.version,
         )
 
 
-def _rank(route: RouteRule, organisation: OrganisationRule | None) -> int:
+def _queue_priority(route: RouteRule, organisation: OrganisationRule | None) -> int:
     if organisation is None:
-        return _SERVER_CALL_RANK - route.priority
+        return _NO_ORGANISATION_PRIORITY - route.priority
     priority = route.priority if organisation.priority is None else organisation.priority
-    # Within one priority, requests with shorter latency targets rank first.
-    urgency = round(_URGENCY_STEPS / (1 + route.target_seconds))
-    return urgency - (_URGENCY_STEPS + 1) * priority
+    # Lower configured priorities come first; within one, requests with shorter latency targets do.
+    urgency = round(_MAX_URGENCY / (1 + route.target_seconds))
+    return urgency - (_MAX_URGENCY + 1) * priority
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/breaker.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/breaker.py
@@ -10,12 +10,12 @@
 
 _TRIAL_INTERVAL_SECONDS = 0.8
 _TRIALS_TO_CLOSE = 3
-_SERVER_ERROR = 500
+_MIN_SERVER_ERROR_STATUS = 500
 # Weight of the newest outcome in the moving averages of errors and rejections.
-_ERROR_WEIGHT = 0.25
-_MAX_ERROR_SHARE = 0.55
+_NEWEST_OUTCOME_WEIGHT = 0.25
+_MAX_ERROR_FRACTION = 0.55
 # A server that rejects some of its requests still serves the others, and a rejection is cheap.
-_MAX_REJECTED_SHARE = 0.9
+_MAX_REJECTED_FRACTION = 0.9
 _CAUSE_REJECTED = 'requests_rejected'
 # Reasons of an unknown outcome that do not indicate a broken connection to the server.
 _NOT_CONNECTION_FAILURES = frozenset((Reason.ANSWER_TIMEOUT, Reason.CALLER_LEFT))
@@ -24,9 +24,11 @@
 class CircuitBreaker:
     """Opens at the first broken connection, or when most answers are errors or rejections.
 
-    While the breaker is open, single requests are let through as trials; it closes after enough
-    consecutive trials succeed. A trial must be idempotent, unless the server has only rejected
-    requests, since a rejected request has not run.
+    While the breaker is open, single requests are let through as trials. It closes after
+    `_TRIALS_TO_CLOSE` successes, or after one if the server has only rejected requests. The count
+    of successes starts again at a broken connection and when the share of errors or rejections
+    exceeds its limit, not at each error. A trial must be idempotent, unless the server has only
+    rejected requests, since a rejected request has not run.
 
     Parameters
     ----------
@@ -48,18 +50,19 @@
         """Whether the breaker lets only trials through."""
         return self._is_open
 
-    def allows(self, *, may_try: bool) -> bool:
+    def allows(self, *, may_be_trial: bool) -> bool:
         """Return whether a request may be sent now; an allowed trial counts as started.
 
         Parameters
         ----------
-        may_try
-            Whether the request could be sent to another server after a failure.
+        may_be_trial
+            Whether the request may be sent as a trial: it is idempotent, and its route permits
+            another attempt if the trial fails.
         """
         if not self._is_open:
             return True
         now = self._clock.now()
-        if now < self._next_trial_at or not (may_try or self._only_rejects):
+        if now < self._next_trial_at or not (may_be_trial or self._only_rejects):
             return False
         self._next_trial_at = now + _TRIAL_INTERVAL_SECONDS
         return True
@@ -90,13 +93,13 @@
         self._rejected_share = 0.0
 
     def _record_rejection(self, *, rejected: bool) -> None:
-        self._rejected_share += _ERROR_WEIGHT * (rejected - self._rejected_share)
-        if rejected and self._rejected_share > _MAX_REJECTED_SHARE:
+        self._rejected_share += _NEWEST_OUTCOME_WEIGHT * (rejected - self._rejected_share)
+        if rejected and self._rejected_share > _MAX_REJECTED_FRACTION:
             self._open(_CAUSE_REJECTED)
 
     def _record_error(self, *, failed: bool) -> None:
-        self._error_share += _ERROR_WEIGHT * (failed - self._error_share)
-        if self._error_share > _MAX_ERROR_SHARE:
+        self._error_share += _NEWEST_OUTCOME_WEIGHT * (failed - self._error_share)
+        if self._error_share > _MAX_ERROR_FRACTION:
             self._open('answers_failed')
         elif not failed:
             self._count_success()
@@ -140,7 +143,11 @@
 
 @_classify.register
 def _(outcome: Answered, *, is_overdue: bool) -> _HealthSignal:
-    return _HealthSignal.FAILED if outcome.status >= _SERVER_ERROR else _HealthSignal.HEALTHY
+    return (
+        _HealthSignal.FAILED
+        if outcome.status >= _MIN_SERVER_ERROR_STATUS
+        else _HealthSignal.HEALTHY
+    )
 
 
 @_classify.register
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_gate.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
@@ -12,8 +12,8 @@
 from turmericwharf.coordination.sidecar.backlog import Backlog
 from turmericwharf.coordination.sidecar.breaker import CircuitBreaker
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.order_checks import OrderChecks
-from turmericwharf.coordination.sidecar.order_table import OrderTable
+from turmericwharf.coordination.sidecar.order_validator import OrderValidator
+from turmericwharf.coordination.sidecar.order_deduplicator import OrderDeduplicator
 from turmericwharf.coordination.sidecar.ports import ServerConnection
 from turmericwharf.coordination.sidecar.run_times import RunTimes
 from turmericwharf.coordination.state_dump import describe
@@ -31,23 +31,26 @@
 from turmericwharf.state.sidecar import ServerGateDump, WorkAnswer, WorkCancel, WorkOrder
 
 _QUEUE_LENGTH = 64
+# Lower bound of the run time that is assumed for a route. An order is not started with less time
+# left.
 _MIN_RUN_SECONDS = 0.02
+# A run that takes longer than this multiple of the mean run time is overdue.
 _OVERDUE_FACTOR = 3.0
 # Accepted wait beyond the useful time, in mean run times, so that a short queue does not lead to a
 # refusal.
-_LATE_TOLERANCE = 0.5
+_LATE_TOLERANCE_RUNS = 0.5
 # The wait is underestimated when server calls overtake queued requests.
 _WAIT_SAFETY_FACTOR = 0.6
 
 
-class ServerGate:
-    """Assigns server slots to orders, and refuses orders that would not finish in time.
+class OrderExecutor:
+    """Runs orders in the slots of the server, and refuses orders that would not finish in time.
 
     Parameters
     ----------
     server
         Connection to the backend server.
-    checks
+    order_validator
         Final checks before an order runs.
     directory
         Holds the entry of the local node.
@@ -59,16 +62,16 @@
         self,
         *,
         server: ServerConnection,
-        checks: OrderChecks,
+        order_validator: OrderValidator,
         directory: NodeDirectory,
         clock: Clock,
     ) -> None:
         self._server = server
-        self._checks = checks
+        self._order_validator = order_validator
         self._directory = directory
         self._clock = clock
         self._run_times = RunTimes()
-        self.orders = OrderTable(clock)
+        self.orders = OrderDeduplicator(clock)
         self.breaker = CircuitBreaker(clock)
         self.queue = FairQueue(1, _QUEUE_LENGTH, clock)
         self.backlog = Backlog()
@@ -80,7 +83,7 @@
         return answer or self._answer(NotRun(CALLER_LEFT.reason, CALLER_LEFT.detail), version)
 
     @property
-    def repeated_share(self) -> float:
+    def retry_share(self) -> float:
         """Share of the running orders whose request had reached another server before."""
         running = sum(self._running_by_is_repeat.values())
         return self._running_by_is_repeat[True] / running if running else 0
@@ -91,9 +94,9 @@
 
     async def _run(self, order: WorkOrder, version: int) -> WorkAnswer:
         received_at = self._clock.now()
-        refusal = self._checks.find_refusal(order, self._directory.local)
+        refusal = self._order_validator.find_refusal(order, self._directory.local)
         is_trial = self.breaker.is_open
-        if refusal is None and not self.breaker.allows(may_try=order.may_try):
+        if refusal is None and not self.breaker.allows(may_be_trial=order.may_try):
             refusal = BREAKER_OPEN
         if refusal is not None:
             return self._refuse(order, refusal, version)
@@ -109,9 +112,10 @@
         run_seconds = max(self._run_times.mean_seconds(order.route), _MIN_RUN_SECONDS)
         # An answer after the latency target is worth less than the queue slot that it occupies.
         useful_seconds = max(order.target_seconds - run_seconds, 0) * _WAIT_SAFETY_FACTOR
-        useful_seconds += _LATE_TOLERANCE * run_seconds
+        useful_seconds += _LATE_TOLERANCE_RUNS * run_seconds
         wait_seconds = min(order.remaining_seconds - run_seconds, useful_seconds)
-        if self.backlog.expected_wait(order.rank, self.queue) > wait_seconds:
+        if self.backlog.expected_wait_seconds(order.rank, self.queue) > wait_seconds:
+            # Reported as a full queue also if few requests wait: the expected wait is too long.
             return QUEUE_FULL
         self.backlog.add_waiting(order.rank, run_seconds)
         try:
@@ -128,7 +132,7 @@
         is_trial: bool,
     ) -> WorkAnswer:
         # The server may have left, or the key may have been withdrawn, while the order waited.
-        refusal = self._checks.find_refusal(order, self._directory.local)
+        refusal = self._order_validator.find_refusal(order, self._directory.local)
         if refusal is None and self.breaker.is_open and not (is_trial or order.may_try):
             refusal = BREAKER_OPEN
         started_at = self._clock.now()
@@ -154,7 +158,7 @@
             attempt=order.attempt,
             waited=round(started_at - received_at, 3),
             ran=round(ran_seconds, 3),
-            outcome=_outcome_label(outcome),
+            outcome=_status_or_reason(outcome),
         ).info('order_ran')
         return self._answer(outcome, version, reached_server=True)
 
@@ -180,7 +184,7 @@
             reason=failure.reason.value,
             running=self.queue.in_progress,
             waiting=self.queue.waiting,
-            expected_wait=round(self.backlog.expected_wait(order.rank, self.queue), 3),
+            expected_wait=round(self.backlog.expected_wait_seconds(order.rank, self.queue), 3),
             breaker_open=self.breaker.is_open,
             version=version,
             order_version=order.version,
@@ -205,17 +209,17 @@
         )
 
 
-def _outcome_label(outcome: Outcome) -> str:
+def _status_or_reason(outcome: Outcome) -> str:
     if isinstance(outcome, Answered):
         return str(outcome.status)
     return outcome.reason.value
 
 
 @describe.register
-def _(gate: ServerGate) -> ServerGateDump:
+def _(executor: OrderExecutor) -> ServerGateDump:
     return ServerGateDump(
-        running=gate.queue.in_progress,
-        waiting=gate.queue.waiting,
-        orders_in_progress=gate.orders.in_progress,
-        breaker_open=gate.breaker.is_open,
+        running=executor.queue.in_progress,
+        waiting=executor.queue.waiting,
+        orders_in_progress=executor.orders.in_progress,
+        breaker_open=executor.breaker.is_open,
     )
