--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -4,13 +4,13 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.sidecar.local_entry import LocalEntryPublisher
-from turmericwharf.coordination.sidecar.server_gate import ServerGate
+from turmericwharf.coordination.sidecar.local_node_publisher import LocalNodePublisher
+from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.state.sidecar import AnnouncedServer, NodeEntry, ServerPhase
 
-# An acknowledgement does not count if it takes longer than 1 s, so the write to the store gets
-# less than that.
+# The backend server ignores an acknowledgement that takes longer than 1 s, so the write to the
+# store gets less than that.
 _WRITE_TIMEOUT_SECONDS = 0.5
 
 
@@ -21,8 +21,8 @@
     ----------
     record
         Current state of the backend server.
-    gate
-        Dispatches work to the server.
+    executor
+        Runs orders on the server; its queue and circuit breaker follow the announcements.
     publisher
         Publishes the local entry to the fleet.
     """
@@ -30,28 +30,28 @@
     def __init__(
         self,
         record: ServerRecord,
-        gate: ServerGate,
-        publisher: LocalEntryPublisher,
+        executor: OrderExecutor,
+        publisher: LocalNodePublisher,
     ) -> None:
         self._record = record
-        self._gate = gate
+        self._executor = executor
         self._publisher = publisher
         self._previous_entry: NodeEntry | None = None
         self.is_stopping = False
 
-    async def announce(self, server: AnnouncedServer) -> None:
+    async def apply_announcement(self, server: AnnouncedServer) -> None:
         """Apply an announcement; the caller may acknowledge it after this returns."""
-        if self._was_leaving(server):
+        if self._left_under_previous_process(server):
             server = dataclasses.replace(server, phase=ServerPhase.LEAVING)
         previous = self._record.current
         if not self._record.apply(server):
             return
         if (previous.server, previous.born) != (server.server, server.born):
-            self._gate.breaker.reset()
-        self._gate.queue.resize(max(server.slots, 1))
+            self._executor.breaker.reset()
+        self._executor.queue.resize(max(server.slots, 1))
         await self._publish_and_confirm()
 
-    async def leave(self, server: AnnouncedServer) -> None:
+    async def apply_leave_notice(self, server: AnnouncedServer) -> None:
         """Apply the notice that a server has stopped or is about to stop."""
         if self._record.mark_leaving(server):
             await self._publish_and_confirm()
@@ -61,7 +61,7 @@
         if self._previous_entry is not None:
             return
         self._previous_entry = entry
-        if self._was_leaving(self._record.current):
+        if self._left_under_previous_process(self._record.current):
             self._record.mark_leaving(self._record.current)
         if self._record.current.phase is ServerPhase.ABSENT:
             # Published again for the next process, in case this one ends before the server
@@ -77,20 +77,22 @@
             self._publish()
 
     def recoverable_server(self) -> AnnouncedServer | None:
-        """Return the server that the previous process served.
+        """Return the server that the previous process of this node served.
 
         Returns
         -------
-        None
-            If no previous entry or a newer announcement is known, or if the server was leaving.
+        AnnouncedServer or None
+            None if no entry of the previous process is known, if the server was leaving, or if a
+            server has been announced to this process.
         """
         previous = self._previous_entry
         if previous is None or self._record.current.phase is not ServerPhase.ABSENT:
             return None
         return None if previous.phase is ServerPhase.LEAVING else _server_from_entry(previous)
 
-    def _was_leaving(self, server: AnnouncedServer) -> bool:
-        # A server that began to leave under the previous process must not become ready again.
+    def _left_under_previous_process(self, server: AnnouncedServer) -> bool:
+        # True for a server that announces itself as ready although it began to leave while the
+        # previous process ran; such a server must not become ready again.
         previous = self._previous_entry
         return (
             previous is not None
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -6,9 +6,9 @@
 from loguru import logger
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.sidecar.admission import FleetAdmission
-from turmericwharf.coordination.sidecar.orders import OrderSender
-from turmericwharf.coordination.sidecar.retry_allowance import RetryAllowance
+from turmericwharf.coordination.sidecar.admission import AdmittedFleetRequest
+from turmericwharf.coordination.sidecar.order_sender import OrderSender
+from turmericwharf.coordination.sidecar.retry_budget import FleetRetryBudget
 from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.state import (
     DEADLINE_PASSED,
@@ -22,30 +22,34 @@
 )
 from turmericwharf.state.sidecar import NodeEntry, WorkAnswer
 
-_SERVER_ERROR = 500
+_MIN_SERVER_ERROR_STATUS = 500
 # Delay before servers that refused are tried again.
 _RETRY_DELAY_SECONDS = 0.06
 _MIN_REMAINING_SECONDS = 0.01
-# A request that no server has accepted is refused after this share of its latency target.
-_MAX_PENDING_SHARE = 0.35
+# A request that no server has accepted is refused after this fraction of its latency target.
+_MAX_PENDING_FRACTION = 0.35
 _MAX_REFUSALS = 12
 # After this many refusals because of load, the other servers are assumed to be as loaded.
 _MAX_OVERLOAD_REFUSALS = 3
-# Refusals that every other server of the fleet would repeat.
-_FINAL_REFUSALS = frozenset((Reason.KEY_WITHDRAWN, Reason.CONFIGURATION_OUTDATED))
-_OVERLOAD_REFUSALS = frozenset((Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
-# An idempotent request without an answer is hedged after this share of its remaining time.
-_HEDGE_SHARE = 0.5
+# Refusals that every other server of the fleet would return as well.
+_NON_RETRYABLE_REASONS = frozenset((Reason.KEY_WITHDRAWN, Reason.CONFIGURATION_OUTDATED))
+# The queue of a server reports `DEADLINE_PASSED` when the permitted wait ends.
+_OVERLOAD_REASONS = frozenset((Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
+# An idempotent request without an answer is hedged after this fraction of its remaining time.
+_HEDGE_DELAY_FRACTION = 0.5
 
 
 @dataclasses.dataclass(slots=True)
 class _Progress:
     """State of a request so far; updated by each attempt."""
 
-    number: int = 0
-    runs: int = 0
-    # Servers that received the request, and retries that the budget granted for further servers.
+    # Attempts of a request are numbered from 1.
+    last_attempt_number: int = 0
+    # Attempts that ran or may have run.
+    attempts_run: int = 0
+    # Servers that received the request.
     servers_reached: int = 0
+    # Retries that the budget granted, each for one further server.
     retries_granted: int = 0
     refusals: int = 0
     overload_refusals: int = 0
@@ -58,7 +62,7 @@
     """A work order in flight, and the load by which its server was selected."""
 
     entry: NodeEntry
-    number: int
+    attempt_number: int
     load: int
     load_age: float | None
     task: asyncio.Task[WorkAnswer]
@@ -73,8 +77,8 @@
         Selects servers.
     sender
         Sends a work order and returns its answer.
-    allowance
-        Limits how many requests may reach a further server.
+    retry_budget
+        Grants the retries for further servers.
     clock
         Clock of the node.
     """
@@ -84,17 +88,19 @@
         *,
         selector: ServerSelector,
         sender: OrderSender,
-        allowance: RetryAllowance,
+        retry_budget: FleetRetryBudget,
         clock: Clock,
     ) -> None:
         self._selector = selector
         self._sender = sender
-        self._allowance = allowance
+        self._retry_budget = retry_budget
         self._clock = clock
 
-    async def run(self, admitted: FleetAdmission) -> Outcome:
+    async def run(self, admitted: AdmittedFleetRequest) -> Outcome:
         """Return the final outcome of a request."""
-        self._allowance.record_request(admitted.service, is_server_call=admitted.is_server_call)
+        self._retry_budget.record_request(
+            admitted.service, has_no_organisation=admitted.has_no_organisation
+        )
         progress = _Progress()
         is_final = False
         while not is_final and self._remaining_seconds(admitted) > _MIN_REMAINING_SECONDS:
@@ -105,11 +111,11 @@
                 is_final = await self._run_attempts(admitted, entry, progress)
         return progress.outcome or NotRun(DEADLINE_PASSED.reason, DEADLINE_PASSED.detail)
 
-    def _remaining_seconds(self, admitted: FleetAdmission) -> float:
+    def _remaining_seconds(self, admitted: AdmittedFleetRequest) -> float:
         return admitted.deadline - self._clock.now()
 
-    async def _wait_for_retry(self, admitted: FleetAdmission, progress: _Progress) -> bool:
-        """Wait before all servers are tried again; return False if that is not worthwhile."""
+    async def _wait_for_retry(self, admitted: AdmittedFleetRequest, progress: _Progress) -> bool:
+        """Wait before all servers are tried again; return False if the request should fail now."""
         if progress.outcome is None:
             progress.outcome = NotRun(NO_CAPACITY.reason, NO_CAPACITY.detail)
         if not isinstance(progress.outcome, NotRun) or self._should_give_up(admitted, progress):
@@ -118,19 +124,19 @@
         progress.excluded.clear()
         return True
 
-    def _should_give_up(self, admitted: FleetAdmission, progress: _Progress) -> bool:
+    def _should_give_up(self, admitted: AdmittedFleetRequest, progress: _Progress) -> bool:
         # An early refusal leaves the caller time to fall back to an alternative.
-        target_seconds = admitted.target_at - admitted.admitted_at
+        target_seconds = admitted.latency_target_at - admitted.admitted_at
         pending_seconds = self._clock.now() - admitted.admitted_at
         return (
             progress.overload_refusals >= _MAX_OVERLOAD_REFUSALS
             or progress.refusals >= _MAX_REFUSALS
-            or pending_seconds > _MAX_PENDING_SHARE * target_seconds
+            or pending_seconds > _MAX_PENDING_FRACTION * target_seconds
         )
 
     async def _run_attempts(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         entry: NodeEntry,
         progress: _Progress,
     ) -> bool:
@@ -142,7 +148,7 @@
                 and admitted.route.idempotent
             ):
                 await self._hedge(admitted, attempts, progress)
-            return await self._collect(admitted, attempts, progress)
+            return await self._await_attempts(admitted, attempts, progress)
         finally:
             for attempt in attempts:
                 attempt.task.cancel()
@@ -150,49 +156,56 @@
 
     def _start(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         entry: NodeEntry,
         progress: _Progress,
         *,
         in_flight: int = 0,
     ) -> _Attempt:
-        progress.number += 1
+        progress.last_attempt_number += 1
         progress.excluded.add(entry.instance)
         self._selector.start(entry.instance)
-        # A hedge must not be a trial of a failing server.
-        may_try = not in_flight and self._has_attempts_left(admitted, progress, in_flight=1)
+        # A hedge must not be sent as a trial through an open circuit breaker.
+        may_be_trial = not in_flight and self._has_attempts_left(admitted, progress, in_flight=1)
         sending = self._sender.send(
             admitted,
             entry,
-            number=progress.number,
+            attempt_number=progress.last_attempt_number,
             allowed_seconds=self._remaining_seconds(admitted),
             target_seconds=self._remaining_target_seconds(admitted),
-            may_try=may_try and admitted.route.idempotent,
+            may_be_trial=may_be_trial and admitted.route.idempotent,
             is_repeat=progress.servers_reached + in_flight > 0,
         )
         load, load_age = self._selector.last_reported_load(entry.instance)
-        return _Attempt(entry, progress.number, load, load_age, asyncio.create_task(sending))
+        return _Attempt(
+            entry, progress.last_attempt_number, load, load_age, asyncio.create_task(sending)
+        )
 
-    def _remaining_target_seconds(self, admitted: FleetAdmission) -> float:
-        # The calling server occupies a slot while it waits, so a call may queue until its deadline.
-        target_at = admitted.deadline if admitted.is_server_call else admitted.target_at
-        return max(target_at - self._clock.now(), 0)
+    def _remaining_target_seconds(self, admitted: AdmittedFleetRequest) -> float:
+        # A calling backend server occupies a slot while it waits, so its call may queue until the
+        # deadline. Client requests without an organisation may do so too.
+        useful_until = (
+            admitted.deadline if admitted.has_no_organisation else admitted.latency_target_at
+        )
+        return max(useful_until - self._clock.now(), 0)
 
     async def _hedge(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         attempts: list[_Attempt],
         progress: _Progress,
     ) -> None:
         """Send an unanswered request to a second server as well; the first attempt continues."""
         first = attempts[0]
-        await asyncio.wait([first.task], timeout=self._remaining_seconds(admitted) * _HEDGE_SHARE)
+        await asyncio.wait(
+            [first.task], timeout=self._remaining_seconds(admitted) * _HEDGE_DELAY_FRACTION
+        )
         if first.task.done():
             return
-        self._selector.avoid(first.entry.instance)
+        self._selector.deprioritise(first.entry.instance)
         entry = self._selector.select(admitted.service, progress.excluded)
         if entry is not None and await self._acquire_retry(admitted, progress, in_flight=1):
-            progress.runs += 1
+            progress.attempts_run += 1
             attempts.append(self._start(admitted, entry, progress, in_flight=1))
             logger.bind(
                 request=admitted.request.request,
@@ -200,16 +213,17 @@
                 instance=entry.instance,
             ).info('request_hedged')
 
-    async def _collect(
+    async def _await_attempts(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         attempts: list[_Attempt],
         progress: _Progress,
     ) -> bool:
         """Record answers as they arrive; return whether the outcome is final."""
         if len(attempts) > 1:
-            # Both attempts are counted when they end; undo the count from the start of the hedge.
-            progress.runs -= 1
+            # The hedge counted an attempt in advance. Both attempts are counted when they end, so
+            # the advance is taken back.
+            progress.attempts_run -= 1
         attempts_by_task = {attempt.task: attempt for attempt in attempts}
         is_final = False
         while attempts_by_task and not is_final:
@@ -224,7 +238,7 @@
 
     async def _record_outcome(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         ended: _Attempt,
         progress: _Progress,
         *,
@@ -234,50 +248,52 @@
         self._selector.record_answer(ended.entry.instance, answer)
         outcome = _extract_outcome(answer)
         progress.servers_reached += answer.reached_server
-        progress.runs += not isinstance(outcome, NotRun)
+        progress.attempts_run += not isinstance(outcome, NotRun)
         if isinstance(outcome, NotRun):
             progress.refusals += 1
-            progress.overload_refusals += outcome.reason in _OVERLOAD_REFUSALS
+            progress.overload_refusals += outcome.reason in _OVERLOAD_REASONS
         if not isinstance(outcome, NotRun) or isinstance(progress.outcome, NotRun | None):
             # The outcome at a server takes precedence over a later refusal by another node.
             progress.outcome = outcome
-        is_success = isinstance(outcome, Answered) and outcome.status < _SERVER_ERROR
+        is_success = isinstance(outcome, Answered) and outcome.status < _MIN_SERVER_ERROR_STATUS
         is_final = is_success
         if not is_success and not in_flight:
-            is_final = not await self._may_retry(admitted, outcome, progress)
+            is_final = not await self._acquire_retry_after(admitted, outcome, progress)
         logger.bind(
             request=admitted.request.request,
-            attempt=ended.number,
+            attempt=ended.attempt_number,
             instance=ended.entry.instance,
             server=ended.entry.server,
-            outcome=_outcome_label(outcome),
+            outcome=_status_or_reason(outcome),
             load=ended.load,
             load_age=ended.load_age,
             final=is_final,
         ).info('attempt_ended')
         return is_final
 
-    async def _may_retry(
+    async def _acquire_retry_after(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         outcome: Outcome,
         progress: _Progress,
     ) -> bool:
         if not self._has_attempts_left(admitted, progress, in_flight=0):
             return False
         if isinstance(outcome, NotRun):
-            is_final = outcome.reason in _FINAL_REFUSALS or self._should_give_up(admitted, progress)
+            is_final = outcome.reason in _NON_RETRYABLE_REASONS or self._should_give_up(
+                admitted, progress
+            )
             return not is_final and await self._acquire_retry(admitted, progress)
         return admitted.route.idempotent and await self._acquire_retry(admitted, progress)
 
     def _has_attempts_left(
-        self, admitted: FleetAdmission, progress: _Progress, *, in_flight: int
+        self, admitted: AdmittedFleetRequest, progress: _Progress, *, in_flight: int
     ) -> bool:
-        return progress.runs + in_flight < admitted.route.attempts
+        return progress.attempts_run + in_flight < admitted.route.attempts
 
     async def _acquire_retry(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         progress: _Progress,
         *,
         in_flight: int = 0,
@@ -288,7 +304,7 @@
         """
         if progress.retries_granted >= progress.servers_reached + in_flight:
             return True
-        is_granted = await self._allowance.acquire(admitted.service)
+        is_granted = await self._retry_budget.acquire(admitted.service)
         progress.retries_granted += is_granted
         return is_granted
 
@@ -298,5 +314,5 @@
     return outcome or OutcomeUnknown(Reason.FRAME_MALFORMED, 'the work answer contains no outcome')
 
 
-def _outcome_label(outcome: Outcome) -> str:
+def _status_or_reason(outcome: Outcome) -> str:
     return str(outcome.status) if isinstance(outcome, Answered) else outcome.reason.value
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -29,10 +29,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ChangeCursor:
-    """Last change number received from a process."""
+    """Number of the last change received from a process."""
 
     process: ProcessId
-    changes: int = 0
+    change_number: int = 0
 
 
 class DirectoryRelay:
@@ -46,7 +46,7 @@
         Selects the nodes to poll.
     links
         Connections to other nodes.
-    store_needed
+    reads_store
         Set while this node reads the store itself.
     follower
         Reads the entries from the store.
@@ -60,21 +60,21 @@
         directory: NodeDirectory,
         readers: StoreReaders,
         links: FleetLinks,
-        store_needed: asyncio.Event,
+        reads_store: asyncio.Event,
         follower: TopicFollower,
         on_applied: Callable[[], None],
     ) -> None:
         self._directory = directory
         self._readers = readers
         self._links = links
-        self._store_needed = store_needed
+        self._reads_store = reads_store
         self.follower = follower
         self._on_applied = on_applied
-        self._cursors_by_id: dict[InstanceId, _ChangeCursor] = {}
+        self._cursors_by_instance: dict[InstanceId, _ChangeCursor] = {}
 
     async def run(self) -> None:
         """Poll until cancelled."""
-        self._store_needed.set()
+        self._reads_store.set()
         while True:
             if await self._poll_readers():
                 self._switch_source(to_store=False)
@@ -82,6 +82,7 @@
             else:
                 self._switch_source(to_store=True)
                 await self._poll_random_peer()
+                # Jitter keeps the nodes from polling at the same time.
                 await asyncio.sleep(_READER_RETRY_SECONDS * random.uniform(0.7, 1.3))
 
     async def answer(self, request: DirectoryRequest) -> DirectoryReply:
@@ -91,15 +92,16 @@
         await self._directory.wait_for_change(after, min(request.wait_seconds, _LONG_POLL_SECONDS))
         return DirectoryReply(
             process=local.process,
-            changes=self._directory.changes,
+            changes=self._directory.change_number,
             nodes=self._directory.entries_changed_after(after),
-            is_current=self._store_needed.is_set() and self.follower.is_connected,
+            is_current=self._reads_store.is_set() and self.follower.is_connected,
         )
 
     async def _poll_readers(self) -> bool:
         polled: set[InstanceId] = set()
         while True:
-            # A reader that does not answer becomes suspected, so the next node replaces it.
+            # A reader that does not answer becomes suspected, so the node ranked next becomes a
+            # reader and is polled instead.
             readers = [
                 reader
                 for reader in self._readers.upstream_readers()
@@ -122,17 +124,23 @@
             await self._poll(random.choice(peers), 0)
 
     async def _poll(self, peer: NodeEntry, wait_seconds: float) -> bool:
-        """Apply the changes that a node reports; return whether it reads the store now."""
-        cursor = self._cursors_by_id.get(peer.instance, _ChangeCursor(peer.process))
+        """Apply the changes that a node reports.
+
+        Returns
+        -------
+        bool
+            Whether that node reads the store and is connected to it.
+        """
+        cursor = self._cursors_by_instance.get(peer.instance, _ChangeCursor(peer.process))
         reply = await self._links.request(
             peer,
-            DirectoryRequest(cursor.process, cursor.changes, wait_seconds),
+            DirectoryRequest(cursor.process, cursor.change_number, wait_seconds),
             timeout_seconds=wait_seconds + _REPLY_MARGIN_SECONDS,
         )
         if not isinstance(reply, DirectoryReply):
             self._directory.suspect(peer.instance)
             return False
-        self._cursors_by_id[peer.instance] = _ChangeCursor(reply.process, reply.changes)
+        self._cursors_by_instance[peer.instance] = _ChangeCursor(reply.process, reply.changes)
         for stored in reply.nodes:
             self._directory.apply(stored, source=peer.instance)
         if reply.nodes:
@@ -140,10 +148,10 @@
         return reply.is_current
 
     def _switch_source(self, *, to_store: bool) -> None:
-        if to_store == self._store_needed.is_set():
+        if to_store == self._reads_store.is_set():
             return
         logger.bind(own_reads=to_store).info('directory_source_changed')
         if to_store:
-            self._store_needed.set()
+            self._reads_store.set()
         else:
-            self._store_needed.clear()
+            self._reads_store.clear()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/orders.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
@@ -6,11 +6,11 @@
 from loguru import logger
 
 from turmericwharf.coordination.ports import Clock
-from turmericwharf.coordination.sidecar.admission import FleetAdmission
-from turmericwharf.coordination.sidecar.configuration_holder import ConfigurationHolder
+from turmericwharf.coordination.sidecar.admission import AdmittedFleetRequest
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import FleetLinks
-from turmericwharf.coordination.sidecar.server_gate import ServerGate
+from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
 from turmericwharf.state import (
     LinkFailure,
     DeliveryUnknown,
@@ -29,19 +29,20 @@
 class OrderSender:
     """Sends an order, and sends it again after a lost connection to obtain its outcome.
 
-    The receiving process runs an order only once however often it is sent, so sending it again is
-    safe as long as the same process answers.
+    The receiving process runs an order only once while it retains the answer (see
+    `order_deduplicator`), so sending the order again within that time is safe as long as the same
+    process answers.
 
     Parameters
     ----------
-    gate
+    executor
         Runs orders on the local backend server.
     links
         Connections to other nodes.
     directory
         Known nodes.
-    holder
-        Holds the current configuration.
+    configuration
+        Configuration in force.
     clock
         Clock of the node.
     caller_service
@@ -51,36 +52,36 @@
     def __init__(
         self,
         *,
-        gate: ServerGate,
+        executor: OrderExecutor,
         links: FleetLinks,
         directory: NodeDirectory,
-        holder: ConfigurationHolder,
+        configuration: ActiveConfiguration,
         clock: Clock,
         caller_service: ServiceId,
     ) -> None:
-        self._gate = gate
+        self._executor = executor
         self._links = links
         self._directory = directory
-        self._holder = holder
+        self._configuration = configuration
         self._clock = clock
         self._caller_service = caller_service
 
     async def send(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         entry: NodeEntry,
         *,
-        number: int,
+        attempt_number: int,
         allowed_seconds: float,
         target_seconds: float,
-        may_try: bool,
+        may_be_trial: bool,
         is_repeat: bool,
     ) -> WorkAnswer:
         """Return the answer to an order; a cancellation is forwarded to the receiving node."""
         expires_at = self._clock.now() + allowed_seconds
         order = dataclasses.replace(
-            self._build_order(admitted, entry, number, expires_at),
-            may_try=may_try,
+            self._build_order(admitted, entry, attempt_number, expires_at),
+            may_try=may_be_trial,
             is_repeat=is_repeat,
             target_seconds=target_seconds,
         )
@@ -98,8 +99,8 @@
 
     async def _send(self, order: WorkOrder, entry: NodeEntry, expires_at: float) -> WorkAnswer:
         if entry.instance == self._directory.local.instance:
-            return await self._gate.serve(order, self._holder.version)
-        sends = 0
+            return await self._executor.serve(order, self._configuration.version)
+        failed_sends = 0
         is_uncertain = False
         while True:
             remaining = expires_at - self._clock.now()
@@ -112,22 +113,23 @@
                 self._directory.suspect(entry.instance)
                 return refused_answer(answer.reason, answer.detail)
             is_uncertain = True
-            sends += 1
+            failed_sends += 1
+            # Logged for each send without an answer, also for the last one, which is not repeated.
             logger.bind(
                 request=order.request,
                 instance=entry.instance,
-                sends=sends,
+                sends=failed_sends,
                 reason=_reason_label(answer),
             ).info('order_sent_again')
-            if self._is_lost(order, entry, sends):
+            if self._should_stop_resending(order, entry, failed_sends):
                 self._directory.suspect(entry.instance)
                 return unknown_answer(
                     Reason.PEER_LINK_LOST, 'the connection to the node beside the server was lost'
                 )
             await asyncio.sleep(_RESEND_DELAY_SECONDS)
 
-    def _is_lost(self, order: WorkOrder, entry: NodeEntry, sends: int) -> bool:
-        if order.idempotent and sends > _MAX_IDEMPOTENT_RESENDS:
+    def _should_stop_resending(self, order: WorkOrder, entry: NodeEntry, failed_sends: int) -> bool:
+        if order.idempotent and failed_sends > _MAX_IDEMPOTENT_RESENDS:
             return True
         process = self._directory.process_of(entry.instance)
         return process is not None and process != order.process
@@ -135,29 +137,29 @@
     def _cancel(self, order: WorkOrder, entry: NodeEntry) -> None:
         message = WorkCancel(order.request, order.attempt)
         if entry.instance == self._directory.local.instance:
-            self._gate.cancel(message)
+            self._executor.cancel(message)
         else:
             self._links.notify(entry, message)
 
     def _build_order(
         self,
-        admitted: FleetAdmission,
+        admitted: AdmittedFleetRequest,
         entry: NodeEntry,
-        number: int,
+        attempt_number: int,
         expires_at: float,
     ) -> WorkOrder:
         request = admitted.request
         now = self._clock.now()
         return WorkOrder(
             request=request.request,
-            attempt=number,
+            attempt=attempt_number,
             process=entry.process,
             server=entry.server,
             service=admitted.service,
             route=admitted.route.route,
             organisation=admitted.organisation,
             key_digest=request.key_digest,
-            rank=admitted.rank,
+            rank=admitted.queue_priority,
             idempotent=admitted.route.idempotent,
             may_try=False,
             is_repeat=False,
