--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -9,10 +9,12 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
 import tempfile
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from review.stand_ins import http
@@ -26,6 +28,7 @@
 # A killed process is started again after a short delay.
 RESTART_SECONDS = 0.3
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = range(3)
+Case = Callable[[Record, bool], Awaitable[list[str]]]
 KEY = 'key-of-the-cafe'
 BOUNDS = {
     'seedLagS': 3, 'addrReuseS': 2, 'contactS': 3, 'ackTimeoutS': 4, 'catchUpS': 4, 'drainS': 2,
@@ -249,9 +252,10 @@
                 await node.kill()
             node.server.close()
         self.store.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(case: 'Case', folder: Path) -> None:  # noqa: F821
+def run_case(case: Case, folder: Path) -> None:
     """Run a case and exit with its result.
 
     `case` is a coroutine function that takes the record and whether the disruption happens, and
@@ -263,9 +267,10 @@
         is_disrupted = os.environ.get('TROUBLE', '1') != '0'
         try:
             violations = await case(record, is_disrupted)
-        except CaseNotRun as error:
-            record.add('not run', reason=error)
-            print(f'the case could not run: {error}')
+        except Exception as error:
+            # An error of the script itself must not count as a broken rule.
+            record.add('not run', reason=repr(error))
+            print(f'the case could not run: {error!r}')
             return EXIT_NOT_RUN
         for violation in violations:
             record.add('violation', what=violation)
@@ -274,8 +279,4 @@
         print('broken' if violations else 'held')
         return EXIT_BROKEN if violations else EXIT_HELD
 
-    try:
-        sys.exit(asyncio.run(run()))
-    except OSError as error:
-        print(f'the case could not run: {error}')
-        sys.exit(EXIT_NOT_RUN)
+    sys.exit(asyncio.run(run()))
