Use a server after a restart only once it has shown that it is not leaving

Cause: a process that had just started believed any announcement as ready, although it did not know what the previous process on its machine had acknowledged. A late heartbeat made the server ready again, and could also replace a written leave in the store before it was read.

Ruled out: the acknowledging process (it refuses and keeps writing) and entries of other nodes (they drop the old process when the new one connects).

Change: one rule for what a process may do before it knows the fleet (startup_knowledge). A server is used once the fleet is known and, after a restart, once it has passed its health check or has kept announcing itself for longer than an announcement can be late. A leave takes effect at once.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -6,6 +6,7 @@
 
 from turmericwharf.coordination.sidecar.local_node_publisher import LocalNodePublisher
 from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
+from turmericwharf.coordination.sidecar.server_confirmation import ServerConfirmation
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.state.sidecar import AnnouncedServer, NodeEntry, ServerPhase
 
@@ -25,6 +26,8 @@
         Runs orders on the server; its queue and circuit breaker follow the announcements.
     publisher
         Publishes the local entry to the fleet.
+    confirmation
+        Holds back announcements as ready that may be outdated.
     """
 
     def __init__(
@@ -32,74 +35,87 @@
         record: ServerRecord,
         executor: OrderExecutor,
         publisher: LocalNodePublisher,
+        confirmation: ServerConfirmation,
     ) -> None:
         self._record = record
         self._executor = executor
         self._publisher = publisher
-        self._previous_entry: NodeEntry | None = None
+        self._confirmation = confirmation
         self.is_stopping = False
 
     async def apply_announcement(self, server: AnnouncedServer) -> None:
         """Apply an announcement; the caller may acknowledge it after this returns."""
-        if self._left_under_previous_process(server):
+        if self._confirmation.has_left(server):
             server = dataclasses.replace(server, phase=ServerPhase.LEAVING)
-        previous = self._record.current
-        if not self._record.apply(server):
-            return
-        if (previous.server, previous.born) != (server.server, server.born):
-            self._executor.breaker.reset()
-        self._executor.queue.resize(max(server.slots, 1))
-        await self._publish_and_confirm()
+        if server.phase is ServerPhase.READY and not self._confirmation.may_use_server:
+            self._confirmation.hold(server)
+        else:
+            await self._apply(server)
 
     async def apply_leave_notice(self, server: AnnouncedServer) -> None:
         """Apply the notice that a server has stopped or is about to stop."""
+        self._confirmation.drop(server.server, born=server.born)
         if self._record.mark_leaving(server):
             await self._publish_and_confirm()
 
+    async def confirm(self, server: AnnouncedServer) -> None:
+        """Put a server to use that has confirmed by its health check that it is not leaving."""
+        waiting = self.unconfirmed_server()
+        if waiting is not None and (waiting.server, waiting.born) == (server.server, server.born):
+            await self._apply(waiting)
+
     def record_previous_entry(self, entry: NodeEntry) -> None:
-        """Record the entry that the previous process of this node published."""
-        if self._previous_entry is not None:
-            return
-        self._previous_entry = entry
-        if self._left_under_previous_process(self._record.current):
-            self._record.mark_leaving(self._record.current)
-        if self._record.current.phase is ServerPhase.ABSENT:
+        """Record an entry that an earlier process of this node published."""
+        is_first = self._confirmation.record_previous_entry(entry)
+        has_left = entry.phase is ServerPhase.LEAVING
+        current = self._record.current
+        if self._confirmation.has_left(current):
+            self._record.mark_leaving(current)
+        if current.phase is not ServerPhase.ABSENT:
+            self._publish()
+        elif is_first or has_left:
             # Published again for the next process, in case this one ends before the server
             # announces itself.
-            has_left = entry.phase is ServerPhase.LEAVING
             self._publisher.publish_server(
                 dataclasses.replace(
                     _server_from_entry(entry),
                     phase=ServerPhase.LEAVING if has_left else ServerPhase.STOPPING,
                 ),
             )
-        else:
-            self._publish()
 
-    def recoverable_server(self) -> AnnouncedServer | None:
-        """Return the server that the previous process of this node served.
+    def unconfirmed_server(self) -> AnnouncedServer | None:
+        """Return the server that may be used once it has confirmed that it is not leaving.
 
         Returns
         -------
         AnnouncedServer or None
-            None if no entry of the previous process is known, if the server was leaving, or if a
-            server has been announced to this process.
+            The server that was announced last, else the one that the previous process served. None
+            if a server is known already, or if that one was leaving.
         """
-        previous = self._previous_entry
-        if previous is None or self._record.current.phase is not ServerPhase.ABSENT:
-            return None
+        held, previous = self._confirmation.held, self._confirmation.previous_entry
+        is_known = self._record.current.phase is not ServerPhase.ABSENT
+        if held is not None or previous is None or is_known:
+            return held
         return None if previous.phase is ServerPhase.LEAVING else _server_from_entry(previous)
 
-    def _left_under_previous_process(self, server: AnnouncedServer) -> bool:
-        # True for a server that announces itself as ready although it began to leave while the
-        # previous process ran; such a server must not become ready again.
-        previous = self._previous_entry
-        return (
-            previous is not None
-            and previous.phase is ServerPhase.LEAVING
-            and (previous.server, previous.born) == (server.server, server.born)
-            and server.phase is ServerPhase.READY
-        )
+    async def release_held(self) -> None:
+        """Apply the held announcement if the process has learned that it may use the server."""
+        held = self._confirmation.held
+        if held is not None and self._confirmation.may_use_server:
+            await self.apply_announcement(held)
+
+    async def _apply(self, server: AnnouncedServer) -> None:
+        previous = self._record.current
+        if server.phase is ServerPhase.READY:
+            self._confirmation.confirm()
+        else:
+            self._confirmation.drop(server.server, born=server.born)
+        if not self._record.apply(server):
+            return
+        if (previous.server, previous.born) != (server.server, server.born):
+            self._executor.breaker.reset()
+        self._executor.queue.resize(max(server.slots, 1))
+        await self._publish_and_confirm()
 
     async def _publish_and_confirm(self) -> None:
         self._publish()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -8,12 +8,13 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Callable
 
 from loguru import logger
 
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
 from turmericwharf.coordination.sidecar.ports import FleetLinks
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.store_readers import CANDIDATE_COUNT, StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.state import InstanceId
@@ -53,8 +54,10 @@
         Set while this node reads the store itself.
     followers
         Read the entries and the configuration from the store; the first one reads the entries.
-    on_applied
-        Called after entries from another node were applied.
+    updates
+        Applies the entries from another node.
+    knowledge
+        Whether this node knows the fleet, which it tells the nodes that poll it.
     """
 
     def __init__(
@@ -65,14 +68,16 @@
         links: FleetLinks,
         reads_store: asyncio.Event,
         followers: tuple[TopicFollower, ...],
-        on_applied: Callable[[], None],
+        updates: NodeEntryUpdates,
+        knowledge: StartupKnowledge,
     ) -> None:
         self._directory = directory
         self._readers = readers
         self._links = links
         self._reads_store = reads_store
         self._followers = followers
-        self._on_applied = on_applied
+        self._updates = updates
+        self._knowledge = knowledge
         self._cursors_by_instance: dict[InstanceId, _ChangeCursor] = {}
 
     async def run(self) -> None:
@@ -99,6 +104,7 @@
             changes=self._directory.change_number,
             nodes=self._directory.entries_changed_after(after),
             is_current=self._is_current,
+            knows_fleet=self._knowledge.knows_fleet,
         )
 
     @property
@@ -177,10 +183,7 @@
             self._directory.suspect(peer.instance)
             return False
         self._cursors_by_instance[peer.instance] = _ChangeCursor(reply.process, reply.changes)
-        for stored in reply.nodes:
-            self._directory.apply(stored, source=peer.instance)
-        if reply.nodes:
-            self._on_applied()
+        self._updates.apply_reply(reply, source=peer.instance)
         return reply.is_current
 
     def _switch_source(self, *, to_store: bool) -> None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -32,6 +32,8 @@
 from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.coordination.sidecar.share_holders import FixedShareHolders
+from turmericwharf.coordination.sidecar.server_confirmation import ServerConfirmation
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
@@ -84,13 +86,14 @@
     membership_follower: TopicFollower
     recovery: ServerRecovery
     bounds: ReloadableBounds
+    knowledge: StartupKnowledge
     clock: Clock
 
     @property
     def is_ready(self) -> bool:
         """Whether callers may send requests to this node."""
-        knows_fleet = self.membership_follower.has_read or bool(self.directory.peers)
-        return self.holder.is_known and knows_fleet and not self.checks.is_stopping
+        knows_enough = self.holder.is_known and self.knowledge.knows_fleet
+        return knows_enough and not self.checks.is_stopping
 
 
 def build_sidecar_node(
@@ -101,6 +104,7 @@
     """Connect the components of one node to the implementations of the other layers."""
     clock = ports.clock
     bounds = ReloadableBounds(settings)
+    knowledge = StartupKnowledge()
     directory = NodeDirectory(local, clock)
     configuration = ActiveConfiguration(ports.decode_configuration)
     request_validator = RequestValidator(configuration, clock)
@@ -117,9 +121,10 @@
         configuration,
     )
     publisher = LocalNodePublisher(ports.store, directory)
-    announcements = AnnouncementService(record, executor, publisher)
+    confirmation = ServerConfirmation(knowledge, clock)
+    announcements = AnnouncementService(record, executor, publisher, confirmation)
     node_entry_updates = NodeEntryUpdates(
-        directory, announcements, publisher, ports.decode_entry, holders
+        directory, announcements, publisher, ports.decode_entry, holders, knowledge
     )
     ranking = DataCentreRanking(directory)
     readers = StoreReaders(directory, ranking)
@@ -146,7 +151,8 @@
         links=ports.links,
         reads_store=reads_store,
         followers=(membership_follower, configuration_follower),
-        on_applied=holders.refresh,
+        updates=node_entry_updates,
+        knowledge=knowledge,
     )
     sender = OrderSender(
         executor=executor,
@@ -192,8 +198,9 @@
         relay=relay,
         configuration_follower=configuration_follower,
         membership_follower=membership_follower,
-        recovery=ServerRecovery(announcements, configuration, ports.server),
+        recovery=ServerRecovery(announcements, confirmation, configuration, ports.server),
         bounds=bounds,
+        knowledge=knowledge,
         clock=clock,
     )
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
@@ -1,4 +1,4 @@
-"""Rediscovers the local backend server after a restart of the node."""
+"""Finds out whether the local backend server may be used after a restart of the node."""
 
 import asyncio
 
@@ -7,23 +7,29 @@
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.ports import ServerConnection
+from turmericwharf.coordination.sidecar.server_confirmation import ServerConfirmation
+from turmericwharf.state.sidecar import AnnouncedServer
 
-_POLL_INTERVAL_SECONDS = 0.1
-# A running server has announced itself again by this time.
-_RECOVERY_TIMEOUT_SECONDS = 3.0
+_MIN_BACKOFF_SECONDS = 0.3
+_MAX_BACKOFF_SECONDS = 0.8
+# A server that has not confirmed itself by this time after its last announcement has stopped or is
+# leaving.
+_CONFIRMATION_TIMEOUT_SECONDS = 3.0
 _IDENTIFY_TIMEOUT_SECONDS = 0.5
 
 
 class ServerRecovery:
-    """Requests the health path of the server that the previous process served.
+    """Requests the health path of a server that may have begun to leave before the restart.
 
-    If the server reports its identifier there, the node uses it without waiting for its next
-    announcement.
+    A server that is leaving does not pass its health check. If it passes, and reports the expected
+    identifier, the node uses it without waiting for its next announcement.
 
     Parameters
     ----------
     announcements
-        Holds the entry that the previous process of this node published.
+        Holds the server to confirm.
+    confirmation
+        Tells when there may be a server to confirm.
     configuration
         Configuration in force, with the health path of the service.
     server
@@ -33,34 +39,42 @@
     def __init__(
         self,
         announcements: AnnouncementService,
+        confirmation: ServerConfirmation,
         configuration: ActiveConfiguration,
         server: ServerConnection,
     ) -> None:
         self._announcements = announcements
+        self._confirmation = confirmation
         self._configuration = configuration
         self._server = server
 
     async def run(self) -> None:
-        """Identify the server once its health path is known, within a time limit.
+        """Confirm servers until cancelled."""
+        await self._confirmation.wait_until_fleet_known()
+        while True:
+            self._confirmation.changed.clear()
+            await self._announcements.release_held()
+            await self._confirm_server()
+            await self._confirmation.changed.wait()
 
-        Then sleeps until cancelled, as the other long-lived tasks do.
-        """
+    async def _confirm_server(self) -> None:
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + _RECOVERY_TIMEOUT_SECONDS
-        while loop.time() < deadline and not await self._try_once():
-            await asyncio.sleep(_POLL_INTERVAL_SECONDS)
-        await asyncio.Event().wait()
+        deadline = loop.time() + _CONFIRMATION_TIMEOUT_SECONDS
+        backoff_seconds = _MIN_BACKOFF_SECONDS
+        while loop.time() < deadline:
+            server = self._announcements.unconfirmed_server()
+            if server is None or await self._try_once(server):
+                break
+            await asyncio.sleep(backoff_seconds)
+            backoff_seconds = min(backoff_seconds * 2, _MAX_BACKOFF_SECONDS)
 
-    async def _try_once(self) -> bool:
-        server = self._announcements.recoverable_server()
-        if server is None:
-            return False
+    async def _try_once(self, server: AnnouncedServer) -> bool:
         path = self._configuration.current.health_paths_by_service.get(server.service)
         if path is None:
             return False
         identifier = await self._server.identify(path, timeout_seconds=_IDENTIFY_TIMEOUT_SECONDS)
-        is_same = identifier == server.server
         logger.bind(server=server.server, found=identifier).info('server_identified')
-        if is_same and self._announcements.recoverable_server() == server:
-            await self._announcements.apply_announcement(server)
+        if identifier != server.server:
+            return False
+        await self._announcements.confirm(server)
         return True
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
@@ -234,12 +234,15 @@
         Values of `process` and `after` for the next request.
     is_current
         Whether the node currently reads the entries from the store.
+    knows_fleet
+        Whether the node has received the entries of all nodes since it started.
     """
 
     process: ProcessId
     changes: int
     nodes: tuple[StoredEntry, ...]
     is_current: bool
+    knows_fleet: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -7,6 +7,8 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.directory_relay import DirectoryRelay
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
+from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state import PEER_UNREACHABLE
 from turmericwharf.state.sidecar import ServerPhase, StoredEntry
@@ -28,16 +30,23 @@
             directory.apply(StoredEntry(other, position), source='store')
         reads_store = asyncio.Event()
         follower = SimpleNamespace(is_connected=True)
+        knowledge = StartupKnowledge()
+        holders = SimpleNamespace(refresh=lambda: self.notified.append(local.instance))
         relay = DirectoryRelay(
             directory=directory,
             readers=StoreReaders(directory, DataCentreRanking(directory)),
             links=self,
             reads_store=reads_store,
             followers=(follower,),
-            on_applied=lambda: self.notified.append(local.instance),
+            updates=NodeEntryUpdates(directory, None, None, None, holders, knowledge),
+            knowledge=knowledge,
         )
         return SimpleNamespace(
-            directory=directory, reads_store=reads_store, follower=follower, relay=relay
+            directory=directory,
+            reads_store=reads_store,
+            follower=follower,
+            relay=relay,
+            knowledge=knowledge,
         )
 
     async def request(self, peer, message, *, timeout_seconds):
@@ -188,3 +197,21 @@
         task.cancel()
 
     run_scenario(scenario)
+
+
+def test_a_node_knows_the_fleet_only_through_a_node_that_knows_it():
+    """Guards against nodes that act for the fleet although all of them have just started.
+
+    While the store is away, each of them knows only some of the others.
+    """
+
+    async def scenario(fleet):
+        for node in fleet.nodes_by_id.values():
+            node.follower.is_connected = False
+        await asyncio.sleep(20)
+        assert not any(node.knowledge.knows_fleet for node in fleet.nodes_by_id.values())
+        fleet.nodes_by_id['n3'].knowledge.record_store_read()
+        await asyncio.sleep(60)
+        assert all(node.knowledge.knows_fleet for node in fleet.nodes_by_id.values())
+
+    run_scenario(scenario)
--- /dev/null
+++ b/tests/fleet/test_sidecar_restart.py
@@ -0,0 +1,72 @@
+"""What restarted sidecar nodes do before they know the fleet, with nodes as separate processes."""
+
+import asyncio
+import signal
+
+from tests.sidecar_fleet import running_fleet
+
+NODES_TOPIC = 'keyed.nodes'
+
+
+async def restart(node) -> None:
+    await node.stop(signal.SIGKILL)
+    await node.start()
+
+
+async def read_at_all_nodes(fleet, count: int) -> list[int]:
+    nodes = fleet.nodes * count
+    return [(await node.send_request('/read/1')).code for node in nodes]
+
+
+async def test_a_late_heartbeat_does_not_revive_a_server_whose_leave_was_not_written():
+    """Guards against a restarted node that uses a server although its leave was acknowledged.
+
+    The leave is acknowledged while the store is away, so that the store does not have it, and a
+    heartbeat that was sent before it arrives at the next process.
+    """
+    async with running_fleet() as fleet:
+        node = fleet.nodes[0]
+        fleet.store.fault = 'busy'
+        node.server.stop_heartbeats()
+        late_heartbeat = node.server.make_heartbeat()
+        assert await node.server.deregister() == 200
+        await restart(node)
+        async with asyncio.timeout(10):
+            while not node.events('node_started')[1:]:
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(1.0)
+        await node.server.send_heartbeat(late_heartbeat)
+        fleet.store.fault = ''
+        await fleet.wait_until_converged()
+        runs_before = sum(node.server.runs_by_request.values())
+        for _ in range(4):
+            assert set(await read_at_all_nodes(fleet, 3)) == {200}
+            await asyncio.sleep(0.5)
+        assert sum(node.server.runs_by_request.values()) == runs_before
+
+
+async def test_a_late_heartbeat_is_not_published_before_the_entry_of_the_last_process_is_read():
+    """Guards against a restarted node that overwrites the written leave of its server.
+
+    A late heartbeat arrives before the node has read the store, which has the leave.
+    """
+    async with running_fleet() as fleet:
+        node = fleet.nodes[0]
+        node.server.stop_heartbeats()
+        late_heartbeat = node.server.make_heartbeat()
+        assert await node.server.deregister() == 200
+        await node.stop(signal.SIGKILL)
+        fleet.store.fault = 'unreadable'
+        await node.start()
+        async with asyncio.timeout(10):
+            while not node.events('node_started')[1:]:
+                await asyncio.sleep(0.05)
+        await node.server.send_heartbeat(late_heartbeat)
+        await asyncio.sleep(0.5)
+        fleet.store.fault = ''
+        await fleet.wait_until_converged()
+        runs_before = sum(node.server.runs_by_request.values())
+        for _ in range(4):
+            assert set(await read_at_all_nodes(fleet, 3)) == {200}
+            await asyncio.sleep(0.5)
+        assert sum(node.server.runs_by_request.values()) == runs_before
--- a/tests/stand_ins/platform_server.py
+++ b/tests/stand_ins/platform_server.py
@@ -9,6 +9,7 @@
 from tornado.web import Application, RequestHandler
 
 HEARTBEAT_SECONDS = 0.3
+BORN = 1000
 
 
 class PlatformServer:
@@ -61,15 +62,33 @@
                 await self._send_heartbeat()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
-    async def _send_heartbeat(self) -> int:
+    def stop_heartbeats(self) -> None:
+        self._heartbeat_task.cancel()
+
+    def make_heartbeat(self) -> str:
+        """Return the body of the next heartbeat, which a test may send later."""
         self.sequence += 1
-        body = (
-            f'{{"address":"{self.host}:{self.ports.server}","born":1000,'
+        return (
+            f'{{"address":"{self.host}:{self.ports.server}","born":{BORN},'
             f'"info":{{"service":"{self.service}","version":"v1","zone":"a","slots":3}},'
             f'"status":{{"state":"{self.state}","sequence":{self.sequence},"coldRemainingS":0}}}}'
         )
+
+    async def deregister(self) -> int:
+        """Announce that the server leaves and return the status code of the acknowledgement."""
+        self.state = 'leaving'
+        return await self._call('Deregister', f'{{"born":{BORN}}}')
+
+    async def send_heartbeat(self, body: str) -> int:
+        """Send a heartbeat and return the status code of the acknowledgement."""
+        return await self._call('Heartbeat', body)
+
+    async def _send_heartbeat(self) -> int:
+        return await self.send_heartbeat(self.make_heartbeat())
+
+    async def _call(self, name: str, body: str) -> int:
         request = HTTPRequest(
-            f'http://{self.host}:{self.ports.announcements}/Instances.Heartbeat/{self.name}',
+            f'http://{self.host}:{self.ports.announcements}/Instances.{name}/{self.name}',
             method='POST',
             body=body,
             request_timeout=1,
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -1,7 +1,9 @@
 """Stand-in for the platform's store: keyed topics with one partition, and injected faults.
 
 Runs in the event loop of the test. `fault` is one of `''`, `'busy'` (status 503), `'silent'`
-(no answer) and `'lost'` (appends take effect, but are not answered).
+(no answer), `'unreadable'` (reads are answered with status 503) and `'lost'` (appends take effect,
+but are not answered). Calls for the topics in
+`away_topics` are answered with status 503.
 """
 
 import asyncio
@@ -31,6 +33,7 @@
         self.topics: dict[str, Topic] = {}
         self.newest_by_topic: dict[str, dict[str, tuple[int, bytes]]] = {}
         self.fault = ''
+        self.away_topics: set[str] = set()
         self.calls = 0
         self._server: HTTPServer | None = None
 
@@ -80,7 +83,10 @@
 
     async def prepare(self) -> None:
         self.store.calls += 1
-        if self.store.fault == 'busy':
+        is_away = self.get_query_argument('topic') in self.store.away_topics
+        is_read = self.request.method == 'GET'
+        is_unreadable = is_read and self.store.fault == 'unreadable'
+        if is_away or is_unreadable or self.store.fault == 'busy':
             self.set_status(503)
             self.finish()
         elif self.store.fault == 'silent':
