Answer for the store only while it has answered recently

Cause: a reader of the store whose connection went silent answered its followers as if it were up to date until its own long poll had failed, and the followers depend on two readers. A follower that had found another source of entries still followed the first reader for the configuration.

Ruled out: the store and the follower's path to it (it read the version at once when the readers reported their loss).

Change: one place (store_freshness) decides whether a node may answer for the store, for entries and configurations; reads of the configuration wait a quarter of configApplyS at most; one source for both.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/active_configuration.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/active_configuration.py
@@ -68,14 +68,16 @@
         self._changed = asyncio.Event()
         return True
 
-    async def wait_for_newer(self, version: int, timeout_seconds: float) -> None:
-        """Wait until a version above the given one is in force, or until the timeout."""
+    async def wait_for_newer(self, version: int, timeout_seconds: float) -> bool:
+        """Wait until a version above the given one is in force; return False on a timeout."""
         try:
             async with asyncio.timeout(timeout_seconds):
                 while self.version <= version:
                     await self._changed.wait()
         except TimeoutError:
             logger.bind(version=version).debug('configuration_unchanged')
+            return False
+        return True
 
     def find_organisation(self, digest: KeyDigest) -> OrganisationRule | None:
         """Return the organisation that owns a key, or None."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
@@ -12,6 +12,7 @@
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import FleetLinks
+from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.state import InstanceId
@@ -31,10 +32,11 @@
 
 
 class ConfigurationSync:
-    """Follows one store reader, polls the other, and fetches versions that other nodes report.
+    """Follows one store reader, polls another, and fetches versions that other nodes report.
 
-    The read of a reader may hang on a connection to the store that went silent, so the second
-    reader is polled too. While no node of the data centre can read the store, random nodes of this
+    The node that is followed is the one that gives this node the entries of the others, and that is
+    current. Its connection to the store may have gone silent a moment ago, so a second reader is
+    polled too. While no node of the data centre can read the store, random nodes of this
     and of other data centres are polled.
 
     Parameters
@@ -49,6 +51,8 @@
         Connections to other nodes.
     follower
         Reads configurations from the store while this node does so itself.
+    freshness
+        Whether this node may answer for the store.
     """
 
     def __init__(
@@ -59,12 +63,14 @@
         readers: StoreReaders,
         links: FleetLinks,
         follower: TopicFollower,
+        freshness: StoreFreshness,
     ) -> None:
         self._configuration = configuration
         self._directory = directory
         self._readers = readers
         self._links = links
         self._follower = follower
+        self._freshness = freshness
         self._fetches: set[asyncio.Task[bool]] = set()
 
     def record_version(self, instance: InstanceId, version: int) -> None:
@@ -84,19 +90,18 @@
 
     async def answer(self, request: ConfigurationRequest) -> ConfigurationReply:
         """Answer the poll of another node once there is a newer version, or after the timeout."""
-        wait_seconds = min(request.wait_seconds, _LONG_POLL_SECONDS)
-        await self._configuration.wait_for_newer(request.above, wait_seconds)
+        await self._freshness.wait_while_current(
+            lambda seconds: self._configuration.wait_for_newer(request.above, seconds),
+            min(request.wait_seconds, _LONG_POLL_SECONDS),
+        )
         is_newer = self._configuration.version > request.above
         return ConfigurationReply(self._configuration.encoded if is_newer else b'')
 
     async def _follow_reader(self) -> None:
         while True:
-            candidates = self._readers.upstream_candidates()
-            if candidates:
-                await self._fetch(candidates[0], _LONG_POLL_SECONDS)
-                await asyncio.sleep(_REPEAT_DELAY_SECONDS)
-            else:
-                await _sleep_with_jitter(_POLL_INTERVAL_SECONDS)
+            source = await self._readers.wait_for_source()
+            await self._fetch(source, _LONG_POLL_SECONDS)
+            await asyncio.sleep(_REPEAT_DELAY_SECONDS)
 
     async def _poll_nodes(self) -> None:
         while True:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
@@ -92,8 +92,8 @@
             if self._change_numbers_by_instance.get(entry.instance, 0) > change_number
         )
 
-    async def wait_for_change(self, after: int, timeout_seconds: float) -> None:
-        """Wait until the number of the last change exceeds `after`, or until the timeout."""
+    async def wait_for_change(self, after: int, timeout_seconds: float) -> bool:
+        """Wait until the number of the last change exceeds `after`; return False on a timeout."""
         try:
             async with asyncio.timeout(timeout_seconds):
                 while self.change_number <= after:
@@ -101,6 +101,8 @@
                     await self._changed.wait()
         except TimeoutError:
             logger.debug('directory_unchanged')
+            return False
+        return True
 
     def apply(self, stored: StoredEntry, *, source: str) -> None:
         """Apply an entry read from the store, directly or through another node.
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -15,8 +15,8 @@
 from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import CANDIDATE_COUNT, StoreReaders
-from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.state import InstanceId
 from turmericwharf.state.sidecar import DirectoryReply, DirectoryRequest, NodeEntry, ProcessId
 
@@ -52,8 +52,8 @@
         Connections to other nodes.
     reads_store
         Set while this node reads the store itself.
-    followers
-        Read the entries and the configuration from the store; the first one reads the entries.
+    freshness
+        Whether this node may answer for the store.
     updates
         Applies the entries from another node.
     knowledge
@@ -67,7 +67,7 @@
         readers: StoreReaders,
         links: FleetLinks,
         reads_store: asyncio.Event,
-        followers: tuple[TopicFollower, ...],
+        freshness: StoreFreshness,
         updates: NodeEntryUpdates,
         knowledge: StartupKnowledge,
     ) -> None:
@@ -75,7 +75,7 @@
         self._readers = readers
         self._links = links
         self._reads_store = reads_store
-        self._followers = followers
+        self._freshness = freshness
         self._updates = updates
         self._knowledge = knowledge
         self._cursors_by_instance: dict[InstanceId, _ChangeCursor] = {}
@@ -96,24 +96,18 @@
         """Answer the poll of another node once there are changes, or after the timeout."""
         local = self._directory.local
         after = request.after if request.process == local.process else 0
-        if self._is_current:
-            wait_seconds = min(request.wait_seconds, _LONG_POLL_SECONDS)
-            await self._directory.wait_for_change(after, wait_seconds)
+        await self._freshness.wait_while_current(
+            lambda seconds: self._directory.wait_for_change(after, seconds),
+            min(request.wait_seconds, _LONG_POLL_SECONDS),
+        )
         return DirectoryReply(
             process=local.process,
             changes=self._directory.change_number,
             nodes=self._directory.entries_changed_after(after),
-            is_current=self._is_current,
+            is_current=self._freshness.is_current,
             knows_fleet=self._knowledge.knows_fleet,
         )
 
-    @property
-    def _is_current(self) -> bool:
-        """Whether this node reads the store and is connected to it."""
-        return self._reads_store.is_set() and all(
-            follower.is_connected for follower in self._followers
-        )
-
     async def _poll_readers(self) -> bool:
         # A node that reads the store only finds out whether it still has to.
         wait_seconds = 0 if self._reads_store.is_set() else _LONG_POLL_SECONDS
@@ -130,6 +124,7 @@
                 return False
             polled.add(readers[0].instance)
             if await self._poll(readers[0], wait_seconds):
+                self._readers.source = readers[0]
                 return True
 
     async def _poll_readers_again(self) -> bool:
@@ -162,7 +157,7 @@
             for peer in self._directory.peers
             if not self._directory.is_suspected(peer.instance)
         ]
-        if peers and not self._followers[0].is_connected:
+        if peers and not self._freshness.is_current:
             await self._poll(random.choice(peers), 0)
 
     async def _poll(self, peer: NodeEntry, wait_seconds: float) -> bool:
@@ -191,6 +186,7 @@
             return
         logger.bind(own_reads=to_store).info('directory_source_changed')
         if to_store:
+            self._readers.source = None
             self._reads_store.set()
         else:
             self._reads_store.clear()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -34,6 +34,7 @@
 from turmericwharf.coordination.sidecar.share_holders import FixedShareHolders
 from turmericwharf.coordination.sidecar.server_confirmation import ServerConfirmation
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
@@ -48,8 +49,9 @@
 _NODES_LONG_POLL_SECONDS = 5.0
 # A node that has just started stops reading within this time, if a reader answers it.
 _CONFIGURATION_BATCH_SECONDS = 0.2
-# Short, so that a reader soon notices that its connection to the store went silent.
-_CONFIGURATION_LONG_POLL_SECONDS = 2.0
+# Longest wait of a read, as a fraction of the time within which a version must be in force. Within
+# that time, a reader whose connection to the store went silent has to be replaced by another node.
+_CONFIGURATION_READ_FRACTION = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,7 +135,8 @@
         ports.log,
         StoreTopic.CONFIGURATION,
         lambda page: _apply_configurations(configuration, page),
-        wait_seconds=_CONFIGURATION_LONG_POLL_SECONDS,
+        clock=clock,
+        wait_seconds=_CONFIGURATION_READ_FRACTION * settings.bounds.configuration_seconds,
         batch_seconds=_CONFIGURATION_BATCH_SECONDS,
         reads_store=reads_store,
     )
@@ -141,16 +144,18 @@
         ports.log,
         StoreTopic.NODES,
         node_entry_updates.apply,
+        clock=clock,
         wait_seconds=_NODES_LONG_POLL_SECONDS,
         batch_seconds=_NODES_BATCH_SECONDS,
         reads_store=reads_store,
     )
+    freshness = StoreFreshness(reads_store, (membership_follower, configuration_follower))
     relay = DirectoryRelay(
         directory=directory,
         readers=readers,
         links=ports.links,
         reads_store=reads_store,
-        followers=(membership_follower, configuration_follower),
+        freshness=freshness,
         updates=node_entry_updates,
         knowledge=knowledge,
     )
@@ -194,6 +199,7 @@
             readers=readers,
             links=ports.links,
             follower=configuration_follower,
+            freshness=freshness,
         ),
         relay=relay,
         configuration_follower=configuration_follower,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
@@ -1,5 +1,7 @@
 """Selects the nodes that read the store for their data centre."""
 
+import asyncio
+
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.state import InstanceId
@@ -29,6 +31,28 @@
     def __init__(self, directory: NodeDirectory, ranking: DataCentreRanking) -> None:
         self._directory = directory
         self._ranking = ranking
+        self._source: NodeEntry | None = None
+        self._has_source = asyncio.Event()
+
+    @property
+    def source(self) -> NodeEntry | None:
+        """Node that last reported that it is current; None while this node reads the store."""
+        return self._source
+
+    @source.setter
+    def source(self, entry: NodeEntry | None) -> None:
+        """Replace the source."""
+        self._source = entry
+        if entry is None:
+            self._has_source.clear()
+        else:
+            self._has_source.set()
+
+    async def wait_for_source(self) -> NodeEntry:
+        """Wait until there is a source, and return it."""
+        while self._source is None:
+            await self._has_source.wait()
+        return self._source
 
     def upstream_candidates(self) -> list[NodeEntry]:
         """Return the nodes to poll, in this order; empty if this node is a reader itself.
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from turmericwharf.coordination.clock import Clock
 from turmericwharf.coordination.sidecar.ports import KeyedLog
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import LogFailure
@@ -13,6 +14,9 @@
 
 _MIN_BACKOFF_SECONDS = 0.1
 _MAX_BACKOFF_SECONDS = 1.6
+# Time beyond the longest wait of a read after which its answer is overdue. A slow store that works
+# answers within 0.25 s.
+_ANSWER_MARGIN_SECONDS = 0.4
 
 
 class TopicFollower:
@@ -26,6 +30,8 @@
         Topic to follow.
     on_page
         Called with each page.
+    clock
+        Clock of the node.
     wait_seconds
         Longest time that one read waits for a change.
     batch_seconds
@@ -40,6 +46,7 @@
         topic: StoreTopic,
         on_page: Callable[[KeyedPage], None],
         *,
+        clock: Clock,
         wait_seconds: float,
         batch_seconds: float = 0.0,
         reads_store: asyncio.Event | None = None,
@@ -47,19 +54,35 @@
         self._log = log
         self._topic = topic
         self._on_page = on_page
+        self._clock = clock
         self._wait_seconds = wait_seconds
         self._batch_seconds = batch_seconds
         self._reads_store = reads_store
         self._next_offset: int | None = None
         self._is_history_gone = False
-        self.is_connected = False
-        self.has_read = False
+        self._answered_at = 0.0
+        self._has_answer = False
 
     @property
     def is_enabled(self) -> bool:
         """Whether this node reads the topic."""
         return self._reads_store is None or self._reads_store.is_set()
 
+    @property
+    def fresh_seconds(self) -> float:
+        """Time until the next answer of the store is overdue; 0 if it is, or if a read failed."""
+        if not self._has_answer:
+            return 0
+        overdue_at = (
+            self._answered_at + self._batch_seconds + self._wait_seconds + _ANSWER_MARGIN_SECONDS
+        )
+        return max(overdue_at - self._clock.now(), 0)
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the store answered the last read, and no answer is overdue."""
+        return self.fresh_seconds > 0
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         backoff_seconds = _MIN_BACKOFF_SECONDS
@@ -102,15 +125,15 @@
     def _record_failure(self, failure: LogFailure) -> None:
         # Restart from the newest records, since the store may have dropped the missed changes.
         self._next_offset = None
-        if self.is_connected or not self.has_read:
+        if self._has_answer or not self._answered_at:
             logger.bind(topic=self._topic.value, detail=failure.detail).warning('store_lost')
-        self.is_connected = False
+        self._has_answer = False
 
     def _record_success(self) -> None:
-        if not self.is_connected:
+        if not self._has_answer:
             logger.bind(topic=self._topic.value).info('store_reached')
-        self.is_connected = True
-        self.has_read = True
+        self._has_answer = True
+        self._answered_at = self._clock.now()
 
 
 @describe.register
--- a/packages/turmericwharf/src/turmericwharf/platform/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/settings.py
@@ -58,6 +58,7 @@
     quota_window_s: float = msgspec.field(default=5, name='quotaWindowS')
     quota_overage: float = 0
     quota_slack: float = 0
+    config_apply_s: float = msgspec.field(default=2, name='configApplyS')
 
 
 class _Terms(msgspec.Struct, frozen=True):
@@ -108,6 +109,7 @@
             rate_window_seconds=bounds.quota_window_s,
             rate_overage=bounds.quota_overage,
             rate_slack=bounds.quota_slack,
+            configuration_seconds=bounds.config_apply_s,
         ),
         link_megabits=decoded.local_node.limits.link_mbps,
     )
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/settings.py
@@ -38,6 +38,8 @@
     rate_window_seconds, rate_overage, rate_slack
         Requests that an organisation may run beyond its rate and burst in a window of
         `rate_window_seconds`: the share `rate_overage` of what they allow, plus `rate_slack`.
+    configuration_seconds
+        Time within which a published configuration must be in force at all nodes.
     """
 
     retry_ratio: float
@@ -47,6 +49,7 @@
     rate_window_seconds: float
     rate_overage: float
     rate_slack: float
+    configuration_seconds: float = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/coordination/sidecar/test_configuration_sync.py
+++ b/tests/coordination/sidecar/test_configuration_sync.py
@@ -1,5 +1,6 @@
 import asyncio
 import dataclasses
+import math
 from types import SimpleNamespace
 
 from tests.coordination.sidecar.samples import make_configuration, make_entry
@@ -8,6 +9,7 @@
 from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state import PEER_UNREACHABLE
 from turmericwharf.state.sidecar import ConfigurationRequest, ServerPhase, StoredEntry
@@ -34,13 +36,21 @@
         configuration = ActiveConfiguration(decode)
         configuration.apply_if_newer(b'1', source='store')
         readers = StoreReaders(directory, DataCentreRanking(directory))
-        follower = SimpleNamespace(is_enabled=not readers.upstream_candidates(), is_connected=True)
+        candidates = readers.upstream_candidates()
+        readers.source = candidates[0] if candidates else None
+        follower = SimpleNamespace(
+            is_enabled=not candidates, is_connected=True, fresh_seconds=math.inf
+        )
+        reads_store = asyncio.Event()
+        if follower.is_enabled:
+            reads_store.set()
         sync = ConfigurationSync(
             configuration=configuration,
             directory=directory,
             readers=readers,
             links=self,
             follower=follower,
+            freshness=StoreFreshness(reads_store, (follower,)),
         )
         return SimpleNamespace(
             directory=directory, configuration=configuration, follower=follower, sync=sync
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -1,5 +1,6 @@
 import asyncio
 import dataclasses
+import math
 from types import SimpleNamespace
 
 from tests.coordination.sidecar.samples import make_entry
@@ -9,11 +10,23 @@
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state import PEER_UNREACHABLE
 from turmericwharf.state.sidecar import ServerPhase, StoredEntry
 
 
+class Follower:
+    """Follower of a topic whose last answer of the store never becomes overdue."""
+
+    def __init__(self) -> None:
+        self.is_connected = True
+
+    @property
+    def fresh_seconds(self):
+        return math.inf if self.is_connected else 0
+
+
 class Fleet:
     """Relays of nodes connected in memory; nodes in `down` do not answer."""
 
@@ -29,7 +42,7 @@
         for position, other in enumerate(self.entries):
             directory.apply(StoredEntry(other, position), source='store')
         reads_store = asyncio.Event()
-        follower = SimpleNamespace(is_connected=True)
+        follower = Follower()
         knowledge = StartupKnowledge()
         holders = SimpleNamespace(refresh=lambda: self.notified.append(local.instance))
         relay = DirectoryRelay(
@@ -37,7 +50,7 @@
             readers=StoreReaders(directory, DataCentreRanking(directory)),
             links=self,
             reads_store=reads_store,
-            followers=(follower,),
+            freshness=StoreFreshness(reads_store, (follower,)),
             updates=NodeEntryUpdates(directory, None, None, None, holders, knowledge),
             knowledge=knowledge,
         )
--- a/tests/coordination/sidecar/test_topic_follower.py
+++ b/tests/coordination/sidecar/test_topic_follower.py
@@ -1,7 +1,7 @@
 import asyncio
 
 from tests.coordination.fakes import LOG_FAILURE
-from tests.virtual_time import run_in_virtual_time
+from tests.virtual_time import LoopClock, run_in_virtual_time
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.state.sidecar import HISTORY_GONE, KeyedPage, KeyedRecord, StoreTopic
 
@@ -33,12 +33,17 @@
         pages = []
         event = reads_store() if reads_store else None
         follower = TopicFollower(
-            log, StoreTopic.NODES, pages.append, wait_seconds=5, reads_store=event
+            log,
+            StoreTopic.NODES,
+            pages.append,
+            clock=LoopClock(),
+            wait_seconds=5,
+            reads_store=event,
         )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(seconds)
         task.cancel()
-        return follower, pages
+        return follower.is_connected, pages
 
     return run_in_virtual_time(main())
 
@@ -46,9 +51,9 @@
 def test_changes_are_read_from_the_end_of_the_last_page():
     """Guards against missed changes and against reading all records repeatedly."""
     log = Log(PAGE, KeyedPage({}, 7))
-    follower, pages = follow(log, 1)
+    is_connected, pages = follow(log, 1)
     assert log.calls == ['newest', 5, 7]
-    assert follower.is_connected and len(pages) == 2
+    assert is_connected and len(pages) == 2
 
 
 def test_newest_records_are_read_again_when_history_is_gone():
@@ -61,8 +66,8 @@
 def test_reads_of_an_unreachable_store_back_off():
     """Guards against frequent retries: calls to a store that is down count and cost like others."""
     log = Log(*[LOG_FAILURE] * 100)
-    follower, _ = follow(log, 16)
-    assert not follower.is_connected
+    is_connected, _ = follow(log, 16)
+    assert not is_connected
     assert 8 <= len(log.calls) <= 30
 
 
@@ -78,3 +83,12 @@
     log = Log(*[PAGE, HISTORY_GONE] * 1000)
     follow(log, 1)
     assert len(log.calls) < 60
+
+
+def test_a_store_that_falls_silent_counts_as_lost_once_an_answer_is_overdue():
+    """Guards against a node that answers for the store although its connection went silent.
+
+    The read waits up to 5 s for a change, and reports an error only after 1.5 s more.
+    """
+    assert follow(Log(PAGE), 5.0)[0]
+    assert not follow(Log(PAGE), 5.6)[0]
--- a/tests/fleet/test_sidecar.py
+++ b/tests/fleet/test_sidecar.py
@@ -5,9 +5,12 @@
 import signal
 import time
 
-from tests.sidecar_fleet import KEY, make_configuration, running_fleet
+from tests.sidecar_fleet import KEY, LOOPBACK, make_configuration, running_fleet
 from turmericwharf.state.sidecar import ServerPhase
 
+# Time within which a published configuration must be in force at all nodes.
+CONFIGURATION_SECONDS = 2.0
+
 
 async def book(node, request, **options):
     return await node.send_request('/book/1', method='POST', request=request, **options)
@@ -94,6 +97,27 @@
         assert (await fleet.nodes[0].send_request('/read/1', key='other')).code == 200
 
 
+async def test_a_withdrawn_key_stops_in_time_although_both_readers_are_cut_off_from_the_store():
+    """Guards against a node that serves a withdrawn key because it depends on two other nodes.
+
+    The connections of these two to the store go silent, so that they have no error to report. The
+    node itself can reach the store all the time.
+    """
+    async with running_fleet() as fleet:
+        await asyncio.sleep(1.5)
+        followers = [node for node in fleet.nodes if node.events('directory_source_changed')]
+        assert len(followers) == 1
+        readers = [node for node in fleet.nodes if node not in followers]
+        for reader in readers:
+            name = reader.store_relay.name
+            fleet.network.cut(name, LOOPBACK)
+            fleet.network.cut(LOOPBACK, name)
+        fleet.store.configure(make_configuration(2, tenants={'cafe': {'apiKeys': ['other']}}))
+        await asyncio.sleep(CONFIGURATION_SECONDS)
+        assert (await followers[0].send_request('/read/1')).code == 401
+        assert (await followers[0].send_request('/read/1', key='other')).code == 200
+
+
 async def test_leaving_server_gets_no_work_after_its_acknowledgement():
     """Guards against requests to a leaving server, which it cannot finish.
 
