Hold no share of a rate before the fleet is known

Cause: the number of shares follows from the known nodes, and a node that had just started knew only itself, so each one granted the whole rate while the store did not answer for the entries of the nodes.

Ruled out: the burst after a start (a part of the overage, divided by the shares) and grants to other nodes (there were none).

Change: a node holds no share before it knows the fleet; its callers get 503 with a time to come back instead of 429.

--- a/benchmarks/sidecar_slopes.py
+++ b/benchmarks/sidecar_slopes.py
@@ -12,6 +12,7 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.quota import FixedShareBuckets
 from turmericwharf.coordination.sidecar.share_holders import FixedShareHolders
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.platform.configuration import decode_configuration
 from turmericwharf.protocol import encode_node_entry
@@ -92,7 +93,9 @@
     tracemalloc.stop()
     holder = ActiveConfiguration(decode_configuration)
     holder.apply_if_newer(make_configuration(45_000, 1), source='benchmark')
-    holders = FixedShareHolders(directory, holder, clock)
+    knowledge = StartupKnowledge()
+    knowledge.record_store_read()
+    holders = FixedShareHolders(directory, holder, clock, knowledge)
     holders.refresh()
     directory.apply(StoredEntry(make_entry(count), count), source='benchmark')
     refresh_milliseconds = measure_milliseconds(holders.refresh)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -115,12 +115,13 @@
     executor = OrderExecutor(
         server=ports.server, order_validator=order_validator, directory=directory, clock=clock
     )
-    holders = FixedShareHolders(directory, configuration, clock)
+    holders = FixedShareHolders(directory, configuration, clock, knowledge)
     rate_limiter = FleetRateLimiter(
         FixedShareBuckets(holders, configuration, clock, bounds),
         ports.links,
         directory,
         configuration,
+        knowledge,
     )
     publisher = LocalNodePublisher(ports.store, directory)
     confirmation = ServerConfirmation(knowledge, clock)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/quota.py
@@ -18,7 +18,9 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.coordination.sidecar.share_holders import FixedShareHolders
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.state import (
+    FLEET_UNKNOWN,
     RATE_EXCEEDED,
     InstanceId,
     NotRun,
@@ -131,6 +133,8 @@
         Known nodes.
     configuration
         Configuration in force.
+    knowledge
+        Whether this node knows the fleet, and so the holders.
     """
 
     def __init__(
@@ -139,11 +143,13 @@
         links: FleetLinks,
         directory: NodeDirectory,
         configuration: ActiveConfiguration,
+        knowledge: StartupKnowledge,
     ) -> None:
         self.buckets = buckets
         self._links = links
         self._directory = directory
         self._configuration = configuration
+        self._knowledge = knowledge
 
     async def acquire(self, admitted: AdmittedFleetRequest) -> NotRun | None:
         """Acquire a token; return None, or the refusal with the time until the next token."""
@@ -152,6 +158,8 @@
         rule = self._configuration.current.organisations_by_id.get(admitted.organisation)
         if rule is None or not rule.is_limited:
             return None
+        if not self._knowledge.knows_fleet:
+            return NotRun(FLEET_UNKNOWN.reason, FLEET_UNKNOWN.detail)
         wait_seconds = await self._request_from_holders(admitted.organisation)
         if 0 < wait_seconds <= _MAX_WAIT_SECONDS:
             # The next token of a holder that has just started is available soon.
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_times.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_times.py
@@ -19,6 +19,7 @@
         # A server announces itself, or a configuration arrives, within about a second.
         Reason.NO_CAPACITY: 1.0,
         Reason.NOT_READY: 1.0,
+        Reason.FLEET_UNKNOWN: 1.0,
         Reason.RATE_EXCEEDED: 1.0,
     },
 )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/share_holders.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/share_holders.py
@@ -9,6 +9,7 @@
 from turmericwharf.coordination.membership.rendezvous import partition_of, rank_instances
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.state import DataCentreId, InstanceId, OrganisationId
 from turmericwharf.state.sidecar import NodeEntry, ServerPhase
 
@@ -32,6 +33,8 @@
         Configuration in force.
     clock
         Clock of the node.
+    knowledge
+        Whether this node knows the fleet; before, it holds no share.
     """
 
     def __init__(
@@ -39,10 +42,12 @@
         directory: NodeDirectory,
         configuration: ActiveConfiguration,
         clock: Clock,
+        knowledge: StartupKnowledge,
     ) -> None:
         self._directory = directory
         self._configuration = configuration
         self._clock = clock
+        self._knowledge = knowledge
         # Change number of the directory and version of the configuration.
         self._applied_versions = (-1, -1)
         self._partitions: frozenset[int] = frozenset()
@@ -69,7 +74,13 @@
         return self._held_since_by_partition.get(partition_of(organisation))
 
     def refresh(self) -> None:
-        """Update the holders after a change of the nodes or of the configuration."""
+        """Update the holders after a change of the nodes or of the configuration.
+
+        The number of shares follows from the number of nodes, so a node that knows only some of
+        them would hold too large a share.
+        """
+        if not self._knowledge.knows_fleet:
+            return
         versions = (self._directory.change_number, self._configuration.version)
         if versions == self._applied_versions:
             return
--- a/packages/turmericwharf/src/turmericwharf/state/failures.py
+++ b/packages/turmericwharf/src/turmericwharf/state/failures.py
@@ -8,6 +8,7 @@
     """All reasons that a failure can have; the list is closed."""
 
     NOT_READY = 'not_ready'
+    FLEET_UNKNOWN = 'fleet_unknown'
     NO_STANDING = 'no_standing'
     REQUEST_ID_INVALID = 'request_id_invalid'
     KEY_MISSING = 'key_missing'
@@ -110,6 +111,10 @@
 
 
 NOT_READY = RequestFailure(Reason.NOT_READY, 'the node has not loaded a configuration yet')
+FLEET_UNKNOWN = RequestFailure(
+    Reason.FLEET_UNKNOWN,
+    'the node has just started and does not know yet which nodes hold the rate of the organisation',
+)
 NO_STANDING = RequestFailure(
     Reason.NO_STANDING,
     'the node can reach neither the log nor a majority of the members',
--- a/tests/coordination/sidecar/test_quota.py
+++ b/tests/coordination/sidecar/test_quota.py
@@ -1,12 +1,17 @@
+import asyncio
 import dataclasses
 from types import SimpleNamespace
 
-from tests.coordination.fakes import ManualClock
-from tests.coordination.sidecar.samples import make_configuration, make_entry
+from tests.coordination.fakes import ManualClock, NoLinks
+from tests.coordination.sidecar.samples import make_configuration, make_entry, make_request
+from turmericwharf.coordination.sidecar.admission import RequestValidator
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.coordination.sidecar.quota import FixedShareBuckets
+from turmericwharf.coordination.sidecar.quota import FixedShareBuckets, FleetRateLimiter
 from turmericwharf.coordination.sidecar.share_holders import FixedShareHolders
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.protocol import to_http
+from turmericwharf.state import Reason
 from turmericwharf.state.sidecar import OrganisationRule, ServerPhase, SidecarBounds, StoredEntry
 
 RATE = 30
@@ -29,7 +34,7 @@
 class Fleet:
     """Token buckets of nodes that all know the same entries."""
 
-    def __init__(self, entries, *, overage=0.0, slack=0.0) -> None:
+    def __init__(self, entries, *, overage=0.0, slack=0.0, knows_fleet=True) -> None:
         self.clock = ManualClock()
         self.buckets_by_id = {}
         self.directories = []
@@ -39,7 +44,10 @@
                 directory.apply(StoredEntry(other, 0), source='test')
             active_configuration = ActiveConfiguration(lambda encoded: make_configuration())
             active_configuration.apply_if_newer(b'', source='test')
-            holders = FixedShareHolders(directory, active_configuration, self.clock)
+            knowledge = StartupKnowledge()
+            if knows_fleet:
+                knowledge.record_store_read()
+            holders = FixedShareHolders(directory, active_configuration, self.clock, knowledge)
             holders.refresh()
             self.directories.append(directory)
             self.buckets_by_id[local.instance] = FixedShareBuckets(
@@ -129,3 +137,25 @@
     buckets._configuration._decode = lambda encoded: configuration
     buckets._configuration.apply_if_newer(b'', source='test')
     assert not buckets.grant('free').granted
+
+
+def test_a_node_that_knows_only_itself_grants_nothing():
+    """Guards against the whole rate at each of the nodes that were killed while the store was away.
+
+    Each of them would be the only holder that it knows of.
+    """
+    fleet = Fleet(make_nodes(), knows_fleet=False)
+    fleet.clock.at += 60
+    assert fleet.drain_tokens() == 0
+
+
+def test_a_request_at_a_node_that_does_not_know_the_holders_is_refused_as_not_run():
+    """Guards against 429, which tells a caller inside its rate that it exceeds it."""
+    knowledge = StartupKnowledge()
+    configuration = ActiveConfiguration(lambda encoded: make_configuration())
+    configuration.apply_if_newer(b'', source='test')
+    limiter = FleetRateLimiter(None, NoLinks(), None, configuration, knowledge)
+    admitted = RequestValidator(configuration, ManualClock()).admit(make_request())
+    refusal = asyncio.run(limiter.acquire(admitted))
+    assert refusal.reason is Reason.FLEET_UNKNOWN
+    assert to_http(refusal).status == 503
--- a/tests/coordination/sidecar/test_share_holders.py
+++ b/tests/coordination/sidecar/test_share_holders.py
@@ -9,6 +9,7 @@
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.share_holders import FixedShareHolders
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.state.sidecar import OrganisationRule, ServerPhase, StoredEntry
 
 ORGANISATIONS = [f'organisation-{number}' for number in range(40)]
@@ -25,7 +26,9 @@
         )
     )
     configuration.apply_if_newer(b'', source='test')
-    return FixedShareHolders(directory, configuration, ManualClock())
+    knowledge = StartupKnowledge()
+    knowledge.record_store_read()
+    return FixedShareHolders(directory, configuration, ManualClock(), knowledge)
 
 
 def make_nodes(count):
--- a/tests/fleet/test_sidecar_restart.py
+++ b/tests/fleet/test_sidecar_restart.py
@@ -3,8 +3,11 @@
 import asyncio
 import signal
 
-from tests.sidecar_fleet import running_fleet
+from tornado.httpclient import HTTPError
 
+from tests.sidecar_fleet import KEY, make_configuration, running_fleet
+
+NOT_CONNECTED = 599
 NODES_TOPIC = 'keyed.nodes'
 
 
@@ -70,3 +73,47 @@
             assert set(await read_at_all_nodes(fleet, 3)) == {200}
             await asyncio.sleep(0.5)
         assert sum(node.server.runs_by_request.values()) == runs_before
+
+
+async def restart_all_without_their_entries(fleet) -> None:
+    """Kill and start all nodes while the store does not answer for the entries of the nodes."""
+    fleet.store.away_topics.add(NODES_TOPIC)
+    await asyncio.gather(*(restart(node) for node in fleet.nodes))
+
+
+async def test_nodes_that_know_only_themselves_do_not_each_grant_the_whole_rate():
+    """Guards against a rate that is granted as many times as there are nodes.
+
+    All nodes were killed, and the store has the configuration, but not the entries of the nodes.
+    """
+    rate, seconds = 10, 4.0
+    async with running_fleet(4) as fleet:
+        tenants = {'cafe': {'apiKeys': [KEY], 'ratePerS': rate, 'burst': rate}}
+        fleet.store.configure(make_configuration(2, tenants=tenants))
+        await asyncio.sleep(1.0)
+        await restart_all_without_their_entries(fleet)
+        statuses = []
+
+        async def send(node):
+            statuses.append(await send_if_running(node))
+
+        async with asyncio.TaskGroup() as group:
+            for _ in range(int(seconds * rate)):
+                for node in fleet.nodes:
+                    group.create_task(send(node))
+                await asyncio.sleep(1 / rate)
+        assert statuses.count(200) <= rate * seconds + rate
+        # A refusal names a time to come back, and is no claim that the organisation is too fast.
+        assert set(statuses) <= {200, 429, 503, NOT_CONNECTED}
+        fleet.store.away_topics.clear()
+        await fleet.wait_until_converged()
+        await asyncio.sleep(1.0)
+        assert (await fleet.nodes[0].send_request('/read/1')).code == 200
+
+
+async def send_if_running(node) -> int:
+    """Send a read; a node that is still starting does not listen yet."""
+    try:
+        return (await node.send_request('/read/1')).code
+    except (OSError, HTTPError):
+        return NOT_CONNECTED
