Grant no extra retries before the fleet is known

Cause: a node that knew only itself took itself for the node that grants the extra retries, and its data centre for the only one.

Ruled out: the share of a node's own requests, and a change of the granting node in a fleet that knows itself.

Change: ExtraRetryPool grants nothing before the node knows the fleet, by the same rule as the shares of rates.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -169,7 +169,7 @@
         caller_service=settings.service,
     )
     retry_budget = FleetRetryBudget(
-        pool=ExtraRetryPool(directory, ranking, bounds, clock),
+        pool=ExtraRetryPool(directory, ranking, bounds, clock, knowledge),
         links=ports.links,
         directory=directory,
         bounds=bounds,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_budget.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_budget.py
@@ -18,6 +18,7 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.ports import FleetLinks
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.state import InstanceId, ServiceId
 from turmericwharf.state.sidecar import RetryReply, RetryRequest
 
@@ -44,6 +45,8 @@
         Limits of the retry budget.
     clock
         Clock of the node.
+    knowledge
+        Whether this node knows the fleet; before, it grants nothing.
     """
 
     def __init__(
@@ -52,11 +55,13 @@
         ranking: DataCentreRanking,
         bounds: ReloadableBounds,
         clock: Clock,
+        knowledge: StartupKnowledge,
     ) -> None:
         self._directory = directory
         self._ranking = ranking
         self._bounds = bounds
         self._clock = clock
+        self._knowledge = knowledge
         self._granting_since_by_service: dict[ServiceId, float] = {}
         self._granted_by_service: dict[ServiceId, collections.deque[float]] = {}
 
@@ -66,7 +71,13 @@
         return ranked[0] if ranked else self._directory.local.instance
 
     def grant(self, service: ServiceId) -> bool:
-        """Grant one retry if this node is the granting node and has retries left."""
+        """Grant one retry if this node is the granting node and has retries left.
+
+        A node that knows only some of the others could take itself for the granting node, and its
+        data centre for one of few.
+        """
+        if not self._knowledge.knows_fleet:
+            return False
         if self.granting_node(service) != self._directory.local.instance:
             self._granting_since_by_service.pop(service, None)
             return False
--- a/tests/coordination/sidecar/test_retry_budget.py
+++ b/tests/coordination/sidecar/test_retry_budget.py
@@ -6,6 +6,7 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.retry_budget import FleetRetryBudget, ExtraRetryPool
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.state import PEER_UNREACHABLE
 from turmericwharf.state.sidecar import RetryReply, SidecarBounds, StoredEntry
 
@@ -24,9 +25,12 @@
 class Fleet:
     """Retry budgets of nodes that are connected in memory."""
 
-    def __init__(self, count=9, data_centres=3) -> None:
+    def __init__(self, count=9, data_centres=3, *, knows_fleet=True) -> None:
         self.clock = ManualClock()
         self.unreachable = set()
+        self.knowledge = StartupKnowledge()
+        if knows_fleet:
+            self.knowledge.record_store_read()
         self.retry_share = 0.0
         entries = [
             make_entry(f'n{n}', data_centre=f'place-{n % data_centres}') for n in range(count)
@@ -40,7 +44,9 @@
 
     def start(self, name, directory):
         bounds = SimpleNamespace(current=BOUNDS)
-        pool = ExtraRetryPool(directory, DataCentreRanking(directory), bounds, self.clock)
+        pool = ExtraRetryPool(
+            directory, DataCentreRanking(directory), bounds, self.clock, self.knowledge
+        )
         self.nodes_by_id[name] = FleetRetryBudget(
             pool=pool,
             links=self,
@@ -129,3 +135,21 @@
     for _ in range(100):
         retry_budget.record_request('bookings', has_no_organisation=False)
     assert fleet.take_all() > 0.5 * RATIO * 100 + 0.5 * EXTRA
+
+
+def test_nodes_that_know_only_themselves_grant_no_extra_retries():
+    """Guards against the extra retries of a whole fleet at each of its nodes.
+
+    Nodes that were killed while the store was away know no other node, so that each would be the
+    granting node of the only data centre that it knows of.
+    """
+    fleet = Fleet(knows_fleet=False)
+    for local in [budget.pool._directory.local for budget in fleet.nodes_by_id.values()]:
+        fleet.start(local.instance, NodeDirectory(local, fleet.clock))
+    fleet.clock.at += WINDOW_SECONDS + 1
+    for retry_budget in fleet.nodes_by_id.values():
+        for _ in range(100):
+            retry_budget.record_request('bookings', has_no_organisation=False)
+    assert 0 < fleet.take_all() <= RATIO * 100 * len(fleet.nodes_by_id)
+    fleet.knowledge.record_store_read()
+    assert fleet.take_all() > 0
