Write a leave also while the node stops, and acknowledge only what holds

What callers saw: on the users' machines requests reached a server that had said it was leaving, sent by the node that had acknowledged it (10 cases).

Cause: a stopping node published nothing after its own stop, but acknowledged a leave, since its last entry was written. The next process took a late announcement for that of a ready server. A leave that was ignored as too old was acknowledged too.

Ruled out: orders that wait (checked again before they are sent), and slow connections to the server (given up after 0.5 s). The users' record is cut before the lines of the node, so which path it was there is not shown.

Change: a leave is published during a stop, and acknowledged only if this process does not use the server and can still write.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -18,6 +18,9 @@
 class AnnouncementService:
     """Applies announcements of the backend server before they are acknowledged.
 
+    A leave is acknowledged only if this process does not use the server any more, and can still
+    write the leave to the store, so that the next process on the machine knows it too.
+
     Parameters
     ----------
     record
@@ -41,22 +44,38 @@
         self._executor = executor
         self._publisher = publisher
         self._confirmation = confirmation
+        # Set when the process begins to stop: the server is not published as ready any more.
         self.is_stopping = False
+        # Set when the process ends: nothing is written any more.
+        self.is_closed = False
+
+    async def apply_announcement(self, server: AnnouncedServer) -> bool:
+        """Apply an announcement.
 
-    async def apply_announcement(self, server: AnnouncedServer) -> None:
-        """Apply an announcement; the caller may acknowledge it after this returns."""
+        Returns
+        -------
+        bool
+            Whether the announcement may be acknowledged.
+        """
         if self._confirmation.has_left(server):
             server = dataclasses.replace(server, phase=ServerPhase.LEAVING)
         if server.phase is ServerPhase.READY and not self._confirmation.may_use_server:
             self._confirmation.hold(server)
-        else:
-            await self._apply(server)
+            return True
+        return await self._apply(server)
 
-    async def apply_leave_notice(self, server: AnnouncedServer) -> None:
-        """Apply the notice that a server has stopped or is about to stop."""
+    async def apply_leave_notice(self, server: AnnouncedServer) -> bool:
+        """Apply the notice that a server has stopped or is about to stop.
+
+        Returns
+        -------
+        bool
+            Whether the notice may be acknowledged.
+        """
         self._confirmation.drop(server.server, born=server.born)
         if self._record.mark_leaving(server):
-            await self._publish_and_confirm()
+            return await self._publish_and_confirm()
+        return not self._uses(server)
 
     async def confirm(self, server: AnnouncedServer) -> None:
         """Put a server to use that has confirmed by its health check that it is not leaving."""
@@ -104,28 +123,41 @@
         if held is not None and self._confirmation.may_use_server:
             await self.apply_announcement(held)
 
-    async def _apply(self, server: AnnouncedServer) -> None:
+    async def _apply(self, server: AnnouncedServer) -> bool:
         previous = self._record.current
         if server.phase is ServerPhase.READY:
             self._confirmation.confirm()
         else:
             self._confirmation.drop(server.server, born=server.born)
         if not self._record.apply(server):
-            return
+            return server.phase is ServerPhase.READY or not self._uses(server)
         if (previous.server, previous.born) != (server.server, server.born):
             self._executor.breaker.reset()
         self._executor.queue.resize(max(server.slots, 1))
-        await self._publish_and_confirm()
+        return await self._publish_and_confirm()
+
+    def _uses(self, server: AnnouncedServer) -> bool:
+        """Whether orders for a server still run, as after a leave of one of its earlier starts."""
+        current = self._record.current
+        return current.server == server.server and current.phase is ServerPhase.READY
 
-    async def _publish_and_confirm(self) -> None:
+    async def _publish_and_confirm(self) -> bool:
         self._publish()
         is_leaving = self._record.current.phase is ServerPhase.LEAVING
-        if is_leaving and not await self._publisher.wait_until_written(_WRITE_TIMEOUT_SECONDS):
-            logger.bind(server=self._record.current.server).warning('leaving_not_written')
+        if not is_leaving or await self._publisher.wait_until_written(_WRITE_TIMEOUT_SECONDS):
+            return True
+        logger.bind(
+            server=self._record.current.server,
+            acknowledged=not self.is_closed,
+        ).warning('leaving_not_written')
+        return not self.is_closed
 
     def _publish(self) -> None:
-        if not self.is_stopping:
-            self._publisher.publish_server(self._record.current)
+        server = self._record.current
+        # A stopping node has published that it accepts no work, but the next process must know a
+        # leave.
+        if not self.is_stopping or server.phase is ServerPhase.LEAVING:
+            self._publisher.publish_server(server)
 
 
 def _server_from_entry(entry: NodeEntry) -> AnnouncedServer:
--- a/packages/turmericwharf/src/turmericwharf/platform/handlers.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/handlers.py
@@ -43,22 +43,21 @@
 
     async def serve_announcement(self, request: HttpRequest) -> HttpResponse:
         """Answer an announcement of the backend server."""
-        heartbeat = _HEARTBEAT.match(request.target)
-        leave = _DEREGISTER.match(request.target)
-        if heartbeat is not None:
-            announcement = read_heartbeat(heartbeat.group(1), request.body)
-            if announcement is not None:
-                await self._node.announcements.apply_announcement(announcement)
-        elif leave is not None:
-            announcement = read_leave(leave.group(1), request.body)
-            if announcement is not None:
-                await self._node.announcements.apply_leave_notice(announcement)
-        else:
-            return HttpResponse(_NOT_FOUND, _JSON, b'{}')
-        if announcement is None:
-            logger.bind(target=request.target).warning('announcement_unreadable')
-            return HttpResponse(_BAD_REQUEST, _JSON, b'{}')
-        return HttpResponse(_OK, _JSON, b'{}')
+        service = self._node.announcements
+        for pattern, read, apply in (
+            (_HEARTBEAT, read_heartbeat, service.apply_announcement),
+            (_DEREGISTER, read_leave, service.apply_leave_notice),
+        ):
+            target = pattern.match(request.target)
+            if target is None:
+                continue
+            announcement = read(target.group(1), request.body)
+            if announcement is None:
+                logger.bind(target=request.target).warning('announcement_unreadable')
+                return HttpResponse(_BAD_REQUEST, _JSON, b'{}')
+            is_accepted = await apply(announcement)
+            return HttpResponse(_OK if is_accepted else _UNAVAILABLE, _JSON, b'{}')
+        return HttpResponse(_NOT_FOUND, _JSON, b'{}')
 
     async def serve_operator(self, request: HttpRequest) -> HttpResponse:
         """Answer `/state` with the state dump and any other path with the metrics."""
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
@@ -90,6 +90,7 @@
         )
         await stopping.wait()
         await self._drain()
+        node.announcements.is_closed = True
         for task in tasks:
             task.cancel()
         await self._stop()
--- a/tests/coordination/sidecar/test_announcements.py
+++ b/tests/coordination/sidecar/test_announcements.py
@@ -206,3 +206,64 @@
         assert node.phase is ServerPhase.READY and node.probes == 1
 
     run_scenario(scenario)
+
+
+def test_a_leave_that_is_not_applied_is_not_acknowledged():
+    """Guards against an acknowledged leave of a server that the node goes on using.
+
+    The clock of the machine was set back between two starts of a server under the same name, so the
+    announcements of the second start look older than those of the first.
+    """
+
+    async def scenario(node):
+        node.record_store_read()
+        assert await node.service.apply_announcement(READY)
+        second = dataclasses.replace(READY, born=READY.born - 1, phase=ServerPhase.LEAVING)
+        assert not await node.service.apply_announcement(second)
+        assert not await node.service.apply_leave_notice(dataclasses.replace(LEAVE, born=6))
+        assert node.phase is ServerPhase.READY
+
+    run_scenario(scenario)
+
+
+def test_a_leave_of_a_server_that_was_replaced_is_acknowledged():
+    """Guards against a server that waits for an acknowledgement although nobody uses it."""
+
+    async def scenario(node):
+        node.record_store_read()
+        await node.service.apply_announcement(dataclasses.replace(READY, server='s2', born=9))
+        assert await node.service.apply_leave_notice(LEAVE)
+        assert node.phase is ServerPhase.READY
+
+    run_scenario(scenario)
+
+
+def test_a_leave_during_a_stop_is_written_and_acknowledged():
+    """Guards against a leave that the next process does not know.
+
+    A stopping node has already published that it takes no more work.
+    """
+
+    async def scenario(node):
+        node.record_store_read()
+        await node.service.apply_announcement(READY)
+        node.service.is_stopping = True
+        node.publisher.publish_stopping()
+        await asyncio.sleep(0.1)
+        assert await node.service.apply_leave_notice(LEAVE)
+        assert node.published_phase is ServerPhase.LEAVING
+
+    run_scenario(scenario)
+
+
+def test_a_leave_that_cannot_be_written_binds_only_a_process_that_goes_on():
+    """Guards against the acknowledgement of a leave by a process that ends before it is written."""
+
+    async def scenario(node):
+        node.record_store_read()
+        await node.service.apply_announcement(READY)
+        node.is_store_away = True
+        node.service.is_closed = True
+        assert not await node.service.apply_leave_notice(LEAVE)
+
+    run_scenario(scenario)
--- a/tests/fleet/test_sidecar_restart.py
+++ b/tests/fleet/test_sidecar_restart.py
@@ -6,6 +6,8 @@
 from tornado.httpclient import HTTPError
 
 from tests.sidecar_fleet import KEY, make_configuration, running_fleet
+from turmericwharf.protocol import decode_node_entry
+from turmericwharf.state.sidecar import ServerPhase
 
 NOT_CONNECTED = 599
 NODES_TOPIC = 'keyed.nodes'
@@ -75,6 +77,31 @@
         assert sum(node.server.runs_by_request.values()) == runs_before
 
 
+async def test_a_leave_during_the_stop_of_a_node_is_known_to_the_next_process():
+    """Guards against a leave that a stopping node acknowledges, but writes nowhere.
+
+    The next process took a late heartbeat for that of a ready server.
+    """
+    async with running_fleet() as fleet:
+        node = fleet.nodes[0]
+        node.server.stop_heartbeats()
+        late_heartbeat = node.server.make_heartbeat()
+        node.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.5)
+        assert await node.server.deregister() == 200
+        _, encoded = fleet.store.newest_by_topic[NODES_TOPIC][node.name]
+        assert decode_node_entry(encoded).phase is ServerPhase.LEAVING
+        await node.process.wait()
+        await node.start()
+        await fleet.wait_until_converged()
+        await node.server.send_heartbeat(late_heartbeat)
+        runs_before = sum(node.server.runs_by_request.values())
+        for _ in range(4):
+            assert set(await read_at_all_nodes(fleet, 3)) == {200}
+            await asyncio.sleep(0.5)
+        assert sum(node.server.runs_by_request.values()) == runs_before
+
+
 async def restart_all_without_their_entries(fleet) -> None:
     """Kill and start all nodes while the store does not answer for the entries of the nodes."""
     fleet.store.away_topics.add(NODES_TOPIC)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -38,6 +38,17 @@
 SMALL_BURST = 20
 SMALL_KEY = 'key-of-the-small-one'
 WINDOW_SECONDS = 5.0
+# Time after the acknowledgement of a leave from which no request may reach the server.
+DRAIN_SECONDS = 2.0
+# Time for which a server that left continues to serve.
+SERVING_SECONDS = (3.0, 7.0)
+# Delay of an announcement that was sent before the server began to leave.
+LATE_ANNOUNCEMENT_SECONDS = (0.1, 3.5)
+# Share of the leaving servers whose node is restarted, and the time between the signal to the node
+# and the announcement of the leave.
+RESTART_SHARE = 0.5
+STOP_LEAD_SECONDS = (0.0, 2.0)
+OK = 200
 # Overrun of rate and burst that the bounds in the settings allow in a window: a fraction of the
 # limit, plus a number of requests.
 OVERAGE_FRACTION = 0.1
@@ -57,6 +68,15 @@
     answered_request: str | None
 
 
+@dataclasses.dataclass(frozen=True)
+class LeaveRecord:
+    """A server that left, when that was acknowledged, and when its process ended."""
+
+    server: str
+    acknowledged_at: float
+    ended_at: float
+
+
 @dataclasses.dataclass
 class Soak:
     """Run of one seed: the fleet, its faults and the records of the clients."""
@@ -64,6 +84,8 @@
     fleet: SidecarFleet
     random: random.Random
     records: list[RequestRecord] = dataclasses.field(default_factory=list)
+    leaves: list[LeaveRecord] = dataclasses.field(default_factory=list)
+    leaving_servers: set[str] = dataclasses.field(default_factory=set)
     timeline: list[str] = dataclasses.field(default_factory=list)
     version: int = 1
     withdrawn_at: float | None = None
@@ -97,6 +119,7 @@
         return [
             *self.find_violations(injection_ends_at + SETTLE_SECONDS / 2),
             *self.find_runs_after_withdrawal(ended_at),
+            *self.find_runs_after_leave(),
         ]
 
     def configure(self) -> None:
@@ -133,6 +156,13 @@
             )
         )
 
+    async def announce(self, call) -> int | None:
+        """Return the status of an announcement, or None if the node is not running."""
+        try:
+            return await call
+        except (OSError, HTTPError):
+            return None
+
     def find_violations(self, healed_at: float):
         """Yield a message for each guarantee that the records of clients and servers violate."""
         for record in self.records:
@@ -166,6 +196,22 @@
             ):
                 yield f'{record.request} ran for a withdrawn key'
 
+    def find_runs_after_leave(self):
+        """Yield a message for each server that got requests after its leave was acknowledged."""
+        servers_by_name = {node.server.name: node.server for node in self.fleet.nodes}
+        for leave in self.leaves:
+            from_seconds = leave.acknowledged_at + DRAIN_SECONDS
+            runs = [
+                at - leave.acknowledged_at
+                for at in servers_by_name[leave.server].runs_at
+                if from_seconds < at < leave.ended_at
+            ]
+            if runs:
+                yield (
+                    f'{leave.server} got {len(runs)} requests after its leave was acknowledged, '
+                    f'the first {runs[0]:.2f} s after it'
+                )
+
     def find_rate_violations(self):
         """Yield a message if the small organisation exceeded its rate in any window."""
         allowed = (SMALL_RATE * WINDOW_SECONDS + SMALL_BURST) * (
@@ -196,8 +242,8 @@
     await _restart(soak, signal.SIGTERM)
 
 
-async def _restart(soak: Soak, stop_signal: signal.Signals) -> None:
-    node = soak.random.choice(soak.fleet.nodes)
+async def _restart(soak: Soak, stop_signal: signal.Signals, node=None) -> None:
+    node = node or soak.random.choice(soak.fleet.nodes)
     if node.process.returncode is not None:
         return
     soak.log_event(f'{node.name} receives {stop_signal.name}')
@@ -279,12 +325,49 @@
     soak.log_event(f'configuration version {soak.version} is written')
 
 
+async def leave_server(soak: Soak) -> None:
+    """Let a server leave, with a late announcement, and start again when its process has ended."""
+    node = soak.random.choice(soak.fleet.nodes)
+    server = node.server
+    if server.name in soak.leaving_servers:
+        return
+    soak.leaving_servers.add(server.name)
+    late_announcement = server.make_heartbeat()
+    # A node may be restarted together with its server, or after it.
+    restart = None
+    if soak.random.random() < RESTART_SHARE:
+        stop_signal = soak.random.choice((signal.SIGTERM, signal.SIGKILL))
+        restart = asyncio.create_task(_restart(soak, stop_signal, node))
+        await asyncio.sleep(soak.random.uniform(*STOP_LEAD_SECONDS))
+    announces_drain = soak.random.random() < 0.5
+    if announces_drain:
+        status = await soak.announce(server.announce_state('draining'))
+    else:
+        server.stop_heartbeats()
+        status = await soak.announce(server.deregister())
+    acknowledged_at = time.monotonic()
+    soak.log_event(f'{server.name} leaves, draining: {announces_drain}, answered {status}')
+    if restart is not None:
+        await restart
+    await asyncio.sleep(soak.random.uniform(*LATE_ANNOUNCEMENT_SECONDS))
+    late_status = await soak.announce(server.send_heartbeat(late_announcement))
+    soak.log_event(f'{server.name}: late announcement, answered {late_status}')
+    await asyncio.sleep(soak.random.uniform(*SERVING_SECONDS))
+    if status == OK:
+        soak.leaves.append(LeaveRecord(server.name, acknowledged_at, time.monotonic()))
+    server.restart()
+    soak.leaving_servers.discard(server.name)
+    soak.log_event(f'{server.name} starts again')
+
+
 FAULTS = (
     kill,
     terminate,
     pause,
     fail_server,
     fail_server,
+    leave_server,
+    leave_server,
     fail_store,
     disturb_store_link,
     truncate_store,
--- a/tests/stand_ins/platform_server.py
+++ b/tests/stand_ins/platform_server.py
@@ -3,13 +3,13 @@
 import asyncio
 import collections
 import contextlib
+import time
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 HEARTBEAT_SECONDS = 0.3
-BORN = 1000
 
 
 class PlatformServer:
@@ -28,6 +28,9 @@
         self.work_seconds = 0.01
         self.state = 'ready'
         self.sequence = 0
+        # Start time in Unix milliseconds; tells two starts with the same name apart.
+        self.born = 1000
+        self.runs_at: list[float] = []
         self.runs_by_request: collections.Counter[str] = collections.Counter()
         self.headers_by_request: dict[str, dict] = {}
         self.requests_without_id = 0
@@ -65,11 +68,19 @@
     def stop_heartbeats(self) -> None:
         self._heartbeat_task.cancel()
 
+    def restart(self) -> None:
+        """Announce the server as if its process had ended and started again."""
+        self.stop_heartbeats()
+        self.born += 1000
+        self.sequence = 0
+        self.state = 'ready'
+        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
+
     def make_heartbeat(self) -> str:
         """Return the body of the next heartbeat, which a test may send later."""
         self.sequence += 1
         return (
-            f'{{"address":"{self.host}:{self.ports.server}","born":{BORN},'
+            f'{{"address":"{self.host}:{self.ports.server}","born":{self.born},'
             f'"info":{{"service":"{self.service}","version":"v1","zone":"a","slots":3}},'
             f'"status":{{"state":"{self.state}","sequence":{self.sequence},"coldRemainingS":0}}}}'
         )
@@ -77,7 +88,7 @@
     async def deregister(self) -> int:
         """Announce that the server leaves and return the status code of the acknowledgement."""
         self.state = 'leaving'
-        return await self._call('Deregister', f'{{"born":{BORN}}}')
+        return await self._call('Deregister', f'{{"born":{self.born}}}')
 
     async def send_heartbeat(self, body: str) -> int:
         """Send a heartbeat and return the status code of the acknowledgement."""
@@ -135,6 +146,7 @@
             self.set_header('Turmericwharf-Not-Executed', '1')
             return
         server.runs_by_request[attempt_id] += 1
+        server.runs_at.append(time.monotonic())
         server.headers_by_request[attempt_id] = dict(headers)
         await asyncio.sleep(3600 if server.behaviour == 'hang' else server.work_seconds)
         if server.behaviour == 'reset':
