Refuse entries and JSON of other writers that are nested or out of range

What operators of a similar system saw: one odd entry among those of the servers ended the machines that read it, or they stopped following the list.

Here: JSON nested deeper than 1,000 levels raised RecursionError, which no decoder expected. A configuration of that kind failed the task that follows the store until a newer version came, a heartbeat was answered as an internal error, and a settings file raised in the handler of SIGHUP. Entries with a port, a number or an address out of range were taken for nodes.

Change: one function decodes JSON of other programs (decode_json); a node entry is refused if it is not usable; announcements have bounds for slots, start and sequence.

--- a/packages/turmericwharf/src/turmericwharf/platform/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/announcements.py
@@ -1,23 +1,36 @@
 """Decodes the announcements of backend servers."""
 
 from types import MappingProxyType
+from typing import Annotated
 
 import msgspec
 
+from turmericwharf.protocol import decode_json
 from turmericwharf.state import ServiceId
-from turmericwharf.state.sidecar import AnnouncedServer, ServerId, ServerPhase
+from turmericwharf.state.sidecar import (
+    MAX_BORN,
+    MAX_SLOTS,
+    AnnouncedServer,
+    ServerId,
+    ServerPhase,
+)
 
 _PHASES = MappingProxyType({'ready': ServerPhase.READY, 'draining': ServerPhase.LEAVING})
 
 
+_Slots = Annotated[int, msgspec.Meta(gt=0, le=MAX_SLOTS)]
+_Born = Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN)]
+_Sequence = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _Description(msgspec.Struct, frozen=True):
     service: str
-    slots: int
+    slots: _Slots
 
 
 class _Status(msgspec.Struct, frozen=True):
     state: str
-    sequence: int
+    sequence: _Sequence
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
@@ -25,21 +38,21 @@
     status: _Status
     # Start of the server process in Unix milliseconds. A server that omits it counts as older
     # than any that sends it.
-    born: int = 0
+    born: _Born = 0
 
 
 class _Leave(msgspec.Struct, frozen=True):
-    born: int = 0
+    born: _Born = 0
 
 
 def read_heartbeat(server: str, body: bytes) -> AnnouncedServer | None:
     """Return the announcement, or None if it is malformed or describes no usable server."""
     try:
-        heartbeat = msgspec.json.decode(body, type=_Heartbeat)
+        heartbeat = decode_json(body, _Heartbeat)
     except msgspec.DecodeError:
         return None
     phase = _PHASES.get(heartbeat.status.state)
-    if phase is None or not server or heartbeat.description.slots <= 0:
+    if phase is None or not server:
         return None
     return AnnouncedServer(
         server=ServerId(server),
@@ -54,7 +67,7 @@
 def read_leave(server: str, body: bytes) -> AnnouncedServer | None:
     """Return the announcement of a server that leaves, or None if it is malformed."""
     try:
-        leave = msgspec.json.decode(body, type=_Leave) if body else _Leave()
+        leave = decode_json(body, _Leave) if body else _Leave()
     except msgspec.DecodeError:
         return None
     return AnnouncedServer(
--- a/packages/turmericwharf/src/turmericwharf/platform/configuration.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 from loguru import logger
 
-from turmericwharf.protocol import digest_key
+from turmericwharf.protocol import decode_json, digest_key
 from turmericwharf.state import OrganisationId, RouteId, ServiceId
 from turmericwharf.state.sidecar import (
     ClientLimits,
@@ -73,7 +73,7 @@
 def decode_configuration(encoded: bytes) -> FleetConfiguration | None:
     """Return the configuration, or None if it is malformed."""
     try:
-        decoded = msgspec.json.decode(encoded, type=_Configuration)
+        decoded = decode_json(encoded, _Configuration)
         return _translate(decoded)
     except (msgspec.DecodeError, ValueError) as error:
         logger.bind(error=str(error)).warning('configuration_malformed')
--- a/packages/turmericwharf/src/turmericwharf/platform/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from turmericwharf.protocol import decode_json
 from turmericwharf.state import DataCentreId, InstanceId, Reason, ServiceId, SettingsFailure
 from turmericwharf.state.sidecar import (
     Address,
@@ -75,7 +76,7 @@
 def decode_platform_settings(encoded: bytes) -> SidecarSettings | SettingsFailure:
     """Decode settings; a failure names the invalid field or value and what is expected."""
     try:
-        decoded = msgspec.json.decode(encoded, type=_SettingsFile)
+        decoded = decode_json(encoded, _SettingsFile)
     except msgspec.DecodeError as error:
         return SettingsFailure(Reason.SETTINGS_INVALID, str(error))
     try:
--- a/packages/turmericwharf/src/turmericwharf/platform/store.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/store.py
@@ -10,7 +10,7 @@
 from loguru import logger
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
-from turmericwharf.protocol import encode_node_entry
+from turmericwharf.protocol import decode_json, encode_node_entry
 from turmericwharf.state import LogFailure, Reason
 from turmericwharf.state.sidecar import (
     HISTORY_GONE,
@@ -165,7 +165,7 @@
 
 def _decode_newest(response: HTTPResponse) -> _NewestPage | LogFailure:
     try:
-        return msgspec.json.decode(response.body, type=_NewestPage)
+        return decode_json(response.body, _NewestPage)
     except msgspec.DecodeError as error:
         return LogFailure(Reason.FRAME_MALFORMED, f'newest records malformed: {error}')
 
--- a/packages/turmericwharf/src/turmericwharf/protocol/__init__.pyi
+++ b/packages/turmericwharf/src/turmericwharf/protocol/__init__.pyi
@@ -47,6 +47,7 @@
     to_http,
     to_json_response,
 )
+from .json_decoding import decode_json
 from .log_records import (
     decode_log_page,
     decode_record,
@@ -96,6 +97,7 @@
     'check_proof',
     'decode_change',
     'decode_frame',
+    'decode_json',
     'decode_log_page',
     'decode_plain_change',
     'decode_record',
--- a/packages/turmericwharf/src/turmericwharf/protocol/log_records.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/log_records.py
@@ -7,6 +7,7 @@
 
 from turmericwharf import state
 from turmericwharf.protocol.conversion_errors import explain_conversion_error
+from turmericwharf.protocol.json_decoding import decode_json
 from turmericwharf.protocol.unknown_fields import find_unknown_fields
 
 _TYPES_BY_NAME: MappingProxyType[str, type[state.LogRecord]] = MappingProxyType(
@@ -71,7 +72,7 @@
 def decode_log_page(encoded: bytes) -> state.LogPage | state.ProtocolFailure:
     """Decode the log's response to a read, skipping records that cannot be decoded."""
     try:
-        page = msgspec.json.decode(encoded, type=_PlainPage)
+        page = decode_json(encoded, _PlainPage)
     except msgspec.DecodeError as error:
         return state.ProtocolFailure(
             state.Reason.FRAME_MALFORMED, f'invalid page of records: {error}'
--- a/packages/turmericwharf/src/turmericwharf/protocol/node_entries.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/node_entries.py
@@ -6,6 +6,9 @@
 
 from turmericwharf.state.sidecar import NodeEntry
 
+_DECODING_ERRORS = (cbor2.CBORDecodeError, ValueError, TypeError, RecursionError)
+_MAX_LOGGED_CHARACTERS = 500
+
 
 def encode_node_entry(entry: NodeEntry) -> bytes:
     """Return a node entry as CBOR."""
@@ -13,9 +16,13 @@
 
 
 def decode_node_entry(encoded: bytes) -> NodeEntry | None:
-    """Return the decoded node entry, or None if it is malformed."""
+    """Return the decoded node entry, or None if it is malformed or has values out of range."""
     try:
-        return msgspec.convert(cbor2.loads(encoded), type=NodeEntry)
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+        entry = msgspec.convert(cbor2.loads(encoded), type=NodeEntry)
+    except _DECODING_ERRORS as error:
         logger.bind(error=str(error)).warning('node_entry_unreadable')
         return None
+    if not entry.is_usable:
+        logger.bind(entry=repr(entry)[:_MAX_LOGGED_CHARACTERS]).warning('node_entry_out_of_range')
+        return None
+    return entry
--- a/packages/turmericwharf/src/turmericwharf/protocol/operator_api.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/operator_api.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from turmericwharf.protocol.http_status import HttpResponse, to_json_response
+from turmericwharf.protocol.json_decoding import decode_json
 from turmericwharf.protocol.log_records import decode_record
 from turmericwharf.state import (
     Failure,
@@ -66,7 +67,7 @@
 def decode_change(encoded: bytes, operator: str) -> Publish | PublishFailure:
     """Decode an operator's change; the authenticated `operator` replaces any name in it."""
     try:
-        plain = msgspec.json.decode(encoded)
+        plain = decode_json(encoded)
     except msgspec.DecodeError as error:
         return PublishFailure(Reason.CHANGE_MALFORMED, f'invalid JSON: {error}')
     return decode_plain_change(plain, operator)
--- a/packages/turmericwharf/src/turmericwharf/protocol/settings_file.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/settings_file.py
@@ -12,6 +12,7 @@
 
 from turmericwharf.coordination import hold_seconds_of
 from turmericwharf.protocol.conversion_errors import explain_conversion_error, redact_secret
+from turmericwharf.protocol.json_decoding import decode_json
 from turmericwharf.protocol.unknown_fields import find_unknown_fields
 from turmericwharf.state import NodeSettings, Reason, SettingsFailure
 
@@ -78,7 +79,7 @@
 def decode_settings(encoded: bytes) -> NodeSettings | SettingsFailure:
     """Decode and validate settings; a failure names the field, its value and the valid values."""
     try:
-        plain = msgspec.json.decode(encoded)
+        plain = decode_json(encoded)
     except msgspec.DecodeError as error:
         return SettingsFailure(Reason.SETTINGS_INVALID, f'invalid JSON: {error}')
     unknown = next(find_unknown_fields(_redact_secrets(plain), NodeSettings), None)
--- a/packages/turmericwharf/src/turmericwharf/protocol/snapshots.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/snapshots.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from turmericwharf.coordination import object_name
+from turmericwharf.protocol.json_decoding import decode_json
 from turmericwharf.state import (
     Configuration,
     ConfigurationObject,
@@ -37,9 +38,9 @@
 def decode_state(encoded: bytes) -> ControlState | ProtocolFailure:
     """Return the control state, or a failure that describes why its encoding is invalid."""
     try:
-        plain = msgspec.json.decode(
+        plain = decode_json(
             zlib.decompressobj().decompress(encoded, _MAX_STATE_BYTES),
-            type=_PlainState,
+            _PlainState,
         )
     except (zlib.error, msgspec.DecodeError) as error:
         return ProtocolFailure(Reason.FRAME_MALFORMED, f'control state: {error}')
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -18,6 +18,8 @@
 )
 from turmericwharf.state.sidecar.nodes import (
     NO_SERVER,
+    MAX_BORN,
+    MAX_SLOTS,
     NOT_STORED,
     AnnouncedServer,
     NodeEntry,
@@ -58,6 +60,8 @@
 __all__ = (
     'HISTORY_GONE',
     'NO_FLEET_VERSION',
+    'MAX_BORN',
+    'MAX_SLOTS',
     'NOT_STORED',
     'NO_SERVER',
     'Address',
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import enum
+import ipaddress
+import math
 from typing import NewType
 
 from turmericwharf.state.identifiers import DataCentreId, InstanceId, ServiceId
@@ -12,6 +14,10 @@
 NO_SERVER = ServerId('')
 # Position of an entry that was not read from the store.
 NOT_STORED = -1
+MAX_SLOTS = 65_536
+# End of the year 9999, in Unix milliseconds.
+MAX_BORN = 253_402_300_799_999
+_MAX_PORT = 65_535
 
 
 class ServerPhase(enum.Enum):
@@ -76,6 +82,23 @@
     revision: int = 0
     link_megabits: float = 0
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether all numbers are in range and the address can be used.
+
+        An entry in the store may come from another writer.
+        """
+        return all(
+            (
+                0 < self.peer_port <= _MAX_PORT,
+                0 <= self.slots <= MAX_SLOTS,
+                0 <= self.born <= MAX_BORN,
+                self.revision >= 0,
+                0 <= self.link_megabits < math.inf,
+                _is_ip_address(self.host),
+            )
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredEntry:
@@ -89,3 +112,11 @@
 
     entry: NodeEntry
     position: int
+
+
+def _is_ip_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
--- a/packages/turmericwharf/src/turmericwharf/transport/announce_server.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/announce_server.py
@@ -7,7 +7,7 @@
 from tornado.httpserver import HTTPServer
 
 from turmericwharf.coordination import Node
-from turmericwharf.protocol import HttpResponse, read_caller_request, to_http
+from turmericwharf.protocol import HttpResponse, decode_json, read_caller_request, to_http
 from turmericwharf.state import NotRun, Reason, ServerState, ServiceId
 from turmericwharf.transport.backend_client import HttpBackendClient
 from turmericwharf.transport.http_exchange import HttpExchange
@@ -64,7 +64,7 @@
 
     def _record_announcement(self, exchange: HttpExchange) -> HttpResponse:
         try:
-            announcement = msgspec.json.decode(exchange.body, type=Announcement)
+            announcement = decode_json(exchange.body, Announcement)
         except msgspec.DecodeError as error:
             return HttpResponse(_BAD_REQUEST, (), str(error).encode())
         self._last_announced_at = self._node.clock.now()
--- a/packages/turmericwharf/src/turmericwharf/transport/log_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/log_client.py
@@ -5,7 +5,7 @@
 import msgspec
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
-from turmericwharf.protocol import decode_log_page, encode_record
+from turmericwharf.protocol import decode_json, decode_log_page, encode_record
 from turmericwharf.state import (
     LogFailure,
     LogPage,
@@ -96,6 +96,6 @@
 
 def _decode_offset(body: bytes) -> int | LogFailure:
     try:
-        return msgspec.json.decode(body, type=_AppendResponse).first_offset
+        return decode_json(body, _AppendResponse).first_offset
     except msgspec.DecodeError as error:
         return LogFailure(Reason.LOG_UNAVAILABLE, f'malformed response to an append: {error}')
--- a/tests/fleet/test_sidecar.py
+++ b/tests/fleet/test_sidecar.py
@@ -5,6 +5,8 @@
 import signal
 import time
 
+import cbor2
+
 from tests.sidecar_fleet import KEY, LOOPBACK, make_configuration, running_fleet
 from turmericwharf.state.sidecar import ServerPhase
 
@@ -291,3 +293,44 @@
             for node in fleet.nodes:
                 while node.events('configuration_applied')[-1]['version'] < 5:
                     await asyncio.sleep(0.05)
+
+
+def make_odd_entries(encoded: bytes) -> dict[str, bytes]:
+    """Return entries that another writer may have left, by key, made from a sound one."""
+    entry = cbor2.loads(encoded)
+    odd_fields = (
+        {'peer_port': 99_999},
+        {'peer_port': -1},
+        {'slots': 10**40},
+        {'link_megabits': float('inf')},
+        {'host': 'not an address'},
+    )
+    entries = {
+        f'odd-{number}': cbor2.dumps({**entry, 'instance': f'odd-{number}', **fields})
+        for number, fields in enumerate(odd_fields)
+    }
+    nested = {f'nested-{opening.hex()}': opening * 100_000 for opening in (b'\x81', b'\xc6')}
+    return {**entries, **nested, 'text': b'{"state":"ready"}'}
+
+
+async def test_odd_entries_of_another_writer_stop_nothing():
+    """Guards against a node that ends, or stops following the store, because of one entry.
+
+    The entries are nested deeply, or have numbers or ports out of range.
+    """
+    async with running_fleet(2) as fleet:
+        _, encoded = fleet.store.newest_by_topic['keyed.nodes']['node-0']
+        for key, odd in make_odd_entries(encoded).items():
+            fleet.store.put('keyed.nodes', key, odd)
+        fleet.store.put('keyed.op', 'config', b'{"x":' + b'[' * 100_000)
+        await asyncio.sleep(1.0)
+        for _ in range(10):
+            statuses = [(await node.send_request('/read/1')).code for node in fleet.nodes]
+            assert statuses == [200, 200]
+        fleet.store.configure(make_configuration(2, tenants={'cafe': {'apiKeys': ['other']}}))
+        assert await fleet.nodes[0].server.announce_state('draining') == 200
+        await asyncio.sleep(CONFIGURATION_SECONDS)
+        for node in fleet.nodes:
+            assert (await node.send_request('/read/1')).code == 401
+            assert (await node.send_request('/read/1', key='other')).code == 200
+            assert not node.events('task_failed')
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -1,10 +1,14 @@
 import json
+import math
 
+import cbor2
 import h11
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.coordination.sidecar.samples import make_entry
 from turmericwharf.platform import configuration, settings, store
 from turmericwharf.platform.announcements import read_heartbeat, read_leave
 from turmericwharf.platform.dialect import PlatformDialect
@@ -129,3 +133,62 @@
     headers = (('Host', 'a.example'), ('Turmericwharf-Deadline-Ms', text))
     request = HttpRequest('GET', '/x/', 'a.example', headers, b'', h11.Connection(h11.SERVER))
     assert PlatformDialect().read_request(request).remaining_seconds is None
+
+
+NESTED_JSON = b'[' * 100_000 + b']' * 100_000
+
+
+def test_deeply_nested_json_is_refused_like_other_malformed_input():
+    """Guards against a `RecursionError`, which ends the task that decodes the input.
+
+    The nested field may be one that is unknown and would be skipped.
+    """
+    nested = b'{"x":' + NESTED_JSON + b'}'
+    assert read_heartbeat('s1', nested) is None
+    assert read_leave('s1', nested) is None
+    assert configuration.decode_configuration(nested) is None
+    assert isinstance(settings.decode_platform_settings(nested), SettingsFailure)
+
+
+@pytest.mark.parametrize(
+    ('field', 'number'),
+    [('slots', 10**30), ('slots', 0), ('slots', -1)],
+)
+def test_heartbeat_with_slots_out_of_range_is_refused(field, number):
+    """Guards against a server that is used although its announcement makes no sense."""
+    information = {**HEARTBEAT['info'], field: number}
+    assert read_heartbeat('s1', json.dumps({**HEARTBEAT, 'info': information}).encode()) is None
+
+
+def test_heartbeat_with_a_start_in_the_far_future_is_refused():
+    """Guards against a foreign announcement after which all real ones look old."""
+    assert read_heartbeat('s1', json.dumps({**HEARTBEAT, 'born': 10**30}).encode()) is None
+
+
+@pytest.mark.parametrize(
+    ('field', 'value'),
+    [
+        ('peer_port', 65_536),
+        ('peer_port', -1),
+        ('peer_port', 0),
+        ('slots', 10**40),
+        ('born', 10**40),
+        ('link_megabits', math.inf),
+        ('link_megabits', math.nan),
+        ('host', 'not an address'),
+    ],
+)
+def test_node_entry_out_of_range_is_refused(field, value):
+    """Guards against an entry of another writer that ends the tasks that use it.
+
+    A port out of range raises an error that is no `OSError` when the node is connected to.
+    """
+    entry = msgspec.to_builtins(make_entry())
+    assert decode_node_entry(cbor2.dumps(entry)) == make_entry()
+    assert decode_node_entry(cbor2.dumps({**entry, field: value})) is None
+
+
+@pytest.mark.parametrize('opening', [b'\x81', b'\xa1\x00', b'\xc6'])
+def test_deeply_nested_node_entry_is_refused(opening):
+    """Guards against an entry of another writer that ends the task that reads all entries."""
+    assert decode_node_entry(opening * 100_000 + b'\x00') is None
