--- a/tests/fleet/test_sidecar.py
+++ b/tests/fleet/test_sidecar.py
@@ -124,6 +124,24 @@
         assert (await followers[0].send_request('/read/1', key='other')).code == 200
 
 
+async def test_a_withdrawn_key_stops_in_time_although_both_readers_stand_still():
+    """Guards against a node that waits for two silent nodes before it reads the store itself."""
+    async with running_fleet() as fleet:
+        await asyncio.sleep(1.5)
+        followers = [node for node in fleet.nodes if node.events('directory_source_changed')]
+        assert len(followers) == 1
+        readers = [node for node in fleet.nodes if node not in followers]
+        for reader in readers:
+            reader.process.send_signal(signal.SIGSTOP)
+        try:
+            fleet.store.configure(make_configuration(2, tenants={'cafe': {'apiKeys': ['other']}}))
+            await asyncio.sleep(CONFIGURATION_SECONDS)
+            assert (await followers[0].send_request('/read/1')).code == 401
+        finally:
+            for reader in readers:
+                reader.process.send_signal(signal.SIGCONT)
+
+
 async def test_leaving_server_gets_no_work_after_its_acknowledgement():
     """Guards against requests to a leaving server, which it cannot finish.
 
