--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_knowledge.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_knowledge.py
@@ -4,6 +4,9 @@
 
 from loguru import logger
 
+from turmericwharf.coordination.state_dump import describe
+from turmericwharf.state.sidecar import StartupKnowledgeDump
+
 
 class StartupKnowledge:
     """Whether this process knows the other nodes and what its predecessor published.
@@ -43,3 +46,10 @@
         if not self.knows_fleet:
             self._known.set()
             logger.bind(source=source).info('fleet_known')
+
+
+@describe.register
+def _(part: StartupKnowledge) -> StartupKnowledgeDump:
+    return StartupKnowledgeDump(
+        knows_fleet=part.knows_fleet, knows_predecessor=part.knows_predecessor
+    )
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -7,6 +7,7 @@
     ServerGateDump,
     ConfigurationHolderDump,
     ServerRecordDump,
+    StartupKnowledgeDump,
 )
 from turmericwharf.state.sidecar.fleet_configuration import (
     NO_FLEET_VERSION,
@@ -99,6 +100,7 @@
     'SidecarBounds',
     'SidecarListen',
     'SidecarSettings',
+    'StartupKnowledgeDump',
     'StoreSettings',
     'StoreTopic',
     'StoredEntry',
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
@@ -54,3 +54,11 @@
     """Whether the node currently reads a topic of the store."""
 
     is_connected: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartupKnowledgeDump:
+    """What the process has learned since it started."""
+
+    knows_fleet: bool
+    knows_predecessor: bool
--- a/tests/fleet/test_sidecar.py
+++ b/tests/fleet/test_sidecar.py
@@ -55,6 +55,7 @@
         assert 'turmericwharf_gate_running 0' in text
         state = json.loads((await fleet.fetch(f'{base}/state')).body)
         assert state['holder']['version'] == 1
+        assert state['knowledge'] == {'knows_fleet': True, 'knows_predecessor': True}
         assert len(state['directory']['nodes']) == 2
 
 
