--- a/tests/fleet/test_sidecar.py
+++ b/tests/fleet/test_sidecar.py
@@ -104,6 +104,14 @@
         assert (await fleet.nodes[0].send_request('/read/1', key='other')).code == 200
 
 
+async def find_readers(fleet):
+    """Return the node that does not read the store, and the two that do."""
+    await asyncio.sleep(1.5)
+    followers = [node for node in fleet.nodes if node.events('directory_source_changed')]
+    assert len(followers) == 1
+    return followers[0], [node for node in fleet.nodes if node not in followers]
+
+
 async def test_a_withdrawn_key_stops_in_time_although_both_readers_are_cut_off_from_the_store():
     """Guards against a node that serves a withdrawn key because it depends on two other nodes.
 
@@ -111,33 +119,27 @@
     node itself can reach the store all the time.
     """
     async with running_fleet() as fleet:
-        await asyncio.sleep(1.5)
-        followers = [node for node in fleet.nodes if node.events('directory_source_changed')]
-        assert len(followers) == 1
-        readers = [node for node in fleet.nodes if node not in followers]
+        follower, readers = await find_readers(fleet)
         for reader in readers:
             name = reader.store_relay.name
             fleet.network.cut(name, LOOPBACK)
             fleet.network.cut(LOOPBACK, name)
         fleet.store.configure(make_configuration(2, tenants={'cafe': {'apiKeys': ['other']}}))
         await asyncio.sleep(CONFIGURATION_SECONDS)
-        assert (await followers[0].send_request('/read/1')).code == 401
-        assert (await followers[0].send_request('/read/1', key='other')).code == 200
+        assert (await follower.send_request('/read/1')).code == 401
+        assert (await follower.send_request('/read/1', key='other')).code == 200
 
 
 async def test_a_withdrawn_key_stops_in_time_although_both_readers_stand_still():
     """Guards against a node that waits for two silent nodes before it reads the store itself."""
     async with running_fleet() as fleet:
-        await asyncio.sleep(1.5)
-        followers = [node for node in fleet.nodes if node.events('directory_source_changed')]
-        assert len(followers) == 1
-        readers = [node for node in fleet.nodes if node not in followers]
+        follower, readers = await find_readers(fleet)
         for reader in readers:
             reader.process.send_signal(signal.SIGSTOP)
         try:
             fleet.store.configure(make_configuration(2, tenants={'cafe': {'apiKeys': ['other']}}))
             await asyncio.sleep(CONFIGURATION_SECONDS)
-            assert (await followers[0].send_request('/read/1')).code == 401
+            assert (await follower.send_request('/read/1')).code == 401
         finally:
             for reader in readers:
                 reader.process.send_signal(signal.SIGCONT)
--- a/tests/fleet/test_sidecar_restart.py
+++ b/tests/fleet/test_sidecar_restart.py
@@ -18,9 +18,20 @@
     await node.start()
 
 
-async def read_at_all_nodes(fleet, count: int) -> list[int]:
-    nodes = fleet.nodes * count
-    return [(await node.send_request('/read/1')).code for node in nodes]
+async def wait_until_restarted(node) -> None:
+    async with asyncio.timeout(10):
+        while not node.events('node_started')[1:]:
+            await asyncio.sleep(0.05)
+
+
+async def check_that_others_serve(fleet, server) -> None:
+    """Read at all nodes for 2 s, and check that one server gets none of the requests."""
+    runs_before = sum(server.runs_by_request.values())
+    for _ in range(4):
+        statuses = [(await node.send_request('/read/1')).code for node in fleet.nodes * 3]
+        assert set(statuses) == {200}
+        await asyncio.sleep(0.5)
+    assert sum(server.runs_by_request.values()) == runs_before
 
 
 async def test_a_late_heartbeat_does_not_revive_a_server_whose_leave_was_not_written():
@@ -36,18 +47,12 @@
         late_heartbeat = node.server.make_heartbeat()
         assert await node.server.deregister() == 200
         await restart(node)
-        async with asyncio.timeout(10):
-            while not node.events('node_started')[1:]:
-                await asyncio.sleep(0.05)
+        await wait_until_restarted(node)
         await asyncio.sleep(1.0)
         await node.server.send_heartbeat(late_heartbeat)
         fleet.store.fault = ''
         await fleet.wait_until_converged()
-        runs_before = sum(node.server.runs_by_request.values())
-        for _ in range(4):
-            assert set(await read_at_all_nodes(fleet, 3)) == {200}
-            await asyncio.sleep(0.5)
-        assert sum(node.server.runs_by_request.values()) == runs_before
+        await check_that_others_serve(fleet, node.server)
 
 
 async def test_a_late_heartbeat_is_not_published_before_the_entry_of_the_last_process_is_read():
@@ -63,18 +68,12 @@
         await node.stop(signal.SIGKILL)
         fleet.store.fault = 'unreadable'
         await node.start()
-        async with asyncio.timeout(10):
-            while not node.events('node_started')[1:]:
-                await asyncio.sleep(0.05)
+        await wait_until_restarted(node)
         await node.server.send_heartbeat(late_heartbeat)
         await asyncio.sleep(0.5)
         fleet.store.fault = ''
         await fleet.wait_until_converged()
-        runs_before = sum(node.server.runs_by_request.values())
-        for _ in range(4):
-            assert set(await read_at_all_nodes(fleet, 3)) == {200}
-            await asyncio.sleep(0.5)
-        assert sum(node.server.runs_by_request.values()) == runs_before
+        await check_that_others_serve(fleet, node.server)
 
 
 async def test_a_leave_during_the_stop_of_a_node_is_known_to_the_next_process():
@@ -95,11 +94,7 @@
         await node.start()
         await fleet.wait_until_converged()
         await node.server.send_heartbeat(late_heartbeat)
-        runs_before = sum(node.server.runs_by_request.values())
-        for _ in range(4):
-            assert set(await read_at_all_nodes(fleet, 3)) == {200}
-            await asyncio.sleep(0.5)
-        assert sum(node.server.runs_by_request.values()) == runs_before
+        await check_that_others_serve(fleet, node.server)
 
 
 async def restart_all_without_their_entries(fleet) -> None:
--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -8,7 +8,8 @@
 from tests.soak import WITHDRAWN_KEY, RequestRecord, Soak, play
 
 # Add every seed that fails, with a line that gives its cause.
-SEEDS = (2,)
+# 204: a server left while its node stopped, and the next process used it.
+SEEDS = (2, 204)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
