--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_confirmation.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_confirmation.py
@@ -69,7 +69,10 @@
         return (server.server, server.born) in self._left_servers
 
     def hold(self, server: AnnouncedServer) -> None:
-        """Hold an announcement back unless it is older than the one that is held."""
+        """Hold an announcement back unless it is older than the one that is held.
+
+        A server that has announced itself for long enough counts as confirmed.
+        """
         held = self.held
         if held is not None and (server.born, server.sequence) <= (held.born, held.sequence):
             return
