--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from tests.soak import WITHDRAWN_KEY, RequestRecord, Soak, play
+from tests.soak import WITHDRAWN_KEY, Soak, play
+from tests.soak_records import RequestRecord
 
 # Add every seed that fails, with a line that gives its cause.
 # 204: a server left while its node stopped, and the next process used it.
