Ask a server that has just announced itself at once whether it is leaving

Cause: the first probe asked for the server of the previous process, which was gone, and the next one waited for the pause after a failure, although another server had announced itself meanwhile.

Change: an announcement ends that pause.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
@@ -64,8 +64,10 @@
         while loop.time() < deadline:
             server = self._announcements.unconfirmed_server()
             if server is None or await self._try_once(server):
-                break
-            await asyncio.sleep(backoff_seconds)
+                return
+            if await self._confirmation.wait_for_change(backoff_seconds):
+                # Another server may have announced itself, which is tried at once.
+                return
             backoff_seconds = min(backoff_seconds * 2, _MAX_BACKOFF_SECONDS)
 
     async def _try_once(self, server: AnnouncedServer) -> bool:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_confirmation.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_confirmation.py
@@ -44,6 +44,15 @@
         """Wait until this process may know enough to use a server."""
         await self._knowledge.wait_until_known()
 
+    async def wait_for_change(self, timeout_seconds: float) -> bool:
+        """Wait until there may be another server to confirm; return False on a timeout."""
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await self.changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     @property
     def may_use_server(self) -> bool:
         """Whether a server that is announced as ready may be used at once."""
--- a/tests/coordination/sidecar/test_announcements.py
+++ b/tests/coordination/sidecar/test_announcements.py
@@ -82,7 +82,7 @@
 
 
 def previous_entry(**changes):
-    return make_entry(server='s1', process='first', born=7, **changes)
+    return make_entry(**{'server': 's1', 'process': 'first', 'born': 7, **changes})
 
 
 def test_the_first_process_uses_its_server_once_the_store_has_no_earlier_entry():
@@ -267,3 +267,22 @@
         assert not await node.service.apply_leave_notice(LEAVE)
 
     run_scenario(scenario)
+
+
+def test_a_server_that_started_with_its_node_is_used_at_once():
+    """Guards against servers that stay idle after all machines lost power and started again.
+
+    The health check of the server that the previous process served fails, and the next one waits.
+    """
+
+    async def scenario(node):
+        node.is_healthy = False
+        node.record_store_read(previous_entry(server='s0'))
+        await asyncio.sleep(0.05)
+        assert node.probes == 1
+        node.is_healthy = True
+        await node.service.apply_announcement(READY)
+        await asyncio.sleep(0.05)
+        assert node.phase is ServerPhase.READY
+
+    run_scenario(scenario)
