Let reads of the configuration wait as long as the bound allows

Change: a read waits for the bound less the 1.5 s that the replacement of a silent reader takes: 0.5 s at 2 s as before, 1.0 s at 2.5 s, 1.5 s at 3 s.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -41,6 +41,7 @@
 from turmericwharf.state.sidecar import (
     KeyedPage,
     NodeEntry,
+    SidecarBounds,
     SidecarSettings,
     StoreTopic,
 )
@@ -49,9 +50,10 @@
 _NODES_LONG_POLL_SECONDS = 5.0
 # A node that has just started stops reading within this time, if a reader answers it.
 _CONFIGURATION_BATCH_SECONDS = 0.2
-# Longest wait of a read, as a fraction of the time within which a version must be in force. Within
-# that time, a reader whose connection to the store went silent has to be replaced by another node.
-_CONFIGURATION_READ_FRACTION = 0.25
+# Time that a node needs, after a read should have been answered, to notice that the reader's
+# connection to the store went silent, and to read the store in its place.
+_READER_REPLACEMENT_SECONDS = 1.5
+_MIN_CONFIGURATION_WAIT_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,7 +139,7 @@
         StoreTopic.CONFIGURATION,
         lambda page: _apply_configurations(configuration, page),
         clock=clock,
-        wait_seconds=_CONFIGURATION_READ_FRACTION * settings.bounds.configuration_seconds,
+        wait_seconds=_configuration_wait_seconds(settings.bounds),
         batch_seconds=_CONFIGURATION_BATCH_SECONDS,
         reads_store=reads_store,
     )
@@ -212,6 +214,13 @@
     )
 
 
+def _configuration_wait_seconds(bounds: SidecarBounds) -> float:
+    """Return how long a read of the configuration may wait for a newer version."""
+    return max(
+        bounds.configuration_seconds - _READER_REPLACEMENT_SECONDS, _MIN_CONFIGURATION_WAIT_SECONDS
+    )
+
+
 def _apply_configurations(configuration: ActiveConfiguration, page: KeyedPage) -> None:
     for record in page.records_by_key.values():
         if record.encoded:
