Count every answer in the test of a planned stop, and allow no other end

Trace: with eight busy processes the same steps gave 192, 241 and 264 answers with 200, 235 to 319 with 503 and none cut; with less load 332 to 377. One server with three slots is left in the test, so the number follows from the speed of the machine and not from the stop. The check now counts the 503 too, still wants more than 300 answers, and refuses every other end but a connection that was not accepted; before, only a cut one failed it.

--- a/tests/fleet/test_sidecar_stop.py
+++ b/tests/fleet/test_sidecar_stop.py
@@ -44,8 +44,10 @@
             sending.append(asyncio.create_task(send_once(node, len(sending))))
             await asyncio.sleep(1 / CONNECTIONS_PER_SECOND)
         counts = collections.Counter(await asyncio.gather(*sending))
-        assert counts['200'] > CONNECTIONS_PER_SECOND
-        assert not counts['cut'], counts
+        # The one server that is left takes some of them; a refusal of the others is an answer too.
+        assert counts['200'] + counts['503'] > CONNECTIONS_PER_SECOND, counts
+        assert counts['200'] > CONNECTIONS_PER_SECOND / 3, counts
+        assert set(counts) <= {'200', '503', 'not connected'}, counts
 
 
 async def test_bookings_that_come_late_in_the_grace_time_are_not_passed_on():
