Keep the bound of the planned stop's test, and give it servers enough

Cause of the failure beside load: one server was left, whose three slots allow about as many answers as the bound wants. The fleet has four nodes now.

--- a/tests/fleet/test_sidecar_stop.py
+++ b/tests/fleet/test_sidecar_stop.py
@@ -34,7 +34,8 @@
 
     Connections may wait to be accepted, and requests to be read, when the node stops listening.
     """
-    async with running_fleet(2) as fleet:
+    # With one server left, the number of answers would follow from the speed of the machine.
+    async with running_fleet(4) as fleet:
         node = fleet.nodes[0]
         for other in fleet.nodes:
             other.server.work_seconds = 0.02
@@ -44,9 +45,8 @@
             sending.append(asyncio.create_task(send_once(node, len(sending))))
             await asyncio.sleep(1 / CONNECTIONS_PER_SECOND)
         counts = collections.Counter(await asyncio.gather(*sending))
-        # The one server that is left takes some of them; a refusal of the others is an answer too.
-        assert counts['200'] + counts['503'] > CONNECTIONS_PER_SECOND, counts
-        assert counts['200'] > CONNECTIONS_PER_SECOND / 3, counts
+        assert counts['200'] > CONNECTIONS_PER_SECOND
+        assert not counts['cut'], counts
         assert set(counts) <= {'200', '503', 'not connected'}, counts
 
 
