Name one start of a server in one place, and drop a getter that nothing read

The source that a node follows is recorded by a method; the property's getter was unused. No change of behaviour.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -80,7 +80,7 @@
     async def confirm(self, server: AnnouncedServer) -> None:
         """Put a server to use that has confirmed by its health check that it is not leaving."""
         waiting = self.unconfirmed_server()
-        if waiting is not None and (waiting.server, waiting.born) == (server.server, server.born):
+        if waiting is not None and waiting.start == server.start:
             await self._apply(waiting)
 
     def record_previous_entry(self, entry: NodeEntry) -> None:
@@ -131,7 +131,7 @@
             self._confirmation.drop(server.server, born=server.born)
         if not self._record.apply(server):
             return server.phase is ServerPhase.READY or not self._uses(server)
-        if (previous.server, previous.born) != (server.server, server.born):
+        if previous.start != server.start:
             self._executor.breaker.reset()
         self._executor.queue.resize(max(server.slots, 1))
         return await self._publish_and_confirm()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -124,7 +124,7 @@
                 return False
             polled.add(readers[0].instance)
             if await self._poll(readers[0], wait_seconds):
-                self._readers.source = readers[0]
+                self._readers.use_source(readers[0])
                 return True
 
     async def _poll_readers_again(self) -> bool:
@@ -186,7 +186,7 @@
             return
         logger.bind(own_reads=to_store).info('directory_source_changed')
         if to_store:
-            self._readers.source = None
+            self._readers.use_source(None)
             self._reads_store.set()
         else:
             self._reads_store.clear()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_confirmation.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_confirmation.py
@@ -34,7 +34,7 @@
         self._clock = clock
         self._is_confirmed = False
         self._held_since = 0.0
-        self._left_servers: set[tuple[ServerId, int]] = set()
+        self._left_starts: set[tuple[ServerId, int]] = set()
         self.previous_entry: NodeEntry | None = None
         self.held: AnnouncedServer | None = None
         # Set when there may be a server to confirm.
@@ -65,7 +65,7 @@
         """Record an entry of an earlier process on this machine; return whether it is the first."""
         is_first = self.previous_entry is None
         if entry.phase is ServerPhase.LEAVING:
-            self._left_servers.add((entry.server, entry.born))
+            self._left_starts.add((entry.server, entry.born))
             self.drop(entry.server, born=entry.born)
             self.previous_entry = entry
         elif is_first:
@@ -75,7 +75,7 @@
 
     def has_left(self, server: AnnouncedServer) -> bool:
         """Whether a server began to leave while an earlier process ran."""
-        return (server.server, server.born) in self._left_servers
+        return server.start in self._left_starts
 
     def hold(self, server: AnnouncedServer) -> None:
         """Hold an announcement back unless it is older than the one that is held.
@@ -85,7 +85,7 @@
         held = self.held
         if held is not None and (server.born, server.sequence) <= (held.born, held.sequence):
             return
-        if held is None or (held.server, held.born) != (server.server, server.born):
+        if held is None or held.start != server.start:
             self._held_since = self._clock.now()
             logger.bind(server=server.server, born=server.born).info('server_held_back')
         self.held = server
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
@@ -1,4 +1,4 @@
-"""Selects the nodes that read the store for their data centre."""
+"""Selects the nodes that read the store for their data centre, and keeps the one in use."""
 
 import asyncio
 
@@ -34,14 +34,11 @@
         self._source: NodeEntry | None = None
         self._has_source = asyncio.Event()
 
-    @property
-    def source(self) -> NodeEntry | None:
-        """Node that last reported that it is current; None while this node reads the store."""
-        return self._source
+    def use_source(self, entry: NodeEntry | None) -> None:
+        """Record the node that last reported that it is current, or None.
 
-    @source.setter
-    def source(self, entry: NodeEntry | None) -> None:
-        """Replace the source."""
+        There is none while this node reads the store itself.
+        """
         self._source = entry
         if entry is None:
             self._has_source.clear()
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
@@ -52,6 +52,11 @@
     born: int = 0
     sequence: int = 0
 
+    @property
+    def start(self) -> tuple[ServerId, int]:
+        """Identifier and start time, which together name one start of a server."""
+        return self.server, self.born
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeEntry:
--- a/tests/coordination/sidecar/test_configuration_sync.py
+++ b/tests/coordination/sidecar/test_configuration_sync.py
@@ -37,7 +37,7 @@
         configuration.apply_if_newer(b'1', source='store')
         readers = StoreReaders(directory, DataCentreRanking(directory))
         candidates = readers.upstream_candidates()
-        readers.source = candidates[0] if candidates else None
+        readers.use_source(candidates[0] if candidates else None)
         follower = SimpleNamespace(
             is_enabled=not candidates, is_connected=True, fresh_seconds=math.inf
         )
