--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
@@ -12,6 +12,7 @@
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import FleetLinks
+from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
@@ -53,6 +54,8 @@
         Reads configurations from the store while this node does so itself.
     freshness
         Whether this node may answer for the store.
+    era
+        Highest known era of the store.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         links: FleetLinks,
         follower: TopicFollower,
         freshness: StoreFreshness,
+        era: StoreEra,
     ) -> None:
         self._configuration = configuration
         self._directory = directory
@@ -71,6 +75,7 @@
         self._links = links
         self._follower = follower
         self._freshness = freshness
+        self._era = era
         self._fetches: set[asyncio.Task[bool]] = set()
 
     def record_version(self, instance: InstanceId, version: int) -> None:
@@ -78,7 +83,7 @@
         entry = self._directory.find(instance)
         if entry is None or version <= self._configuration.version or self._fetches:
             return
-        task = asyncio.create_task(self._fetch(entry))
+        task = asyncio.create_task(self.fetch(entry))
         self._fetches.add(task)
         task.add_done_callback(self._fetches.discard)
 
@@ -95,12 +100,30 @@
             min(request.wait_seconds, _LONG_POLL_SECONDS),
         )
         is_newer = self._configuration.version > request.above
-        return ConfigurationReply(self._configuration.encoded if is_newer else b'')
+        return ConfigurationReply(
+            self._configuration.encoded if is_newer else b'', self._era.current
+        )
+
+    async def fetch(self, peer: NodeEntry, wait_seconds: float = 0) -> bool:
+        """Fetch a newer configuration from a node; return whether one was applied."""
+        reply = await self._links.request(
+            peer,
+            ConfigurationRequest(self._configuration.version, wait_seconds),
+            timeout_seconds=wait_seconds + _REQUEST_TIMEOUT_SECONDS,
+        )
+        if not isinstance(reply, ConfigurationReply):
+            logger.bind(instance=peer.instance).debug('configuration_not_fetched')
+            return False
+        self._era.record(reply.era, source=peer.instance)
+        # Both readers may send the same version.
+        if reply.encoded in {b'', self._configuration.encoded}:
+            return False
+        return self._configuration.apply_if_newer(reply.encoded, source=peer.instance)
 
     async def _follow_reader(self) -> None:
         while True:
             source = await self._readers.wait_for_source()
-            await self._fetch(source, _LONG_POLL_SECONDS)
+            await self.fetch(source, _LONG_POLL_SECONDS)
             await asyncio.sleep(_REPEAT_DELAY_SECONDS)
 
     async def _poll_nodes(self) -> None:
@@ -110,7 +133,7 @@
                 _OFFLINE_POLL_INTERVAL_SECONDS if is_offline else _POLL_INTERVAL_SECONDS
             )
             await asyncio.gather(
-                *(self._fetch(peer) for peer in self._choose_peers(is_offline=is_offline))
+                *(self.fetch(peer) for peer in self._choose_peers(is_offline=is_offline))
             )
 
     def _choose_peers(self, *, is_offline: bool) -> list[NodeEntry]:
@@ -127,21 +150,6 @@
         remote_peers = [peer for peer in peers if peer.data_centre != local.data_centre]
         return [random.choice(group) for group in (local_peers, remote_peers) if group]
 
-    async def _fetch(self, peer: NodeEntry, wait_seconds: float = 0) -> bool:
-        """Fetch a newer configuration from a node; return whether one was applied."""
-        reply = await self._links.request(
-            peer,
-            ConfigurationRequest(self._configuration.version, wait_seconds),
-            timeout_seconds=wait_seconds + _REQUEST_TIMEOUT_SECONDS,
-        )
-        if not isinstance(reply, ConfigurationReply):
-            logger.bind(instance=peer.instance).debug('configuration_not_fetched')
-            return False
-        # Both readers may send the same version.
-        if reply.encoded in {b'', self._configuration.encoded}:
-            return False
-        return self._configuration.apply_if_newer(reply.encoded, source=peer.instance)
-
 
 async def _sleep_with_jitter(seconds: float) -> None:
     # Jitter keeps the nodes from polling at the same time.
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory.py
@@ -6,11 +6,13 @@
 from loguru import logger
 
 from turmericwharf.coordination.clock import Clock
+from turmericwharf.coordination.sidecar.predecessor_entries import PredecessorEntries
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import InstanceId, ServiceId
 from turmericwharf.state.sidecar import (
     NOT_STORED,
     DirectoryDump,
+    LogPosition,
     NodeEntry,
     ProcessId,
     ServerPhase,
@@ -19,6 +21,8 @@
 
 _MIN_SUSPICION_SECONDS = 0.25
 _MAX_SUSPICION_SECONDS = 4.0
+# Before that of any entry that was read from the store.
+_NO_POSITION: LogPosition = (0, NOT_STORED)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,13 +47,14 @@
     def __init__(self, local: NodeEntry, clock: Clock) -> None:
         self._clock = clock
         self._entries_by_instance: dict[InstanceId, NodeEntry] = {}
-        self._positions_by_instance: dict[InstanceId, int] = {}
+        self._positions_by_instance: dict[InstanceId, LogPosition] = {}
         self._change_numbers_by_instance: dict[InstanceId, int] = {}
         self._changed = asyncio.Event()
         self._suspicions_by_instance: dict[InstanceId, _Suspicion] = {}
         self._connected_processes_by_instance: dict[InstanceId, ProcessId] = {}
         self._local = local
         self.change_number = 0
+        self.predecessors = PredecessorEntries()
 
     @property
     def local(self) -> NodeEntry:
@@ -87,7 +92,7 @@
     def entries_changed_after(self, change_number: int) -> tuple[StoredEntry, ...]:
         """Return the entries whose last change has a higher number than the one given."""
         return tuple(
-            StoredEntry(entry, self._positions_by_instance.get(entry.instance, NOT_STORED))
+            _at_position(entry, self._positions_by_instance.get(entry.instance, _NO_POSITION))
             for entry in self.entries
             if self._change_numbers_by_instance.get(entry.instance, 0) > change_number
         )
@@ -108,13 +113,13 @@
         """Apply an entry read from the store, directly or through another node.
 
         Entries of the same process are ordered by revision, entries of different processes by
-        their position, which is their offset in the store.
+        their position in the store, which is the era and the offset in it.
         """
         entry = stored.entry
         known = self._entries_by_instance.get(entry.instance)
-        position = self._positions_by_instance.get(entry.instance, NOT_STORED)
-        if stored.position > position:
-            self._positions_by_instance[entry.instance] = stored.position
+        position = self._positions_by_instance.get(entry.instance, _NO_POSITION)
+        if stored.position != NOT_STORED and stored.log_position > position:
+            self._positions_by_instance[entry.instance] = stored.log_position
         elif known is not None and known.process != entry.process:
             return
         self._update(entry, source=source)
@@ -170,6 +175,8 @@
             phase=entry.phase.value,
             source=source,
         ).info('node_entry_changed')
+        if known is not None:
+            self.predecessors.record(known, entry)
         self._entries_by_instance[entry.instance] = entry
         self._record_change(entry.instance)
         self._suspicions_by_instance.pop(entry.instance, None)
@@ -187,6 +194,11 @@
         return connected is not None and connected != entry.process
 
 
+def _at_position(entry: NodeEntry, position: LogPosition) -> StoredEntry:
+    era, offset = position
+    return StoredEntry(entry, offset, era)
+
+
 @describe.register
 def _(part: NodeDirectory) -> DirectoryDump:
     return DirectoryDump(
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_relay.py
@@ -92,22 +92,39 @@
                 await self._poll_random_peer()
                 await self._wait_for_reader()
 
-    async def answer(self, request: DirectoryRequest) -> DirectoryReply:
-        """Answer the poll of another node once there are changes, or after the timeout."""
-        local = self._directory.local
-        after = request.after if request.process == local.process else 0
+    async def answer(
+        self, request: DirectoryRequest, asker: NodeEntry | None = None
+    ) -> DirectoryReply:
+        """Answer the poll of another node once there are changes, or after the timeout.
+
+        Parameters
+        ----------
+        asker
+            Entry of the node that polls. The first reply to its process says what is known of the
+            process before it.
+        """
+        process = self._directory.local.process
+        after = request.after if request.process == process else 0
         await self._freshness.wait_while_current(
             lambda seconds: self._directory.wait_for_change(after, seconds),
             min(request.wait_seconds, _LONG_POLL_SECONDS),
         )
         return DirectoryReply(
-            process=local.process,
+            process=process,
             changes=self._directory.change_number,
             nodes=self._directory.entries_changed_after(after),
             is_current=self._freshness.is_current,
             knows_fleet=self._knowledge.knows_fleet,
+            era=self._directory.local.era,
+            predecessor=None if after else self._find_predecessor(asker),
         )
 
+    def _find_predecessor(self, asker: NodeEntry | None) -> NodeEntry | None:
+        # A store without eras still has the entry.
+        if asker is None or not self._directory.local.era:
+            return None
+        return self._directory.predecessors.find(asker, self._directory.find(asker.instance))
+
     async def _poll_readers(self) -> bool:
         # A node that reads the store only finds out whether it still has to.
         wait_seconds = 0 if self._reads_store.is_set() else _LONG_POLL_SECONDS
@@ -166,12 +183,14 @@
         Returns
         -------
         bool
-            Whether that node reads the store and is connected to it.
+            Whether that node reads the store, is connected to it, and knows its era.
         """
         cursor = self._cursors_by_instance.get(peer.instance, _ChangeCursor(peer.process))
         reply = await self._links.request(
             peer,
-            DirectoryRequest(cursor.process, cursor.change_number, wait_seconds),
+            DirectoryRequest(
+                cursor.process, cursor.change_number, wait_seconds, self._directory.local.era
+            ),
             timeout_seconds=wait_seconds + _REPLY_MARGIN_SECONDS,
         )
         if not isinstance(reply, DirectoryReply):
@@ -179,7 +198,7 @@
             return False
         self._cursors_by_instance[peer.instance] = _ChangeCursor(reply.process, reply.changes)
         self._updates.apply_reply(reply, source=peer.instance)
-        return reply.is_current
+        return reply.is_current and reply.era >= self._directory.local.era
 
     def _switch_source(self, *, to_store: bool) -> None:
         if to_store == self._reads_store.is_set():
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/local_node_publisher.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/local_node_publisher.py
@@ -7,6 +7,7 @@
 
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import NodeStore
+from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.state import LogFailure
 from turmericwharf.state.sidecar import AnnouncedServer, NodeEntry, ServerPhase
 
@@ -16,20 +17,27 @@
 class LocalNodePublisher:
     """Writes the local entry when it changes, and retries until the store accepts it.
 
+    An entry that the store accepted in one era may be gone in the next. The local entry names the
+    known era, so it changes with the era and is written again.
+
     Parameters
     ----------
     store
         Store of the entries of all nodes.
     directory
         Holds the local entry.
+    era
+        Highest known era of the store.
     """
 
-    def __init__(self, store: NodeStore, directory: NodeDirectory) -> None:
+    def __init__(self, store: NodeStore, directory: NodeDirectory, era: StoreEra) -> None:
         self._store = store
         self._directory = directory
+        self._era = era
         self._written: NodeEntry | None = None
         self._changed = asyncio.Event()
         self._write_completed = asyncio.Event()
+        era.subscribe(self._changed.set)
 
     def publish_server(self, server: AnnouncedServer) -> None:
         """Publish a new state of the backend server."""
@@ -64,13 +72,16 @@
             if entry == self._written or entry.phase is ServerPhase.ABSENT:
                 # A node has nothing to publish before its server is known.
                 continue
-            failure = await self._store.publish(entry)
-            if isinstance(failure, LogFailure):
-                logger.bind(detail=failure.detail).info('own_entry_not_written')
+            result = await self._store.publish(entry)
+            if isinstance(result, LogFailure):
+                logger.bind(detail=result.detail).info('own_entry_not_written')
                 self._changed.set()
                 await asyncio.sleep(_RETRY_DELAY_SECONDS)
                 continue
             self._written = entry
+            # If the era has risen, the entry is written again: under the era that it names now, it
+            # would be ordered before the entries of earlier processes.
+            self._era.record(result.era, source='store')
             self._write_completed.set()
 
     async def wait_until_written(self, timeout_seconds: float) -> bool:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -33,13 +33,14 @@
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.coordination.sidecar.share_holders import FixedShareHolders
 from turmericwharf.coordination.sidecar.server_confirmation import ServerConfirmation
+from turmericwharf.coordination.sidecar.startup_inquiry import StartupInquiry
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
 from turmericwharf.state.sidecar import (
-    KeyedPage,
     NodeEntry,
     SidecarBounds,
     SidecarSettings,
@@ -92,6 +93,8 @@
     bounds: ReloadableBounds
     knowledge: StartupKnowledge
     clock: Clock
+    era: StoreEra
+    inquiry: StartupInquiry
 
     @property
     def is_ready(self) -> bool:
@@ -125,11 +128,12 @@
         configuration,
         knowledge,
     )
-    publisher = LocalNodePublisher(ports.store, directory)
+    era = StoreEra(directory)
+    publisher = LocalNodePublisher(ports.store, directory, era)
     confirmation = ServerConfirmation(knowledge, clock)
     announcements = AnnouncementService(record, executor, publisher, confirmation)
     node_entry_updates = NodeEntryUpdates(
-        directory, announcements, publisher, ports.decode_entry, holders, knowledge
+        directory, announcements, publisher, ports.decode_entry, holders, knowledge, era
     )
     ranking = DataCentreRanking(directory)
     readers = StoreReaders(directory, ranking)
@@ -137,7 +141,7 @@
     configuration_follower = TopicFollower(
         ports.log,
         StoreTopic.CONFIGURATION,
-        lambda page: _apply_configurations(configuration, page),
+        lambda page: inquiry.apply_configurations(page),
         clock=clock,
         wait_seconds=_configuration_wait_seconds(settings.bounds),
         batch_seconds=_CONFIGURATION_BATCH_SECONDS,
@@ -152,7 +156,7 @@
         batch_seconds=_NODES_BATCH_SECONDS,
         reads_store=reads_store,
     )
-    freshness = StoreFreshness(reads_store, (membership_follower, configuration_follower))
+    freshness = StoreFreshness(reads_store, (membership_follower, configuration_follower), era)
     relay = DirectoryRelay(
         directory=directory,
         readers=readers,
@@ -162,6 +166,23 @@
         updates=node_entry_updates,
         knowledge=knowledge,
     )
+    sync = ConfigurationSync(
+        configuration=configuration,
+        directory=directory,
+        readers=readers,
+        links=ports.links,
+        follower=configuration_follower,
+        freshness=freshness,
+        era=era,
+    )
+    inquiry = StartupInquiry(
+        directory=directory,
+        links=ports.links,
+        updates=node_entry_updates,
+        sync=sync,
+        configuration=configuration,
+        knowledge=knowledge,
+    )
     sender = OrderSender(
         executor=executor,
         links=ports.links,
@@ -196,14 +217,7 @@
         record=record,
         announcements=announcements,
         publisher=publisher,
-        spread=ConfigurationSync(
-            configuration=configuration,
-            directory=directory,
-            readers=readers,
-            links=ports.links,
-            follower=configuration_follower,
-            freshness=freshness,
-        ),
+        spread=sync,
         relay=relay,
         configuration_follower=configuration_follower,
         membership_follower=membership_follower,
@@ -211,6 +225,8 @@
         bounds=bounds,
         knowledge=knowledge,
         clock=clock,
+        era=era,
+        inquiry=inquiry,
     )
 
 
@@ -219,9 +235,3 @@
     return max(
         bounds.configuration_seconds - _READER_REPLACEMENT_SECONDS, _MIN_CONFIGURATION_WAIT_SECONDS
     )
-
-
-def _apply_configurations(configuration: ActiveConfiguration, page: KeyedPage) -> None:
-    for record in page.records_by_key.values():
-        if record.encoded:
-            configuration.apply_if_newer(record.encoded, source='store')
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/peer_messages.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/peer_messages.py
@@ -51,6 +51,7 @@
 @answer_peer.register
 async def _(message: Greeting, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
     node.spread.record_version(peer.instance, message.version)
+    node.era.record(message.node.era, source=peer.instance)
     return Greeting(node.directory.local, node.holder.version)
 
 
@@ -65,7 +66,8 @@
 
 @answer_peer.register
 async def _(message: DirectoryRequest, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
-    return await node.relay.answer(message)
+    node.era.record(message.era, source=peer.instance)
+    return await node.relay.answer(message, peer)
 
 
 @answer_peer.register
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
@@ -17,6 +17,7 @@
     NodeEntry,
     StoreTopic,
     WorkOrder,
+    WriteResult,
 )
 
 if TYPE_CHECKING:
@@ -85,7 +86,7 @@
 class NodeStore(Protocol):
     """Store of the entries of all nodes."""
 
-    async def publish(self, entry: NodeEntry) -> LogFailure | None:
+    async def publish(self, entry: NodeEntry) -> WriteResult | LogFailure:
         """Write the entry of a node."""
 
 
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_inquiry.py
@@ -0,0 +1,138 @@
+"""Asks other nodes for what the store may have lost, before a started process relies on it.
+
+A store that came back from an older copy may lack the newest configuration, which withdraws a key,
+and entries of nodes, one of which says that the local server leaves. Nodes that were running before
+still know them. A store without eras never comes back older, so nothing is asked there.
+"""
+
+import asyncio
+import random
+
+from loguru import logger
+
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
+from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
+from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
+from turmericwharf.coordination.sidecar.ports import FleetLinks
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.state import DataCentreId, InstanceId
+from turmericwharf.state.sidecar import (
+    DirectoryReply,
+    DirectoryRequest,
+    KeyedPage,
+    NodeEntry,
+    ProcessId,
+)
+
+# Nodes of one data centre may be cut off from the store, so each data centre is asked.
+_LOCAL_PEERS = 3
+_REMOTE_PEERS_PER_DATA_CENTRE = 1
+_REQUEST_TIMEOUT_SECONDS = 0.5
+# After this time no further nodes are asked: if all nodes were killed, nobody knows more.
+_MAX_INQUIRY_SECONDS = 1.5
+_NO_PROCESS = ProcessId('')
+
+
+class StartupInquiry:
+    """Asks some nodes of each data centre once; others, if none of these knows the fleet.
+
+    Parameters
+    ----------
+    directory
+        Known nodes.
+    links
+        Connections to other nodes.
+    updates
+        Applies the entries that other nodes report.
+    sync
+        Fetches configurations from other nodes.
+    configuration
+        Configuration in force.
+    knowledge
+        Says when to ask, and is told when the nodes were asked.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: NodeDirectory,
+        links: FleetLinks,
+        updates: NodeEntryUpdates,
+        sync: ConfigurationSync,
+        configuration: ActiveConfiguration,
+        knowledge: StartupKnowledge,
+    ) -> None:
+        self._directory = directory
+        self._links = links
+        self._updates = updates
+        self._sync = sync
+        self._configuration = configuration
+        self._knowledge = knowledge
+        self._held_page: KeyedPage | None = None
+
+    def apply_configurations(self, page: KeyedPage) -> None:
+        """Apply a page of the configuration topic, or hold it back until other nodes were asked.
+
+        It is held back only while no configuration is in force, since a version never goes back.
+        """
+        if page.era and not (self._configuration.is_known or self._knowledge.has_asked_peers):
+            self._held_page = page
+            self._knowledge.request_inquiry()
+            return
+        for record in page.records_by_key.values():
+            if record.encoded:
+                self._configuration.apply_if_newer(record.encoded, source='store')
+
+    async def run(self) -> None:
+        """Ask when it is needed, until cancelled."""
+        while True:
+            await self._knowledge.wait_until_inquiry_needed()
+            answered = await self._ask_until_known()
+            logger.bind(answered=answered, version=self._configuration.version).info('peers_asked')
+            self._knowledge.record_peers_asked()
+            if self._held_page is not None:
+                self.apply_configurations(self._held_page)
+                self._held_page = None
+
+    async def _ask_until_known(self) -> bool:
+        """Ask nodes in groups; return whether one that knows the fleet has answered."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + _MAX_INQUIRY_SECONDS
+        asked: set[InstanceId] = set()
+        while loop.time() < deadline:
+            peers = self._choose_peers(asked)
+            if not peers:
+                break
+            asked.update(peer.instance for peer in peers)
+            answers = await asyncio.gather(*(self._ask(peer) for peer in peers))
+            if any(answers):
+                return True
+        return False
+
+    def _choose_peers(self, asked: set[InstanceId]) -> list[NodeEntry]:
+        local = self._directory.local.data_centre
+        peers_by_data_centre: dict[DataCentreId, list[NodeEntry]] = {}
+        for known in self._directory.peers:
+            if known.instance not in asked:
+                peers_by_data_centre.setdefault(known.data_centre, []).append(known)
+        chosen: list[NodeEntry] = []
+        for data_centre, peers in peers_by_data_centre.items():
+            limit = _LOCAL_PEERS if data_centre == local else _REMOTE_PEERS_PER_DATA_CENTRE
+            chosen.extend(random.sample(peers, min(limit, len(peers))))
+        return chosen
+
+    async def _ask(self, peer: NodeEntry) -> bool:
+        """Apply what a node knows; return whether it knows the fleet."""
+        # The configuration comes first: once the fleet is known, the process serves.
+        await self._sync.fetch(peer)
+        reply = await self._links.request(
+            peer,
+            DirectoryRequest(_NO_PROCESS, 0, 0, self._directory.local.era),
+            timeout_seconds=_REQUEST_TIMEOUT_SECONDS,
+        )
+        if not isinstance(reply, DirectoryReply):
+            self._directory.suspect(peer.instance)
+            return False
+        self._updates.apply_reply(reply, source=peer.instance)
+        return reply.knows_fleet
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_knowledge.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_knowledge.py
@@ -19,13 +19,18 @@
     Attributes
     ----------
     knows_predecessor
-        Whether the store was read, which has the last entry of the previous process. Other nodes
-        drop that entry as soon as the new process connects to them.
+        Whether the store was read, which has the last entry of the previous process. A store that
+        came back from an older copy may have lost it, so reading that one proves nothing.
+    has_asked_peers
+        Whether other nodes were asked for what the store may have lost.
     """
 
     def __init__(self) -> None:
         self._known = asyncio.Event()
+        self._may_know_peers = asyncio.Event()
+        self._needs_inquiry = asyncio.Event()
         self.knows_predecessor = False
+        self.has_asked_peers = False
 
     @property
     def knows_fleet(self) -> bool:
@@ -36,13 +41,42 @@
         """Wait until this process knows the fleet."""
         await self._known.wait()
 
-    def record_store_read(self) -> None:
-        """Record that the newest entries of the store are applied."""
-        self.knows_predecessor = True
+    async def wait_until_inquiry_needed(self) -> None:
+        """Wait until other nodes have to be asked, and this process knows which ones there are."""
+        await self._needs_inquiry.wait()
+        await self._may_know_peers.wait()
+        self._needs_inquiry.clear()
+
+    def request_inquiry(self) -> None:
+        """Ask other nodes for what the store may have lost, unless this was done before."""
+        if not self.has_asked_peers:
+            self._needs_inquiry.set()
+
+    def record_store_read(self, era: int = 0) -> None:
+        """Record that the newest entries of the store are applied.
+
+        Parameters
+        ----------
+        era
+            Era of the store; above 0, the store may have lost entries, and they count as those of
+            the whole fleet only after other nodes were asked.
+        """
+        self._may_know_peers.set()
+        if era == 0:
+            self.knows_predecessor = True
+        if era == 0 or self.has_asked_peers:
+            self.record_fleet(source='store')
+        elif not self.knows_fleet:
+            self.request_inquiry()
+
+    def record_peers_asked(self) -> None:
+        """Record that other nodes were asked, after the newest entries of the store were read."""
+        self.has_asked_peers = True
         self.record_fleet(source='store')
 
     def record_fleet(self, *, source: str) -> None:
         """Record that all entries of a node that knows the fleet are applied."""
+        self._may_know_peers.set()
         if not self.knows_fleet:
             self._known.set()
             logger.bind(source=source).info('fleet_known')
@@ -51,5 +85,7 @@
 @describe.register
 def _(part: StartupKnowledge) -> StartupKnowledgeDump:
     return StartupKnowledgeDump(
-        knows_fleet=part.knows_fleet, knows_predecessor=part.knows_predecessor
+        knows_fleet=part.knows_fleet,
+        knows_predecessor=part.knows_predecessor,
+        has_asked_peers=part.has_asked_peers,
     )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_freshness.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_freshness.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 
 
@@ -19,11 +20,19 @@
         Set while this node reads the store itself.
     followers
         Read the topics for which this node answers.
+    era
+        Highest known era of the store. What was read in a lower one is not current.
     """
 
-    def __init__(self, reads_store: asyncio.Event, followers: tuple[TopicFollower, ...]) -> None:
+    def __init__(
+        self,
+        reads_store: asyncio.Event,
+        followers: tuple[TopicFollower, ...],
+        era: StoreEra,
+    ) -> None:
         self._reads_store = reads_store
         self._followers = followers
+        self._era = era
 
     @property
     def is_current(self) -> bool:
@@ -33,7 +42,8 @@
     @property
     def remaining_seconds(self) -> float:
         """Time for which this node is still current without a further answer of the store."""
-        if not self._reads_store.is_set():
+        is_behind = any(follower.era < self._era.current for follower in self._followers)
+        if is_behind or not self._reads_store.is_set():
             return 0
         return min(follower.fresh_seconds for follower in self._followers)
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
@@ -60,6 +60,7 @@
         self._reads_store = reads_store
         self._next_offset: int | None = None
         self._is_history_gone = False
+        self._era = 0
         self._answered_at = 0.0
         self._has_answer = False
 
@@ -68,6 +69,11 @@
         """Whether this node reads the topic."""
         return self._reads_store is None or self._reads_store.is_set()
 
+    @property
+    def era(self) -> int:
+        """Era of the store in which the last page was read; 0 if the store has no eras."""
+        return self._era
+
     @property
     def fresh_seconds(self) -> float:
         """Time until the next answer of the store is overdue; 0 if it is, or if a read failed."""
@@ -98,14 +104,7 @@
                 backoff_seconds = min(backoff_seconds * 2, _MAX_BACKOFF_SECONDS)
 
     async def _read_once(self) -> bool:
-        if self._next_offset is None:
-            page = await self._log.read_newest(self._topic)
-        else:
-            page = await self._log.read_changes(
-                self._topic,
-                offset=self._next_offset,
-                wait_seconds=self._wait_seconds,
-            )
+        page = await self._read_page()
         if page == HISTORY_GONE:
             logger.bind(topic=self._topic.value).info('store_history_gone')
             # The newest records are read at once, unless the store has just dropped them again.
@@ -119,9 +118,28 @@
         self._record_success()
         self._is_history_gone = self._is_history_gone and self._next_offset is None
         self._next_offset = page.next_offset
+        self._era = page.era
         self._on_page(page)
         return True
 
+    async def _read_page(self) -> KeyedPage | LogFailure:
+        if self._next_offset is None:
+            return await self._log.read_newest(self._topic)
+        page = await self._log.read_changes(
+            self._topic,
+            offset=self._next_offset,
+            wait_seconds=self._wait_seconds,
+        )
+        if isinstance(page, LogFailure) or page.era == self._era:
+            return page
+        # The offset belongs to another era, so the page may lack records before it that were
+        # written since.
+        logger.bind(topic=self._topic.value, era=page.era, previous=self._era).info(
+            'store_era_changed'
+        )
+        self._next_offset = None
+        return await self._log.read_newest(self._topic)
+
     def _record_failure(self, failure: LogFailure) -> None:
         # Restart from the newest records, since the store may have dropped the missed changes.
         self._next_offset = None
@@ -138,4 +156,4 @@
 
 @describe.register
 def _(part: TopicFollower) -> TopicFollowerDump:
-    return TopicFollowerDump(is_connected=part.is_connected)
+    return TopicFollowerDump(is_connected=part.is_connected, era=part.era)
--- a/packages/turmericwharf/src/turmericwharf/platform/names.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/names.py
@@ -10,6 +10,7 @@
 SERVER_ID = 'Turmericwharf-Instance-Id'
 API_KEY = 'Api-Key'
 RETRY_AFTER = 'Retry-After'
+STORE_ERA = 'Store-Era'
 
 SETTINGS_VARIABLE = 'TURMERICWHARF_NODE_FILE'
 
--- a/packages/turmericwharf/src/turmericwharf/platform/store.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store."""
 
 import base64
+import dataclasses
 import struct
 from types import MappingProxyType
 from urllib.parse import urlencode
@@ -10,6 +11,7 @@
 from loguru import logger
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
+from turmericwharf.platform.names import STORE_ERA
 from turmericwharf.protocol import decode_json, encode_node_entry
 from turmericwharf.state import LogFailure, Reason
 from turmericwharf.state.sidecar import (
@@ -19,6 +21,7 @@
     NodeEntry,
     StoreSettings,
     StoreTopic,
+    WriteResult,
 )
 from turmericwharf.transport.http_client import FetchFailure, fetch, make_client
 
@@ -36,6 +39,9 @@
 _CONNECT_TIMEOUT_SECONDS = 0.6
 _CALL_TIMEOUT_SECONDS = 1.5
 _KEEP_ALIVE_INTERVAL_SECONDS = 1
+# Reads of the newest records that are begun again because the era changed between two pages.
+_MAX_NEWEST_READS = 3
+_MAX_ERA_DIGITS = 18
 # A page of `/log-read` starts with the end offset and the first offset of the topic. Each record
 # follows its length in bytes, and starts with the length of the key in one byte and the key.
 _OFFSETS_HEADER = struct.Struct('>QQ')
@@ -69,10 +75,19 @@
         self._client = make_client(_MAX_CLIENTS, max_body_bytes=_MAX_PAGE_BYTES)
 
     async def read_newest(self, topic: StoreTopic) -> KeyedPage | LogFailure:
-        """Read the newest record of each key."""
+        """Read the newest record of each key, with all pages from the same era."""
+        for _ in range(_MAX_NEWEST_READS):
+            page = await self._read_newest_once(topic)
+            if page is not None:
+                return page
+            logger.bind(topic=topic.value).info('store_era_changed_between_pages')
+        return LogFailure(Reason.LOG_UNAVAILABLE, 'the era changed between pages repeatedly')
+
+    async def _read_newest_once(self, topic: StoreTopic) -> KeyedPage | LogFailure | None:
+        """Read all pages of the newest records; return None if the era changed between them."""
         records_by_key: dict[str, KeyedRecord] = {}
         query: dict[str, str | int] = {'topic': _NAMES_BY_TOPIC[topic], 'part': 0}
-        end: int | None = None
+        first: KeyedPage | None = None
         while True:
             response = await self._fetch('GET', '/log-newest', query, _CALL_TIMEOUT_SECONDS)
             if isinstance(response, LogFailure):
@@ -82,10 +97,14 @@
                 return page
             # The pages are not a consistent snapshot, so changes are read from the end offset of
             # the first page.
-            end = page.end if end is None else end
+            era = _read_era(response)
+            first = first or KeyedPage({}, page.end, era)
+            if era != first.era:
+                return None
             records_by_key.update(_decode_items(page))
             if not page.has_more or not page.items:
-                return KeyedPage(_select_fleet_keys(topic, records_by_key), end)
+                selected = _select_fleet_keys(topic, records_by_key)
+                return dataclasses.replace(first, records_by_key=selected)
             query['after'] = page.items[-1].key
 
     async def read_changes(
@@ -107,10 +126,14 @@
         )
         if isinstance(response, LogFailure):
             return response
+        if _read_end(response.body, offset) < offset:
+            # The store came back from a copy that does not reach as far as this node has read.
+            return HISTORY_GONE
         records_by_key, next_offset = read_records(response.body, offset)
-        return KeyedPage(_select_fleet_keys(topic, records_by_key), next_offset)
+        selected = _select_fleet_keys(topic, records_by_key)
+        return KeyedPage(selected, next_offset, _read_era(response))
 
-    async def publish(self, entry: NodeEntry) -> LogFailure | None:
+    async def publish(self, entry: NodeEntry) -> WriteResult | LogFailure:
         """Append the entry of a node to the nodes topic."""
         key = entry.instance.encode()
         record = bytes([len(key)]) + key + encode_node_entry(entry)
@@ -122,7 +145,9 @@
             _CALL_TIMEOUT_SECONDS,
             _RECORD_LENGTH.pack(len(record)) + record,
         )
-        return response if isinstance(response, LogFailure) else None
+        if isinstance(response, LogFailure):
+            return response
+        return WriteResult(_read_era(response))
 
     def close(self) -> None:
         """Close all connections."""
@@ -163,6 +188,23 @@
     curl.setopt(pycurl.TCP_KEEPINTVL, _KEEP_ALIVE_INTERVAL_SECONDS)
 
 
+def _read_era(response: HTTPResponse) -> int:
+    """Return the era that a response names; 0 if it names none, or no usable number."""
+    text = response.headers.get(STORE_ERA, '0')
+    if text.isascii() and text.isdecimal() and len(text) <= _MAX_ERA_DIGITS:
+        return int(text)
+    logger.bind(era=text[:_MAX_ERA_DIGITS]).warning('store_era_unreadable')
+    return 0
+
+
+def _read_end(encoded: bytes, default: int) -> int:
+    """Return the end offset at the start of a page; `default` if the page is too short."""
+    if len(encoded) < _OFFSETS_HEADER.size:
+        return default
+    end: int = _OFFSETS_HEADER.unpack_from(encoded)[0]
+    return end
+
+
 def _decode_newest(response: HTTPResponse) -> _NewestPage | LogFailure:
     try:
         return decode_json(response.body, _NewestPage)
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -8,6 +8,7 @@
     ConfigurationHolderDump,
     ServerRecordDump,
     StartupKnowledgeDump,
+    StoreEraDump,
 )
 from turmericwharf.state.sidecar.fleet_configuration import (
     NO_FLEET_VERSION,
@@ -20,9 +21,11 @@
 from turmericwharf.state.sidecar.nodes import (
     NO_SERVER,
     MAX_BORN,
+    MAX_ERA,
     MAX_SLOTS,
     NOT_STORED,
     AnnouncedServer,
+    LogPosition,
     NodeEntry,
     ProcessId,
     ServerId,
@@ -37,7 +40,13 @@
     SidecarSettings,
     StoreSettings,
 )
-from turmericwharf.state.sidecar.store import HISTORY_GONE, KeyedPage, KeyedRecord, StoreTopic
+from turmericwharf.state.sidecar.store import (
+    HISTORY_GONE,
+    KeyedPage,
+    KeyedRecord,
+    StoreTopic,
+    WriteResult,
+)
 from turmericwharf.state.sidecar.messages import (
     ConfigurationReply,
     ConfigurationRequest,
@@ -62,6 +71,7 @@
     'HISTORY_GONE',
     'NO_FLEET_VERSION',
     'MAX_BORN',
+    'MAX_ERA',
     'MAX_SLOTS',
     'NOT_STORED',
     'NO_SERVER',
@@ -84,6 +94,7 @@
     'ConfigurationHolderDump',
     'KeyedPage',
     'KeyedRecord',
+    'LogPosition',
     'NodeEntry',
     'OrganisationRule',
     'ProcessId',
@@ -101,6 +112,7 @@
     'SidecarListen',
     'SidecarSettings',
     'StartupKnowledgeDump',
+    'StoreEraDump',
     'StoreSettings',
     'StoreTopic',
     'StoredEntry',
@@ -109,4 +121,5 @@
     'WorkAnswer',
     'WorkCancel',
     'WorkOrder',
+    'WriteResult',
 )
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
@@ -51,9 +51,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TopicFollowerDump:
-    """Whether the node currently reads a topic of the store."""
+    """Whether the node currently reads a topic of the store, and the era of the last page."""
 
     is_connected: bool
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,3 +63,12 @@
 
     knows_fleet: bool
     knows_predecessor: bool
+    has_asked_peers: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreEraDump:
+    """Highest known era of the store, and how often the process has learned of a higher one."""
+
+    era: int
+    rises_total: int
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
@@ -202,9 +202,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationReply:
-    """A configuration as it was published; empty if there is no newer one."""
+    """A configuration as it was published; empty if there is no newer one.
+
+    Parameters
+    ----------
+    era
+        Highest era of the store that the sender knows.
+    """
 
     encoded: bytes
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -217,11 +224,14 @@
         Process that sent the earlier reply, and the value of `changes` in that reply.
     wait_seconds
         Maximum time for which the reply may wait for a change.
+    era
+        Highest era of the store that the sender knows.
     """
 
     process: ProcessId
     after: int
     wait_seconds: float
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -236,6 +246,11 @@
         Whether the node currently reads the entries from the store.
     knows_fleet
         Whether the node has received the entries of all nodes since it started.
+    era
+        Highest era of the store that the sender knows.
+    predecessor
+        Last entry of the process that ran before the asking one on its machine; None if the sender
+        knows of none. Sent in the first reply to a process only.
     """
 
     process: ProcessId
@@ -243,6 +258,8 @@
     nodes: tuple[StoredEntry, ...]
     is_current: bool
     knows_fleet: bool = False
+    era: int = 0
+    predecessor: NodeEntry | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
@@ -11,10 +11,14 @@
 ServerId = NewType('ServerId', str)
 ProcessId = NewType('ProcessId', str)
 
+# Era of the store and offset in it; ordered by era first.
+LogPosition = tuple[int, int]
+
 NO_SERVER = ServerId('')
 # Position of an entry that was not read from the store.
 NOT_STORED = -1
 MAX_SLOTS = 65_536
+MAX_ERA = 2**63 - 1
 # End of the year 9999, in Unix milliseconds.
 MAX_BORN = 253_402_300_799_999
 _MAX_PORT = 65_535
@@ -72,6 +76,9 @@
         Increases with each change that the process makes.
     link_megabits
         Bandwidth of the node's network link in Mbit/s; 0 if it is unknown.
+    era
+        Highest era of the store that the process knew when it wrote the entry; 0 if the store has
+        no eras.
     """
 
     instance: InstanceId
@@ -86,6 +93,7 @@
     born: int = 0
     revision: int = 0
     link_megabits: float = 0
+    era: int = 0
 
     @property
     def is_usable(self) -> bool:
@@ -100,6 +108,7 @@
                 0 <= self.born <= MAX_BORN,
                 self.revision >= 0,
                 0 <= self.link_megabits < math.inf,
+                0 <= self.era <= MAX_ERA,
                 _is_ip_address(self.host),
             )
         )
@@ -113,10 +122,19 @@
     ----------
     position
         Offset of the record; `NOT_STORED` for an entry that was only received over a connection.
+    era
+        Era of the store in which the record was written. The store assigns offsets again after it
+        came back from an older copy, so an offset alone names no record.
     """
 
     entry: NodeEntry
     position: int
+    era: int = 0
+
+    @property
+    def log_position(self) -> LogPosition:
+        """Era and offset, by which records of an instance are ordered."""
+        return self.era, self.position
 
 
 def _is_ip_address(text: str) -> bool:
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/store.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/store.py
@@ -30,10 +30,27 @@
     ----------
     next_offset
         Offset at which the next read continues.
+    era
+        Era of the store when it answered; 0 if the store has no eras. It rises by one each time the
+        store comes back from an older copy. Offsets of different eras cannot be compared.
     """
 
     records_by_key: Mapping[str, KeyedRecord]
     next_offset: int
+    era: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteResult:
+    """A write that the store has accepted.
+
+    Parameters
+    ----------
+    era
+        Era of the store when it accepted the write; 0 if the store has no eras.
+    """
+
+    era: int = 0
 
 
 HISTORY_GONE = LogFailure(
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
@@ -83,6 +83,7 @@
                 node.spread,
                 node.relay,
                 node.recovery,
+                node.inquiry,
             )
         ]
         logger.bind(instance=node.settings.instance, process=node.directory.local.process).info(
--- a/tests/coordination/sidecar/test_announcements.py
+++ b/tests/coordination/sidecar/test_announcements.py
@@ -11,8 +11,9 @@
 from turmericwharf.coordination.sidecar.server_confirmation import ServerConfirmation
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.state import LogFailure, Reason
-from turmericwharf.state.sidecar import AnnouncedServer, ServerPhase
+from turmericwharf.state.sidecar import AnnouncedServer, ServerPhase, WriteResult
 
 READY = AnnouncedServer('s1', 'bookings', 3, ServerPhase.READY, born=7, sequence=4)
 LEAVE = AnnouncedServer('s1', phase=ServerPhase.LEAVING, born=7)
@@ -31,7 +32,7 @@
         self.directory = NodeDirectory(local, clock)
         self.knowledge = StartupKnowledge()
         self.record = ServerRecord()
-        self.publisher = LocalNodePublisher(self, self.directory)
+        self.publisher = LocalNodePublisher(self, self.directory, StoreEra(self.directory))
         executor = SimpleNamespace(
             breaker=SimpleNamespace(reset=lambda: None),
             queue=SimpleNamespace(resize=lambda slots: None),
@@ -48,7 +49,7 @@
         if self.is_store_away:
             return LogFailure(Reason.LOG_UNAVAILABLE, 'away')
         self.published.append(entry)
-        return None
+        return WriteResult()
 
     async def identify(self, path, *, timeout_seconds):
         self.probes += 1
--- a/tests/coordination/sidecar/test_configuration_sync.py
+++ b/tests/coordination/sidecar/test_configuration_sync.py
@@ -9,6 +9,7 @@
 from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state import PEER_UNREACHABLE
@@ -39,18 +40,20 @@
         candidates = readers.upstream_candidates()
         readers.use_source(candidates[0] if candidates else None)
         follower = SimpleNamespace(
-            is_enabled=not candidates, is_connected=True, fresh_seconds=math.inf
+            is_enabled=not candidates, is_connected=True, fresh_seconds=math.inf, era=0
         )
         reads_store = asyncio.Event()
         if follower.is_enabled:
             reads_store.set()
+        era = StoreEra(directory)
         sync = ConfigurationSync(
             configuration=configuration,
             directory=directory,
             readers=readers,
             links=self,
             follower=follower,
-            freshness=StoreFreshness(reads_store, (follower,)),
+            freshness=StoreFreshness(reads_store, (follower,), era),
+            era=era,
         )
         return SimpleNamespace(
             directory=directory, configuration=configuration, follower=follower, sync=sync
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -10,6 +10,7 @@
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state import PEER_UNREACHABLE
@@ -21,6 +22,7 @@
 
     def __init__(self) -> None:
         self.is_connected = True
+        self.era = 0
 
     @property
     def fresh_seconds(self):
@@ -44,17 +46,19 @@
         reads_store = asyncio.Event()
         follower = Follower()
         knowledge = StartupKnowledge()
+        era = StoreEra(directory)
         holders = SimpleNamespace(refresh=lambda: self.notified.append(local.instance))
         relay = DirectoryRelay(
             directory=directory,
             readers=StoreReaders(directory, DataCentreRanking(directory)),
             links=self,
             reads_store=reads_store,
-            freshness=StoreFreshness(reads_store, (follower,)),
-            updates=NodeEntryUpdates(directory, None, None, None, holders, knowledge),
+            freshness=StoreFreshness(reads_store, (follower,), era),
+            updates=NodeEntryUpdates(directory, None, None, None, holders, knowledge, era),
             knowledge=knowledge,
         )
         return SimpleNamespace(
+            era=era,
             directory=directory,
             reads_store=reads_store,
             follower=follower,
--- /dev/null
+++ b/tests/coordination/sidecar/test_startup_inquiry.py
@@ -0,0 +1,156 @@
+import asyncio
+import dataclasses
+from types import SimpleNamespace
+
+from tests.coordination.sidecar.samples import make_configuration, make_entry
+from tests.virtual_time import LoopClock, run_in_virtual_time
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
+from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.startup_inquiry import StartupInquiry
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.state import PEER_UNREACHABLE
+from turmericwharf.state.sidecar import DirectoryReply, KeyedPage, KeyedRecord, StoredEntry
+
+REPLY = DirectoryReply('p', 1, (), is_current=True, knows_fleet=True, era=1)
+
+
+class StartedNode:
+    """A process that has just started, and the answers of the other nodes by instance."""
+
+    def __init__(self, *, count: int = 8, peer_version: int = 6) -> None:
+        self.asked = []
+        self.peer_version = peer_version
+        self.replies_by_instance = {f'n{number}': REPLY for number in range(count)}
+        directory = NodeDirectory(make_entry('own'), LoopClock())
+        for number, name in enumerate(self.replies_by_instance):
+            centre = 'west' if number % 2 else 'east'
+            entry = make_entry(name, data_centre=centre)
+            directory.apply(StoredEntry(entry, number), source='store')
+        self.knowledge = StartupKnowledge()
+        self.configuration = ActiveConfiguration(
+            lambda encoded: make_configuration(version=int(encoded))
+        )
+        self.inquiry = StartupInquiry(
+            directory=directory,
+            links=self,
+            updates=SimpleNamespace(apply_reply=lambda reply, source: None),
+            sync=self,
+            configuration=self.configuration,
+            knowledge=self.knowledge,
+        )
+
+    async def fetch(self, peer):
+        if self.replies_by_instance[peer.instance] is not PEER_UNREACHABLE:
+            self.configuration.apply_if_newer(str(self.peer_version).encode(), source='peer')
+
+    async def request(self, peer, message, *, timeout_seconds):
+        self.asked.append(peer)
+        reply = self.replies_by_instance[peer.instance]
+        await asyncio.sleep(timeout_seconds if reply is PEER_UNREACHABLE else 0.01)
+        return reply
+
+    def read_store(self, era, version):
+        """Apply pages of both topics."""
+        encoded = str(version).encode()
+        records = {'config': KeyedRecord(encoded, 1)}
+        self.inquiry.apply_configurations(KeyedPage(records, 2, era))
+        self.knowledge.record_store_read(era)
+
+
+def run_scenario(scenario, **options):
+    async def main():
+        node = StartedNode(**options)
+        task = asyncio.create_task(node.inquiry.run())
+        try:
+            await scenario(node)
+        finally:
+            task.cancel()
+
+    run_in_virtual_time(main())
+
+
+def test_a_started_process_serves_no_older_version_than_its_peers_know():
+    """Guards against a withdrawn key that works at a process which started after the loss."""
+
+    async def scenario(node):
+        node.read_store(era=1, version=5)
+        assert not node.configuration.is_known and not node.knowledge.knows_fleet
+        await asyncio.sleep(0.1)
+        assert node.configuration.version == 6 and node.knowledge.knows_fleet
+        # Each data centre is asked, and not each node.
+        assert {peer.data_centre for peer in node.asked} == {'east', 'west'}
+        assert len(node.asked) == 4
+        node.read_store(era=1, version=5)
+        node.read_store(era=2, version=7)
+        await asyncio.sleep(0.1)
+        assert node.configuration.version == 7 and len(node.asked) == 4
+
+    run_scenario(scenario)
+
+
+def test_nodes_that_know_no_more_do_not_hold_up_a_start():
+    """Guards against a fleet that never starts again after all of its processes were killed."""
+
+    async def scenario(node):
+        for name in node.replies_by_instance:
+            node.replies_by_instance[name] = PEER_UNREACHABLE
+        node.read_store(era=1, version=5)
+        await asyncio.sleep(1.0)
+        assert not node.configuration.is_known
+        await asyncio.sleep(1.0)
+        assert node.configuration.version == 5 and node.knowledge.knows_fleet
+
+    run_scenario(scenario, count=60)
+
+
+def test_other_nodes_are_asked_if_the_first_ones_have_just_started_too():
+    """Guards against an older configuration from the store after half of a fleet was restarted."""
+
+    async def scenario(node):
+        started = dataclasses.replace(REPLY, knows_fleet=False)
+        for name in ('n0', 'n2', 'n4', 'n6', 'n8', 'n1', 'n3', 'n5', 'n7'):
+            node.replies_by_instance[name] = started
+        node.read_store(era=1, version=5)
+        await asyncio.sleep(0.3)
+        assert 'n9' in {peer.instance for peer in node.asked}
+
+    run_scenario(scenario, count=10)
+
+
+def test_a_first_node_starts_without_others():
+    """Guards against a start that waits for nodes that do not exist."""
+
+    async def scenario(node):
+        node.read_store(era=1, version=5)
+        await asyncio.sleep(0.01)
+        assert node.configuration.version == 5 and node.knowledge.knows_fleet
+
+    run_scenario(scenario, count=0)
+
+
+def test_nothing_is_asked_while_the_store_has_no_eras():
+    """Guards against slower starts and further messages on stores that lose nothing."""
+
+    async def scenario(node):
+        node.read_store(era=0, version=5)
+        assert node.configuration.version == 5
+        assert node.knowledge.knows_fleet and node.knowledge.knows_predecessor
+        await asyncio.sleep(5)
+        assert not node.asked
+
+    run_scenario(scenario)
+
+
+def test_the_configuration_alone_does_not_start_the_questions():
+    """Guards against an older configuration in force because no other node was known yet."""
+
+    async def scenario(node):
+        records = {'config': KeyedRecord(b'5', 1)}
+        node.inquiry.apply_configurations(KeyedPage(records, 2, 1))
+        await asyncio.sleep(5)
+        assert not node.asked and not node.configuration.is_known
+        node.knowledge.record_fleet(source='n1')
+        await asyncio.sleep(0.1)
+        assert node.asked and node.configuration.version == 6
+
+    run_scenario(scenario)
--- a/tests/coordination/sidecar/test_topic_follower.py
+++ b/tests/coordination/sidecar/test_topic_follower.py
@@ -92,3 +92,16 @@
     """
     assert follow(Log(PAGE), 5.0)[0]
     assert not follow(Log(PAGE), 5.6)[0]
+
+
+def test_newest_records_are_read_again_when_the_era_changes():
+    """Guards against records that are missed because their offsets were assigned again.
+
+    The store comes back older between two reads, and has already got new records.
+    """
+    later = KeyedPage({'config': KeyedRecord(b'y', 6)}, 7, era=1)
+    newest = KeyedPage({'config': KeyedRecord(b'y', 6), 'other': KeyedRecord(b'z', 3)}, 7, era=1)
+    log = Log(PAGE, later, newest)
+    _, pages = follow(log, 1)
+    assert log.calls == ['newest', 5, 'newest', 7]
+    assert pages == [PAGE, newest]
--- a/tests/platform/test_wire_names.py
+++ b/tests/platform/test_wire_names.py
@@ -12,7 +12,7 @@
 # same name.
 WIRE_NAMES = re.compile(
     r'Turmericwharf-(?:Attempt-Id|Response-Stamp|Tenant|Expected-Instance)'
-    r'|Turmericwharf-(?:Server-Load|Not-Executed|Caller-Service|Instance-Id)'
+    r'|Turmericwharf-(?:Server-Load|Not-Executed|Caller-Service|Instance-Id)|Store-Era'
     r'|(?<!X-)Api-Key|Instances\.|/log-|keyed\.|non_idempotent|control_plane'
     r'|localNode|pathPrefix|trafficSplit|routeType|timeoutS|targetLatencyS|apiKeys|ratePerS'
     r'|healthCheckPath|maxConnections|headerTimeoutS|idleTimeoutS|maxHeaderBytes|maxBodyBytes'
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -4,12 +4,16 @@
 (no answer), `'unreadable'` (reads are answered with status 503) and `'lost'` (appends take effect,
 but are not answered). Calls for the topics in
 `away_topics` are answered with status 503.
+
+With an `era` above 0, all responses name it. `restore` loses the latest records, as a store that
+comes back from an older copy, and raises the era.
 """
 
 import asyncio
 import base64
 import json
 import struct
+import time
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
@@ -27,11 +31,25 @@
     def end(self) -> int:
         return self.first + len(self.records)
 
+    def wake_readers(self) -> None:
+        self.appended.set()
+        self.appended = asyncio.Event()
+
+    def drop_last(self, count: int) -> None:
+        """Move the end back; the history may have been dropped beyond the new end."""
+        end = self.end - count
+        self.first = min(self.first, end)
+        del self.records[end - self.first :]
+
 
 class PlatformStore:
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = {}
         self.newest_by_topic: dict[str, dict[str, tuple[int, bytes]]] = {}
+        self.era = 0
+        # All appended records, with the time in seconds: (time, topic, key, content, offset).
+        self.history: list[tuple[float, str, str, bytes, int]] = []
+        self.newest_page_items = 1_000_000
         self.fault = ''
         self.away_topics: set[str] = set()
         self.calls = 0
@@ -43,13 +61,34 @@
     def put(self, name: str, key: str, content: bytes) -> None:
         topic = self.topic(name)
         topic.records.append((key, content))
+        self.history.append((time.monotonic(), name, key, content, topic.end - 1))
+        self._set_newest(name, key, content, topic.end - 1)
+        topic.wake_readers()
+
+    def restore(self, seconds: float) -> list[tuple[str, str, bytes]]:
+        """Lose the records of the last seconds and raise the era.
+
+        Returns the lost records of the configuration topic as (topic, key, content), in order.
+        Operators write them again.
+        """
+        since = time.monotonic() - seconds
+        lost = [record for record in self.history if record[0] >= since]
+        self.history = [record for record in self.history if record[0] < since]
+        self.era += 1
+        self.newest_by_topic.clear()
+        for _, name, key, content, offset in self.history:
+            self._set_newest(name, key, content, offset)
+        for name, topic in self.topics.items():
+            topic.drop_last(sum(record[1] == name for record in lost))
+            topic.wake_readers()
+        return [record[1:4] for record in lost if record[1] == CONFIGURATION_TOPIC]
+
+    def _set_newest(self, name: str, key: str, content: bytes, offset: int) -> None:
         newest = self.newest_by_topic.setdefault(name, {})
         if content:
-            newest[key] = (topic.end - 1, content)
+            newest[key] = (offset, content)
         else:
             newest.pop(key, None)
-        topic.appended.set()
-        topic.appended = asyncio.Event()
 
     def configure(self, configuration: dict) -> None:
         self.put(CONFIGURATION_TOPIC, 'config', json.dumps(configuration).encode())
@@ -92,6 +131,11 @@
         elif self.store.fault == 'silent':
             await asyncio.sleep(3600)
 
+    def finish(self, chunk=None):
+        if self.store.era:
+            self.set_header('Store-Era', str(self.store.era))
+        return super().finish(chunk)
+
     @property
     def topic(self) -> Topic:
         return self.store.topic(self.get_query_argument('topic'))
@@ -120,7 +164,7 @@
                     await topic.appended.wait()
             except TimeoutError:
                 pass
-        if offset < topic.first:
+        if offset < topic.first or (self.store.era and offset > topic.end):
             self.set_status(410)
             self.write({'first': topic.first})
             return
@@ -133,8 +177,16 @@
 class NewestHandler(StoreHandler):
     async def get(self) -> None:
         newest = self.store.newest_by_topic.get(self.get_query_argument('topic'), {})
+        after = self.get_query_argument('after', '')
+        keys = sorted(key for key in newest if key > after)
+        has_more = len(keys) > self.store.newest_page_items
+        keys = keys[: self.store.newest_page_items]
         items = [
-            {'key': key, 'value': base64.b64encode(content).decode(), 'offset': offset}
-            for key, (offset, content) in newest.items()
+            {
+                'key': key,
+                'value': base64.b64encode(newest[key][1]).decode(),
+                'offset': newest[key][0],
+            }
+            for key in keys
         ]
-        self.write({'items': items, 'hasMore': False, 'end': self.topic.end})
+        self.write({'items': items, 'hasMore': has_more, 'end': self.topic.end})
