Let the soak inject a store that comes back from an older copy

The stand-in of the store loses the records of the last seconds and raises its era. The operators write lost configurations again, unless a newer one exists.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -93,7 +93,7 @@
     bounds: ReloadableBounds
     knowledge: StartupKnowledge
     clock: Clock
-    era: StoreEra
+    store_era: StoreEra
     inquiry: StartupInquiry
 
     @property
@@ -225,7 +225,7 @@
         bounds=bounds,
         knowledge=knowledge,
         clock=clock,
-        era=era,
+        store_era=era,
         inquiry=inquiry,
     )
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/peer_messages.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/peer_messages.py
@@ -51,7 +51,7 @@
 @answer_peer.register
 async def _(message: Greeting, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
     node.spread.record_version(peer.instance, message.version)
-    node.era.record(message.node.era, source=peer.instance)
+    node.store_era.record(message.node.era, source=peer.instance)
     return Greeting(node.directory.local, node.holder.version)
 
 
@@ -66,7 +66,7 @@
 
 @answer_peer.register
 async def _(message: DirectoryRequest, node: SidecarNode, peer: NodeEntry) -> FleetMessage | None:
-    node.era.record(message.era, source=peer.instance)
+    node.store_era.record(message.era, source=peer.instance)
     return await node.relay.answer(message, peer)
 
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_era.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_era.py
@@ -63,4 +63,4 @@
 
 @describe.register
 def _(part: StoreEra) -> StoreEraDump:
-    return StoreEraDump(era=part.current, rises_total=part.rises_total)
+    return StoreEraDump(current=part.current, rises_total=part.rises_total)
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
@@ -70,5 +70,5 @@
 class StoreEraDump:
     """Highest known era of the store, and how often the process has learned of a higher one."""
 
-    era: int
+    current: int
     rises_total: int
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
@@ -153,7 +153,7 @@
         self._node.directory.record_connection(greeting.node)
         self._node.directory.clear_suspicion(greeting.node.instance)
         self._node.spread.record_version(greeting.node.instance, greeting.version)
-        self._node.era.record(greeting.node.era, source=greeting.node.instance)
+        self._node.store_era.record(greeting.node.era, source=greeting.node.instance)
 
     async def _read_answers(self, channel: FrameChannel) -> None:
         while True:
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
@@ -64,7 +64,7 @@
         peer = frame.message.node
         node.directory.record_connection(peer)
         node.spread.record_version(peer.instance, frame.message.version)
-        node.era.record(peer.era, source=peer.instance)
+        node.store_era.record(peer.era, source=peer.instance)
         reply = Greeting(node.directory.local, node.holder.version)
         await channel.send(reply, frame.correlation, timeout_seconds=_OPEN_TIMEOUT_SECONDS)
         return peer
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -70,7 +70,9 @@
         if peer.instance in self.down:
             await asyncio.sleep(min(timeout_seconds, 0.5))
             return PEER_UNREACHABLE
-        return await self.nodes_by_id[peer.instance].relay.answer(message)
+        node = self.nodes_by_id[peer.instance]
+        node.era.record(message.era, source='peer')
+        return await node.relay.answer(message)
 
     @property
     def store_readers(self):
@@ -232,3 +234,24 @@
         assert all(node.knowledge.knows_fleet for node in fleet.nodes_by_id.values())
 
     run_scenario(scenario)
+
+
+def test_a_reader_of_an_earlier_era_is_not_followed():
+    """Guards against a node that waits at a reader which has not noticed that the store came back.
+
+    The node learned of the new era from the answer to a write.
+    """
+
+    async def scenario(fleet):
+        name = next(name for name in fleet.nodes_by_id if name not in fleet.store_readers)
+        fleet.nodes_by_id[name].era.record(1, source='store')
+        await asyncio.sleep(5)
+        assert fleet.nodes_by_id[name].reads_store.is_set()
+        assert all(node.era.current == 1 for node in fleet.nodes_by_id.values())
+        for node in fleet.nodes_by_id.values():
+            node.follower.era = 1
+        await asyncio.sleep(5)
+        assert not fleet.nodes_by_id[name].reads_store.is_set()
+        assert len(fleet.store_readers) == 2
+
+    run_scenario(scenario)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -65,6 +65,8 @@
     async def run(self) -> list[str]:
         """Run the seed and return the violated guarantees."""
         self.configure()
+        # The store never loses the first configuration.
+        self.fleet.store.keep_history()
         stop_event = asyncio.Event()
         clients = [
             asyncio.create_task(self.call(node, stop_event))
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -1,6 +1,7 @@
 """Faults that the soak injects into a fleet."""
 
 import asyncio
+import json
 import signal
 import time
 from typing import TYPE_CHECKING
@@ -21,6 +22,10 @@
 # and the announcement of the leave.
 RESTART_SHARE = 0.5
 STOP_LEAD_SECONDS = (0.0, 2.0)
+# Age of the copy from which the store comes back, and the time until the operators write again what
+# it lost.
+LOST_SECONDS = (0.2, 6.0)
+OPERATOR_SECONDS = (0.0, 2.0)
 OK = 200
 
 
@@ -85,6 +90,24 @@
     soak.log_event('store: history dropped')
 
 
+async def restore_store(soak: 'Soak') -> None:
+    """Let the store come back from an older copy; the operators write again what it lost."""
+    store = soak.fleet.store
+    store.fault = 'busy'
+    soak.log_event('store: away')
+    await asyncio.sleep(soak.random.uniform(0, 2))
+    lost_seconds = soak.random.uniform(*LOST_SECONDS)
+    lost = store.restore(lost_seconds)
+    store.fault = ''
+    soak.log_event(f'store: back without the last {lost_seconds:.1f} s, era {store.era}')
+    await asyncio.sleep(soak.random.uniform(*OPERATOR_SECONDS))
+    for topic, key, content in lost:
+        _, newest = store.newest_by_topic[topic][key]
+        if json.loads(newest)['version'] < json.loads(content)['version']:
+            store.put(topic, key, content)
+            soak.log_event('a lost configuration is written again')
+
+
 async def disturb_store_link(soak: 'Soak') -> None:
     """Reset, delay or block (one way or both ways) the connections of a node to the store."""
     relay = soak.random.choice(soak.fleet.nodes).store_relay
@@ -163,6 +186,7 @@
     fail_store,
     disturb_store_link,
     truncate_store,
+    restore_store,
     configure,
     withdraw_key,
 )
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -83,6 +83,10 @@
             topic.wake_readers()
         return [record[1:4] for record in lost if record[1] == CONFIGURATION_TOPIC]
 
+    def keep_history(self) -> None:
+        """Exclude all records written up to now from later losses."""
+        self.history = [(0.0, *record[1:]) for record in self.history]
+
     def _set_newest(self, name: str, key: str, content: bytes, offset: int) -> None:
         newest = self.newest_by_topic.setdefault(name, {})
         if content:
--- a/tests/transport/sidecar/test_links.py
+++ b/tests/transport/sidecar/test_links.py
@@ -32,7 +32,7 @@
         directory=NodeDirectory(entry, BootClock()),
         holder=SimpleNamespace(version=1),
         spread=SimpleNamespace(record_version=lambda instance, version: None),
-        era=SimpleNamespace(record=lambda era, *, source: None),
+        store_era=SimpleNamespace(record=lambda era, *, source: None),
         settings=SimpleNamespace(
             listen=SimpleNamespace(peers=Address(entry.host, entry.peer_port))
         ),
