--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_inquiry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_inquiry.py
@@ -29,7 +29,9 @@
 _LOCAL_PEERS = 3
 _REMOTE_PEERS_PER_DATA_CENTRE = 1
 _REQUEST_TIMEOUT_SECONDS = 0.5
-# After this time no further nodes are asked: if all nodes were killed, nobody knows more.
+# If all nodes were killed, nobody knows more, and each of them asks. So the number of connections
+# and the time are limited.
+_MAX_GROUPS = 3
 _MAX_INQUIRY_SECONDS = 1.5
 _NO_PROCESS = ProcessId('')
 
@@ -100,9 +102,9 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + _MAX_INQUIRY_SECONDS
         asked: set[InstanceId] = set()
-        while loop.time() < deadline:
+        for _ in range(_MAX_GROUPS):
             peers = self._choose_peers(asked)
-            if not peers:
+            if not peers or loop.time() >= deadline:
                 break
             asked.update(peer.instance for peer in peers)
             answers = await asyncio.gather(*(self._ask(peer) for peer in peers))
@@ -124,12 +126,13 @@
 
     async def _ask(self, peer: NodeEntry) -> bool:
         """Apply what a node knows; return whether it knows the fleet."""
-        # The configuration comes first: once the fleet is known, the process serves.
-        await self._sync.fetch(peer)
-        reply = await self._links.request(
-            peer,
-            DirectoryRequest(_NO_PROCESS, 0, 0, self._directory.local.era),
-            timeout_seconds=_REQUEST_TIMEOUT_SECONDS,
+        _, reply = await asyncio.gather(
+            self._sync.fetch(peer),
+            self._links.request(
+                peer,
+                DirectoryRequest(_NO_PROCESS, 0, 0, self._directory.local.era),
+                timeout_seconds=_REQUEST_TIMEOUT_SECONDS,
+            ),
         )
         if not isinstance(reply, DirectoryReply):
             self._directory.suspect(peer.instance)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_knowledge.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_knowledge.py
@@ -45,7 +45,6 @@
         """Wait until other nodes have to be asked, and this process knows which ones there are."""
         await self._needs_inquiry.wait()
         await self._may_know_peers.wait()
-        self._needs_inquiry.clear()
 
     def request_inquiry(self) -> None:
         """Ask other nodes for what the store may have lost, unless this was done before."""
@@ -72,6 +71,7 @@
     def record_peers_asked(self) -> None:
         """Record that other nodes were asked, after the newest entries of the store were read."""
         self.has_asked_peers = True
+        self._needs_inquiry.clear()
         self.record_fleet(source='store')
 
     def record_fleet(self, *, source: str) -> None:
