--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_inquiry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_inquiry.py
@@ -16,6 +16,7 @@
 from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import DataCentreId, InstanceId
 from turmericwharf.state.sidecar import (
     DirectoryReply,
@@ -23,6 +24,7 @@
     KeyedPage,
     NodeEntry,
     ProcessId,
+    StartupInquiryDump,
 )
 
 # Nodes of one data centre may be cut off from the store, so each data centre is asked.
@@ -73,6 +75,16 @@
         self._knowledge = knowledge
         self._held_page: KeyedPage | None = None
 
+    @property
+    def has_asked_peers(self) -> bool:
+        """Whether other nodes were asked."""
+        return self._knowledge.has_asked_peers
+
+    @property
+    def holds_configuration(self) -> bool:
+        """Whether a configuration of the store is held back."""
+        return self._held_page is not None
+
     def apply_configurations(self, page: KeyedPage) -> None:
         """Apply a page of the configuration topic, or hold it back until other nodes were asked.
 
@@ -139,3 +151,10 @@
             return False
         self._updates.apply_reply(reply, source=peer.instance)
         return reply.knows_fleet
+
+
+@describe.register
+def _(part: StartupInquiry) -> StartupInquiryDump:
+    return StartupInquiryDump(
+        has_asked_peers=part.has_asked_peers, holds_configuration=part.holds_configuration
+    )
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_knowledge.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_knowledge.py
@@ -85,7 +85,5 @@
 @describe.register
 def _(part: StartupKnowledge) -> StartupKnowledgeDump:
     return StartupKnowledgeDump(
-        knows_fleet=part.knows_fleet,
-        knows_predecessor=part.knows_predecessor,
-        has_asked_peers=part.has_asked_peers,
+        knows_fleet=part.knows_fleet, knows_predecessor=part.knows_predecessor
     )
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -7,6 +7,7 @@
     ServerGateDump,
     ConfigurationHolderDump,
     ServerRecordDump,
+    StartupInquiryDump,
     StartupKnowledgeDump,
     StoreEraDump,
 )
@@ -111,6 +112,7 @@
     'SidecarBounds',
     'SidecarListen',
     'SidecarSettings',
+    'StartupInquiryDump',
     'StartupKnowledgeDump',
     'StoreEraDump',
     'StoreSettings',
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
@@ -63,7 +63,14 @@
 
     knows_fleet: bool
     knows_predecessor: bool
-    has_asked_peers: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartupInquiryDump:
+    """Whether other nodes were asked at the start, and whether a configuration waits for that."""
+
+    has_asked_peers: bool
+    holds_configuration: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
