--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -182,6 +182,7 @@
         sync=sync,
         configuration=configuration,
         knowledge=knowledge,
+        era=era,
     )
     sender = OrderSender(
         executor=executor,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_inquiry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_inquiry.py
@@ -16,6 +16,7 @@
 from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import DataCentreId, InstanceId
 from turmericwharf.state.sidecar import (
@@ -35,6 +36,9 @@
 # and the time are limited.
 _MAX_GROUPS = 3
 _MAX_INQUIRY_SECONDS = 1.5
+# Time for other nodes to write their entries again, if the store has lost all of them. They learn
+# of the era within about a second.
+_FIRST_PEER_SECONDS = 1.0
 _NO_PROCESS = ProcessId('')
 
 
@@ -55,6 +59,8 @@
         Configuration in force.
     knowledge
         Says when to ask, and is told when the nodes were asked.
+    era
+        Highest known era of the store.
     """
 
     def __init__(
@@ -66,6 +72,7 @@
         sync: ConfigurationSync,
         configuration: ActiveConfiguration,
         knowledge: StartupKnowledge,
+        era: StoreEra,
     ) -> None:
         self._directory = directory
         self._links = links
@@ -73,6 +80,7 @@
         self._sync = sync
         self._configuration = configuration
         self._knowledge = knowledge
+        self._era = era
         self._held_page: KeyedPage | None = None
 
     @property
@@ -90,6 +98,7 @@
 
         It is held back only while no configuration is in force, since a version never goes back.
         """
+        self._era.record(page.era, source='store')
         if page.era and not (self._configuration.is_known or self._knowledge.has_asked_peers):
             self._held_page = page
             self._knowledge.request_inquiry()
@@ -111,6 +120,9 @@
 
     async def _ask_until_known(self) -> bool:
         """Ask nodes in groups; return whether one that knows the fleet has answered."""
+        if not self._directory.peers:
+            changes = self._directory.change_number
+            await self._directory.wait_for_change(changes, _FIRST_PEER_SECONDS)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + _MAX_INQUIRY_SECONDS
         asked: set[InstanceId] = set()
@@ -142,7 +154,7 @@
             self._sync.fetch(peer),
             self._links.request(
                 peer,
-                DirectoryRequest(_NO_PROCESS, 0, 0, self._directory.local.era),
+                DirectoryRequest(_NO_PROCESS, 0, 0, self._era.current),
                 timeout_seconds=_REQUEST_TIMEOUT_SECONDS,
             ),
         )
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -14,7 +14,7 @@
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state import PEER_UNREACHABLE
-from turmericwharf.state.sidecar import ServerPhase, StoredEntry
+from turmericwharf.state.sidecar import DirectoryRequest, ServerPhase, StoredEntry
 
 
 class Follower:
@@ -255,3 +255,25 @@
         assert len(fleet.store_readers) == 2
 
     run_scenario(scenario)
+
+
+def test_the_first_reply_to_a_process_names_what_its_predecessor_published():
+    """Guards against a leave that only the other nodes know, since the store has lost it.
+
+    A store without eras loses nothing, so nothing is sent there.
+    """
+
+    async def scenario(fleet):
+        asker = make_entry('n1', process='next', phase=ServerPhase.ABSENT)
+        node = fleet.nodes_by_id['n0']
+        predecessor = node.directory.find('n1')
+        node.directory.record_connection(asker)
+        request = DirectoryRequest('', 0, 0)
+        assert (await node.relay.answer(request, asker)).predecessor is None
+        node.era.record(1, source='store')
+        reply = await node.relay.answer(request, asker)
+        assert reply.predecessor == predecessor
+        request = DirectoryRequest(reply.process, reply.changes, 0)
+        assert (await node.relay.answer(request, asker)).predecessor is None
+
+    run_scenario(scenario)
--- a/tests/coordination/sidecar/test_startup_inquiry.py
+++ b/tests/coordination/sidecar/test_startup_inquiry.py
@@ -8,6 +8,7 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.startup_inquiry import StartupInquiry
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.state import PEER_UNREACHABLE
 from turmericwharf.state.sidecar import DirectoryReply, KeyedPage, KeyedRecord, StoredEntry
 
@@ -21,7 +22,7 @@
         self.asked = []
         self.peer_version = peer_version
         self.replies_by_instance = {f'n{number}': REPLY for number in range(count)}
-        directory = NodeDirectory(make_entry('own'), LoopClock())
+        self.directory = directory = NodeDirectory(make_entry('own'), LoopClock())
         for number, name in enumerate(self.replies_by_instance):
             centre = 'west' if number % 2 else 'east'
             entry = make_entry(name, data_centre=centre)
@@ -37,6 +38,7 @@
             sync=self,
             configuration=self.configuration,
             knowledge=self.knowledge,
+            era=StoreEra(directory),
         )
 
     async def fetch(self, peer):
@@ -123,12 +125,26 @@
 
     async def scenario(node):
         node.read_store(era=1, version=5)
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(1.1)
         assert node.configuration.version == 5 and node.knowledge.knows_fleet
 
     run_scenario(scenario, count=0)
 
 
+def test_nodes_whose_entries_the_store_has_lost_are_waited_for():
+    """Guards against an older configuration in force because the store names no other node yet."""
+
+    async def scenario(node):
+        node.read_store(era=1, version=5)
+        await asyncio.sleep(0.8)
+        node.replies_by_instance['n0'] = REPLY
+        node.directory.apply(StoredEntry(make_entry('n0'), 3, 1), source='store')
+        await asyncio.sleep(0.1)
+        assert node.configuration.version == 6 and node.knowledge.knows_fleet
+
+    run_scenario(scenario, count=0)
+
+
 def test_nothing_is_asked_while_the_store_has_no_eras():
     """Guards against slower starts and further messages on stores that lose nothing."""
 
--- a/tests/coordination/sidecar/test_store_era.py
+++ b/tests/coordination/sidecar/test_store_era.py
@@ -84,6 +84,7 @@
         await asyncio.sleep(0.5)
         assert [entry.era for entry in node.written] == [0]
         node.read(make_entry('peer'), 3, 1)
+        assert node.era.current == 1
         reply = DirectoryReply('process-of-peer', 1, (), is_current=True, era=2)
         node.updates.apply_reply(reply, source='peer')
         await asyncio.sleep(0.5)
