--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -7,7 +7,9 @@
     ServerGateDump,
     ConfigurationHolderDump,
     ServerRecordDump,
+    StartupInquiryDump,
     StartupKnowledgeDump,
+    StoreEraDump,
 )
 from turmericwharf.state.sidecar.fleet_configuration import (
     NO_FLEET_VERSION,
@@ -20,9 +22,11 @@
 from turmericwharf.state.sidecar.nodes import (
     NO_SERVER,
     MAX_BORN,
+    MAX_ERA,
     MAX_SLOTS,
     NOT_STORED,
     AnnouncedServer,
+    LogPosition,
     NodeEntry,
     ProcessId,
     ServerId,
@@ -37,7 +41,13 @@
     SidecarSettings,
     StoreSettings,
 )
-from turmericwharf.state.sidecar.store import HISTORY_GONE, KeyedPage, KeyedRecord, StoreTopic
+from turmericwharf.state.sidecar.store import (
+    HISTORY_GONE,
+    KeyedPage,
+    KeyedRecord,
+    StoreTopic,
+    WriteResult,
+)
 from turmericwharf.state.sidecar.messages import (
     ConfigurationReply,
     ConfigurationRequest,
@@ -62,6 +72,7 @@
     'HISTORY_GONE',
     'NO_FLEET_VERSION',
     'MAX_BORN',
+    'MAX_ERA',
     'MAX_SLOTS',
     'NOT_STORED',
     'NO_SERVER',
@@ -84,6 +95,7 @@
     'ConfigurationHolderDump',
     'KeyedPage',
     'KeyedRecord',
+    'LogPosition',
     'NodeEntry',
     'OrganisationRule',
     'ProcessId',
@@ -100,7 +112,9 @@
     'SidecarBounds',
     'SidecarListen',
     'SidecarSettings',
+    'StartupInquiryDump',
     'StartupKnowledgeDump',
+    'StoreEraDump',
     'StoreSettings',
     'StoreTopic',
     'StoredEntry',
@@ -109,4 +123,5 @@
     'WorkAnswer',
     'WorkCancel',
     'WorkOrder',
+    'WriteResult',
 )
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
@@ -51,9 +51,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TopicFollowerDump:
-    """Whether the node currently reads a topic of the store."""
+    """Whether the node currently reads a topic of the store, and the era of the last page."""
 
     is_connected: bool
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,3 +63,19 @@
 
     knows_fleet: bool
     knows_predecessor: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartupInquiryDump:
+    """Whether other nodes were asked at the start, and whether a configuration waits for that."""
+
+    has_asked_peers: bool
+    holds_configuration: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreEraDump:
+    """Highest known era of the store, and how often the process has learned of a higher one."""
+
+    current: int
+    rises_total: int
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -10,10 +10,11 @@
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
+from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state import PEER_UNREACHABLE
-from turmericwharf.state.sidecar import ServerPhase, StoredEntry
+from turmericwharf.state.sidecar import DirectoryRequest, ServerPhase, StoredEntry
 
 
 class Follower:
@@ -21,6 +22,7 @@
 
     def __init__(self) -> None:
         self.is_connected = True
+        self.era = 0
 
     @property
     def fresh_seconds(self):
@@ -44,17 +46,19 @@
         reads_store = asyncio.Event()
         follower = Follower()
         knowledge = StartupKnowledge()
+        era = StoreEra(directory)
         holders = SimpleNamespace(refresh=lambda: self.notified.append(local.instance))
         relay = DirectoryRelay(
             directory=directory,
             readers=StoreReaders(directory, DataCentreRanking(directory)),
             links=self,
             reads_store=reads_store,
-            freshness=StoreFreshness(reads_store, (follower,)),
-            updates=NodeEntryUpdates(directory, None, None, None, holders, knowledge),
+            freshness=StoreFreshness(reads_store, (follower,), era),
+            updates=NodeEntryUpdates(directory, None, None, None, holders, knowledge, era),
             knowledge=knowledge,
         )
         return SimpleNamespace(
+            era=era,
             directory=directory,
             reads_store=reads_store,
             follower=follower,
@@ -66,7 +70,9 @@
         if peer.instance in self.down:
             await asyncio.sleep(min(timeout_seconds, 0.5))
             return PEER_UNREACHABLE
-        return await self.nodes_by_id[peer.instance].relay.answer(message)
+        node = self.nodes_by_id[peer.instance]
+        node.era.record(message.era, source='peer')
+        return await node.relay.answer(message)
 
     @property
     def store_readers(self):
@@ -228,3 +234,46 @@
         assert all(node.knowledge.knows_fleet for node in fleet.nodes_by_id.values())
 
     run_scenario(scenario)
+
+
+def test_a_reader_of_an_earlier_era_is_not_followed():
+    """Guards against a node that waits at a reader which has not noticed that the store came back.
+
+    The node learned of the new era from the answer to a write.
+    """
+
+    async def scenario(fleet):
+        name = next(name for name in fleet.nodes_by_id if name not in fleet.store_readers)
+        fleet.nodes_by_id[name].era.record(1, source='store')
+        await asyncio.sleep(5)
+        assert fleet.nodes_by_id[name].reads_store.is_set()
+        assert all(node.era.current == 1 for node in fleet.nodes_by_id.values())
+        for node in fleet.nodes_by_id.values():
+            node.follower.era = 1
+        await asyncio.sleep(5)
+        assert not fleet.nodes_by_id[name].reads_store.is_set()
+        assert len(fleet.store_readers) == 2
+
+    run_scenario(scenario)
+
+
+def test_the_first_reply_to_a_process_names_what_its_predecessor_published():
+    """Guards against a leave that only the other nodes know, since the store has lost it.
+
+    A store without eras loses nothing, so nothing is sent there.
+    """
+
+    async def scenario(fleet):
+        asker = make_entry('n1', process='next', phase=ServerPhase.ABSENT)
+        node = fleet.nodes_by_id['n0']
+        predecessor = node.directory.find('n1')
+        node.directory.record_connection(asker)
+        request = DirectoryRequest('', 0, 0)
+        assert (await node.relay.answer(request, asker)).predecessor is None
+        node.era.record(1, source='store')
+        reply = await node.relay.answer(request, asker)
+        assert reply.predecessor == predecessor
+        request = DirectoryRequest(reply.process, reply.changes, 0)
+        assert (await node.relay.answer(request, asker)).predecessor is None
+
+    run_scenario(scenario)
