Limit the requests to a cold server by a permit of its own node

Cause: a server that has just started, or has become cold again, fails above a few requests per second, and nothing held the requests of all nodes below that.

Change: the node beside the server asks a permit before an order is sent and before a health check. Announcements, health answers, the configuration and the settings carry the limits; the entry of a node tells others how long its server is cold. The types of the evacuation of a data centre are added, but not used yet.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/announcements.py
@@ -81,7 +81,7 @@
         """Put a server to use that has confirmed by its health check that it is not leaving."""
         waiting = self.unconfirmed_server()
         if waiting is not None and waiting.start == server.start:
-            await self._apply(waiting)
+            await self._apply(dataclasses.replace(waiting, cold_seconds=server.cold_seconds))
 
     def record_previous_entry(self, entry: NodeEntry) -> None:
         """Record an entry that an earlier process of this node published."""
@@ -129,7 +129,13 @@
             self._confirmation.confirm()
         else:
             self._confirmation.drop(server.server, born=server.born)
-        if not self._record.apply(server):
+        has_changed = self._record.apply(server)
+        has_become_cold = (
+            server.phase is ServerPhase.READY
+            and self._record.current is server
+            and self._executor.cold_start.record_announcement(server)
+        )
+        if not has_changed and not has_become_cold:
             return server.phase is ServerPhase.READY or not self._uses(server)
         if previous.start != server.start:
             self._executor.breaker.reset()
@@ -157,7 +163,8 @@
         # A stopping node has published that it accepts no work, but the next process must know a
         # leave.
         if not self.is_stopping or server.phase is ServerPhase.LEAVING:
-            self._publisher.publish_server(server)
+            cold_seconds = self._executor.cold_start.cold_seconds
+            self._publisher.publish_server(dataclasses.replace(server, cold_seconds=cold_seconds))
 
 
 def _server_from_entry(entry: NodeEntry) -> AnnouncedServer:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/local_node_publisher.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/local_node_publisher.py
@@ -41,6 +41,7 @@
                 slots=server.slots,
                 phase=server.phase,
                 born=server.born,
+                cold_seconds=server.cold_seconds or 0,
             ),
         )
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -37,6 +37,7 @@
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
+from turmericwharf.coordination.sidecar.cold_start import ColdStartGate
 from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
 from turmericwharf.state.sidecar import (
     KeyedPage,
@@ -91,6 +92,7 @@
     recovery: ServerRecovery
     bounds: ReloadableBounds
     knowledge: StartupKnowledge
+    cold_start: ColdStartGate
     clock: Clock
 
     @property
@@ -115,7 +117,11 @@
     record = ServerRecord()
     order_validator = OrderValidator(record, configuration, request_validator)
     executor = OrderExecutor(
-        server=ports.server, order_validator=order_validator, directory=directory, clock=clock
+        server=ports.server,
+        order_validator=order_validator,
+        directory=directory,
+        clock=clock,
+        cold_start=ColdStartGate(configuration, bounds, clock),
     )
     holders = FixedShareHolders(directory, configuration, clock, knowledge)
     rate_limiter = FleetRateLimiter(
@@ -207,7 +213,10 @@
         relay=relay,
         configuration_follower=configuration_follower,
         membership_follower=membership_follower,
-        recovery=ServerRecovery(announcements, confirmation, configuration, ports.server),
+        recovery=ServerRecovery(
+            announcements, confirmation, configuration, ports.server, executor.cold_start
+        ),
+        cold_start=executor.cold_start,
         bounds=bounds,
         knowledge=knowledge,
         clock=clock,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
@@ -11,6 +11,7 @@
 from turmericwharf.coordination.clock import Clock
 from turmericwharf.coordination.sidecar.backlog import Backlog
 from turmericwharf.coordination.sidecar.breaker import CircuitBreaker
+from turmericwharf.coordination.sidecar.cold_start import ColdStartGate
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.order_validator import OrderValidator
 from turmericwharf.coordination.sidecar.order_deduplicator import OrderDeduplicator
@@ -25,6 +26,7 @@
     PROCESS_REPLACED,
     QUEUE_FULL,
     SERVER_BUSY,
+    SERVER_COLD,
     SERVER_DRAINING,
     SERVER_UNKNOWN,
     Answered,
@@ -69,6 +71,8 @@
         Holds the entry of the local node.
     clock
         Clock of the node.
+    cold_start
+        Holds orders back while the server is cold.
     """
 
     def __init__(
@@ -78,6 +82,7 @@
         order_validator: OrderValidator,
         directory: NodeDirectory,
         clock: Clock,
+        cold_start: ColdStartGate,
     ) -> None:
         self._server = server
         self._order_validator = order_validator
@@ -85,6 +90,7 @@
         self._clock = clock
         self._run_times = RunTimes()
         self._overdue_runs = OverdueRuns()
+        self.cold_start = cold_start
         self.orders = OrderDeduplicator(clock)
         self.breaker = CircuitBreaker(clock)
         self.queue = FairQueue(1, _QUEUE_LENGTH, clock)
@@ -123,6 +129,7 @@
             (request.server != local.server, SERVER_UNKNOWN),
             (local.phase is not ServerPhase.READY, SERVER_DRAINING),
             (self.breaker.is_open, BREAKER_OPEN),
+            (self.cold_start.expected_wait_seconds(local.service, 0) > 0, SERVER_COLD),
             (not self.queue.has_free_slot, SERVER_BUSY),
             (self._overdue_runs.hold_most_slots(self.queue.slots), SERVER_BUSY),
         )
@@ -140,12 +147,21 @@
         is_trial = self.breaker.is_open
         if refusal is None and not self.breaker.allows(may_be_trial=order.may_try):
             refusal = BREAKER_OPEN
+        run_seconds = max(self._run_times.mean_seconds(order.route), _MIN_RUN_SECONDS)
+        refusal = refusal or self.cold_start.find_refusal(
+            order, run_seconds=run_seconds, queued=self.queue.waiting
+        )
         if refusal is not None:
             return self._refuse(order, refusal, version)
         refusal = await self._acquire(order)
         if refusal is not None:
             return self._refuse(order, refusal, version)
         try:
+            refusal = await self.cold_start.wait_for_permit(
+                order, run_seconds=run_seconds, waited_seconds=self._clock.now() - received_at
+            )
+            if refusal is not None:
+                return self._refuse(order, refusal, version)
             return await self._run_in_slot(order, received_at, version, is_trial=is_trial)
         finally:
             self.queue.release(order.organisation)
@@ -202,6 +218,7 @@
         ran_seconds = self._clock.now() - started_at
         is_overdue = ran_seconds > OVERDUE_FACTOR * self._run_times.mean_seconds(order.route)
         self.breaker.record(outcome, is_overdue=is_overdue)
+        self.cold_start.record_outcome(outcome)
         if isinstance(outcome, Answered):
             self._run_times.record(order.route, ran_seconds)
         logger.bind(
@@ -247,6 +264,8 @@
             retry_seconds = expected_wait_seconds
         elif failure.reason is Reason.BREAKER_OPEN:
             retry_seconds = self.breaker.seconds_until_trial
+        elif failure.reason is Reason.SERVER_COLD:
+            retry_seconds = self.cold_start.expected_wait_seconds(order.service, self.queue.waiting)
         return self._answer(NotRun(failure.reason, failure.detail, retry_seconds), version)
 
     def _answer(
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
@@ -15,6 +15,7 @@
     FleetMessage,
     KeyedPage,
     NodeEntry,
+    ServerHealth,
     StoreTopic,
     WorkOrder,
 )
@@ -56,8 +57,8 @@
     ) -> Answered | NotRun | OutcomeUnknown:
         """Send the request to the server; cancellation closes the connection."""
 
-    async def identify(self, path: str, *, timeout_seconds: float) -> str | None:
-        """Return the identifier that a healthy server reports at its health path, or None."""
+    async def identify(self, path: str, *, timeout_seconds: float) -> ServerHealth | None:
+        """Return what a healthy server reports at its health path, or None."""
 
 
 class KeyedLog(Protocol):
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/recovery.py
@@ -1,11 +1,13 @@
 """Finds out whether the local backend server may be used after a restart of the node."""
 
 import asyncio
+import dataclasses
 
 from loguru import logger
 
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
+from turmericwharf.coordination.sidecar.cold_start import ColdStartGate
 from turmericwharf.coordination.sidecar.ports import ServerConnection
 from turmericwharf.coordination.sidecar.server_confirmation import ServerConfirmation
 from turmericwharf.state.sidecar import AnnouncedServer
@@ -34,6 +36,8 @@
         Configuration in force, with the health path of the service.
     server
         Connection to the backend server.
+    cold_start
+        Permits requests to the server, and counts health checks too.
     """
 
     def __init__(
@@ -42,11 +46,13 @@
         confirmation: ServerConfirmation,
         configuration: ActiveConfiguration,
         server: ServerConnection,
+        cold_start: ColdStartGate,
     ) -> None:
         self._announcements = announcements
         self._confirmation = confirmation
         self._configuration = configuration
         self._server = server
+        self._cold_start = cold_start
 
     async def run(self) -> None:
         """Confirm servers until cancelled."""
@@ -74,9 +80,15 @@
         path = self._configuration.current.health_paths_by_service.get(server.service)
         if path is None:
             return False
-        identifier = await self._server.identify(path, timeout_seconds=_IDENTIFY_TIMEOUT_SECONDS)
-        logger.bind(server=server.server, found=identifier).info('server_identified')
-        if identifier != server.server:
+        # A health check is a request that reaches the server.
+        if not self._cold_start.acquire_now(server.service):
             return False
+        health = await self._server.identify(path, timeout_seconds=_IDENTIFY_TIMEOUT_SECONDS)
+        found = None if health is None else health.server
+        logger.bind(server=server.server, found=found).info('server_identified')
+        if health is None or found != server.server:
+            return False
+        if health.cold_seconds is not None:
+            server = dataclasses.replace(server, cold_seconds=health.cold_seconds)
         await self._announcements.confirm(server)
         return True
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_times.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/retry_times.py
@@ -20,6 +20,8 @@
         Reason.NO_CAPACITY: 1.0,
         Reason.NOT_READY: 1.0,
         Reason.FLEET_UNKNOWN: 1.0,
+        Reason.DATA_CENTRE_EVACUATED: 1.0,
+        Reason.SERVER_COLD: 1.0,
         Reason.RATE_EXCEEDED: 1.0,
     },
 )
--- a/packages/turmericwharf/src/turmericwharf/platform/announcements.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/announcements.py
@@ -31,6 +31,8 @@
 class _Status(msgspec.Struct, frozen=True):
     state: str
     sequence: _Sequence
+    # Time in seconds for which the server stays cold.
+    cold_remaining_s: float | None = msgspec.field(default=None, name='coldRemainingS')
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
@@ -61,9 +63,14 @@
         phase=phase,
         born=heartbeat.born,
         sequence=heartbeat.status.sequence,
+        cold_seconds=_non_negative(heartbeat.status.cold_remaining_s),
     )
 
 
+def _non_negative(seconds: float | None) -> float | None:
+    return None if seconds is None else max(seconds, 0)
+
+
 def read_leave(server: str, body: bytes) -> AnnouncedServer | None:
     """Return the announcement of a server that leaves, or None if it is malformed."""
     try:
--- a/packages/turmericwharf/src/turmericwharf/platform/configuration.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/configuration.py
@@ -9,6 +9,7 @@
 from turmericwharf.state import OrganisationId, RouteId, ServiceId
 from turmericwharf.state.sidecar import (
     ClientLimits,
+    ColdLimit,
     Destination,
     FleetConfiguration,
     OrganisationRule,
@@ -45,6 +46,10 @@
 
 class _Service(msgspec.Struct, frozen=True, rename='camel'):
     health_check_path: str = '/'
+    # Time after its start for which a server is cold, and the requests per second that it takes
+    # meanwhile; 0 stands for no limit.
+    cold_start_s: float = msgspec.field(default=0, name='coldStartS')
+    cold_per_s: float = msgspec.field(default=0, name='coldPerS')
 
 
 class _Limits(msgspec.Struct, frozen=True, rename='camel'):
@@ -100,6 +105,11 @@
             header_seconds=limits.header_timeout_s,
             idle_seconds=limits.idle_timeout_s,
         ),
+        cold_limits_by_service={
+            ServiceId(name): ColdLimit(max(service.cold_start_s, 0), service.cold_per_s)
+            for name, service in decoded.services.items()
+            if service.cold_per_s > 0
+        },
     )
 
 
--- a/packages/turmericwharf/src/turmericwharf/platform/dialect.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/dialect.py
@@ -21,7 +21,13 @@
     Reason,
     RequestId,
 )
-from turmericwharf.state.sidecar import FleetRequest, DecodedResponse, WorkOrder
+from turmericwharf.state.sidecar import (
+    DecodedResponse,
+    FleetRequest,
+    ServerHealth,
+    ServerId,
+    WorkOrder,
+)
 
 _MILLISECONDS_PER_SECOND = 1000
 _OK = 200
@@ -100,12 +106,24 @@
             is_encoded='content-encoding' in headers_by_name,
         )
 
-    def read_identity(self, response: ServerResponse) -> str | None:
-        """Return the server id of a health check response, or None if the status is not 200."""
+    def read_health(self, response: ServerResponse) -> ServerHealth | None:
+        """Return what a health check response says of its server.
+
+        Returns
+        -------
+        ServerHealth or None
+            None if the status is not 200 or the server does not state its identifier.
+        """
         if response.status != _OK:
             return None
         headers_by_name = {name.lower(): text for name, text in response.headers}
-        return headers_by_name.get(names.SERVER_ID.lower())
+        server = headers_by_name.get(names.SERVER_ID.lower())
+        if server is None:
+            return None
+        cold_seconds = _read_seconds(headers_by_name.get(names.COLD_MILLISECONDS.lower()))
+        return ServerHealth(
+            ServerId(server), None if cold_seconds is None else max(cold_seconds, 0)
+        )
 
 
 def _platform_status(outcome: NotRun | OutcomeUnknown, status: int) -> int:
--- a/packages/turmericwharf/src/turmericwharf/platform/names.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/names.py
@@ -9,6 +9,7 @@
 CALLER_SERVICE = 'Turmericwharf-Caller-Service'
 SERVER_ID = 'Turmericwharf-Instance-Id'
 API_KEY = 'Api-Key'
+COLD_MILLISECONDS = 'Turmericwharf-Cold-Ms'
 RETRY_AFTER = 'Retry-After'
 
 SETTINGS_VARIABLE = 'TURMERICWHARF_NODE_FILE'
--- a/packages/turmericwharf/src/turmericwharf/platform/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/settings.py
@@ -1,5 +1,7 @@
 """Decodes the settings file that the platform writes."""
 
+from typing import Annotated
+
 import msgspec
 
 from turmericwharf.protocol import decode_json
@@ -51,6 +53,10 @@
     platform: _Store
 
 
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+
+
 class _Bounds(msgspec.Struct, frozen=True, rename='camel'):
     retry_budget_ratio: float = 0.2
     budget_extra_retries: float = 0
@@ -60,6 +66,9 @@
     quota_overage: float = 0
     quota_slack: float = 0
     config_apply_s: float = msgspec.field(default=2, name='configApplyS')
+    cold_overage: _NotNegative = 0
+    cold_slack: _NotNegative = 0
+    evacuate_s: _Positive = msgspec.field(default=5, name='evacuateS')
 
 
 class _Terms(msgspec.Struct, frozen=True):
@@ -111,6 +120,9 @@
             rate_overage=bounds.quota_overage,
             rate_slack=bounds.quota_slack,
             configuration_seconds=bounds.config_apply_s,
+            cold_overage=bounds.cold_overage,
+            cold_slack=bounds.cold_slack,
+            evacuation_seconds=bounds.evacuate_s,
         ),
         link_megabits=decoded.local_node.limits.link_mbps,
     )
--- a/packages/turmericwharf/src/turmericwharf/platform/store.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/store.py
@@ -11,7 +11,7 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from turmericwharf.protocol import decode_json, encode_node_entry
-from turmericwharf.state import LogFailure, Reason
+from turmericwharf.state import DataCentreId, LogFailure, Reason
 from turmericwharf.state.sidecar import (
     HISTORY_GONE,
     KeyedPage,
@@ -27,6 +27,8 @@
 )
 # Keys that the fleet uses, by topic. All keys of a topic that is not listed are used.
 _FLEET_KEYS_BY_TOPIC = MappingProxyType({StoreTopic.CONFIGURATION: frozenset(('config',))})
+# The rest of such a key of the configuration topic is the name of a data centre.
+_EVACUATION_PREFIX = 'evacuate/'
 _OK = 200
 _GONE = 410
 _MILLISECONDS_PER_SECOND = 1000
@@ -85,7 +87,7 @@
             end = page.end if end is None else end
             records_by_key.update(_decode_items(page))
             if not page.has_more or not page.items:
-                return KeyedPage(_select_fleet_keys(topic, records_by_key), end)
+                return _make_page(topic, records_by_key, end, is_complete=True)
             query['after'] = page.items[-1].key
 
     async def read_changes(
@@ -108,7 +110,7 @@
         if isinstance(response, LogFailure):
             return response
         records_by_key, next_offset = read_records(response.body, offset)
-        return KeyedPage(_select_fleet_keys(topic, records_by_key), next_offset)
+        return _make_page(topic, records_by_key, next_offset, is_complete=False)
 
     async def publish(self, entry: NodeEntry) -> LogFailure | None:
         """Append the entry of a node to the nodes topic."""
@@ -209,6 +211,34 @@
     return records_by_key, offset
 
 
+def _make_page(
+    topic: StoreTopic,
+    records_by_key: dict[str, KeyedRecord],
+    next_offset: int,
+    *,
+    is_complete: bool,
+) -> KeyedPage:
+    return KeyedPage(
+        _select_fleet_keys(topic, records_by_key),
+        next_offset,
+        evacuations_by_data_centre=_select_evacuations(topic, records_by_key),
+        is_complete=is_complete,
+    )
+
+
+def _select_evacuations(
+    topic: StoreTopic,
+    records_by_key: dict[str, KeyedRecord],
+) -> dict[DataCentreId, KeyedRecord]:
+    if topic is not StoreTopic.CONFIGURATION:
+        return {}
+    return {
+        DataCentreId(key.removeprefix(_EVACUATION_PREFIX)): record
+        for key, record in records_by_key.items()
+        if key.startswith(_EVACUATION_PREFIX) and key != _EVACUATION_PREFIX
+    }
+
+
 def _select_fleet_keys(
     topic: StoreTopic,
     records_by_key: dict[str, KeyedRecord],
--- a/packages/turmericwharf/src/turmericwharf/state/__init__.pyi
+++ b/packages/turmericwharf/src/turmericwharf/state/__init__.pyi
@@ -79,6 +79,8 @@
     SHUTDOWN,
     SettingsFailure,
     BREAKER_OPEN,
+    SERVER_COLD,
+    DATA_CENTRE_EVACUATED,
     PROCESS_REPLACED,
     REQUEST_ID_INVALID,
     CONFIGURATION_OUTDATED,
@@ -205,6 +207,8 @@
 __all__ = (
     'sidecar',
     'BREAKER_OPEN',
+    'SERVER_COLD',
+    'DATA_CENTRE_EVACUATED',
     'PROCESS_REPLACED',
     'REQUEST_ID_INVALID',
     'CONFIGURATION_OUTDATED',
--- a/packages/turmericwharf/src/turmericwharf/state/failures.py
+++ b/packages/turmericwharf/src/turmericwharf/state/failures.py
@@ -64,6 +64,8 @@
     REQUEST_TIMEOUT = 'request_timeout'
     STAMP_MISSING = 'stamp_missing'
     ANSWER_FOREIGN = 'answer_foreign'
+    SERVER_COLD = 'server_cold'
+    DATA_CENTRE_EVACUATED = 'data_centre_evacuated'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -192,6 +194,13 @@
 BREAKER_OPEN = RequestFailure(
     Reason.BREAKER_OPEN, 'the circuit breaker of the backend server is open'
 )
+SERVER_COLD = RequestFailure(
+    Reason.SERVER_COLD,
+    'the backend server has just started or become cold, and accepts no more requests now',
+)
+DATA_CENTRE_EVACUATED = RequestFailure(
+    Reason.DATA_CENTRE_EVACUATED, 'the operators have evacuated the data centre of the server'
+)
 PROCESS_REPLACED = RequestFailure(
     Reason.PROCESS_REPLACED,
     'the node process that the request was sent to has been replaced',
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -1,17 +1,21 @@
 """Immutable value types of a fleet in which each node runs beside one backend server."""
 
 from turmericwharf.state.sidecar.dumps import (
+    ColdStartDump,
     DirectoryDump,
     EntryPointDump,
+    EvacuationsDump,
     TopicFollowerDump,
     ServerGateDump,
     ConfigurationHolderDump,
     ServerRecordDump,
     StartupKnowledgeDump,
 )
+from turmericwharf.state.sidecar.evacuations import Evacuation
 from turmericwharf.state.sidecar.fleet_configuration import (
     NO_FLEET_VERSION,
     ClientLimits,
+    ColdLimit,
     Destination,
     FleetConfiguration,
     OrganisationRule,
@@ -25,6 +29,7 @@
     AnnouncedServer,
     NodeEntry,
     ProcessId,
+    ServerHealth,
     ServerId,
     ServerPhase,
     StoredEntry,
@@ -68,6 +73,8 @@
     'Address',
     'AnnouncedServer',
     'ClientLimits',
+    'ColdLimit',
+    'ColdStartDump',
     'ConfigurationReply',
     'ConfigurationRequest',
     'Destination',
@@ -75,6 +82,8 @@
     'DirectoryReply',
     'DirectoryRequest',
     'EntryPointDump',
+    'Evacuation',
+    'EvacuationsDump',
     'FleetConfiguration',
     'FleetMessage',
     'FleetRequest',
@@ -95,6 +104,7 @@
     'RetryRequest',
     'RouteRule',
     'DecodedResponse',
+    'ServerHealth',
     'ServerId',
     'ServerPhase',
     'SidecarBounds',
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Mapping
 
+from turmericwharf.state.sidecar.evacuations import Evacuation
 from turmericwharf.state.sidecar.nodes import AnnouncedServer, NodeEntry
 
 
@@ -34,6 +35,37 @@
     breaker_open: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdStartDump:
+    """Whether the server beside the node counts as cold, and orders that its permit held back.
+
+    Parameters
+    ----------
+    is_limited
+        Whether the service of the server has a limit for cold servers.
+    is_cold
+        Whether the server counts as cold; False if it is not limited.
+    waiting
+        Orders that have a slot and wait for the permit.
+    refused_total
+        Orders refused since the process started because the permit would come too late.
+    """
+
+    is_limited: bool
+    is_cold: bool
+    waiting: int
+    refused_total: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationsDump:
+    """Evacuated data centres, and whether this process knows those of the store or the fleet."""
+
+    is_known: bool
+    evacuated: int
+    evacuations: tuple[Evacuation, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerRecordDump:
     """Recorded state of the server beside the node."""
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/fleet_configuration.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/fleet_configuration.py
@@ -79,9 +79,31 @@
     idle_seconds: float = 15.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """What a cold server of a service can take.
+
+    Parameters
+    ----------
+    start_seconds
+        Time after its start for which a server is cold.
+    requests_per_second
+        Requests that a cold server takes per second; above 0.
+    """
+
+    start_seconds: float
+    requests_per_second: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetConfiguration:
-    """One version of the complete configuration."""
+    """One version of the complete configuration.
+
+    Parameters
+    ----------
+    cold_limits_by_service
+        Limits for cold servers; a service without one has no limit.
+    """
 
     version: int = NO_FLEET_VERSION
     routes: tuple[RouteRule, ...] = ()
@@ -91,3 +113,4 @@
     )
     has_organisations: bool = False
     limits: ClientLimits = ClientLimits()
+    cold_limits_by_service: Mapping[ServiceId, ColdLimit] = dataclasses.field(default_factory=dict)
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
@@ -11,6 +11,7 @@
     ServiceId,
 )
 from turmericwharf.state.outcomes import Answered, Headers, NotRun, OutcomeUnknown
+from turmericwharf.state.sidecar.evacuations import Evacuation
 from turmericwharf.state.sidecar.nodes import NodeEntry, ProcessId, ServerId, StoredEntry
 
 
@@ -193,18 +194,33 @@
     Parameters
     ----------
     wait_seconds
-        Maximum time for which the reply may wait for a newer version.
+        Maximum time for which the reply may wait for a newer version or evacuation.
+    evacuations
+        Evacuations and revocations that the sender knows; None if it does not ask for them.
     """
 
     above: int
     wait_seconds: float = 0
+    evacuations: tuple[Evacuation, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationReply:
-    """A configuration as it was published; empty if there is no newer one."""
+    """A configuration as it was published, and evacuations that the asking node does not know.
+
+    Parameters
+    ----------
+    encoded
+        The configuration; empty if there is no newer one.
+    evacuations
+        Newer evacuations and revocations.
+    knows_evacuations
+        Whether the sender has learned the evacuations from the store, or from a node that has.
+    """
 
     encoded: bytes
+    evacuations: tuple[Evacuation, ...] = ()
+    knows_evacuations: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
@@ -43,6 +43,8 @@
         Start time in Unix milliseconds; distinguishes two starts with the same identifier.
     sequence
         Increases with each announcement after the same start.
+    cold_seconds
+        Time for which the server stays cold, from when it was sent; None if it was not reported.
     """
 
     server: ServerId = NO_SERVER
@@ -51,6 +53,7 @@
     phase: ServerPhase = ServerPhase.ABSENT
     born: int = 0
     sequence: int = 0
+    cold_seconds: float | None = None
 
     @property
     def start(self) -> tuple[ServerId, int]:
@@ -58,6 +61,20 @@
         return self.server, self.born
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerHealth:
+    """Answer of a healthy backend server to a health check.
+
+    Parameters
+    ----------
+    cold_seconds
+        Time for which the server stays cold; None if it was not reported.
+    """
+
+    server: ServerId
+    cold_seconds: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeEntry:
     """Description of a node that it publishes to the other nodes.
@@ -72,6 +89,9 @@
         Increases with each change that the process makes.
     link_megabits
         Bandwidth of the node's network link in Mbit/s; 0 if it is unknown.
+    cold_seconds
+        Time from the publication of this entry for which the server stays cold; 0 if it is not
+        cold, or if its service has no limit for cold servers.
     """
 
     instance: InstanceId
@@ -86,6 +106,7 @@
     born: int = 0
     revision: int = 0
     link_megabits: float = 0
+    cold_seconds: float = 0
 
     @property
     def is_usable(self) -> bool:
@@ -100,6 +121,7 @@
                 0 <= self.born <= MAX_BORN,
                 self.revision >= 0,
                 0 <= self.link_megabits < math.inf,
+                0 <= self.cold_seconds < math.inf,
                 _is_ip_address(self.host),
             )
         )
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/settings.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/settings.py
@@ -40,6 +40,11 @@
         `rate_window_seconds`: the share `rate_overage` of what they allow, plus `rate_slack`.
     configuration_seconds
         Time within which a published configuration must be in force at all nodes.
+    cold_overage, cold_slack
+        Requests that may reach a server in any second while it is cold: `cold_overage` times the
+        rate of its service for cold servers, plus `cold_slack`. Both are 0 if there is no bound.
+    evacuation_seconds
+        Time within which no request reaches a server of an evacuated data centre any more.
     """
 
     retry_ratio: float
@@ -50,6 +55,9 @@
     rate_overage: float
     rate_slack: float
     configuration_seconds: float = 2
+    cold_overage: float = 0
+    cold_slack: float = 0
+    evacuation_seconds: float = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/store.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/store.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from turmericwharf.state.failures import LogFailure, Reason
+from turmericwharf.state.identifiers import DataCentreId
 
 
 class StoreTopic(enum.Enum):
@@ -30,10 +31,21 @@
     ----------
     next_offset
         Offset at which the next read continues.
+    evacuations_by_data_centre
+        Newest records of evacuations; they are not in `records_by_key`.
+    is_complete
+        Whether the page has the newest records of all keys, rather than those after an offset.
+    era
+        Era of the store; 0 if the store has none.
     """
 
     records_by_key: Mapping[str, KeyedRecord]
     next_offset: int
+    evacuations_by_data_centre: Mapping[DataCentreId, KeyedRecord] = dataclasses.field(
+        default_factory=dict
+    )
+    is_complete: bool = False
+    era: int = 0
 
 
 HISTORY_GONE = LogFailure(
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -19,7 +19,13 @@
     ProtocolFailure,
     Reason,
 )
-from turmericwharf.state.sidecar import Address, DecodedResponse, ResponseLimits, WorkOrder
+from turmericwharf.state.sidecar import (
+    Address,
+    DecodedResponse,
+    ResponseLimits,
+    ServerHealth,
+    WorkOrder,
+)
 from turmericwharf.transport.sidecar.response_memory import ResponseMemory
 
 _READ_BYTES = 65536
@@ -35,8 +41,8 @@
     def read_response(self, response: ServerResponse) -> DecodedResponse:
         """Return the response of the server with its headers decoded."""
 
-    def read_identity(self, response: ServerResponse) -> str | None:
-        """Return the identifier in the health check response of a healthy server, or None."""
+    def read_health(self, response: ServerResponse) -> ServerHealth | None:
+        """Return what the health check response of a healthy server says, or None."""
 
 
 class ServerClient:
@@ -75,8 +81,8 @@
             return response
         return classify_response(order.request, self._dialect.read_response(response))
 
-    async def identify(self, path: str, *, timeout_seconds: float) -> str | None:
-        """Return the identifier that a healthy server reports at its health path, or None."""
+    async def identify(self, path: str, *, timeout_seconds: float) -> ServerHealth | None:
+        """Return what a healthy server reports at its health path, or None."""
         host = f'{self._address.host}:{self._address.port}'
         with self._memory.open() as reservation:
             reader = ResponseReader(reservation.grow)
@@ -84,7 +90,7 @@
             response = await self._exchange_in_time(reader, encoded, timeout_seconds)
         if isinstance(response, NotRun | OutcomeUnknown):
             return None
-        return self._dialect.read_identity(response)
+        return self._dialect.read_health(response)
 
     async def _exchange_in_time(
         self,
--- a/tests/coordination/sidecar/load_replay.py
+++ b/tests/coordination/sidecar/load_replay.py
@@ -6,7 +6,13 @@
 
 from loguru import logger
 
-from tests.coordination.sidecar.samples import make_entry, make_order, make_request, make_route
+from tests.coordination.sidecar.samples import (
+    make_cold_start,
+    make_entry,
+    make_order,
+    make_request,
+    make_route,
+)
 from tests.virtual_time import LoopClock, run_in_virtual_time
 from turmericwharf.coordination.sidecar.admission import AdmittedFleetRequest
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
@@ -221,6 +227,7 @@
         order_validator=AcceptingValidator(),
         directory=NodeDirectory(entry, clock),
         clock=clock,
+        cold_start=make_cold_start(clock),
     )
     executor.queue.resize(entry.slots)
     return executor
--- a/tests/coordination/sidecar/samples.py
+++ b/tests/coordination/sidecar/samples.py
@@ -1,8 +1,12 @@
 """Sample values for the unit tests of the sidecar."""
 
 import dataclasses
+from types import SimpleNamespace
 
+from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
+from turmericwharf.coordination.sidecar.cold_start import ColdStartGate
 from turmericwharf.state.sidecar import (
+    ColdLimit,
     Destination,
     FleetConfiguration,
     FleetRequest,
@@ -10,6 +14,7 @@
     OrganisationRule,
     RouteRule,
     ServerPhase,
+    SidecarBounds,
     WorkOrder,
 )
 
@@ -99,3 +104,28 @@
         body=b'',
     )
     return dataclasses.replace(order, **changes)
+
+
+def make_bounds(**changes) -> SidecarBounds:
+    bounds = SidecarBounds(
+        retry_ratio=0.2,
+        retry_extra=0,
+        retry_window_seconds=10,
+        grace_seconds=6,
+        rate_window_seconds=5,
+        rate_overage=0,
+        rate_slack=0,
+        cold_overage=1.5,
+        cold_slack=8,
+    )
+    return dataclasses.replace(bounds, **changes)
+
+
+def make_cold_start(clock, limit: ColdLimit | None = None, **bounds) -> ColdStartGate:
+    """Return the gate of a server of `bookings`, whose service has a limit or none."""
+    limits = {} if limit is None else {'bookings': limit}
+    configuration = ActiveConfiguration(
+        lambda encoded: make_configuration(cold_limits_by_service=limits)
+    )
+    configuration.apply_if_newer(b'', source='test')
+    return ColdStartGate(configuration, SimpleNamespace(current=make_bounds(**bounds)), clock)
--- a/tests/coordination/sidecar/test_announcements.py
+++ b/tests/coordination/sidecar/test_announcements.py
@@ -2,7 +2,7 @@
 import dataclasses
 from types import SimpleNamespace
 
-from tests.coordination.sidecar.samples import make_entry
+from tests.coordination.sidecar.samples import make_cold_start, make_entry
 from tests.virtual_time import LoopClock, run_in_virtual_time
 from turmericwharf.coordination.sidecar.announcements import AnnouncementService
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
@@ -12,7 +12,7 @@
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.state import LogFailure, Reason
-from turmericwharf.state.sidecar import AnnouncedServer, ServerPhase
+from turmericwharf.state.sidecar import AnnouncedServer, ColdLimit, ServerHealth, ServerPhase
 
 READY = AnnouncedServer('s1', 'bookings', 3, ServerPhase.READY, born=7, sequence=4)
 LEAVE = AnnouncedServer('s1', phase=ServerPhase.LEAVING, born=7)
@@ -21,10 +21,11 @@
 class Node:
     """Announcements of one node, with a server that answers its health check or does not."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit: ColdLimit | None = None) -> None:
         local = make_entry(server='', phase=ServerPhase.ABSENT, process='second', born=0)
         clock = LoopClock()
         self.is_healthy = True
+        self.health_cold_seconds = None
         self.probes = 0
         self.published = []
         self.is_store_away = False
@@ -32,16 +33,18 @@
         self.knowledge = StartupKnowledge()
         self.record = ServerRecord()
         self.publisher = LocalNodePublisher(self, self.directory)
+        self.cold_start = make_cold_start(clock, limit)
         executor = SimpleNamespace(
             breaker=SimpleNamespace(reset=lambda: None),
             queue=SimpleNamespace(resize=lambda slots: None),
+            cold_start=self.cold_start,
         )
         confirmation = ServerConfirmation(self.knowledge, clock)
         self.service = AnnouncementService(self.record, executor, self.publisher, confirmation)
         configuration = SimpleNamespace(
             current=SimpleNamespace(health_paths_by_service={'bookings': '/healthz'})
         )
-        recovery = ServerRecovery(self.service, confirmation, configuration, self)
+        recovery = ServerRecovery(self.service, confirmation, configuration, self, self.cold_start)
         self.tasks = [asyncio.create_task(part.run()) for part in (self.publisher, recovery)]
 
     async def publish(self, entry):
@@ -52,7 +55,7 @@
 
     async def identify(self, path, *, timeout_seconds):
         self.probes += 1
-        return 's1' if self.is_healthy else None
+        return ServerHealth('s1', self.health_cold_seconds) if self.is_healthy else None
 
     def record_store_read(self, previous=None):
         """Apply the entries of the store, with or without one of a previous process."""
@@ -69,9 +72,9 @@
         return self.published[-1].phase if self.published else None
 
 
-def run_scenario(scenario):
+def run_scenario(scenario, limit=None):
     async def main():
-        node = Node()
+        node = Node(limit)
         try:
             await scenario(node)
         finally:
@@ -286,3 +289,36 @@
         assert node.phase is ServerPhase.READY
 
     run_scenario(scenario)
+
+
+def test_a_server_that_becomes_cold_again_is_published_once_as_cold():
+    """Guards against selectors that take a cold server for a warm one, and against a write to the
+    store for each announcement while it is cold.
+    """
+
+    async def scenario(node):
+        node.record_store_read()
+        await node.service.apply_announcement(READY)
+        for sequence, cold_seconds in enumerate((0, 6, 4.5, 3, 0), start=5):
+            await node.service.apply_announcement(
+                dataclasses.replace(READY, sequence=sequence, cold_seconds=cold_seconds)
+            )
+            await asyncio.sleep(1.5)
+        assert [entry.cold_seconds for entry in node.published] == [4, 6]
+
+    run_scenario(scenario, ColdLimit(start_seconds=4, requests_per_second=7.5))
+
+
+def test_the_health_check_after_a_restart_waits_for_its_permit_and_tells_the_cold_time():
+    """Guards against a health check beyond what the previous process has sent to a cold server."""
+
+    async def scenario(node):
+        node.health_cold_seconds = 3
+        node.record_store_read(previous_entry())
+        await asyncio.sleep(1)
+        assert not node.probes
+        await asyncio.sleep(1)
+        assert node.probes == 1 and node.phase is ServerPhase.READY
+        assert 2 < node.cold_start.cold_seconds < 3
+
+    run_scenario(scenario, ColdLimit(start_seconds=4, requests_per_second=7.5))
--- a/tests/coordination/sidecar/test_order_executor.py
+++ b/tests/coordination/sidecar/test_order_executor.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.coordination.sidecar.samples import make_entry, make_order
+from tests.coordination.sidecar.samples import make_cold_start, make_entry, make_order
 from tests.virtual_time import run_in_virtual_time
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
@@ -44,6 +44,7 @@
         order_validator=AcceptingValidator(),
         directory=NodeDirectory(make_entry(), clock),
         clock=clock,
+        cold_start=make_cold_start(clock),
     )
 
 
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -62,6 +62,7 @@
     server = read_heartbeat('s1', json.dumps(HEARTBEAT).encode())
     assert server.phase is ServerPhase.READY
     assert (server.service, server.slots, server.born, server.sequence) == ('bookings', 3, 1700, 4)
+    assert server.cold_seconds == 0.5
 
 
 @given(JSON, st.sampled_from(['info', 'status', 'born', 'address']))
