Keep servers of evacuated data centres free of requests

Cause: operators had no way to empty a data centre within seconds.

Change: readers of the store apply the evacuation keys of the configuration's topic, and other nodes learn them on the polls of the configuration, in both directions. A newer record wins by its position; an evacuation that is missing from a complete page is revoked only if the store must have had it. A new process asks other nodes before it is ready. The node beside a server refuses orders there, and selectors leave the data centre out.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
@@ -1,4 +1,4 @@
-"""Fetches newer configurations from other nodes.
+"""Fetches newer configurations, and evacuations of data centres, from other nodes.
 
 The store readers of a data centre read the configuration, and the other nodes fetch it from them:
 if every node read the store, each version would cost one call and one copy for each node.
@@ -11,6 +11,7 @@
 
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.evacuations import Evacuations
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
@@ -53,6 +54,8 @@
         Reads configurations from the store while this node does so itself.
     freshness
         Whether this node may answer for the store.
+    evacuations
+        Known evacuations, which other nodes learn in the same way.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         links: FleetLinks,
         follower: TopicFollower,
         freshness: StoreFreshness,
+        evacuations: Evacuations,
     ) -> None:
         self._configuration = configuration
         self._directory = directory
@@ -71,6 +75,7 @@
         self._links = links
         self._follower = follower
         self._freshness = freshness
+        self._evacuations = evacuations
         self._fetches: set[asyncio.Task[bool]] = set()
 
     def record_version(self, instance: InstanceId, version: int) -> None:
@@ -87,15 +92,41 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._follow_reader())
             group.create_task(self._poll_nodes())
+            group.create_task(self._ask_for_evacuations())
 
     async def answer(self, request: ConfigurationRequest) -> ConfigurationReply:
-        """Answer the poll of another node once there is a newer version, or after the timeout."""
+        """Answer the poll of another node once there is something new, or after the timeout."""
+        self._evacuations.merge(request.evacuations or (), source='poll')
         await self._freshness.wait_while_current(
-            lambda seconds: self._configuration.wait_for_newer(request.above, seconds),
+            lambda seconds: self._wait_for_news(request, seconds),
             min(request.wait_seconds, _LONG_POLL_SECONDS),
         )
         is_newer = self._configuration.version > request.above
-        return ConfigurationReply(self._configuration.encoded if is_newer else b'')
+        return self._evacuations.reply_to(
+            self._configuration.encoded if is_newer else b'', request.evacuations
+        )
+
+    async def _wait_for_news(self, request: ConfigurationRequest, seconds: float) -> bool:
+        waiting = (
+            asyncio.create_task(self._configuration.wait_for_newer(request.above, seconds)),
+            asyncio.create_task(self._evacuations.wait_for_newer(request.evacuations)),
+        )
+        try:
+            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in waiting:
+                task.cancel()
+        has_newer_version = self._configuration.version > request.above
+        return has_newer_version or bool(self._evacuations.newer_than(request.evacuations))
+
+    async def _ask_for_evacuations(self) -> None:
+        """Ask a node of this and one of another data centre before this node is ready.
+
+        A store that came back from an older copy may have lost an evacuation that they know.
+        """
+        await self._evacuations.wait_until_fleet_known()
+        await asyncio.gather(*(self._fetch(peer) for peer in self._choose_peers(is_offline=True)))
+        self._evacuations.record_peers_asked()
 
     async def _follow_reader(self) -> None:
         while True:
@@ -128,15 +159,16 @@
         return [random.choice(group) for group in (local_peers, remote_peers) if group]
 
     async def _fetch(self, peer: NodeEntry, wait_seconds: float = 0) -> bool:
-        """Fetch a newer configuration from a node; return whether one was applied."""
+        """Fetch what is newer from a node; return whether a configuration was applied."""
         reply = await self._links.request(
             peer,
-            ConfigurationRequest(self._configuration.version, wait_seconds),
+            ConfigurationRequest(self._configuration.version, wait_seconds, self._evacuations.all),
             timeout_seconds=wait_seconds + _REQUEST_TIMEOUT_SECONDS,
         )
         if not isinstance(reply, ConfigurationReply):
             logger.bind(instance=peer.instance).debug('configuration_not_fetched')
             return False
+        self._evacuations.apply_reply(reply, source=peer.instance)
         # Both readers may send the same version.
         if reply.encoded in {b'', self._configuration.encoded}:
             return False
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -12,6 +12,7 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.directory_relay import DirectoryRelay
 from turmericwharf.coordination.sidecar.entry_point import RequestEntryPoint
+from turmericwharf.coordination.sidecar.evacuations import Evacuations
 from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
 from turmericwharf.coordination.sidecar.order_validator import OrderValidator
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
@@ -93,12 +94,14 @@
     bounds: ReloadableBounds
     knowledge: StartupKnowledge
     cold_start: ColdStartGate
+    evacuations: Evacuations
     clock: Clock
 
     @property
     def is_ready(self) -> bool:
         """Whether callers may send requests to this node."""
-        knows_enough = self.holder.is_known and self.knowledge.knows_fleet
+        knows_fleet = self.knowledge.knows_fleet and self.evacuations.is_known
+        knows_enough = self.holder.is_known and knows_fleet
         return knows_enough and not self.checks.is_stopping
 
 
@@ -115,7 +118,8 @@
     configuration = ActiveConfiguration(ports.decode_configuration)
     request_validator = RequestValidator(configuration, clock)
     record = ServerRecord()
-    order_validator = OrderValidator(record, configuration, request_validator)
+    evacuations = Evacuations(knowledge)
+    order_validator = OrderValidator(record, configuration, request_validator, evacuations)
     executor = OrderExecutor(
         server=ports.server,
         order_validator=order_validator,
@@ -143,7 +147,7 @@
     configuration_follower = TopicFollower(
         ports.log,
         StoreTopic.CONFIGURATION,
-        lambda page: _apply_configurations(configuration, page),
+        lambda page: _apply_configurations(configuration, evacuations, page),
         clock=clock,
         wait_seconds=_configuration_wait_seconds(settings.bounds),
         batch_seconds=_CONFIGURATION_BATCH_SECONDS,
@@ -185,7 +189,7 @@
         retry_share=lambda: executor.retry_share,
     )
     attempts = AttemptRunner(
-        selector=ServerSelector(directory, clock),
+        selector=ServerSelector(directory, clock, evacuations),
         sender=sender,
         retry_budget=retry_budget,
         clock=clock,
@@ -209,6 +213,7 @@
             links=ports.links,
             follower=configuration_follower,
             freshness=freshness,
+            evacuations=evacuations,
         ),
         relay=relay,
         configuration_follower=configuration_follower,
@@ -217,6 +222,7 @@
             announcements, confirmation, configuration, ports.server, executor.cold_start
         ),
         cold_start=executor.cold_start,
+        evacuations=evacuations,
         bounds=bounds,
         knowledge=knowledge,
         clock=clock,
@@ -224,13 +230,15 @@
 
 
 def _configuration_wait_seconds(bounds: SidecarBounds) -> float:
-    """Return how long a read of the configuration may wait for a newer version."""
-    return max(
-        bounds.configuration_seconds - _READER_REPLACEMENT_SECONDS, _MIN_CONFIGURATION_WAIT_SECONDS
-    )
+    """Return how long a read of the configuration and the evacuations may wait for a change."""
+    apply_seconds = min(bounds.configuration_seconds, bounds.evacuation_seconds)
+    return max(apply_seconds - _READER_REPLACEMENT_SECONDS, _MIN_CONFIGURATION_WAIT_SECONDS)
 
 
-def _apply_configurations(configuration: ActiveConfiguration, page: KeyedPage) -> None:
+def _apply_configurations(
+    configuration: ActiveConfiguration, evacuations: Evacuations, page: KeyedPage
+) -> None:
+    evacuations.apply_page(page)
     for record in page.records_by_key.values():
         if record.encoded:
             configuration.apply_if_newer(record.encoded, source='store')
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
@@ -22,6 +22,7 @@
 from turmericwharf.state import (
     BREAKER_OPEN,
     CALLER_LEFT,
+    DATA_CENTRE_EVACUATED,
     DEADLINE_PASSED,
     PROCESS_REPLACED,
     QUEUE_FULL,
@@ -128,6 +129,7 @@
             (request.process != local.process, PROCESS_REPLACED),
             (request.server != local.server, SERVER_UNKNOWN),
             (local.phase is not ServerPhase.READY, SERVER_DRAINING),
+            (self._order_validator.is_evacuated(local), DATA_CENTRE_EVACUATED),
             (self.breaker.is_open, BREAKER_OPEN),
             (self.cold_start.expected_wait_seconds(local.service, 0) > 0, SERVER_COLD),
             (not self.queue.has_free_slot, SERVER_BUSY),
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_validator.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_validator.py
@@ -2,9 +2,11 @@
 
 from turmericwharf.coordination.sidecar.admission import RequestValidator
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
+from turmericwharf.coordination.sidecar.evacuations import Evacuations
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.state import (
     CONFIGURATION_OUTDATED,
+    DATA_CENTRE_EVACUATED,
     KEY_WITHDRAWN,
     PROCESS_REPLACED,
     SERVER_DRAINING,
@@ -30,6 +32,8 @@
         Configuration in force at this node, which may be newer than that of the entry node.
     request_validator
         Validates requests against the configuration.
+    evacuations
+        Data centres whose servers must get no requests.
     """
 
     def __init__(
@@ -37,10 +41,12 @@
         record: ServerRecord,
         configuration: ActiveConfiguration,
         request_validator: RequestValidator,
+        evacuations: Evacuations,
     ) -> None:
         self._record = record
         self._configuration = configuration
         self._request_validator = request_validator
+        self._evacuations = evacuations
         self.is_stopping = False
 
     def find_refusal(self, order: WorkOrder, local: NodeEntry) -> RequestFailure | None:
@@ -49,6 +55,7 @@
         rules = (
             (order.process != local.process, PROCESS_REPLACED),
             (self.is_stopping, SERVER_DRAINING),
+            (self.is_evacuated(local), DATA_CENTRE_EVACUATED),
             (order.server != server.server, SERVER_UNKNOWN),
             (order.service != server.service, SERVER_UNKNOWN),
             (server.phase is not ServerPhase.READY, SERVER_DRAINING),
@@ -56,6 +63,10 @@
         failure = next((failure for is_violated, failure in rules if is_violated), None)
         return failure or self._check_configuration(order)
 
+    def is_evacuated(self, local: NodeEntry) -> bool:
+        """Return whether the data centre of the local server is evacuated."""
+        return self._evacuations.covers(local.data_centre)
+
     def _check_configuration(self, order: WorkOrder) -> RequestFailure | None:
         if order.version >= self._configuration.version:
             return None
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
@@ -9,7 +9,9 @@
 from turmericwharf.coordination.clock import Clock
 from turmericwharf.coordination.membership.rendezvous import rank_instances
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.evacuations import Evacuations
 from turmericwharf.coordination.sidecar.placement import Reach
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.state import InstanceId, NotRun, Reason, ServiceId
 from turmericwharf.state.sidecar import NodeEntry, WorkAnswer
 
@@ -30,6 +32,8 @@
         Reason.BREAKER_OPEN: 4.0,
         Reason.QUEUE_FULL: 0.15,
         Reason.SERVER_DRAINING: 1.0,
+        # This node learns of the evacuation within that time too.
+        Reason.DATA_CENTRE_EVACUATED: 2.0,
         # The answer reports the load, by which the server is ranked.
         Reason.SERVER_BUSY: 0.0,
     },
@@ -53,10 +57,15 @@
         Known nodes.
     clock
         Clock of the node.
+    evacuations
+        Data centres whose servers are not selected; None if there are none.
     """
 
-    def __init__(self, directory: NodeDirectory, clock: Clock) -> None:
+    def __init__(
+        self, directory: NodeDirectory, clock: Clock, evacuations: Evacuations | None = None
+    ) -> None:
         self._directory = directory
+        self._evacuations = evacuations or Evacuations(StartupKnowledge())
         self._clock = clock
         self._in_flight_by_instance: collections.Counter[InstanceId] = collections.Counter()
         self._load_by_instance: dict[InstanceId, _ReportedLoad] = {}
@@ -82,6 +91,7 @@
             entry
             for entry in self._directory.nodes_serving(service)
             if reach.covers(is_local=entry.data_centre == local.data_centre)
+            and not self._evacuations.covers(entry.data_centre)
         ]
         if reach is not Reach.REMOTE or len(entries) <= _REMOTE_NODES:
             return entries
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
@@ -215,12 +215,13 @@
     evacuations
         Newer evacuations and revocations.
     knows_evacuations
-        Whether the sender has learned the evacuations from the store, or from a node that has.
+        Whether the sender has learned the evacuations from the store, or from a node that has; None
+        from a build that does not know of evacuations.
     """
 
     encoded: bytes
     evacuations: tuple[Evacuation, ...] = ()
-    knows_evacuations: bool = False
+    knows_evacuations: bool | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/coordination/sidecar/test_cold_start.py
+++ b/tests/coordination/sidecar/test_cold_start.py
@@ -41,6 +41,9 @@
     def find_refusal(self, order, entry):
         return None
 
+    def is_evacuated(self, entry):
+        return False
+
     async def run(self, order, *, remaining_seconds):
         self.run_at.append(self.clock.now())
         await asyncio.sleep(0.05)
--- a/tests/coordination/sidecar/test_configuration_sync.py
+++ b/tests/coordination/sidecar/test_configuration_sync.py
@@ -9,10 +9,21 @@
 from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.evacuations import Evacuations
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state import PEER_UNREACHABLE
-from turmericwharf.state.sidecar import ConfigurationRequest, ServerPhase, StoredEntry
+from turmericwharf.state.sidecar import (
+    ConfigurationRequest,
+    Evacuation,
+    KeyedPage,
+    ServerPhase,
+    StoredEntry,
+)
+
+
+EVACUATED = Evacuation('west', is_active=True, offset=7)
 
 
 def decode(encoded):
@@ -42,6 +53,9 @@
             is_enabled=not candidates, is_connected=True, fresh_seconds=math.inf
         )
         reads_store = asyncio.Event()
+        knowledge = StartupKnowledge()
+        knowledge.record_fleet(source='test')
+        evacuations = Evacuations(knowledge)
         if follower.is_enabled:
             reads_store.set()
         sync = ConfigurationSync(
@@ -51,9 +65,14 @@
             links=self,
             follower=follower,
             freshness=StoreFreshness(reads_store, (follower,)),
+            evacuations=evacuations,
         )
         return SimpleNamespace(
-            directory=directory, configuration=configuration, follower=follower, sync=sync
+            directory=directory,
+            configuration=configuration,
+            follower=follower,
+            sync=sync,
+            evacuations=evacuations,
         )
 
     async def request(self, peer, message, *, timeout_seconds):
@@ -63,6 +82,13 @@
             return PEER_UNREACHABLE
         return await self.nodes_by_id[peer.instance].sync.answer(message)
 
+    def restart(self, name):
+        """Replace a node by one that knows the other nodes, but nothing else yet."""
+        entry = next(entry for entry in self.entries if entry.instance == name)
+        self.nodes_by_id[name] = self._make_node(entry)
+        self.tasks.append(asyncio.create_task(self.nodes_by_id[name].sync.run()))
+        return self.nodes_by_id[name]
+
     @property
     def readers(self):
         return sorted(name for name, node in self.nodes_by_id.items() if node.follower.is_enabled)
@@ -103,6 +129,34 @@
     run_scenario(scenario)
 
 
+def test_an_evacuation_is_known_at_once_at_all_nodes_of_the_data_centre():
+    """Guards against an evacuation that waits for the next poll of each node."""
+
+    async def scenario(fleet):
+        for name in fleet.readers:
+            fleet.nodes_by_id[name].evacuations.merge((EVACUATED,), source='store')
+        await asyncio.sleep(0.15)
+        assert all(node.evacuations.covers('west') for node in fleet.nodes_by_id.values())
+
+    run_scenario(scenario)
+
+
+def test_an_evacuation_that_only_another_node_knows_reaches_a_new_process_before_it_is_ready():
+    """Guards against a process that starts while the store has lost an evacuation, and is ready."""
+
+    async def scenario(fleet):
+        for node in fleet.nodes_by_id.values():
+            node.evacuations.merge((EVACUATED,), source='store')
+            node.evacuations.apply_page(KeyedPage({}, 4, is_complete=True))
+        started = fleet.restart('n5')
+        started.evacuations.apply_page(KeyedPage({}, 4, is_complete=True))
+        while not started.evacuations.is_known:
+            await asyncio.sleep(0.01)
+        assert started.evacuations.covers('west')
+
+    run_scenario(scenario)
+
+
 def test_a_version_arrives_in_time_if_only_one_reader_sees_it():
     """Guards against old keys and routes behind a reader whose connection to the store is silent.
 
--- a/tests/coordination/sidecar/test_order_executor.py
+++ b/tests/coordination/sidecar/test_order_executor.py
@@ -23,6 +23,9 @@
     def find_refusal(self, order, entry):
         return None
 
+    def is_evacuated(self, entry):
+        return False
+
 
 class ScriptedServer:
     """Connection to a server that returns, or raises, the scripted results in turn."""
--- a/tests/coordination/sidecar/test_order_validator.py
+++ b/tests/coordination/sidecar/test_order_validator.py
@@ -10,14 +10,16 @@
 from turmericwharf.coordination.sidecar.admission import RequestValidator
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.order_validator import OrderValidator
+from turmericwharf.coordination.sidecar.evacuations import Evacuations
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.state import Reason
-from turmericwharf.state.sidecar import AnnouncedServer, Destination, ServerPhase
+from turmericwharf.state.sidecar import AnnouncedServer, Destination, Evacuation, ServerPhase
 
 LOCAL = make_entry()
 
 
-def make_validator(configuration=None, **server_changes):
+def make_validator(configuration=None, evacuated=None, **server_changes):
     record = ServerRecord()
     fields = {
         'server': LOCAL.server,
@@ -32,9 +34,19 @@
         lambda encoded: configuration or make_configuration()
     )
     active_configuration.apply_if_newer(b'', source='test')
-    return OrderValidator(
-        record, active_configuration, RequestValidator(active_configuration, ManualClock())
-    )
+    request_validator = RequestValidator(active_configuration, ManualClock())
+    evacuations = Evacuations(StartupKnowledge())
+    if evacuated is not None:
+        evacuations.merge((Evacuation(evacuated, is_active=True, offset=1),), source='test')
+    return OrderValidator(record, active_configuration, request_validator, evacuations)
+
+
+def test_order_in_an_evacuated_data_centre_is_refused():
+    """Guards against orders of nodes that do not know of the evacuation yet."""
+    validator = make_validator(evacuated='east')
+    refusal = validator.find_refusal(make_order(), LOCAL)
+    assert refusal.reason is Reason.DATA_CENTRE_EVACUATED
+    assert make_validator(evacuated='west').find_refusal(make_order(), LOCAL) is None
 
 
 def test_order_for_the_current_server_passes():
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -12,9 +12,9 @@
 from turmericwharf.platform import configuration, settings, store
 from turmericwharf.platform.announcements import read_heartbeat, read_leave
 from turmericwharf.platform.dialect import PlatformDialect
-from turmericwharf.protocol import HttpRequest, decode_node_entry, digest_key
+from turmericwharf.protocol import HttpRequest, ServerResponse, decode_node_entry, digest_key
 from turmericwharf.state import SettingsFailure
-from turmericwharf.state.sidecar import KeyedRecord, ServerPhase
+from turmericwharf.state.sidecar import ColdLimit, KeyedRecord, ServerHealth, ServerPhase
 
 HEARTBEAT = {
     'address': '10.1.0.1:8080',
@@ -65,6 +65,32 @@
     assert server.cold_seconds == 0.5
 
 
+def test_limits_of_cold_servers_are_read():
+    """Guards against limits that are missed, or that hold for services which name none."""
+    services = {
+        'a': {'coldStartS': 4, 'coldPerS': 7.5},
+        'b': {'coldStartS': 4, 'coldPerS': 0},
+        'c': {},
+    }
+    encoded = json.dumps({**CONFIGURATION, 'services': services}).encode()
+    decoded = configuration.decode_configuration(encoded)
+    assert decoded.cold_limits_by_service == {'a': ColdLimit(4, 7.5)}
+
+
+@pytest.mark.parametrize(
+    ('headers', 'health'),
+    [
+        ((('turmericwharf-cold-ms', '1500'),), ServerHealth('s1', 1.5)),
+        ((), ServerHealth('s1')),
+        ((('Turmericwharf-Cold-Ms', 'soon'),), ServerHealth('s1')),
+    ],
+)
+def test_the_cold_time_of_a_health_check_is_read(headers, health):
+    """Guards against a cold server that counts as warm after a restart of its node."""
+    headers = (('Turmericwharf-Instance-Id', 's1'), *headers)
+    assert PlatformDialect().read_health(ServerResponse(200, headers, b'')) == health
+
+
 @given(JSON, st.sampled_from(['info', 'status', 'born', 'address']))
 def test_heartbeat_with_wrong_types_yields_no_unusable_server(value, field):
     """Guards against a field of an unexpected type that raises in the task that decodes heartbeats,
