--- a/tests/sidecar_fleet.py
+++ b/tests/sidecar_fleet.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
@@ -93,6 +94,7 @@
     def __init__(self, fleet: 'SidecarFleet', number: int) -> None:
         self.fleet = fleet
         self.name = f'node-{number}'
+        self.zone = 'a'
         self.host = f'127.0.0.{10 + number}'
         self.server = PlatformServer(self.host, fleet.ports, 'bookings', f'server-{number}')
         # Each node has its own relay to the store, so that it can be partitioned individually.
@@ -112,7 +114,7 @@
             'localNode': {
                 'nodeName': self.name,
                 'ip': host,
-                'zone': 'a',
+                'zone': self.zone,
                 'appAddr': f'{host}:{ports.server}',
                 'service': 'bookings',
             },
@@ -125,7 +127,15 @@
                 'portRange': [ports.first_peer, ports.first_peer + 1],
             },
             'platform': {'platform': {'address': f'{LOOPBACK}:{self.store_relay.port}'}},
-            'terms': {'bounds': {'budgetExtraRetries': 100, 'graceS': GRACE_SECONDS}},
+            'terms': {
+                'bounds': {
+                    'budgetExtraRetries': 100,
+                    'graceS': GRACE_SECONDS,
+                    'coldOverage': 1.5,
+                    'coldSlack': 8,
+                    'evacuateS': 5,
+                }
+            },
         }
 
     async def start(self) -> None:
@@ -181,7 +191,7 @@
 class SidecarFleet:
     """Store, nodes and backend servers on loopback."""
 
-    def __init__(self, count: int, folder: Path) -> None:
+    def __init__(self, count: int, folder: Path, *, zones: Sequence[str] = ('a',)) -> None:
         self.folder = folder
         self.ports = free_ports()
         self.store_port = self.ports.store
@@ -189,6 +199,8 @@
         self.network = Network()
         self.request_numbers = itertools.count(1)
         self.nodes = [SidecarNode(self, number) for number in range(count)]
+        for node, zone in zip(self.nodes, itertools.cycle(zones)):
+            node.zone = zone
 
     async def start(self) -> None:
         self.store.start(LOOPBACK, self.store_port)
@@ -229,10 +241,10 @@
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(count: int = 3):
+async def running_fleet(count: int = 3, **options):
     """Yield a fleet that is ready to serve requests."""
     with log_folder() as folder:
-        fleet = SidecarFleet(count, folder)
+        fleet = SidecarFleet(count, folder, **options)
         try:
             await fleet.start()
             yield fleet
--- a/tests/stand_ins/platform_server.py
+++ b/tests/stand_ins/platform_server.py
@@ -32,6 +32,8 @@
         self.sequence = 0
         # Start time in Unix milliseconds; tells two starts with the same name apart.
         self.born = 1000
+        # Time of the monotonic clock until which the server is cold.
+        self.cold_until = 0.0
         self.runs_at: list[float] = []
         self.runs_by_request: collections.Counter[str] = collections.Counter()
         self.headers_by_request: dict[str, dict] = {}
@@ -56,6 +58,10 @@
         self._heartbeat_task.cancel()
         self._server.stop()
 
+    @property
+    def cold_seconds(self) -> float:
+        return round(max(self.cold_until - time.monotonic(), 0), 3)
+
     async def announce_state(self, state: str) -> int:
         """Announce a state and return the status code of the acknowledgement."""
         self.state = state
@@ -84,7 +90,8 @@
         return (
             f'{{"address":"{self.host}:{self.ports.server}","born":{self.born},'
             f'"info":{{"service":"{self.service}","version":"v1","zone":"a","slots":3}},'
-            f'"status":{{"state":"{self.state}","sequence":{self.sequence},"coldRemainingS":0}}}}'
+            f'"status":{{"state":"{self.state}","sequence":{self.sequence},'
+            f'"coldRemainingS":{self.cold_seconds}}}}}'
         )
 
     async def deregister(self) -> int:
@@ -120,6 +127,7 @@
     def get(self) -> None:
         self.set_status(200 if self.server.state == 'ready' else 503)
         self.set_header('Turmericwharf-Instance-Id', self.server.name)
+        self.set_header('Turmericwharf-Cold-Ms', str(int(1000 * self.server.cold_seconds)))
 
 
 class WorkHandler(RequestHandler):
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -54,6 +54,12 @@
     def configure(self, configuration: dict) -> None:
         self.put(CONFIGURATION_TOPIC, 'config', json.dumps(configuration).encode())
 
+    def evacuate(self, data_centre: str) -> None:
+        self.put(CONFIGURATION_TOPIC, f'evacuate/{data_centre}', b'{}')
+
+    def revoke_evacuation(self, data_centre: str) -> None:
+        self.put(CONFIGURATION_TOPIC, f'evacuate/{data_centre}', b'')
+
     def truncate(self) -> None:
         """Drop the history of all topics, but keep the newest record of each key."""
         for topic in self.topics.values():
