Count only orders of the same or a higher rank before a cold server's permit

Cause: an urgent order was refused for a queue of less urgent ones, which it would have overtaken.

Change: the gate counts queued orders by rank.

--- a/packages/turmericwharf-cli/src/turmericwharf_cli/explain.py
+++ b/packages/turmericwharf-cli/src/turmericwharf_cli/explain.py
@@ -21,6 +21,8 @@
         'process_replaced': 'the node of the server was restarted after the request was sent to it',
         'server_draining': 'the server or its node was draining',
         'configuration_outdated': 'a newer configuration routes the request elsewhere',
+        'server_cold': 'the server was cold, or of unknown state, and took no more requests then',
+        'data_centre_evacuated': 'the operators had evacuated the data centre of the server',
         'no_capacity': 'no node announced a server of the service',
         'not_ready': 'the node had no configuration yet',
     },
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/cold_start.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/cold_start.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import math
+from collections.abc import Iterator
 
 from loguru import logger
 
@@ -72,6 +74,7 @@
         # Orders wait for their permit one behind the other.
         self._turn = asyncio.Lock()
         self._reported = asyncio.Event()
+        self._queued_by_rank: collections.Counter[int] = collections.Counter()
         self.waiting = 0
         self.refused = 0
 
@@ -125,24 +128,29 @@
             )
         self._is_unknown = True
 
-    def find_refusal(
-        self, order: WorkOrder, *, run_seconds: float, queued: int
-    ) -> RequestFailure | None:
+    def find_refusal(self, order: WorkOrder, *, run_seconds: float) -> RequestFailure | None:
         """Refuse an order whose permit would come later than the order may wait.
 
         Parameters
         ----------
         run_seconds
             Usual run time of the order.
-        queued
-            Orders that wait for a slot before it.
         """
-        expected_seconds = self.expected_wait_seconds(order.service, queued)
+        expected_seconds = self.expected_wait_seconds(order.service, order.rank)
         if not expected_seconds or expected_seconds <= _max_wait_seconds(order, run_seconds):
             return None
         self.refused += 1
         return SERVER_COLD
 
+    @contextlib.contextmanager
+    def queued(self, order: WorkOrder) -> Iterator[None]:
+        """Count an order that waits for a slot, and so comes before others of its rank."""
+        self._queued_by_rank[order.rank] += 1
+        try:
+            yield
+        finally:
+            self._queued_by_rank[order.rank] -= 1
+
     async def wait_for_permit(
         self, order: WorkOrder, *, run_seconds: float, waited_seconds: float
     ) -> RequestFailure | None:
@@ -153,6 +161,9 @@
         waited_seconds
             Time that the order has waited already.
         """
+        if self._find_limit(order.service) is None:
+            self._record(order.service)
+            return None
         self.waiting += 1
         try:
             async with asyncio.timeout(_max_wait_seconds(order, run_seconds) - waited_seconds):
@@ -168,16 +179,28 @@
 
     def acquire_now(self, service: ServiceId) -> bool:
         """Use the permit if it is due now, as for a health check; return whether it was."""
-        if self.expected_wait_seconds(service, 0):
+        if self.expected_wait_seconds(service):
             return False
         self._record(service)
         return True
 
-    def expected_wait_seconds(self, service: ServiceId, queued: int) -> float:
-        """Return the time until an order behind the queued and waiting ones may be sent."""
+    def expected_wait_seconds(self, service: ServiceId, rank: int | None = None) -> float:
+        """Return the time until one more order may be sent.
+
+        Parameters
+        ----------
+        rank
+            Rank of the order, which is served before the queued ones of lower ranks; None to count
+            all of them.
+        """
         rate = self._find_rate(service)
         if rate is None:
             return 0
+        queued = sum(
+            count
+            for queued_rank, count in self._queued_by_rank.items()
+            if rank is None or queued_rank >= rank
+        )
         return self._permit.seconds_until(rate, self._clock.now(), ahead=queued + self.waiting)
 
     async def _wait_until_due(self, service: ServiceId) -> None:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
@@ -125,19 +125,22 @@
     def find_slot(self, request: SlotRequest, version: int) -> SlotReply:
         """Tell whether an order would run at once; an open breaker is tried by orders only."""
         local = self._directory.local
+        cold_wait_seconds = self.cold_start.expected_wait_seconds(local.service)
         rules = (
             (request.process != local.process, PROCESS_REPLACED),
             (request.server != local.server, SERVER_UNKNOWN),
             (local.phase is not ServerPhase.READY, SERVER_DRAINING),
             (self._order_validator.is_evacuated(local), DATA_CENTRE_EVACUATED),
             (self.breaker.is_open, BREAKER_OPEN),
-            (self.cold_start.expected_wait_seconds(local.service, 0) > 0, SERVER_COLD),
+            (cold_wait_seconds > 0, SERVER_COLD),
             (not self.queue.has_free_slot, SERVER_BUSY),
             (self._overdue_runs.hold_most_slots(self.queue.slots), SERVER_BUSY),
         )
         refusal = next((failure for is_violated, failure in rules if is_violated), None)
         return SlotReply(
-            refused=None if refusal is None else NotRun(refusal.reason, refusal.detail),
+            refused=None
+            if refusal is None
+            else NotRun(refusal.reason, refusal.detail, cold_wait_seconds or None),
             running=self.queue.in_progress,
             waiting=self.queue.waiting,
             version=version,
@@ -150,12 +153,11 @@
         if refusal is None and not self.breaker.allows(may_be_trial=order.may_try):
             refusal = BREAKER_OPEN
         run_seconds = max(self._run_times.mean_seconds(order.route), _MIN_RUN_SECONDS)
-        refusal = refusal or self.cold_start.find_refusal(
-            order, run_seconds=run_seconds, queued=self.queue.waiting
-        )
+        refusal = refusal or self.cold_start.find_refusal(order, run_seconds=run_seconds)
         if refusal is not None:
             return self._refuse(order, refusal, version)
-        refusal = await self._acquire(order)
+        with self.cold_start.queued(order):
+            refusal = await self._acquire(order)
         if refusal is not None:
             return self._refuse(order, refusal, version)
         try:
@@ -267,7 +269,7 @@
         elif failure.reason is Reason.BREAKER_OPEN:
             retry_seconds = self.breaker.seconds_until_trial
         elif failure.reason is Reason.SERVER_COLD:
-            retry_seconds = self.cold_start.expected_wait_seconds(order.service, self.queue.waiting)
+            retry_seconds = self.cold_start.expected_wait_seconds(order.service, order.rank)
         return self._answer(NotRun(failure.reason, failure.detail, retry_seconds), version)
 
     def _answer(
--- a/tests/coordination/sidecar/test_cold_start.py
+++ b/tests/coordination/sidecar/test_cold_start.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 
 import pytest
 
@@ -11,7 +12,13 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
 from turmericwharf.state import Answered, NotRun, OutcomeUnknown, Reason
-from turmericwharf.state.sidecar import AnnouncedServer, ColdLimit, ServerPhase, SlotRequest
+from turmericwharf.state.sidecar import (
+    AnnouncedServer,
+    ColdLimit,
+    ServerPhase,
+    SlotRequest,
+    WorkCancel,
+)
 
 LIMIT = ColdLimit(start_seconds=4, requests_per_second=7.5)
 ENTRY = make_entry()
@@ -28,6 +35,7 @@
         self.clock = LoopClock()
         self.outcome = SUCCESS
         self.run_at = []
+        self.numbers = itertools.count()
         self.gate = make_cold_start(self.clock, limit)
         self.executor = OrderExecutor(
             server=self,
@@ -56,8 +64,7 @@
 
     async def send(self, count, **terms):
         terms = {'remaining_seconds': 10.0, 'target_seconds': 8.0, 'max_wait_seconds': 8.0, **terms}
-        start = len(self.run_at)
-        orders = (make_order(request=f'{start}-{number}', **terms) for number in range(count))
+        orders = (make_order(request=f'r{next(self.numbers)}', **terms) for _ in range(count))
         return await asyncio.gather(*(self.executor.serve(order, version=5) for order in orders))
 
 
@@ -90,6 +97,7 @@
         assert all(0.9 < refusal.retry_seconds < 1.1 for refusal in refused)
         reply = server.executor.find_slot(SlotRequest(ENTRY.process, ENTRY.server), version=5)
         assert reply.refused.reason is Reason.SERVER_COLD
+        assert 0.9 < reply.refused.retry_seconds < 1.1
 
     run_scenario(scenario)
 
@@ -106,6 +114,42 @@
     run_scenario(scenario)
 
 
+def test_an_urgent_order_is_not_refused_for_those_behind_it():
+    """Guards against urgent orders that give way to a queue of less urgent ones."""
+
+    async def scenario(server):
+        await asyncio.sleep(2)
+        sending = asyncio.create_task(server.send(40))
+        await asyncio.sleep(0.1)
+        (ordinary,) = await server.send(1, max_wait_seconds=2)
+        assert ordinary.refused.reason is Reason.SERVER_COLD
+        (urgent,) = await server.send(1, max_wait_seconds=2, rank=1)
+        assert urgent.answered is not None
+        await sending
+
+    run_scenario(scenario)
+
+
+def test_an_order_whose_caller_left_gives_its_turn_to_the_next():
+    """Guards against orders that wait behind one that was cancelled."""
+
+    async def scenario(server):
+        await asyncio.sleep(2)
+        await server.send(8)
+        sending = asyncio.create_task(server.send(1))
+        await asyncio.sleep(0.1)
+        other = asyncio.create_task(server.send(1, rank=1))
+        await asyncio.sleep(0.1)
+        server.executor.cancel(WorkCancel('r8', 1))
+        (left,), (served,) = await asyncio.gather(sending, other)
+        assert left.refused.reason is Reason.CALLER_LEFT
+        assert served.answered is not None and len(server.run_at) == 9
+        assert server.gate.waiting == 0
+        assert server.executor.queue.in_progress == 0
+
+    run_scenario(scenario)
+
+
 def test_waiting_orders_start_when_the_server_is_reported_warm():
     """Guards against orders that wait for the permit of a server that is cold no longer."""
 
--- a/tests/platform/test_wire_names.py
+++ b/tests/platform/test_wire_names.py
@@ -16,6 +16,7 @@
     r'|(?<!X-)Api-Key|Instances\.|/log-|keyed\.|non_idempotent|control_plane'
     r'|localNode|pathPrefix|trafficSplit|routeType|timeoutS|targetLatencyS|apiKeys|ratePerS'
     r'|healthCheckPath|maxConnections|headerTimeoutS|idleTimeoutS|maxHeaderBytes|maxBodyBytes'
+    r'|Turmericwharf-Cold-Ms|coldStartS|coldPerS|coldOverage|coldSlack|evacuateS|evacuate/'
     r'|coldRemainingS|heartbeatAddr|nodeName|appAddr|portRange|baseVersion|waitMs|hasMore'
     r'|TURMERICWHARF_NODE_FILE|\btenants?\b',
 )
