Leave an evacuated data centre after a few refusals of its nodes

Cause: an entry node that had not heard of an evacuation asked one server of the data centre after the other, and gave up after twelve refusals.

Change: such a refusal moves the request to the next step of its placement.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempt_progress.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempt_progress.py
@@ -8,7 +8,14 @@
 
 # The queue of a server reports `DEADLINE_PASSED` when the permitted wait ends.
 _OVERLOAD_REASONS = frozenset(
-    (Reason.SERVER_BUSY, Reason.QUEUE_FULL, Reason.DEADLINE_PASSED, Reason.SERVER_COLD)
+    (
+        Reason.SERVER_BUSY,
+        Reason.QUEUE_FULL,
+        Reason.DEADLINE_PASSED,
+        Reason.SERVER_COLD,
+        # The other servers of the data centre would refuse too, so the next step is taken.
+        Reason.DATA_CENTRE_EVACUATED,
+    )
 )
 # Refusals after which no other server is likely to accept the request soon.
 _FLEET_WIDE_REASONS = _OVERLOAD_REASONS | {Reason.NO_CAPACITY}
--- a/tests/coordination/sidecar/test_attempts.py
+++ b/tests/coordination/sidecar/test_attempts.py
@@ -4,10 +4,12 @@
 from tests.coordination.sidecar.samples import make_entry, make_request, make_route
 from tests.virtual_time import LoopClock, run_in_virtual_time
 from turmericwharf.coordination.sidecar.admission import NO_ORGANISATION, AdmittedFleetRequest
+from turmericwharf.coordination.sidecar.attempt_progress import AttemptProgress
 from turmericwharf.coordination.sidecar.attempts import AttemptRunner
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.order_sender import refused_answer, unknown_answer
 from turmericwharf.coordination.sidecar.placement import PLACEMENT_STEPS
+from turmericwharf.coordination.sidecar.placement import Reach
 from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.state import Answered, NotRun, OutcomeUnknown, Reason
 from turmericwharf.state.sidecar import StoredEntry, WorkAnswer
@@ -242,3 +244,13 @@
     outcome, seconds = run(sender, **target)
     assert outcome.reason is Reason.QUEUE_FULL
     assert seconds < 0.3
+
+
+def test_refusals_of_an_evacuated_data_centre_lead_to_another_one():
+    """Guards against entry nodes that ask each server of a data centre before they hear of its
+    evacuation, and then refuse the request.
+    """
+    progress = AttemptProgress()
+    for number in range(4):
+        progress.record_refusal(f'n{number}', NotRun(Reason.DATA_CENTRE_EVACUATED))
+    assert progress.placement.step.reach is Reach.REMOTE
