--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
@@ -1,4 +1,4 @@
-"""Fetches newer configurations from other nodes.
+"""Fetches newer configurations, and evacuations of data centres, from other nodes.
 
 The store readers of a data centre read the configuration, and the other nodes fetch it from them:
 if every node read the store, each version would cost one call and one copy for each node.
@@ -9,8 +9,8 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.operator_records import OperatorRecords
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
@@ -42,8 +42,8 @@
 
     Parameters
     ----------
-    configuration
-        Configuration in force.
+    records
+        Configuration and evacuations, which other nodes learn in the same way.
     directory
         Known nodes.
     readers
@@ -61,7 +61,7 @@
     def __init__(
         self,
         *,
-        configuration: ActiveConfiguration,
+        records: OperatorRecords,
         directory: NodeDirectory,
         readers: StoreReaders,
         links: FleetLinks,
@@ -69,13 +69,14 @@
         freshness: StoreFreshness,
         era: StoreEra,
     ) -> None:
-        self._configuration = configuration
+        self._configuration = records.configuration
         self._directory = directory
         self._readers = readers
         self._links = links
         self._follower = follower
         self._freshness = freshness
         self._era = era
+        self._evacuations = records.evacuations
         self._fetches: set[asyncio.Task[bool]] = set()
 
     def record_version(self, instance: InstanceId, version: int) -> None:
@@ -94,32 +95,52 @@
             group.create_task(self._poll_nodes())
 
     async def answer(self, request: ConfigurationRequest) -> ConfigurationReply:
-        """Answer the poll of another node once there is a newer version, or after the timeout."""
+        """Answer the poll of another node once there is something new, or after the timeout."""
+        self._evacuations.merge(request.evacuations or (), source='poll')
         await self._freshness.wait_while_current(
-            lambda seconds: self._configuration.wait_for_newer(request.above, seconds),
+            lambda seconds: self._wait_for_news(request, seconds),
             min(request.wait_seconds, _LONG_POLL_SECONDS),
         )
         is_newer = self._configuration.version > request.above
         return ConfigurationReply(
-            self._configuration.encoded if is_newer else b'', self._era.current
+            self._configuration.encoded if is_newer else b'',
+            self._era.current,
+            evacuations=self._evacuations.newer_than(request.evacuations),
+            knows_evacuations=self._evacuations.is_known,
         )
 
     async def fetch(self, peer: NodeEntry, wait_seconds: float = 0) -> bool:
-        """Fetch a newer configuration from a node; return whether one was applied."""
+        """Fetch what is newer from a node; return whether a configuration was applied."""
+        # The reply also says whether the node knows the evacuations, which must not wait for news.
+        wait_seconds = wait_seconds if self._evacuations.is_known else 0
         reply = await self._links.request(
             peer,
-            ConfigurationRequest(self._configuration.version, wait_seconds),
+            ConfigurationRequest(self._configuration.version, wait_seconds, self._evacuations.all),
             timeout_seconds=wait_seconds + _REQUEST_TIMEOUT_SECONDS,
         )
         if not isinstance(reply, ConfigurationReply):
             logger.bind(instance=peer.instance).debug('configuration_not_fetched')
             return False
         self._era.record(reply.era, source=peer.instance)
+        self._evacuations.apply_reply(reply, source=peer.instance)
         # Both readers may send the same version.
         if reply.encoded in {b'', self._configuration.encoded}:
             return False
         return self._configuration.apply_if_newer(reply.encoded, source=peer.instance)
 
+    async def _wait_for_news(self, request: ConfigurationRequest, seconds: float) -> bool:
+        waiting = (
+            asyncio.create_task(self._configuration.wait_for_newer(request.above, seconds)),
+            asyncio.create_task(self._evacuations.wait_for_newer(request.evacuations)),
+        )
+        try:
+            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in waiting:
+                task.cancel()
+        has_newer_version = self._configuration.version > request.above
+        return has_newer_version or bool(self._evacuations.newer_than(request.evacuations))
+
     async def _follow_reader(self) -> None:
         while True:
             source = await self._readers.wait_for_source()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -12,6 +12,8 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.directory_relay import DirectoryRelay
 from turmericwharf.coordination.sidecar.entry_point import RequestEntryPoint
+from turmericwharf.coordination.sidecar.evacuations import Evacuations
+from turmericwharf.coordination.sidecar.operator_records import OperatorRecords
 from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
 from turmericwharf.coordination.sidecar.order_validator import OrderValidator
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
@@ -39,6 +41,7 @@
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
+from turmericwharf.coordination.sidecar.cold_start import ColdStartGate
 from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
 from turmericwharf.state.sidecar import (
     NodeEntry,
@@ -92,6 +95,8 @@
     recovery: ServerRecovery
     bounds: ReloadableBounds
     knowledge: StartupKnowledge
+    cold_start: ColdStartGate
+    evacuations: Evacuations
     clock: Clock
     store_era: StoreEra
     inquiry: StartupInquiry
@@ -99,7 +104,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers may send requests to this node."""
-        knows_enough = self.holder.is_known and self.knowledge.knows_fleet
+        knows_fleet = self.knowledge.knows_fleet and self.evacuations.is_known
+        knows_enough = self.holder.is_known and knows_fleet
         return knows_enough and not self.checks.is_stopping
 
 
@@ -116,9 +122,14 @@
     configuration = ActiveConfiguration(ports.decode_configuration)
     request_validator = RequestValidator(configuration, clock)
     record = ServerRecord()
-    order_validator = OrderValidator(record, configuration, request_validator)
+    evacuations = Evacuations()
+    order_validator = OrderValidator(record, configuration, request_validator, evacuations)
     executor = OrderExecutor(
-        server=ports.server, order_validator=order_validator, directory=directory, clock=clock
+        server=ports.server,
+        order_validator=order_validator,
+        directory=directory,
+        clock=clock,
+        cold_start=ColdStartGate(configuration, bounds, clock),
     )
     holders = FixedShareHolders(directory, configuration, clock, knowledge)
     rate_limiter = FleetRateLimiter(
@@ -141,7 +152,7 @@
     configuration_follower = TopicFollower(
         ports.log,
         StoreTopic.CONFIGURATION,
-        lambda page: inquiry.apply_configurations(page),
+        lambda page: inquiry.apply_page(page),
         clock=clock,
         wait_seconds=_configuration_wait_seconds(settings.bounds),
         batch_seconds=_CONFIGURATION_BATCH_SECONDS,
@@ -166,8 +177,9 @@
         updates=node_entry_updates,
         knowledge=knowledge,
     )
+    records = OperatorRecords(configuration, evacuations)
     sync = ConfigurationSync(
-        configuration=configuration,
+        records=records,
         directory=directory,
         readers=readers,
         links=ports.links,
@@ -180,7 +192,7 @@
         links=ports.links,
         updates=node_entry_updates,
         sync=sync,
-        configuration=configuration,
+        records=records,
         knowledge=knowledge,
         era=era,
     )
@@ -201,7 +213,7 @@
         retry_share=lambda: executor.retry_share,
     )
     attempts = AttemptRunner(
-        selector=ServerSelector(directory, clock),
+        selector=ServerSelector(directory, clock, evacuations),
         sender=sender,
         retry_budget=retry_budget,
         clock=clock,
@@ -222,7 +234,11 @@
         relay=relay,
         configuration_follower=configuration_follower,
         membership_follower=membership_follower,
-        recovery=ServerRecovery(announcements, confirmation, configuration, ports.server),
+        recovery=ServerRecovery(
+            announcements, confirmation, configuration, ports.server, executor.cold_start
+        ),
+        cold_start=executor.cold_start,
+        evacuations=evacuations,
         bounds=bounds,
         knowledge=knowledge,
         clock=clock,
@@ -232,7 +248,6 @@
 
 
 def _configuration_wait_seconds(bounds: SidecarBounds) -> float:
-    """Return how long a read of the configuration may wait for a newer version."""
-    return max(
-        bounds.configuration_seconds - _READER_REPLACEMENT_SECONDS, _MIN_CONFIGURATION_WAIT_SECONDS
-    )
+    """Return how long a read of the configuration and the evacuations may wait for a change."""
+    apply_seconds = min(bounds.configuration_seconds, bounds.evacuation_seconds)
+    return max(apply_seconds - _READER_REPLACEMENT_SECONDS, _MIN_CONFIGURATION_WAIT_SECONDS)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
@@ -11,6 +11,7 @@
 from turmericwharf.coordination.clock import Clock
 from turmericwharf.coordination.sidecar.backlog import Backlog
 from turmericwharf.coordination.sidecar.breaker import CircuitBreaker
+from turmericwharf.coordination.sidecar.cold_start import ColdStartGate
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.order_validator import OrderValidator
 from turmericwharf.coordination.sidecar.order_deduplicator import OrderDeduplicator
@@ -21,10 +22,12 @@
 from turmericwharf.state import (
     BREAKER_OPEN,
     CALLER_LEFT,
+    DATA_CENTRE_EVACUATED,
     DEADLINE_PASSED,
     PROCESS_REPLACED,
     QUEUE_FULL,
     SERVER_BUSY,
+    SERVER_COLD,
     SERVER_DRAINING,
     SERVER_UNKNOWN,
     Answered,
@@ -69,6 +72,8 @@
         Holds the entry of the local node.
     clock
         Clock of the node.
+    cold_start
+        Holds orders back while the server is cold.
     """
 
     def __init__(
@@ -78,6 +83,7 @@
         order_validator: OrderValidator,
         directory: NodeDirectory,
         clock: Clock,
+        cold_start: ColdStartGate,
     ) -> None:
         self._server = server
         self._order_validator = order_validator
@@ -85,6 +91,7 @@
         self._clock = clock
         self._run_times = RunTimes()
         self._overdue_runs = OverdueRuns()
+        self.cold_start = cold_start
         self.orders = OrderDeduplicator(clock)
         self.breaker = CircuitBreaker(clock)
         self.queue = FairQueue(1, _QUEUE_LENGTH, clock)
@@ -118,17 +125,22 @@
     def find_slot(self, request: SlotRequest, version: int) -> SlotReply:
         """Tell whether an order would run at once; an open breaker is tried by orders only."""
         local = self._directory.local
+        cold_wait_seconds = self.cold_start.expected_wait_seconds(local.service)
         rules = (
             (request.process != local.process, PROCESS_REPLACED),
             (request.server != local.server, SERVER_UNKNOWN),
             (local.phase is not ServerPhase.READY, SERVER_DRAINING),
+            (self._order_validator.is_evacuated(local), DATA_CENTRE_EVACUATED),
             (self.breaker.is_open, BREAKER_OPEN),
+            (cold_wait_seconds > 0, SERVER_COLD),
             (not self.queue.has_free_slot, SERVER_BUSY),
             (self._overdue_runs.hold_most_slots(self.queue.slots), SERVER_BUSY),
         )
         refusal = next((failure for is_violated, failure in rules if is_violated), None)
         return SlotReply(
-            refused=None if refusal is None else NotRun(refusal.reason, refusal.detail),
+            refused=None
+            if refusal is None
+            else NotRun(refusal.reason, refusal.detail, cold_wait_seconds or None),
             running=self.queue.in_progress,
             waiting=self.queue.waiting,
             version=version,
@@ -140,12 +152,20 @@
         is_trial = self.breaker.is_open
         if refusal is None and not self.breaker.allows(may_be_trial=order.may_try):
             refusal = BREAKER_OPEN
+        run_seconds = max(self._run_times.mean_seconds(order.route), _MIN_RUN_SECONDS)
+        refusal = refusal or self.cold_start.find_refusal(order, run_seconds=run_seconds)
         if refusal is not None:
             return self._refuse(order, refusal, version)
-        refusal = await self._acquire(order)
+        with self.cold_start.queued(order):
+            refusal = await self._acquire(order)
         if refusal is not None:
             return self._refuse(order, refusal, version)
         try:
+            refusal = await self.cold_start.wait_for_permit(
+                order, run_seconds=run_seconds, waited_seconds=self._clock.now() - received_at
+            )
+            if refusal is not None:
+                return self._refuse(order, refusal, version)
             return await self._run_in_slot(order, received_at, version, is_trial=is_trial)
         finally:
             self.queue.release(order.organisation)
@@ -202,6 +222,7 @@
         ran_seconds = self._clock.now() - started_at
         is_overdue = ran_seconds > OVERDUE_FACTOR * self._run_times.mean_seconds(order.route)
         self.breaker.record(outcome, is_overdue=is_overdue)
+        self.cold_start.record_outcome(outcome)
         if isinstance(outcome, Answered):
             self._run_times.record(order.route, ran_seconds)
         logger.bind(
@@ -247,6 +268,8 @@
             retry_seconds = expected_wait_seconds
         elif failure.reason is Reason.BREAKER_OPEN:
             retry_seconds = self.breaker.seconds_until_trial
+        elif failure.reason is Reason.SERVER_COLD:
+            retry_seconds = self.cold_start.expected_wait_seconds(order.service, order.rank)
         return self._answer(NotRun(failure.reason, failure.detail, retry_seconds), version)
 
     def _answer(
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_inquiry.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/startup_inquiry.py
@@ -1,8 +1,9 @@
 """Asks other nodes for what the store may have lost, before a started process relies on it.
 
 A store that came back from an older copy may lack the newest configuration, which withdraws a key,
-and entries of nodes, one of which says that the local server leaves. Nodes that were running before
-still know them. A store without eras never comes back older, so nothing is asked there.
+the evacuation of a data centre, and entries of nodes, one of which says that the local server
+leaves. Nodes that were running before still know them. A store without eras never comes back older,
+so nothing is asked there.
 """
 
 import asyncio
@@ -10,10 +11,10 @@
 
 from loguru import logger
 
-from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
+from turmericwharf.coordination.sidecar.operator_records import OperatorRecords
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.store_era import StoreEra
@@ -23,6 +24,7 @@
     DirectoryReply,
     DirectoryRequest,
     KeyedPage,
+    KeyedRecord,
     NodeEntry,
     ProcessId,
     StartupInquiryDump,
@@ -55,8 +57,8 @@
         Applies the entries that other nodes report.
     sync
         Fetches configurations from other nodes.
-    configuration
-        Configuration in force.
+    records
+        Configuration and evacuations, which the store may have lost.
     knowledge
         Says when to ask, and is told when the nodes were asked.
     era
@@ -70,7 +72,7 @@
         links: FleetLinks,
         updates: NodeEntryUpdates,
         sync: ConfigurationSync,
-        configuration: ActiveConfiguration,
+        records: OperatorRecords,
         knowledge: StartupKnowledge,
         era: StoreEra,
     ) -> None:
@@ -78,10 +80,12 @@
         self._links = links
         self._updates = updates
         self._sync = sync
-        self._configuration = configuration
+        self._configuration = records.configuration
+        self._evacuations = records.evacuations
         self._knowledge = knowledge
         self._era = era
-        self._held_page: KeyedPage | None = None
+        self._has_read_page = False
+        self._held_records: tuple[KeyedRecord, ...] = ()
 
     @property
     def has_asked_peers(self) -> bool:
@@ -91,21 +95,28 @@
     @property
     def holds_configuration(self) -> bool:
         """Whether a configuration of the store is held back."""
-        return self._held_page is not None
+        return bool(self._held_records)
 
-    def apply_configurations(self, page: KeyedPage) -> None:
-        """Apply a page of the configuration topic, or hold it back until other nodes were asked.
+    def apply_page(self, page: KeyedPage) -> None:
+        """Apply a page of the configuration topic, as far as it may be relied on.
 
-        It is held back only while no configuration is in force, since a version never goes back.
+        Configurations are held back until other nodes were asked, but only while none is in force,
+        since a version never goes back. Evacuations are applied at once, since an older record
+        replaces no newer one, but they count as known only after other nodes were asked.
         """
         self._era.record(page.era, source='store')
-        if page.era and not (self._configuration.is_known or self._knowledge.has_asked_peers):
-            self._held_page = page
+        self._evacuations.apply_page(page)
+        self._has_read_page = True
+        is_reliable = self._era.current == 0 or self._knowledge.has_asked_peers
+        if is_reliable:
+            self._evacuations.record_known()
+        elif not (self._configuration.is_known and self._evacuations.is_known):
             self._knowledge.request_inquiry()
-            return
-        for record in page.records_by_key.values():
-            if record.encoded:
-                self._configuration.apply_if_newer(record.encoded, source='store')
+        records = tuple(record for record in page.records_by_key.values() if record.encoded)
+        if is_reliable or self._configuration.is_known:
+            self._apply_configurations(records)
+        else:
+            self._held_records += records
 
     async def run(self) -> None:
         """Ask when it is needed, until cancelled."""
@@ -114,9 +125,14 @@
             answered = await self._ask_until_known()
             logger.bind(answered=answered, version=self._configuration.version).info('peers_asked')
             self._knowledge.record_peers_asked()
-            if self._held_page is not None:
-                self.apply_configurations(self._held_page)
-                self._held_page = None
+            if self._has_read_page:
+                self._evacuations.record_known()
+            self._apply_configurations(self._held_records)
+            self._held_records = ()
+
+    def _apply_configurations(self, records: tuple[KeyedRecord, ...]) -> None:
+        for record in records:
+            self._configuration.apply_if_newer(record.encoded, source='store')
 
     async def _ask_until_known(self) -> bool:
         """Ask nodes in groups; return whether one that knows the fleet has answered."""
--- a/packages/turmericwharf/src/turmericwharf/platform/store.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import dataclasses
 import struct
+from collections.abc import Mapping
 from types import MappingProxyType
 from urllib.parse import urlencode
 
@@ -13,7 +14,7 @@
 
 from turmericwharf.platform.names import STORE_ERA
 from turmericwharf.protocol import decode_json, encode_node_entry
-from turmericwharf.state import LogFailure, Reason
+from turmericwharf.state import DataCentreId, LogFailure, Reason
 from turmericwharf.state.sidecar import (
     HISTORY_GONE,
     KeyedPage,
@@ -30,6 +31,8 @@
 )
 # Keys that the fleet uses, by topic. All keys of a topic that is not listed are used.
 _FLEET_KEYS_BY_TOPIC = MappingProxyType({StoreTopic.CONFIGURATION: frozenset(('config',))})
+# The rest of such a key of the configuration topic is the name of a data centre.
+_EVACUATION_PREFIX = 'evacuate/'
 _OK = 200
 _GONE = 410
 _MILLISECONDS_PER_SECOND = 1000
@@ -98,13 +101,13 @@
             # The pages are not a consistent snapshot, so changes are read from the end offset of
             # the first page.
             era = _read_era(response)
-            first = first or KeyedPage({}, page.end, era)
+            first = first or KeyedPage({}, page.end, era, is_complete=True)
             if era != first.era:
                 return None
             records_by_key.update(_decode_items(page))
             if not page.has_more or not page.items:
-                selected = _select_fleet_keys(topic, records_by_key)
-                return dataclasses.replace(first, records_by_key=selected)
+                newest = dataclasses.replace(first, records_by_key=records_by_key)
+                return _select_fleet_records(topic, newest)
             query['after'] = page.items[-1].key
 
     async def read_changes(
@@ -130,8 +133,8 @@
             # The store came back from a copy that does not reach as far as this node has read.
             return HISTORY_GONE
         records_by_key, next_offset = read_records(response.body, offset)
-        selected = _select_fleet_keys(topic, records_by_key)
-        return KeyedPage(selected, next_offset, _read_era(response))
+        page = KeyedPage(records_by_key, next_offset, _read_era(response))
+        return _select_fleet_records(topic, page)
 
     async def publish(self, entry: NodeEntry) -> WriteResult | LogFailure:
         """Append the entry of a node to the nodes topic."""
@@ -251,10 +254,32 @@
     return records_by_key, offset
 
 
+def _select_fleet_records(topic: StoreTopic, page: KeyedPage) -> KeyedPage:
+    """Return the page without keys that the fleet does not use, and evacuations on their own."""
+    return dataclasses.replace(
+        page,
+        records_by_key=_select_fleet_keys(topic, page.records_by_key),
+        evacuations_by_data_centre=_select_evacuations(topic, page.records_by_key),
+    )
+
+
+def _select_evacuations(
+    topic: StoreTopic,
+    records_by_key: Mapping[str, KeyedRecord],
+) -> Mapping[DataCentreId, KeyedRecord]:
+    if topic is not StoreTopic.CONFIGURATION:
+        return {}
+    return {
+        DataCentreId(key.removeprefix(_EVACUATION_PREFIX)): record
+        for key, record in records_by_key.items()
+        if key.startswith(_EVACUATION_PREFIX) and key != _EVACUATION_PREFIX
+    }
+
+
 def _select_fleet_keys(
     topic: StoreTopic,
-    records_by_key: dict[str, KeyedRecord],
-) -> dict[str, KeyedRecord]:
+    records_by_key: Mapping[str, KeyedRecord],
+) -> Mapping[str, KeyedRecord]:
     keys = _FLEET_KEYS_BY_TOPIC.get(topic)
     if keys is None:
         return records_by_key
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -1,8 +1,10 @@
 """Immutable value types of a fleet in which each node runs beside one backend server."""
 
 from turmericwharf.state.sidecar.dumps import (
+    ColdStartDump,
     DirectoryDump,
     EntryPointDump,
+    EvacuationsDump,
     TopicFollowerDump,
     ServerGateDump,
     ConfigurationHolderDump,
@@ -11,9 +13,11 @@
     StartupKnowledgeDump,
     StoreEraDump,
 )
+from turmericwharf.state.sidecar.evacuations import Evacuation
 from turmericwharf.state.sidecar.fleet_configuration import (
     NO_FLEET_VERSION,
     ClientLimits,
+    ColdLimit,
     Destination,
     FleetConfiguration,
     OrganisationRule,
@@ -29,6 +33,7 @@
     LogPosition,
     NodeEntry,
     ProcessId,
+    ServerHealth,
     ServerId,
     ServerPhase,
     StoredEntry,
@@ -79,6 +84,8 @@
     'Address',
     'AnnouncedServer',
     'ClientLimits',
+    'ColdLimit',
+    'ColdStartDump',
     'ConfigurationReply',
     'ConfigurationRequest',
     'Destination',
@@ -86,6 +93,8 @@
     'DirectoryReply',
     'DirectoryRequest',
     'EntryPointDump',
+    'Evacuation',
+    'EvacuationsDump',
     'FleetConfiguration',
     'FleetMessage',
     'FleetRequest',
@@ -107,6 +116,7 @@
     'RetryRequest',
     'RouteRule',
     'DecodedResponse',
+    'ServerHealth',
     'ServerId',
     'ServerPhase',
     'SidecarBounds',
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/nodes.py
@@ -47,6 +47,8 @@
         Start time in Unix milliseconds; distinguishes two starts with the same identifier.
     sequence
         Increases with each announcement after the same start.
+    cold_seconds
+        Time for which the server stays cold, from when it was sent; None if it was not reported.
     """
 
     server: ServerId = NO_SERVER
@@ -55,6 +57,7 @@
     phase: ServerPhase = ServerPhase.ABSENT
     born: int = 0
     sequence: int = 0
+    cold_seconds: float | None = None
 
     @property
     def start(self) -> tuple[ServerId, int]:
@@ -62,6 +65,20 @@
         return self.server, self.born
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerHealth:
+    """Answer of a healthy backend server to a health check.
+
+    Parameters
+    ----------
+    cold_seconds
+        Time for which the server stays cold; None if it was not reported.
+    """
+
+    server: ServerId
+    cold_seconds: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeEntry:
     """Description of a node that it publishes to the other nodes.
@@ -79,6 +96,9 @@
     era
         Highest era of the store that the process knew when it wrote the entry; 0 if the store has
         no eras.
+    cold_seconds
+        Time from the publication of this entry for which the server stays cold; 0 if it is not
+        cold, or if its service has no limit for cold servers.
     """
 
     instance: InstanceId
@@ -94,6 +114,7 @@
     revision: int = 0
     link_megabits: float = 0
     era: int = 0
+    cold_seconds: float = 0
 
     @property
     def is_usable(self) -> bool:
@@ -109,6 +130,7 @@
                 self.revision >= 0,
                 0 <= self.link_megabits < math.inf,
                 0 <= self.era <= MAX_ERA,
+                0 <= self.cold_seconds < math.inf,
                 _is_ip_address(self.host),
             )
         )
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/store.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/store.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from turmericwharf.state.failures import LogFailure, Reason
+from turmericwharf.state.identifiers import DataCentreId
 
 
 class StoreTopic(enum.Enum):
@@ -33,11 +34,19 @@
     era
         Era of the store when it answered; 0 if the store has no eras. It rises by one each time the
         store comes back from an older copy. Offsets of different eras cannot be compared.
+    evacuations_by_data_centre
+        Newest records of evacuations; they are not in `records_by_key`.
+    is_complete
+        Whether the page has the newest records of all keys, rather than those after an offset.
     """
 
     records_by_key: Mapping[str, KeyedRecord]
     next_offset: int
     era: int = 0
+    evacuations_by_data_centre: Mapping[DataCentreId, KeyedRecord] = dataclasses.field(
+        default_factory=dict
+    )
+    is_complete: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/coordination/sidecar/test_configuration_sync.py
+++ b/tests/coordination/sidecar/test_configuration_sync.py
@@ -3,17 +3,34 @@
 import math
 from types import SimpleNamespace
 
+import pytest
+
 from tests.coordination.sidecar.samples import make_configuration, make_entry
 from tests.virtual_time import LoopClock, run_in_virtual_time
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.evacuations import Evacuations
+from turmericwharf.coordination.sidecar.operator_records import OperatorRecords
+from turmericwharf.coordination.sidecar.startup_inquiry import StartupInquiry
+from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state import PEER_UNREACHABLE
-from turmericwharf.state.sidecar import ConfigurationRequest, ServerPhase, StoredEntry
+from turmericwharf.state.sidecar import (
+    ConfigurationRequest,
+    DirectoryReply,
+    DirectoryRequest,
+    Evacuation,
+    KeyedPage,
+    ServerPhase,
+    StoredEntry,
+)
+
+
+EVACUATED = Evacuation('west', is_active=True, offset=7)
 
 
 def decode(encoded):
@@ -27,8 +44,10 @@
         self.down = set()
         self.requests = []
         self.entries = [make_entry(f'n{number}') for number in range(count)]
-        self.nodes_by_id = {entry.instance: self._make_node(entry) for entry in self.entries}
-        self.tasks = [asyncio.create_task(node.sync.run()) for node in self.nodes_by_id.values()]
+        self.nodes_by_id = {}
+        self.tasks = []
+        for entry in self.entries:
+            self._start(entry).evacuations.record_known()
 
     def _make_node(self, local):
         directory = NodeDirectory(local, LoopClock())
@@ -43,11 +62,15 @@
             is_enabled=not candidates, is_connected=True, fresh_seconds=math.inf, era=0
         )
         reads_store = asyncio.Event()
+        knowledge = StartupKnowledge()
+        knowledge.record_fleet(source='test')
+        evacuations = Evacuations()
         if follower.is_enabled:
             reads_store.set()
         era = StoreEra(directory)
+        records = OperatorRecords(configuration, evacuations)
         sync = ConfigurationSync(
-            configuration=configuration,
+            records=records,
             directory=directory,
             readers=readers,
             links=self,
@@ -55,8 +78,22 @@
             freshness=StoreFreshness(reads_store, (follower,), era),
             era=era,
         )
+        inquiry = StartupInquiry(
+            directory=directory,
+            links=self,
+            updates=SimpleNamespace(apply_reply=lambda reply, source: None),
+            sync=sync,
+            records=records,
+            knowledge=knowledge,
+            era=era,
+        )
         return SimpleNamespace(
-            directory=directory, configuration=configuration, follower=follower, sync=sync
+            inquiry=inquiry,
+            directory=directory,
+            configuration=configuration,
+            follower=follower,
+            sync=sync,
+            evacuations=evacuations,
         )
 
     async def request(self, peer, message, *, timeout_seconds):
@@ -64,8 +101,21 @@
         if peer.instance in self.down:
             await asyncio.sleep(timeout_seconds)
             return PEER_UNREACHABLE
+        if isinstance(message, DirectoryRequest):
+            return DirectoryReply('p', 1, (), is_current=True, knows_fleet=True)
         return await self.nodes_by_id[peer.instance].sync.answer(message)
 
+    def restart(self, name):
+        """Replace a node by one that knows the other nodes, but nothing else yet."""
+        entry = next(entry for entry in self.entries if entry.instance == name)
+        return self._start(entry)
+
+    def _start(self, entry):
+        node = self._make_node(entry)
+        self.nodes_by_id[entry.instance] = node
+        self.tasks += [asyncio.create_task(part.run()) for part in (node.sync, node.inquiry)]
+        return node
+
     @property
     def readers(self):
         return sorted(name for name, node in self.nodes_by_id.items() if node.follower.is_enabled)
@@ -106,6 +156,40 @@
     run_scenario(scenario)
 
 
+def test_an_evacuation_is_known_at_once_at_all_nodes_of_the_data_centre():
+    """Guards against an evacuation that waits for the next poll of each node."""
+
+    async def scenario(fleet):
+        for name in fleet.readers:
+            fleet.nodes_by_id[name].evacuations.merge((EVACUATED,), source='store')
+        await asyncio.sleep(0.15)
+        assert all(node.evacuations.covers('west') for node in fleet.nodes_by_id.values())
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('is_store_away', [False, True])
+def test_an_evacuation_that_only_another_node_knows_reaches_a_new_process_before_it_is_ready(
+    is_store_away,
+):
+    """Guards against a process that starts while the store has lost an evacuation, and is ready."""
+    older = KeyedPage({}, 4, era=1, is_complete=True)
+
+    async def scenario(fleet):
+        for node in fleet.nodes_by_id.values():
+            node.evacuations.merge((EVACUATED,), source='store')
+            node.inquiry.apply_page(older)
+        started = fleet.restart('n5')
+        if not is_store_away:
+            started.inquiry.apply_page(older)
+        assert not started.evacuations.is_known
+        while not started.evacuations.is_known:
+            await asyncio.sleep(0.01)
+        assert started.evacuations.covers('west')
+
+    run_scenario(scenario)
+
+
 def test_a_version_arrives_in_time_if_only_one_reader_sees_it():
     """Guards against old keys and routes behind a reader whose connection to the store is silent.
 
--- a/tests/coordination/sidecar/test_order_executor.py
+++ b/tests/coordination/sidecar/test_order_executor.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.coordination.sidecar.samples import make_entry, make_order
+from tests.coordination.sidecar.samples import make_cold_start, make_entry, make_order
 from tests.virtual_time import run_in_virtual_time
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
@@ -23,6 +23,9 @@
     def find_refusal(self, order, entry):
         return None
 
+    def is_evacuated(self, entry):
+        return False
+
 
 class ScriptedServer:
     """Connection to a server that returns, or raises, the scripted results in turn."""
@@ -44,6 +47,7 @@
         order_validator=AcceptingValidator(),
         directory=NodeDirectory(make_entry(), clock),
         clock=clock,
+        cold_start=make_cold_start(clock),
     )
 
 
--- a/tests/coordination/sidecar/test_startup_inquiry.py
+++ b/tests/coordination/sidecar/test_startup_inquiry.py
@@ -6,6 +6,8 @@
 from tests.virtual_time import LoopClock, run_in_virtual_time
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.evacuations import Evacuations
+from turmericwharf.coordination.sidecar.operator_records import OperatorRecords
 from turmericwharf.coordination.sidecar.startup_inquiry import StartupInquiry
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.store_era import StoreEra
@@ -31,12 +33,13 @@
         self.configuration = ActiveConfiguration(
             lambda encoded: make_configuration(version=int(encoded))
         )
+        self.evacuations = Evacuations()
         self.inquiry = StartupInquiry(
             directory=directory,
             links=self,
             updates=SimpleNamespace(apply_reply=lambda reply, source: None),
             sync=self,
-            configuration=self.configuration,
+            records=OperatorRecords(self.configuration, self.evacuations),
             knowledge=self.knowledge,
             era=StoreEra(directory),
         )
@@ -55,7 +58,7 @@
         """Apply pages of both topics."""
         encoded = str(version).encode()
         records = {'config': KeyedRecord(encoded, 1)}
-        self.inquiry.apply_configurations(KeyedPage(records, 2, era))
+        self.inquiry.apply_page(KeyedPage(records, 2, era))
         self.knowledge.record_store_read(era)
 
 
@@ -152,6 +155,7 @@
         node.read_store(era=0, version=5)
         assert node.configuration.version == 5
         assert node.knowledge.knows_fleet and node.knowledge.knows_predecessor
+        assert node.evacuations.is_known
         await asyncio.sleep(5)
         assert not node.asked
 
@@ -163,7 +167,7 @@
 
     async def scenario(node):
         records = {'config': KeyedRecord(b'5', 1)}
-        node.inquiry.apply_configurations(KeyedPage(records, 2, 1))
+        node.inquiry.apply_page(KeyedPage(records, 2, 1))
         await asyncio.sleep(5)
         assert not node.asked and not node.configuration.is_known
         node.knowledge.record_fleet(source='n1')
@@ -171,3 +175,46 @@
         assert node.asked and node.configuration.version == 6
 
     run_scenario(scenario)
+
+
+def test_the_evacuations_of_a_store_that_came_back_older_are_known_after_the_questions():
+    """Guards against a process that is ready, or assures others that nothing is evacuated, while
+    the store may have lost an evacuation; also if a node has given it a configuration before.
+    """
+
+    async def scenario(node):
+        node.configuration.apply_if_newer(b'6', source='n1')
+        node.knowledge.record_fleet(source='n1')
+        node.read_store(era=1, version=5)
+        assert not node.evacuations.is_known
+        await asyncio.sleep(0.1)
+        assert node.asked and node.evacuations.is_known
+
+    run_scenario(scenario)
+
+
+def test_a_later_page_does_not_replace_the_configuration_that_is_held_back():
+    """Guards against a start without configuration because an evacuation was written meanwhile."""
+
+    async def scenario(node):
+        node.read_store(era=1, version=5)
+        evacuated = {'east': KeyedRecord(b'{}', 2)}
+        node.inquiry.apply_page(KeyedPage({}, 3, 1, evacuated))
+        assert node.evacuations.covers('east') and not node.configuration.is_known
+        await asyncio.sleep(1.1)
+        assert node.configuration.version == 5
+
+    run_scenario(scenario, count=0)
+
+
+def test_a_late_page_of_an_earlier_era_is_not_relied_on():
+    """Guards against an older configuration from an answer that the store sent before its loss."""
+
+    async def scenario(node):
+        node.inquiry.apply_page(KeyedPage({}, 2, 1))
+        node.read_store(era=0, version=5)
+        assert not node.configuration.is_known and not node.evacuations.is_known
+        await asyncio.sleep(0.1)
+        assert node.configuration.version == 6 and node.evacuations.is_known
+
+    run_scenario(scenario)
--- a/tests/coordination/sidecar/test_store_era_replay.py
+++ b/tests/coordination/sidecar/test_store_era_replay.py
@@ -17,6 +17,7 @@
     Greeting,
     KeyedPage,
     KeyedRecord,
+    ServerHealth,
     ServerPhase,
     SidecarBounds,
     SidecarListen,
@@ -56,7 +57,7 @@
     def page(self, topic, offset):
         records = list(enumerate(self.records_by_topic[topic]))
         newest = {key: KeyedRecord(content, at) for at, (_, key, content) in records[offset:]}
-        return KeyedPage(newest, len(records), self.era)
+        return KeyedPage(newest, len(records), self.era, is_complete=offset == 0)
 
     async def read_newest(self, topic):
         await asyncio.sleep(STORE_SECONDS)
@@ -136,7 +137,7 @@
                 machine.node.directory.record_disconnection(self.name)
 
     async def identify(self, path, *, timeout_seconds):
-        return None if self.has_left else self.server.server
+        return None if self.has_left else ServerHealth(self.server.server, None)
 
     async def request(self, peer, message, *, timeout_seconds):
         await asyncio.sleep(MESSAGE_SECONDS)
