--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
@@ -79,7 +79,8 @@
         Returns
         -------
         LogFailure
-            `HISTORY_GONE` if the store no longer retains the records at the offset.
+            `HISTORY_GONE` if the store no longer retains the records at the offset, or has come
+            back without them.
         """
 
 
@@ -87,7 +88,7 @@
     """Store of the entries of all nodes."""
 
     async def publish(self, entry: NodeEntry) -> WriteResult | LogFailure:
-        """Write the entry of a node."""
+        """Write the entry of a node, and return the era in which the store accepted it."""
 
 
 class ConfigurationDecoder(Protocol):
