Replay evacuations that the store loses

A process that is ready without an evacuation sends requests to that data centre. The replay of a store that comes back older again and again now loses evacuations too, and checks them at each node that is ready.

--- a/tests/coordination/sidecar/test_store_era_replay.py
+++ b/tests/coordination/sidecar/test_store_era_replay.py
@@ -30,6 +30,7 @@
 ADDRESS = Address('127.0.0.1', 1)
 BOUNDS = SidecarBounds(0.2, 10, 10, 10, 5, 0.1, 10)
 NODES = 8
+EVACUATION = 'evacuate/'
 ROUNDS = 6
 STORE_SECONDS = 0.02
 MESSAGE_SECONDS = 0.03
@@ -57,7 +58,12 @@
     def page(self, topic, offset):
         records = list(enumerate(self.records_by_topic[topic]))
         newest = {key: KeyedRecord(content, at) for at, (_, key, content) in records[offset:]}
-        return KeyedPage(newest, len(records), self.era, is_complete=offset == 0)
+        evacuations = {
+            key.removeprefix(EVACUATION): newest.pop(key)
+            for key in list(newest)
+            if key.startswith(EVACUATION)
+        }
+        return KeyedPage(newest, len(records), self.era, evacuations, is_complete=offset == 0)
 
     async def read_newest(self, topic):
         await asyncio.sleep(STORE_SECONDS)
@@ -161,6 +167,7 @@
         self.random = random.Random(seed)
         self.store = Store()
         self.version = 0
+        self.evacuated = set()
         self.machines_by_name = {}
         self.configure()
         for number in range(NODES):
@@ -172,9 +179,12 @@
 
     def configure(self):
         self.version += 1
+        self.evacuated.add(f'former-{self.version}')
         self.write_configuration()
 
     def write_configuration(self):
+        for data_centre in self.evacuated:
+            self.store.append(StoreTopic.CONFIGURATION, f'{EVACUATION}{data_centre}', b'{}')
         self.store.append(StoreTopic.CONFIGURATION, 'config', str(self.version).encode())
 
     async def announce(self):
@@ -183,7 +193,7 @@
                 await machine.node.announcements.apply_announcement(machine.server)
 
     async def play_round(self):
-        """Lose a configuration and a leave, whose owner and one other node are killed."""
+        """Lose what operators wrote and a leave, whose owner and one other node are killed."""
         left, other = self.random.sample([m for m in self.machines if not m.has_left], 2)
         written_at = LoopClock().now()
         self.configure()
@@ -207,13 +217,18 @@
             await asyncio.sleep(CHECK_SECONDS)
             for machine in self.machines:
                 assert machine.node.holder.version in {-1, self.version}
+                assert not machine.node.is_ready or self.knows_evacuations(machine.node)
                 assert not (machine.has_left and machine.node.record.current.phase.value == 'ready')
 
+    def knows_evacuations(self, node):
+        return all(node.evacuations.covers(data_centre) for data_centre in self.evacuated)
+
     def check(self):
         newest = self.store.page(StoreTopic.NODES, 0).records_by_key
         for machine in self.machines:
             node = machine.node
             assert node.is_ready and node.holder.version == self.version
+            assert self.knows_evacuations(node)
             assert node.store_era.current == self.store.era
             assert newest[machine.name].encoded.era == self.store.era
             serving = {entry.instance for entry in node.directory.nodes_serving('bookings')}
@@ -221,9 +236,10 @@
 
 
 def test_nothing_is_forgotten_while_the_store_comes_back_older_again_and_again():
-    """Guards against a leave, an entry or a version that is lost with the store's records.
+    """Guards against a leave, an entry, a version or an evacuation that is lost with the store's
+    records.
 
-    The operators write a lost configuration again only when the nodes have been checked.
+    The operators write what was lost again only when the nodes have been checked.
     """
 
     async def main(seed):
