--- a/tests/sidecar_fleet.py
+++ b/tests/sidecar_fleet.py
@@ -115,6 +115,7 @@
                 'zone': 'a',
                 'appAddr': f'{host}:{ports.server}',
                 'service': 'bookings',
+                'limits': self.fleet.machine_limits,
             },
             'network': {
                 'listen': {
@@ -181,8 +182,9 @@
 class SidecarFleet:
     """Store, nodes and backend servers on loopback."""
 
-    def __init__(self, count: int, folder: Path) -> None:
+    def __init__(self, count: int, folder: Path, machine_limits: dict | None = None) -> None:
         self.folder = folder
+        self.machine_limits = machine_limits or {}
         self.ports = free_ports()
         self.store_port = self.ports.store
         self.store = PlatformStore()
@@ -229,10 +231,10 @@
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(count: int = 3):
+async def running_fleet(count: int = 3, machine_limits: dict | None = None):
     """Yield a fleet that is ready to serve requests."""
     with log_folder() as folder:
-        fleet = SidecarFleet(count, folder)
+        fleet = SidecarFleet(count, folder, machine_limits)
         try:
             await fleet.start()
             yield fleet
--- a/tests/stand_ins/platform_server.py
+++ b/tests/stand_ins/platform_server.py
@@ -28,7 +28,10 @@
         self.name = name
         self.behaviour = 'answer'
         self.work_seconds = 0.01
+        # Size of the response bodies in bytes; None: the name of the server and the request body.
+        self.response_bytes: int | None = None
         self.state = 'ready'
+        self.slots = 3
         self.sequence = 0
         # Start time in Unix milliseconds; tells two starts with the same name apart.
         self.born = 1000
@@ -83,7 +86,7 @@
         self.sequence += 1
         return (
             f'{{"address":"{self.host}:{self.ports.server}","born":{self.born},'
-            f'"info":{{"service":"{self.service}","version":"v1","zone":"a","slots":3}},'
+            f'"info":{{"service":"{self.service}","version":"v1","zone":"a","slots":{self.slots}}},'
             f'"status":{{"state":"{self.state}","sequence":{self.sequence},"coldRemainingS":0}}}}'
         )
 
@@ -159,7 +162,10 @@
             return
         self.set_status(500 if server.behaviour == 'error' else 200)
         self.set_header('Turmericwharf-Response-Stamp', f'stamp-{attempt_id}')
-        self.write(f'{server.name}:'.encode() + self.request.body)
+        if server.response_bytes is None:
+            self.write(f'{server.name}:'.encode() + self.request.body)
+        else:
+            self.write(bytes(server.response_bytes))
 
     async def send_without_end(self) -> None:
         with contextlib.suppress(StreamClosedError):
