Send and receive long bodies between nodes without copies of the whole

A body on its way to another node was encoded, joined and decoded several times over. It is now sent as it is, part by part, and received into one buffer; the bytes on the wire are the same. Parts that arrive are counted in the memory budget. An order that is dropped for want of memory is refused, remembered as refused, and never run; one that was received before or that is meant for another process is not refused as not run.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_deduplicator.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_deduplicator.py
@@ -17,6 +17,9 @@
 # exceed the size limit.
 _MIN_RETENTION_SECONDS = 20.0
 _RETENTION_MARGIN_SECONDS = 2.0
+# The deadline of an order that was not received completely is not known; this is longer than the
+# timeouts of routes.
+_MAX_RETENTION_SECONDS = 120.0
 _MAX_RETAINED_BYTES = 24_000_000
 _ORPHAN_TIMEOUT_SECONDS = 1.0
 
@@ -126,6 +129,21 @@
         finally:
             tracked.waiters -= 1
 
+    def refuse(self, key: OrderKey, answer: WorkAnswer) -> bool:
+        """Remember the refusal of an order that was not received completely.
+
+        Returns
+        -------
+        bool
+            False if the order was received before, so that a refusal would not be true.
+        """
+        if key in self._dropped or key in self._orders_by_key or key in self._answers_by_key:
+            return False
+        expires_at = self._clock.now() + _MAX_RETENTION_SECONDS
+        self._answers_by_key[key] = answer
+        self._finished.append(_Finished(key, expires_at, 0))
+        return True
+
     def mark_sent(self, order: WorkOrder) -> None:
         """Record that an order is about to be sent to the server."""
         tracked = self._orders_by_key.get(_order_key(order))
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
@@ -13,7 +13,7 @@
 from turmericwharf.coordination.sidecar.breaker import CircuitBreaker
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.order_validator import OrderValidator
-from turmericwharf.coordination.sidecar.order_deduplicator import OrderDeduplicator
+from turmericwharf.coordination.sidecar.order_deduplicator import OrderDeduplicator, OrderKey
 from turmericwharf.coordination.sidecar.overdue_runs import OVERDUE_FACTOR, OverdueRuns
 from turmericwharf.coordination.sidecar.ports import ServerConnection
 from turmericwharf.coordination.sidecar.run_times import RunTimes
@@ -22,6 +22,7 @@
     BREAKER_OPEN,
     CALLER_LEFT,
     DEADLINE_PASSED,
+    MEMORY_EXHAUSTED,
     PROCESS_REPLACED,
     QUEUE_FULL,
     SERVER_BUSY,
@@ -36,6 +37,7 @@
 )
 from turmericwharf.state.sidecar import (
     MemoryLimits,
+    ProcessId,
     ServerGateDump,
     ServerPhase,
     SlotReply,
@@ -148,6 +150,14 @@
             version=version,
         )
 
+    def refuse_unread(self, key: OrderKey, process: ProcessId, version: int) -> WorkAnswer | None:
+        """Refuse an order for which the node has no memory; None if it was received before."""
+        if process != self._directory.local.process:
+            return self._answer(NotRun(PROCESS_REPLACED.reason, PROCESS_REPLACED.detail), version)
+        # Nodes of earlier builds do not know the reason of a lack of memory.
+        answer = self._answer(NotRun(Reason.QUEUE_FULL, MEMORY_EXHAUSTED.detail), version)
+        return answer if self.orders.refuse(key, answer) else None
+
     async def _run(self, order: WorkOrder, version: int) -> WorkAnswer:
         received_at = self._clock.now()
         refusal = self._order_validator.find_refusal(order, self._directory.local)
--- a/packages/turmericwharf/src/turmericwharf/protocol/__init__.pyi
+++ b/packages/turmericwharf/src/turmericwharf/protocol/__init__.pyi
@@ -48,6 +48,7 @@
     to_json_response,
 )
 from .json_decoding import decode_json
+from .large_frames import FrameAssembly, FrameBeginning, encode_pieces, split_pieces
 from .log_records import (
     decode_log_page,
     decode_record,
@@ -80,12 +81,16 @@
     'RequestReader',
     'ResponseReader',
     'decode_node_entry',
+    'encode_pieces',
     'encode_response',
+    'split_pieces',
     'encode_node_entry',
     'forwarded_headers',
     'must_close_connection',
     'DEADLINE_HEADER',
     'Frame',
+    'FrameAssembly',
+    'FrameBeginning',
     'HttpResponse',
     'KEY_HEADERS',
     'OUTCOME_HEADER',
--- a/packages/turmericwharf/src/turmericwharf/protocol/codec.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/codec.py
@@ -86,8 +86,8 @@
 
 def encode_frame(frame: Frame) -> bytes:
     """Encode a frame as an array of type number, correlation id and fields in declaration order."""
-    number = _NUMBERS_BY_NAME[type(frame.message).__name__]
-    return cbor2.dumps([number, frame.correlation, _encode_fields(frame.message)])
+    number = type_number(frame.message)
+    return cbor2.dumps([number, frame.correlation, encode_fields(frame.message)])
 
 
 def decode_frame(encoded: bytes) -> Frame | state.ProtocolFailure:
@@ -96,6 +96,11 @@
         parts = cbor2.loads(encoded)
     except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
         return state.ProtocolFailure(state.Reason.FRAME_MALFORMED, f'invalid CBOR: {error}')
+    return build_frame(parts)
+
+
+def build_frame(parts: Any) -> Frame | state.ProtocolFailure:
+    """Return the frame with the decoded type number, correlation id and fields."""
     if not _is_frame(parts):
         return state.ProtocolFailure(
             state.Reason.FRAME_MALFORMED,
@@ -104,7 +109,13 @@
     return _decode_parts(*parts)
 
 
-def _encode_fields(message: 'state.Message') -> list[Any]:
+def type_number(message: 'state.Message') -> int:
+    """Return the number of a message's type."""
+    return _NUMBERS_BY_NAME[type(message).__name__]
+
+
+def encode_fields(message: 'state.Message') -> list[Any]:
+    """Return the fields of a message in declaration order, as CBOR encodes them."""
     if type(message).__name__ == _SNAPSHOT_NAME:
         return _encode_snapshot(message)  # type: ignore[arg-type]
     return list(msgspec.to_builtins(message, builtin_types=(bytes,)).values())
--- a/packages/turmericwharf/src/turmericwharf/transport/pending_requests.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/pending_requests.py
@@ -50,6 +50,12 @@
         if answer is not None and not answer.done():
             answer.set_result(frame.message)
 
+    def fail(self, correlation: int) -> None:
+        """Resolve a request with the failure that its answer was lost."""
+        answer = self._answers_by_correlation.get(correlation)
+        if answer is not None and not answer.done():
+            answer.set_result(PEER_LINK_LOST)
+
     def fail_all(self) -> None:
         """Resolve all pending requests with the failure that the connection was lost."""
         for answer in self._answers_by_correlation.values():
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
@@ -20,6 +20,7 @@
 from turmericwharf.state.sidecar import FleetMessage, Greeting, NodeEntry, SlotReply, WorkAnswer
 from turmericwharf.transport.connection import MAX_WIRE_FRAME_BYTES, FrameChannel
 from turmericwharf.transport.pending_requests import PendingRequests
+from turmericwharf.transport.sidecar.peer_memory import PeerMemory
 
 if TYPE_CHECKING:
     from turmericwharf.state import Message
@@ -43,7 +44,7 @@
 # may be gone for good. The next request opens a new one.
 _RECONNECT_TIMEOUT_SECONDS = 2.0
 _NOTIFY_TIMEOUT_SECONDS = 1.0
-_MAX_QUEUED_FRAMES = 256
+_MAX_QUEUED_FRAMES = 32
 
 
 class FleetLink:
@@ -61,6 +62,10 @@
         self.peer = peer
         self._node = node
         self._requests = PendingRequests()
+        # An answer that is dropped for want of memory can be asked for again.
+        self._memory = PeerMemory(
+            node.memory, lambda beginning: self._requests.fail(beginning.correlation)
+        )
         self._loop = asyncio.get_running_loop()
         self._last_used_at = self._loop.time()
         self._received_at = self._last_used_at
@@ -77,6 +82,7 @@
     def close(self) -> None:
         """Close the connection and end its task."""
         self._task.cancel()
+        self._memory.close()
 
     async def request(
         self,
@@ -135,7 +141,7 @@
 
     async def _connect_and_read(self) -> None:
         async with _open_websocket(self._node.directory.local.host, self.peer) as socket:
-            channel = FrameChannel(socket, MAX_FRAME_BYTES)
+            channel = self._memory.open_channel(socket, MAX_FRAME_BYTES)
             async with asyncio.timeout(_CONNECT_TIMEOUT_SECONDS):
                 await channel.send(
                     Greeting(self._node.directory.local, self._node.holder.version),
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_listener.py
@@ -1,22 +1,27 @@
 """Server for connections of other sidecar nodes, with one task for each connection."""
 
 import asyncio
+import dataclasses
 
 from loguru import logger
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
 from turmericwharf.coordination.sidecar import SidecarNode, answer_peer
-from turmericwharf.protocol import Frame
+from turmericwharf.protocol import Frame, FrameBeginning
 from turmericwharf.state import ProtocolFailure
-from turmericwharf.state.sidecar import Greeting, NodeEntry
+from turmericwharf.state.sidecar import Greeting, NodeEntry, WorkOrder
 from turmericwharf.transport.connection import MAX_WIRE_FRAME_BYTES, FrameChannel
 from turmericwharf.transport.sidecar.links import CLOSE_TIMEOUT_SECONDS, MAX_FRAME_BYTES
+from turmericwharf.transport.sidecar.peer_memory import PeerMemory
 
 _OPEN_TIMEOUT_SECONDS = 2.0
 _SEND_TIMEOUT_SECONDS = 10.0
 # Longer than the idle timeout of a peer link, so that the connecting side closes first.
 _IDLE_TIMEOUT_SECONDS = 120.0
+# Only orders are large enough to arrive in parts.
+_ORDER_FIELDS = tuple(field.name for field in dataclasses.fields(WorkOrder))
+_IDENTIFYING_FIELDS = frozenset(('request', 'attempt', 'process'))
 
 
 class PeerListener:
@@ -46,13 +51,42 @@
             self._server.close()
 
     async def _serve(self, socket: ServerConnection) -> None:
-        channel = FrameChannel(socket, MAX_FRAME_BYTES)
+        refused: asyncio.Queue[FrameBeginning] = asyncio.Queue()
+        memory = PeerMemory(self._node.memory, refused.put_nowait)
+        channel = memory.open_channel(socket, MAX_FRAME_BYTES)
+        refusing = asyncio.create_task(self._answer_refused(channel, refused))
         try:
             peer = await self._exchange_greetings(channel)
             if peer is not None:
-                await self._serve_frames(channel, peer)
+                await self._serve_frames(channel, peer, memory)
         except (TimeoutError, WebSocketException) as error:
             logger.bind(error=str(error)).debug('peer_connection_closed')
+        finally:
+            refusing.cancel()
+            memory.close()
+
+    async def _answer_refused(
+        self, channel: FrameChannel, refused: asyncio.Queue[FrameBeginning]
+    ) -> None:
+        """Answer the orders that were dropped for want of memory."""
+        while True:
+            beginning = await refused.get()
+            fields = dict(zip(_ORDER_FIELDS, beginning.fields, strict=False))
+            answer = None
+            if _IDENTIFYING_FIELDS <= fields.keys():
+                answer = self._node.gate.refuse_unread(
+                    (fields['request'], fields['attempt']),
+                    fields['process'],
+                    self._node.holder.version,
+                )
+            if answer is None:
+                # Closing the connection signals to the peer that the outcome is unknown.
+                await channel.close()
+                return
+            logger.bind(request=fields['request'], attempt=fields['attempt']).info(
+                'order_dropped_for_memory'
+            )
+            await channel.send(answer, beginning.correlation, timeout_seconds=_SEND_TIMEOUT_SECONDS)
 
     async def _exchange_greetings(self, channel: FrameChannel) -> NodeEntry | None:
         async with asyncio.timeout(_OPEN_TIMEOUT_SECONDS):
@@ -68,7 +102,9 @@
         await channel.send(reply, frame.correlation, timeout_seconds=_OPEN_TIMEOUT_SECONDS)
         return peer
 
-    async def _serve_frames(self, channel: FrameChannel, peer: NodeEntry) -> None:
+    async def _serve_frames(
+        self, channel: FrameChannel, peer: NodeEntry, memory: PeerMemory
+    ) -> None:
         # Requests of one connection run concurrently, as child tasks of the connection's task.
         tasks: set[asyncio.Task[None]] = set()
         try:
@@ -80,7 +116,7 @@
                         'frame_rejected',
                     )
                     break
-                task = asyncio.create_task(self._answer(channel, frame, peer))
+                task = asyncio.create_task(self._answer_and_release(channel, frame, peer, memory))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
         finally:
@@ -88,6 +124,15 @@
                 unanswered_task.cancel()
             self._node.directory.record_disconnection(peer.instance)
 
+    async def _answer_and_release(
+        self, channel: FrameChannel, frame: Frame, peer: NodeEntry, memory: PeerMemory
+    ) -> None:
+        size = memory.start(frame.message)
+        try:
+            await self._answer(channel, frame, peer)
+        finally:
+            memory.finish(size)
+
     async def _answer(self, channel: FrameChannel, frame: Frame, peer: NodeEntry) -> None:
         try:
             answer = await answer_peer(frame.message, self._node, peer)
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_memory.py
@@ -0,0 +1,71 @@
+"""Memory that is held for one connection between nodes."""
+
+import dataclasses
+from collections.abc import Callable
+
+from turmericwharf.coordination.sidecar import (
+    REQUEST_BYTES,
+    HolderKind,
+    MemoryBudget,
+    MemoryHolding,
+)
+from turmericwharf.protocol import FrameBeginning
+from turmericwharf.state.sidecar import HeldBytes, WorkOrder
+from turmericwharf.transport.connection import FrameChannel, FrameMemory, WebSocketConnection
+
+
+class PeerMemory:
+    """Memory for the frames that arrive in parts, and for the orders that are run.
+
+    Parameters
+    ----------
+    budget
+        Memory of the process.
+    refuse
+        Called with what is known of a frame that is dropped for want of memory.
+    """
+
+    def __init__(self, budget: MemoryBudget, refuse: Callable[[FrameBeginning], None]) -> None:
+        self._budget = budget
+        self._refuse = refuse
+        self._channel: FrameChannel | None = None
+        self._holding = self._open()
+
+    def open_channel(self, socket: WebSocketConnection, frame_bytes: int) -> FrameChannel:
+        """Return the channel of the connection, whose incomplete frames are counted."""
+        self._channel = FrameChannel(socket, frame_bytes, FrameMemory(self._may_hold, self._refuse))
+        return self._channel
+
+    def start(self, message: object) -> int:
+        """Hold a message that is being answered, and return its size in bytes."""
+        size = len(message.body) + REQUEST_BYTES if isinstance(message, WorkOrder) else 0
+        self._add_running(size)
+        return size
+
+    def finish(self, size: int) -> None:
+        """Hold a message of this size no more."""
+        self._add_running(-size)
+
+    def close(self) -> None:
+        """Hold nothing any more."""
+        self._holding.close()
+
+    def _open(self) -> MemoryHolding:
+        return self._budget.open(HolderKind.PEER, self._give_way)
+
+    def _may_hold(self, size: int) -> bool:
+        self._holding.record_progress()
+        return self._holding.request(dataclasses.replace(self._holding.held, reading=size))
+
+    def _add_running(self, size: int) -> None:
+        held = self._holding.held
+        reading = 0 if size > 0 else held.reading
+        self._holding.take(HeldBytes(reading, held.running + size, held.unread))
+
+    def _give_way(self, held: HeldBytes) -> None:
+        # The connection goes on: only its incomplete frames are dropped.
+        self._holding.close()
+        self._holding = self._open()
+        self._holding.take(HeldBytes(running=held.running))
+        if self._channel is not None:
+            self._channel.drop_incomplete()
--- /dev/null
+++ b/tests/coordination/sidecar/test_memory_budget.py
@@ -0,0 +1,108 @@
+"""Which connections are refused or released when the memory of a node is exhausted."""
+
+import pytest
+
+from tests.coordination.fakes import ManualClock
+from turmericwharf.coordination.sidecar import HolderKind, MemoryBudget, derive_limits
+from turmericwharf.coordination.sidecar.connection_limit import (
+    ConnectionUse,
+    OpenConnection,
+    choose_closed,
+)
+from turmericwharf.state.sidecar import HeldBytes, MachineLimits, MemoryLimits
+
+LIMITS = MemoryLimits(capacity_bytes=10_000_000, reserved_bytes=2_000_000)
+LARGEST_BODY_BYTES = 67_108_864
+
+
+class Connections:
+    """Holdings of clients, with the numbers of those that were released."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.budget = MemoryBudget(LIMITS, self.clock)
+        self.released = []
+
+    def open(self, number, **held):
+        holding = self.budget.open(HolderKind.CLIENT, lambda _: self.released.append(number))
+        holding.take(HeldBytes(**held))
+        return holding
+
+
+def test_a_stalled_connection_is_released_before_one_that_makes_progress():
+    """Guards against the loss of an upload because of clients that send nothing any more."""
+    connections = Connections()
+    connections.open('stalled', reading=2_000_000)
+    connections.clock.at += 3
+    connections.open('active', reading=5_000_000)
+    assert connections.open('new').request(HeldBytes(reading=2_000_000))
+    assert connections.released == ['stalled']
+
+
+def test_a_connection_that_would_hold_the_most_is_refused():
+    """Guards against a large body that displaces several smaller ones."""
+    connections = Connections()
+    for number in range(4):
+        connections.open(number, reading=1_900_000)
+    assert not connections.open('large').request(HeldBytes(reading=3_000_000))
+    assert connections.released == []
+
+
+def test_a_small_request_uses_the_reserved_part():
+    """Guards against ordinary requests that are refused because of a few large ones."""
+    connections = Connections()
+    connections.open('running', running=8_000_000)
+    assert not connections.open('large').request(HeldBytes(reading=500_000))
+    assert connections.open('small').request(HeldBytes(reading=20_000))
+
+
+def test_requests_that_are_being_run_are_not_given_up():
+    """Guards against a request that was forwarded and ends without a response."""
+    connections = Connections()
+    connections.open('running', running=8_000_000)
+    connections.clock.at += 60
+    assert not connections.open('new').request(HeldBytes(reading=1_000_000))
+    assert connections.released == []
+
+
+def test_unread_responses_are_released_when_they_exceed_the_memory():
+    """Guards against responses without a limit for a client that reads nothing."""
+    connections = Connections()
+    holding = connections.open('unread')
+    holding.take(HeldBytes(unread=8_000_000))
+    assert connections.released == []
+    holding.take(HeldBytes(unread=9_000_000))
+    assert connections.released == ['unread']
+    assert connections.budget.held_bytes == 0
+
+
+def test_the_smallest_machine_holds_the_largest_body():
+    """Guards against limits that refuse a single request of legal size."""
+    limits = derive_limits(MachineLimits(memory_megabytes=200, descriptors=400))
+    budget = MemoryBudget(limits, ManualClock())
+    assert budget.can_ever_hold(LARGEST_BODY_BYTES)
+    assert budget.open(HolderKind.CLIENT).request(HeldBytes(reading=LARGEST_BODY_BYTES + 50_000))
+    assert limits.client_connections == 120
+
+
+def test_a_machine_without_limits_refuses_nothing():
+    """Guards against limits in deployments whose settings name none."""
+    limits = derive_limits(MachineLimits())
+    assert (limits.capacity_bytes, limits.client_connections) == (None, None)
+    budget = MemoryBudget(limits, ManualClock())
+    assert budget.open(HolderKind.CLIENT).request(HeldBytes(reading=10**12))
+
+
+@pytest.mark.parametrize(
+    ('uses', 'closed'),
+    [
+        ([ConnectionUse.NO_REQUEST, ConnectionUse.PARTIAL_REQUEST], 1),
+        ([ConnectionUse.BUSY, ConnectionUse.NO_REQUEST], 1),
+        ([ConnectionUse.BUSY, ConnectionUse.BUSY], None),
+    ],
+)
+def test_a_quiet_connection_gives_way_to_a_new_one(uses, closed):
+    """Guards against idle clients that use up all connections, and against lost requests."""
+    connections = [OpenConnection(number, use, 0.0) for number, use in enumerate(uses)]
+    assert choose_closed(connections, 5.0) == closed
+    assert choose_closed(connections, 0.5) is None
--- a/tests/transport/sidecar/test_links.py
+++ b/tests/transport/sidecar/test_links.py
@@ -10,12 +10,14 @@
 from tests.coordination.sidecar.samples import make_entry
 from tests.fleet_processes import free_port
 from tests.stand_ins.relay import Network, Relay
+from turmericwharf.coordination.sidecar import MemoryBudget
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.state import PEER_LINK_LOST, PEER_UNREACHABLE
 from turmericwharf.state.sidecar import (
     Address,
     ConfigurationReply,
     ConfigurationRequest,
+    MemoryLimits,
     RetryRequest,
 )
 from turmericwharf.transport import BootClock
@@ -31,6 +33,7 @@
     return SimpleNamespace(
         directory=NodeDirectory(entry, BootClock()),
         holder=SimpleNamespace(version=1),
+        memory=MemoryBudget(MemoryLimits(), BootClock()),
         spread=SimpleNamespace(record_version=lambda instance, version: None),
         settings=SimpleNamespace(
             listen=SimpleNamespace(peers=Address(entry.host, entry.peer_port))
