--- a/tests/transport/sidecar/test_http_listener.py
+++ b/tests/transport/sidecar/test_http_listener.py
@@ -173,3 +173,16 @@
                 writer.write(b'x')
                 await asyncio.sleep(0.05)
         assert b'request_timeout' in await answer
+
+
+async def test_the_answer_to_a_slow_head_survives_the_bytes_that_follow_it():
+    """Guards against a close that resets the connection before the client has read the answer."""
+    limits = ClientLimits(header_seconds=0.1)
+    async with running_listener(BlockingHandler().answer, lambda: limits) as (_, reader, writer):
+        async with asyncio.timeout(5):
+            writer.write(b'GET /1 HTTP/1.1\r\nX: ')
+            answer = asyncio.create_task(reader.read())
+            while not answer.done():
+                writer.write(b'x')
+                await asyncio.sleep(0.0005)
+        assert b'request_timeout' in await answer
