Treat a response with a status above 599 as malformed

A server in trouble may send one, and a client got it as the answer; with the header of requests that did not run it was taken for a refusal. Three of the seven cases of the new test failed before (600, 700, 999); the parser already rejected those below 100.

--- a/packages/turmericwharf/src/turmericwharf/protocol/response_reader.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/response_reader.py
@@ -15,6 +15,8 @@
 _MAX_BODY_PARTS = 16_384
 # Parts that are parsed before other tasks get their turn.
 _PARTS_PER_STEP = 128
+# The parser accepts statuses up to 999, and rejects those below 100.
+_MAX_STATUS = 599
 _METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
 
 
@@ -108,8 +110,7 @@
         if isinstance(event, h11.Data):
             return self._add_data(event.data)
         if isinstance(event, h11.Response):
-            self._head = event
-            return None
+            return self._add_head(event)
         self._interim_responses += 1
         if self._interim_responses <= _MAX_INTERIM_RESPONSES:
             return None
@@ -117,6 +118,15 @@
             Reason.ANSWER_INCOMPLETE, f'more than {_MAX_INTERIM_RESPONSES} interim responses'
         )
 
+    def _add_head(self, head: h11.Response) -> ProtocolFailure | None:
+        if head.status_code > _MAX_STATUS:
+            return ProtocolFailure(
+                Reason.ANSWER_INCOMPLETE,
+                f'the response has status {head.status_code}; expected 100 to {_MAX_STATUS}',
+            )
+        self._head = head
+        return None
+
     def _add_data(self, received: bytes | bytearray) -> ProtocolFailure | None:
         self._body_parts += 1
         if self._body_parts > _MAX_BODY_PARTS:
--- a/tests/transport/sidecar/test_server_client.py
+++ b/tests/transport/sidecar/test_server_client.py
@@ -146,3 +146,16 @@
     async with running_server(encoded) as client:
         outcome = await client.run(make_order(), remaining_seconds=2.0)
     assert isinstance(outcome, NotRun)
+
+
+@pytest.mark.parametrize('status', ['000', '042', '101', '199', '600', '700', '999'])
+async def test_an_answer_with_an_invalid_status_is_no_answer(status):
+    """Guards against a status outside of HTTP that a client gets as an answer, or as a refusal."""
+    fields = (
+        'Turmericwharf-Response-Stamp: s\r\nTurmericwharf-Attempt-Id: r1\r\n'
+        'Turmericwharf-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+    async with running_server(f'HTTP/1.1 {status} Odd\r\n{fields}'.encode()) as client:
+        outcome = await client.run(make_order(), remaining_seconds=2.0)
+    assert isinstance(outcome, OutcomeUnknown)
+    assert outcome.reason is Reason.ANSWER_INCOMPLETE
