Count nothing for connections that are closed, and test the refusals

Tasks that end after their connection changed the count of the memory budget once more, and a link that lost its connection kept the count of incomplete frames. Tests: an order in parts that finds no memory is refused, and invalid limits of the machine are named at the start.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/memory_budget.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/memory_budget.py
@@ -172,8 +172,9 @@
         return holding
 
     def close(self, holding: MemoryHolding) -> None:
-        """Return what a connection holds."""
+        """Return what a connection holds; its requests that still run hold nothing from now on."""
         self._holdings.discard(holding)
+        holding.is_released = True
         self._set_held(holding, HeldBytes())
 
     def can_ever_hold(self, size: int) -> bool:
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
@@ -201,6 +201,7 @@
         if self._connection_attempt.result() is not None:
             self._connection_attempt = self._loop.create_future()
         self._requests.fail_all()
+        self._memory.end_channel()
 
 
 class FleetLinkTable:
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_memory.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/peer_memory.py
@@ -36,6 +36,11 @@
         self._channel = FrameChannel(socket, frame_bytes, FrameMemory(self._may_hold, self._refuse))
         return self._channel
 
+    def end_channel(self) -> None:
+        """Hold no frames of a connection that has ended."""
+        self._channel = None
+        self._holding.take(dataclasses.replace(self._holding.held, reading=0))
+
     def start(self, message: object) -> int:
         """Hold a message that is being answered, and return its size in bytes."""
         size = len(message.body) + REQUEST_BYTES if isinstance(message, WorkOrder) else 0
--- a/tests/coordination/sidecar/test_memory_budget.py
+++ b/tests/coordination/sidecar/test_memory_budget.py
@@ -76,6 +76,16 @@
     assert connections.budget.held_bytes == 0
 
 
+def test_a_closed_connection_holds_nothing():
+    """Guards against a count that shrinks twice for a request that ends after its connection."""
+    connections = Connections()
+    holding = connections.open('closed', running=1_000_000)
+    holding.close()
+    holding.take(HeldBytes(running=0, unread=500_000))
+    assert connections.budget.held_bytes == 0
+    assert not holding.request(HeldBytes(reading=1))
+
+
 def test_the_smallest_machine_holds_the_largest_body():
     """Guards against limits that refuse a single request of legal size."""
     limits = derive_limits(MachineLimits(memory_megabytes=200, descriptors=400))
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -192,3 +192,28 @@
 def test_deeply_nested_node_entry_is_refused(opening):
     """Guards against an entry of another writer that ends the task that reads all entries."""
     assert decode_node_entry(opening * 100_000 + b'\x00') is None
+
+
+@pytest.mark.parametrize(
+    ('limits', 'invalid'),
+    [
+        ({'memoryMb': -1}, 'memoryMb -1'),
+        ({'maxFds': 200}, 'maxFds 200'),
+        ({'maxFds': -5}, 'maxFds -5'),
+        ({'memoryMb': '200'}, 'memoryMb'),
+    ],
+)
+def test_invalid_limits_of_the_machine_are_named(limits, invalid):
+    """Guards against a node that starts with limits under which it can serve nobody."""
+    local = {'nodeName': 'n', 'ip': '127.0.0.1', 'zone': 'a', 'appAddr': '127.0.0.1:1'}
+    listen = {'outbound': '127.0.0.1:2', 'ready': '127.0.0.1:3', 'control': '127.0.0.1:4'}
+    encoded = json.dumps(
+        {
+            'localNode': {**local, 'service': 's', 'limits': limits},
+            'network': {'listen': listen, 'portRange': [5, 6]},
+            'platform': {'platform': {'address': '127.0.0.1:7'}},
+        }
+    ).encode()
+    failure = settings.decode_platform_settings(encoded)
+    assert isinstance(failure, SettingsFailure)
+    assert invalid in failure.detail
--- a/tests/platform/test_wire_names.py
+++ b/tests/platform/test_wire_names.py
@@ -16,7 +16,8 @@
     r'|(?<!X-)Api-Key|Instances\.|/log-|keyed\.|non_idempotent|control_plane'
     r'|localNode|pathPrefix|trafficSplit|routeType|timeoutS|targetLatencyS|apiKeys|ratePerS'
     r'|healthCheckPath|maxConnections|headerTimeoutS|idleTimeoutS|maxHeaderBytes|maxBodyBytes'
-    r'|coldRemainingS|heartbeatAddr|nodeName|appAddr|portRange|baseVersion|waitMs|hasMore'
+    r'|coldRemainingS|heartbeatAddr|nodeName|appAddr|portRange|baseVersion|waitMs|hasMore|memoryMb'
+    r'|maxFds'
     r'|TURMERICWHARF_NODE_FILE|\btenants?\b',
 )
 
--- a/tests/transport/sidecar/test_links.py
+++ b/tests/transport/sidecar/test_links.py
@@ -2,23 +2,25 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import time
 from types import SimpleNamespace
 
 import pytest
 
-from tests.coordination.sidecar.samples import make_entry
+from tests.coordination.sidecar.samples import make_entry, make_order
 from tests.fleet_processes import free_port
 from tests.stand_ins.relay import Network, Relay
 from turmericwharf.coordination.sidecar import MemoryBudget
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
-from turmericwharf.state import PEER_LINK_LOST, PEER_UNREACHABLE
+from turmericwharf.state import PEER_LINK_LOST, PEER_UNREACHABLE, NotRun, Reason
 from turmericwharf.state.sidecar import (
     Address,
     ConfigurationReply,
     ConfigurationRequest,
     MemoryLimits,
     RetryRequest,
+    WorkAnswer,
 )
 from turmericwharf.transport import BootClock
 from turmericwharf.transport.sidecar import links as links_module
@@ -29,8 +31,8 @@
 PEER_HOST = '127.0.0.5'
 
 
-def make_node(entry):
-    return SimpleNamespace(
+def make_node(entry, **parts):
+    node = SimpleNamespace(
         directory=NodeDirectory(entry, BootClock()),
         holder=SimpleNamespace(version=1),
         memory=MemoryBudget(MemoryLimits(), BootClock()),
@@ -39,10 +41,12 @@
             listen=SimpleNamespace(peers=Address(entry.host, entry.peer_port))
         ),
     )
+    vars(node).update(parts)
+    return node
 
 
 @contextlib.asynccontextmanager
-async def running_pair(monkeypatch, network=None):
+async def running_pair(monkeypatch, network=None, **parts):
     """Yield the links of a node, and the entry of a listening peer behind a relay."""
 
     async def answer(message, node, peer):
@@ -53,7 +57,7 @@
     monkeypatch.setattr(peer_listener, 'answer_peer', answer)
     peer = make_entry('peer', host=PEER_HOST, peer_port=free_port(PEER_HOST))
     relay = Relay(network or Network(), PEER_HOST, PEER_HOST, 0, peer.peer_port)
-    listener = PeerListener(make_node(peer))
+    listener = PeerListener(make_node(peer, **parts))
     links = FleetLinkTable()
     links.attach_node(make_node(make_entry('local')))
     await listener.start()
@@ -152,3 +156,26 @@
         async with asyncio.timeout(5):
             while await request(links, peer) != ConfigurationReply(b''):
                 await asyncio.sleep(0.05)
+
+
+async def test_a_large_order_without_memory_is_refused(monkeypatch):
+    """Guards against an order in parts that a full node drops without an answer.
+
+    The refusal is remembered, so that a later copy of the order does not run.
+    """
+    refused = []
+
+    def refuse_unread(key, process, version):
+        refused.append((key, process))
+        return WorkAnswer(None, NotRun(Reason.QUEUE_FULL, ''), None, False, 0, 0, version)
+
+    memory = MemoryBudget(MemoryLimits(capacity_bytes=500_000), BootClock())
+    gate = SimpleNamespace(refuse_unread=refuse_unread)
+    async with running_pair(monkeypatch, memory=memory, gate=gate) as (links, entry):
+        order = dataclasses.replace(make_order(), body=bytes(1_000_000))
+        answer = await links.request(entry, order, timeout_seconds=2)
+        assert answer.refused.reason is Reason.QUEUE_FULL
+        assert refused == [((order.request, order.attempt), order.process)]
+        small = await links.request(entry, ConfigurationRequest(0), timeout_seconds=2)
+        assert isinstance(small, ConfigurationReply)
+        assert memory.held_bytes == 0
