--- a/tests/coordination/sidecar/test_memory_budget.py
+++ b/tests/coordination/sidecar/test_memory_budget.py
@@ -116,3 +116,35 @@
     connections = [OpenConnection(number, use, 0.0) for number, use in enumerate(uses)]
     assert choose_closed(connections, 5.0) == closed
     assert choose_closed(connections, 0.5) is None
+
+
+def test_replay_of_bodies_that_stop_short_of_their_end():
+    """Guards against a crowd of uploads that takes the memory of ordinary requests.
+
+    Forty clients send 12 MB each and stop one byte short. An upload that goes on beside them, and
+    the small requests of each step, are served.
+    """
+    clock, released = ManualClock(), set()
+    limits = derive_limits(MachineLimits(memory_megabytes=200))
+    budget = MemoryBudget(limits, clock)
+    crowd = {
+        number: budget.open(HolderKind.CLIENT, lambda _, number=number: released.add(number))
+        for number in range(40)
+    }
+    upload = budget.open(HolderKind.CLIENT, lambda _: released.add('upload'))
+    for step in range(1, 400):
+        clock.at += 0.05
+        small = budget.open(HolderKind.CLIENT)
+        assert small.request(HeldBytes(reading=20_000))
+        assert budget.held_bytes <= limits.capacity_bytes
+        small.close()
+        for number, holding in crowd.items():
+            # A connection that is refused drops what it has received.
+            if step <= 120 and not holding.request(HeldBytes(reading=100_000 * step)):
+                holding.close()
+                released.add(number)
+            holding.record_progress()
+        assert step <= 200 or upload.request(HeldBytes(reading=50_000 * (step - 200)))
+        upload.record_progress()
+    assert 'upload' not in released
+    assert len(released) < len(crowd)
