Place requests by expected completion and price the bytes between data centres

Requests were placed by counts of requests, and left the data centre after a fixed number of refusals, whatever they weighed and whether the other data centres were as full. Servers are now compared by expected wait and run time; a request leaves when waiting here costs more than the bytes and the round trip, with a share that is proportional to the excess and damped. Servers that refused are not asked for a free slot before the time that they named, a server that joins starts slowly, and a long body is sent only after a slot was asked for. A refused connection to a server costs no retry.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempt_progress.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempt_progress.py
@@ -10,6 +10,16 @@
 _OVERLOAD_REASONS = frozenset((Reason.SERVER_BUSY, Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
 # Refusals after which no other server is likely to accept the request soon.
 _FLEET_WIDE_REASONS = _OVERLOAD_REASONS | {Reason.NO_CAPACITY}
+# The server or its node is gone, which tells nothing of the other servers.
+_GONE_REASONS = frozenset(
+    (
+        Reason.PEER_UNREACHABLE,
+        Reason.SERVER_UNREACHABLE,
+        Reason.PROCESS_REPLACED,
+        Reason.SERVER_UNKNOWN,
+        Reason.SERVER_DRAINING,
+    )
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,7 +34,10 @@
     servers_reached: int = 0
     # Retries that the budget granted, each for one further server.
     retries_granted: int = 0
+    # Refusals, without those that only tell that one server is gone.
     refusals: int = 0
+    # Times that all servers were tried again.
+    restarts: int = 0
     # Whether the request was refused for load at the last step of its placement.
     is_overload: bool = False
     outcome: Outcome | None = None
@@ -47,7 +60,7 @@
 
     def record_refusal(self, instance: InstanceId, refusal: NotRun) -> None:
         """Count a refusal; after one for load, the placement moves to its next step."""
-        self.refusals += 1
+        self.refusals += refusal.reason not in _GONE_REASONS
         if refusal.reason not in _OVERLOAD_REASONS:
             return
         if self.placement.step.wait_fraction < 1:
@@ -58,6 +71,7 @@
 
     def restart_placement(self) -> None:
         """Begin again with the first step, and with all servers."""
+        self.restarts += 1
         self.excluded.clear()
         self.busy.clear()
         self.placement.restart()
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -9,7 +9,10 @@
 from turmericwharf.coordination.sidecar.admission import AdmittedFleetRequest
 from turmericwharf.coordination.sidecar.attempt_progress import AttemptProgress
 from turmericwharf.coordination.sidecar.order_sender import OrderSender, OrderTerms
+from turmericwharf.coordination.sidecar.placement import Course
+from turmericwharf.coordination.sidecar.remote_placement import PlacementNeeds, RemotePlacement
 from turmericwharf.coordination.sidecar.retry_budget import FleetRetryBudget
+from turmericwharf.coordination.sidecar.route_sizes import RouteSizes
 from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.state import (
     DEADLINE_PASSED,
@@ -23,8 +26,9 @@
 from turmericwharf.state.sidecar import NodeEntry, WorkAnswer
 
 _MIN_SERVER_ERROR_STATUS = 500
-# Delay before servers that refused are tried again.
+# Delay before servers that refused are tried again; it doubles each time.
 _RETRY_DELAY_SECONDS = 0.06
+_MAX_RETRY_DELAY_SECONDS = 0.5
 _MIN_REMAINING_SECONDS = 0.01
 # A request that no server has accepted is refused after this fraction of its latency target: soon
 # if all servers are full or gone, later if some failed, since others may have a free slot.
@@ -45,6 +49,8 @@
     attempt_number: int
     load: int
     load_age: float | None
+    started_at: float
+    may_wait: bool
     task: asyncio.Task[WorkAnswer]
 
 
@@ -75,6 +81,8 @@
         self._sender = sender
         self._retry_budget = retry_budget
         self._clock = clock
+        self._route_sizes = RouteSizes()
+        self.remote_placement = RemotePlacement(clock)
 
     def record_request(self, admitted: AdmittedFleetRequest) -> None:
         """Count a request for the retry budget, once for all its attempts."""
@@ -98,12 +106,35 @@
         self, admitted: AdmittedFleetRequest, progress: AttemptProgress
     ) -> NodeEntry | None:
         """Return the next server to ask, from the current step of the placement on."""
+        needs = self._needs(admitted)
         while True:
-            reach = progress.placement.step.reach
-            entry = self._selector.select(admitted.service, progress.unusable, reach)
+            if progress.placement.needs_course:
+                progress.placement.follow(self._choose_course(admitted, needs))
+            step = progress.placement.step
+            entry = self._selector.select(
+                admitted.service,
+                progress.unusable,
+                step.reach,
+                needs=needs,
+                may_wait=step.wait_fraction > 0,
+            )
             if entry is not None or not progress.placement.advance():
                 return entry
 
+    def _choose_course(self, admitted: AdmittedFleetRequest, needs: PlacementNeeds) -> Course:
+        costs = self._selector.place_costs(admitted.service, needs)
+        leaves = self.remote_placement.should_leave(admitted.service, needs.route, costs)
+        return Course.LEAVE if leaves else Course.STAY
+
+    def _needs(self, admitted: AdmittedFleetRequest) -> PlacementNeeds:
+        route = admitted.route.route
+        return PlacementNeeds(
+            route=route,
+            kilobytes=self._route_sizes.kilobytes(route, admitted.request),
+            target_seconds=self._remaining_target_seconds(admitted),
+            deadline_seconds=self._remaining_seconds(admitted),
+        )
+
     def _remaining_seconds(self, admitted: AdmittedFleetRequest) -> float:
         return admitted.deadline - self._clock.now()
 
@@ -115,7 +146,8 @@
             progress.outcome = NotRun(NO_CAPACITY.reason, NO_CAPACITY.detail)
         if not isinstance(progress.outcome, NotRun) or self._should_give_up(admitted, progress):
             return False
-        await asyncio.sleep(_RETRY_DELAY_SECONDS)
+        delay_seconds = min(_RETRY_DELAY_SECONDS * 2**progress.restarts, _MAX_RETRY_DELAY_SECONDS)
+        await asyncio.sleep(min(delay_seconds, self._remaining_seconds(admitted)))
         progress.restart_placement()
         return True
 
@@ -150,7 +182,7 @@
         finally:
             for attempt in attempts:
                 attempt.task.cancel()
-                self._selector.end(attempt.entry.instance)
+                self._selector.end(attempt.entry.instance, admitted.route.route)
 
     def _start(
         self,
@@ -165,7 +197,7 @@
         target_seconds = self._remaining_target_seconds(admitted)
         # A hedge is sent because the first server does not answer, and may wait for a slot.
         wait_fraction = 1 if in_flight else progress.placement.step.wait_fraction
-        self._selector.start(entry.instance)
+        self._selector.start(entry.instance, admitted.route.route)
         # A hedge must not be sent as a trial through an open circuit breaker.
         may_be_trial = not in_flight and self._has_attempts_left(admitted, progress, in_flight=1)
         terms = OrderTerms(
@@ -179,7 +211,13 @@
         sending = self._sender.send(admitted, entry, terms)
         load, load_age = self._selector.last_reported_load(entry.instance)
         return _Attempt(
-            entry, progress.last_attempt_number, load, load_age, asyncio.create_task(sending)
+            entry=entry,
+            attempt_number=progress.last_attempt_number,
+            load=load,
+            load_age=load_age,
+            started_at=self._clock.now(),
+            may_wait=wait_fraction > 0,
+            task=asyncio.create_task(sending),
         )
 
     def _remaining_target_seconds(self, admitted: AdmittedFleetRequest) -> float:
@@ -199,7 +237,9 @@
         if first.task.done():
             return
         self._selector.deprioritise(first.entry.instance)
-        entry = self._selector.select(admitted.service, progress.excluded)
+        entry = self._selector.select(
+            admitted.service, progress.excluded, needs=self._needs(admitted)
+        )
         if entry is not None and await self._acquire_retry(admitted, progress, in_flight=1):
             progress.attempts_run += 1
             attempts.append(self._start(admitted, entry, progress, in_flight=1))
@@ -241,9 +281,9 @@
         in_flight: int,
     ) -> bool:
         answer = ended.task.result()
-        self._selector.record_answer(ended.entry.instance, answer)
+        self._record_answer(admitted, ended, answer)
         outcome = _extract_outcome(answer)
-        progress.servers_reached += answer.reached_server
+        progress.servers_reached += answer.reached_server and not _is_unconnected(outcome)
         progress.attempts_run += not isinstance(outcome, NotRun)
         if isinstance(outcome, NotRun):
             progress.record_refusal(ended.entry.instance, outcome)
@@ -266,6 +306,20 @@
         ).info('attempt_ended')
         return is_final
 
+    def _record_answer(
+        self, admitted: AdmittedFleetRequest, ended: _Attempt, answer: WorkAnswer
+    ) -> None:
+        """Record what an answer tells of the server and of the route."""
+        route = admitted.route.route
+        self._selector.record_answer(ended.entry.instance, answer, route)
+        if answer.answered is None:
+            return
+        self._route_sizes.record(route, answer.answered)
+        if not answer.run_seconds and not ended.may_wait:
+            self._selector.loads.record_run(
+                ended.entry.instance, route, self._clock.now() - ended.started_at
+            )
+
     async def _acquire_retry_after(
         self,
         admitted: AdmittedFleetRequest,
@@ -315,5 +369,10 @@
     return outcome or OutcomeUnknown(Reason.FRAME_MALFORMED, 'the work answer contains no outcome')
 
 
+def _is_unconnected(outcome: Outcome) -> bool:
+    """Return whether the node could not connect to its server, which no request reached then."""
+    return isinstance(outcome, NotRun) and outcome.reason is Reason.SERVER_UNREACHABLE
+
+
 def _status_or_reason(outcome: Outcome) -> str:
     return str(outcome.status) if isinstance(outcome, Answered) else outcome.reason.value
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -27,7 +27,9 @@
 )
 from turmericwharf.coordination.sidecar.quota import FixedShareBuckets, FleetRateLimiter
 from turmericwharf.coordination.sidecar.recovery import ServerRecovery
+from turmericwharf.coordination.sidecar.remote_placement import RemotePlacement
 from turmericwharf.coordination.sidecar.retry_budget import FleetRetryBudget, ExtraRetryPool
+from turmericwharf.coordination.sidecar.round_trips import RoundTrips
 from turmericwharf.coordination.sidecar.server_selector import ServerSelector
 from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
@@ -77,6 +79,7 @@
     directory: NodeDirectory
     holder: ActiveConfiguration
     entry: RequestEntryPoint
+    remote_placement: RemotePlacement
     gate: OrderExecutor
     quota: FleetRateLimiter
     allowance: FleetRetryBudget
@@ -162,6 +165,7 @@
         updates=node_entry_updates,
         knowledge=knowledge,
     )
+    round_trips = RoundTrips()
     sender = OrderSender(
         executor=executor,
         links=ports.links,
@@ -169,6 +173,7 @@
         configuration=configuration,
         clock=clock,
         caller_service=settings.service,
+        round_trips=round_trips,
     )
     retry_budget = FleetRetryBudget(
         pool=ExtraRetryPool(directory, ranking, bounds, clock, knowledge),
@@ -179,7 +184,7 @@
         retry_share=lambda: executor.retry_share,
     )
     attempts = AttemptRunner(
-        selector=ServerSelector(directory, clock),
+        selector=ServerSelector(directory, clock, round_trips),
         sender=sender,
         retry_budget=retry_budget,
         clock=clock,
@@ -189,6 +194,7 @@
         directory=directory,
         holder=configuration,
         entry=RequestEntryPoint(request_validator, rate_limiter, attempts, clock),
+        remote_placement=attempts.remote_placement,
         gate=executor,
         quota=rate_limiter,
         allowance=retry_budget,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
@@ -11,6 +11,7 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.coordination.sidecar.order_executor import OrderExecutor
+from turmericwharf.coordination.sidecar.round_trips import RoundTrips
 from turmericwharf.state import (
     LinkFailure,
     DeliveryUnknown,
@@ -30,6 +31,9 @@
 
 _RESEND_DELAY_SECONDS = 0.1
 _SLOT_REQUEST_TIMEOUT_SECONDS = 0.2
+# A longer body is sent only to a server that would run it; a shorter one costs about as much as the
+# exchange that asks.
+_LONG_BODY_BYTES = 16_384
 # Idempotent work is retried on another server instead of waiting for a lost connection.
 _MAX_IDEMPOTENT_RESENDS = 2
 
@@ -83,6 +87,8 @@
         Clock of the node.
     caller_service
         Service of the backend server on the local machine.
+    round_trips
+        Receives the measured round trips to the other data centres.
     """
 
     def __init__(
@@ -94,6 +100,7 @@
         configuration: ActiveConfiguration,
         clock: Clock,
         caller_service: ServiceId,
+        round_trips: RoundTrips | None = None,
     ) -> None:
         self._executor = executor
         self._links = links
@@ -101,6 +108,7 @@
         self._configuration = configuration
         self._clock = clock
         self._caller_service = caller_service
+        self._round_trips = round_trips or RoundTrips()
 
     async def send(
         self,
@@ -126,8 +134,8 @@
     async def _send(self, order: WorkOrder, entry: NodeEntry, expires_at: float) -> WorkAnswer:
         if entry.instance == self._directory.local.instance:
             return await self._executor.serve(order, self._configuration.version)
-        if entry.data_centre != self._directory.local.data_centre and not order.max_wait_seconds:
-            refused = await self._ask_for_slot(entry)
+        if self._must_ask_for_slot(order, entry):
+            refused = await self._ask_for_slot(order, entry)
             if refused is not None:
                 return refused
         failed_sends = 0
@@ -158,8 +166,15 @@
                 )
             await asyncio.sleep(_RESEND_DELAY_SECONDS)
 
-    async def _ask_for_slot(self, entry: NodeEntry) -> WorkAnswer | None:
-        """Ask a node of another data centre for a free slot; return the refusal, if any."""
+    def _must_ask_for_slot(self, order: WorkOrder, entry: NodeEntry) -> bool:
+        """Return whether the order is sent only after the server was asked for a slot."""
+        if len(order.body) > _LONG_BODY_BYTES:
+            return True
+        return entry.data_centre != self._directory.local.data_centre and not order.max_wait_seconds
+
+    async def _ask_for_slot(self, order: WorkOrder, entry: NodeEntry) -> WorkAnswer | None:
+        """Ask the node beside the server for a slot; return the refusal, if any."""
+        asked_at = self._clock.now()
         reply = await self._links.request(
             entry,
             SlotRequest(entry.process, entry.server),
@@ -169,16 +184,21 @@
             self._directory.suspect(entry.instance)
             return refused_answer(reply.reason, reply.detail)
         self._directory.clear_suspicion(entry.instance)
+        self._round_trips.record(entry.data_centre, self._clock.now() - asked_at)
         if not isinstance(reply, SlotReply) or reply.refused is None:
             return None
+        if _may_wait_there(order, entry, reply):
+            return None
         return WorkAnswer(
             answered=None,
-            refused=reply.refused,
+            refused=_with_retry_seconds(reply.refused, reply.wait_seconds),
             unknown=None,
             reached_server=False,
             running=reply.running,
             waiting=reply.waiting,
             version=reply.version,
+            wait_seconds=reply.wait_seconds,
+            run_seconds=reply.run_seconds,
         )
 
     def _should_stop_resending(self, order: WorkOrder, entry: NodeEntry, failed_sends: int) -> bool:
@@ -237,6 +257,22 @@
     return WorkAnswer(None, None, OutcomeUnknown(reason, detail), True, 0, 0, -1)
 
 
+def _may_wait_there(order: WorkOrder, entry: NodeEntry, reply: SlotReply) -> bool:
+    """Return whether an order that may wait would get a slot of a busy server in time."""
+    if reply.refused is None or reply.refused.reason is not Reason.SERVER_BUSY:
+        return False
+    if reply.wait_seconds:
+        return reply.wait_seconds < order.max_wait_seconds
+    # Without an estimate, a place in the queue is tried if less than one run per slot is ahead.
+    return order.max_wait_seconds > 0 and reply.waiting < entry.slots
+
+
+def _with_retry_seconds(refusal: NotRun, wait_seconds: float) -> NotRun:
+    if refusal.retry_seconds is not None or not wait_seconds:
+        return refusal
+    return dataclasses.replace(refusal, retry_seconds=wait_seconds)
+
+
 def _resolve_uncertainty(answer: WorkAnswer, *, is_uncertain: bool) -> WorkAnswer:
     refused = answer.refused
     if is_uncertain and refused is not None and refused.reason is Reason.PROCESS_REPLACED:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/placement.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/placement.py
@@ -3,13 +3,14 @@
 Load pattern: many entry nodes, each with few requests, choose among servers with few slots. Each of
 them knows little of the load that the others cause, so a chosen server is often busy while others
 are idle. Asking for a free slot costs a message within the data centre, waiting behind another
-request costs a whole run. Servers of other data centres are asked once the local ones are full,
-because traffic between data centres is expensive; a request waits for long only if they are full
-too.
+request costs a whole run. If no local server has a free slot, the request either waits in the data
+centre or asks in others, depending on what each would cost (see `remote_placement`).
 """
 
 import dataclasses
 import enum
+from collections.abc import Mapping
+from types import MappingProxyType
 
 
 class Reach(enum.Enum):
@@ -41,18 +42,38 @@
     wait_fraction: float
 
 
-# A wait that is no longer than this costs less than traffic to another data centre.
+class Course(enum.Enum):
+    """What a request does that found no free slot in the local data centre."""
+
+    STAY = 'stay'
+    LEAVE = 'leave'
+
+
 _SHORT_WAIT_FRACTION = 0.2
 
-PLACEMENT_STEPS = (
+_FIRST_STEPS = (
     PlacementStep(Reach.LOCAL, wait_fraction=0),
     PlacementStep(Reach.LOCAL, wait_fraction=0),
     PlacementStep(Reach.LOCAL, wait_fraction=0),
-    PlacementStep(Reach.LOCAL, wait_fraction=_SHORT_WAIT_FRACTION),
-    PlacementStep(Reach.REMOTE, wait_fraction=0),
-    PlacementStep(Reach.REMOTE, wait_fraction=0),
-    PlacementStep(Reach.EVERYWHERE, wait_fraction=1),
-    PlacementStep(Reach.EVERYWHERE, wait_fraction=1),
+)
+PLACEMENT_STEPS_BY_COURSE: Mapping[Course, tuple[PlacementStep, ...]] = MappingProxyType(
+    {
+        # The last step reaches other data centres only if that costs less than to wait here.
+        Course.STAY: (
+            *_FIRST_STEPS,
+            PlacementStep(Reach.LOCAL, wait_fraction=_SHORT_WAIT_FRACTION),
+            PlacementStep(Reach.LOCAL, wait_fraction=1),
+            PlacementStep(Reach.EVERYWHERE, wait_fraction=1),
+        ),
+        Course.LEAVE: (
+            *_FIRST_STEPS,
+            PlacementStep(Reach.REMOTE, wait_fraction=0),
+            PlacementStep(Reach.REMOTE, wait_fraction=0),
+            PlacementStep(Reach.LOCAL, wait_fraction=_SHORT_WAIT_FRACTION),
+            PlacementStep(Reach.EVERYWHERE, wait_fraction=1),
+            PlacementStep(Reach.EVERYWHERE, wait_fraction=1),
+        ),
+    },
 )
 
 
@@ -65,19 +86,34 @@
 
     def __init__(self) -> None:
         self._index = 0
+        self._course: Course | None = None
 
     @property
     def step(self) -> PlacementStep:
         """Current step."""
-        return PLACEMENT_STEPS[self._index]
+        return self._steps[self._index]
+
+    @property
+    def needs_course(self) -> bool:
+        """Whether the request found no free slot here, and where it goes on is not decided."""
+        return self._course is None and self._index >= len(_FIRST_STEPS)
+
+    def follow(self, course: Course) -> None:
+        """Continue with the steps of a course."""
+        self._course = course
 
     def advance(self) -> bool:
         """Move to the next step; return False if the request has been refused at the last one."""
-        if self._index + 1 >= len(PLACEMENT_STEPS):
+        if self._index + 1 >= len(self._steps):
             return False
         self._index += 1
         return True
 
     def restart(self) -> None:
-        """Begin again with the first step."""
+        """Begin again with the first step, and without a course."""
         self._index = 0
+        self._course = None
+
+    @property
+    def _steps(self) -> tuple[PlacementStep, ...]:
+        return PLACEMENT_STEPS_BY_COURSE[self._course or Course.STAY]
--- /dev/null
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/refusal_times.py
@@ -0,0 +1,95 @@
+"""Remembers until when a server is not worth asking, because it refused or did not answer.
+
+Load pattern: a service is short of servers for seconds, or some of its servers are broken. Each
+request would ask the same full or broken servers again, and each refused offer costs a message, and
+bytes if it goes to another data centre.
+"""
+
+import dataclasses
+import enum
+import random
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from turmericwharf.coordination.clock import Clock
+from turmericwharf.state import InstanceId, NotRun, Reason
+
+_DEFAULT_SECONDS = 0.3
+_SECONDS_BY_REASON: Mapping[Reason | None, float] = MappingProxyType(
+    {
+        # Many nodes ask the server, so its trials need no request of each of them. It is still
+        # asked if the other servers are busy.
+        Reason.BREAKER_OPEN: 4.0,
+        Reason.QUEUE_FULL: 0.15,
+        Reason.SERVER_DRAINING: 1.0,
+        Reason.SERVER_BUSY: 0.0,
+    },
+)
+_LOAD_REASONS = frozenset((Reason.SERVER_BUSY, Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
+# The refusing node knows only its own load at that time, and requests may end sooner.
+_MAX_FULL_SECONDS = 1.0
+
+
+class Standing(enum.IntEnum):
+    """How likely a server accepts a request; servers with lower values are asked first."""
+
+    OPEN = 0
+    # Starts slowly: some of the requests ask it only if the others have no free slot.
+    JOINING = 1
+    # Refused for load; a request may wait there.
+    FULL = 2
+    # Refused for another reason, or did not answer a request.
+    FAILING = 3
+    # The node beside it does not answer.
+    UNREACHABLE = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    """Standing of a server that refused, and the time until which it is assumed."""
+
+    standing: Standing
+    until: float
+
+
+class RefusalTimes:
+    """Standing of the servers that refused or did not answer.
+
+    Parameters
+    ----------
+    clock
+        Clock of the node.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._refusals_by_instance: dict[InstanceId, _Refusal] = {}
+
+    def standing(self, instance: InstanceId) -> Standing:
+        """Return the current standing of a server."""
+        refusal = self._refusals_by_instance.get(instance)
+        if refusal is None or refusal.until <= self._clock.now():
+            return Standing.OPEN
+        return refusal.standing
+
+    def clear(self, instance: InstanceId) -> None:
+        """Forget the refusals of a server that has answered a request."""
+        self._refusals_by_instance.pop(instance, None)
+
+    def record_failure(self, instance: InstanceId) -> None:
+        """Record that a server did not answer in the usual time, or with an unknown outcome."""
+        self._assume(instance, Standing.FAILING, _DEFAULT_SECONDS)
+
+    def record(self, instance: InstanceId, refusal: NotRun) -> None:
+        """Record a refusal, which may carry until when it holds."""
+        seconds = _SECONDS_BY_REASON.get(refusal.reason, _DEFAULT_SECONDS)
+        if refusal.reason in _LOAD_REASONS:
+            announced = min(refusal.retry_seconds or 0, _MAX_FULL_SECONDS)
+            self._assume(instance, Standing.FULL, max(seconds, announced))
+        else:
+            self._assume(instance, Standing.FAILING, max(seconds, refusal.retry_seconds or 0))
+
+    def _assume(self, instance: InstanceId, standing: Standing, seconds: float) -> None:
+        # Jitter keeps the nodes from returning to a server at the same time.
+        until = self._clock.now() + seconds * random.uniform(0.7, 1.0)
+        self._refusals_by_instance[instance] = _Refusal(standing, until)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
@@ -1,51 +1,34 @@
 """Selects the node whose backend server receives a request."""
 
-import collections
-import dataclasses
+import math
 import random
-from collections.abc import Mapping, Set
-from types import MappingProxyType
+from collections.abc import Set
 
 from turmericwharf.coordination.clock import Clock
 from turmericwharf.coordination.membership.rendezvous import rank_instances
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.placement import Reach
-from turmericwharf.state import InstanceId, NotRun, Reason, ServiceId
+from turmericwharf.coordination.sidecar.refusal_times import RefusalTimes, Standing
+from turmericwharf.coordination.sidecar.remote_placement import PlaceCosts, PlacementNeeds
+from turmericwharf.coordination.sidecar.round_trips import RoundTrips
+from turmericwharf.coordination.sidecar.server_loads import ServerLoads
+from turmericwharf.coordination.sidecar.slow_start import SlowStart
+from turmericwharf.state import InstanceId, RouteId, ServiceId
 from turmericwharf.state.sidecar import NodeEntry, WorkAnswer
 
-# An older load does not reflect the requests that other nodes have sent since.
-_MAX_LOAD_AGE_SECONDS = 1.0
-# A server in another data centre is selected only if the local servers have at least this many
-# requests more, because of the traffic between data centres.
-_REMOTE_PENALTY_REQUESTS = 8.0
-# Nodes of other data centres, for each service, that this node asks for a free slot. A connection
-# to each of them would cost more, in processor time and in traffic, than the requests that they
-# take. The nodes of a data centre ask different ones.
-_REMOTE_NODES = 4
-_DEPRIORITISE_SECONDS = 0.3
-_DEPRIORITISE_SECONDS_BY_REASON: Mapping[Reason | None, float] = MappingProxyType(
-    {
-        # Many nodes ask the server, so its trials need no request of each of them. It is still
-        # asked if the other servers are busy.
-        Reason.BREAKER_OPEN: 4.0,
-        Reason.QUEUE_FULL: 0.15,
-        Reason.SERVER_DRAINING: 1.0,
-        # The answer reports the load, by which the server is ranked.
-        Reason.SERVER_BUSY: 0.0,
-    },
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _ReportedLoad:
-    """Requests running and queued at a server, and the time of the report."""
-
-    requests: int
-    reported_at: float
+# Servers of other data centres among which a request chooses. Those that refused lately are passed
+# over, so that the others come within reach as soon as the first ones are full. A connection to
+# each of many nodes would cost more, in processor time and in traffic, than their requests.
+_REMOTE_CHOICES = 4
+# A request slows down the others at its server although slots are free.
+_CROWDING_RUNS = 0.5
+# Estimates are similar at all entry nodes; the random part keeps them from one choice.
+_RANDOM_FRACTION = 0.25
+_ANY_REQUEST = PlacementNeeds()
 
 
 class ServerSelector:
-    """Selects by requests in flight and reported load, and prefers the local data centre.
+    """Selects by expected completion: wait for a slot, run time, and the price of leaving.
 
     Parameters
     ----------
@@ -53,95 +36,179 @@
         Known nodes.
     clock
         Clock of the node.
+    round_trips
+        Measured round trips to the other data centres.
     """
 
-    def __init__(self, directory: NodeDirectory, clock: Clock) -> None:
+    def __init__(
+        self, directory: NodeDirectory, clock: Clock, round_trips: RoundTrips | None = None
+    ) -> None:
         self._directory = directory
         self._clock = clock
-        self._in_flight_by_instance: collections.Counter[InstanceId] = collections.Counter()
-        self._load_by_instance: dict[InstanceId, _ReportedLoad] = {}
-        self._deprioritised_until_by_instance: dict[InstanceId, float] = {}
+        self._round_trips = round_trips or RoundTrips()
+        self._refusals = RefusalTimes(clock)
+        self._slow_start = SlowStart(clock)
+        self.loads = ServerLoads(clock)
 
     def select(
         self,
         service: ServiceId,
         excluded: Set[InstanceId],
         reach: Reach = Reach.EVERYWHERE,
+        *,
+        needs: PlacementNeeds = _ANY_REQUEST,
+        may_wait: bool = True,
     ) -> NodeEntry | None:
-        """Return the node with the lowest cost within reach, or None if no node is left."""
+        """Return the node with the lowest cost within reach, or None if no node is left.
+
+        Parameters
+        ----------
+        needs
+            What the cost of a place depends on.
+        may_wait
+            Whether the request may wait for a slot; otherwise, servers that refused lately are not
+            asked.
+        """
         usable = [
             entry for entry in self._nodes_within(reach, service) if entry.instance not in excluded
         ]
-        trusted = [entry for entry in usable if not self._directory.is_suspected(entry.instance)]
-        preferred = [entry for entry in trusted if not self._is_deprioritised(entry.instance)]
-        return min(preferred or trusted or usable, key=self._cost, default=None)
-
-    def _nodes_within(self, reach: Reach, service: ServiceId) -> list[NodeEntry]:
-        local = self._directory.local
-        entries = [
-            entry
-            for entry in self._directory.nodes_serving(service)
-            if reach.covers(is_local=entry.data_centre == local.data_centre)
-        ]
-        if reach is not Reach.REMOTE or len(entries) <= _REMOTE_NODES:
-            return entries
-        ranked = rank_instances(f'remote/{local.instance}', (entry.instance for entry in entries))
-        chosen = frozenset(ranked[:_REMOTE_NODES])
-        return [entry for entry in entries if entry.instance in chosen]
+        standings = {entry.instance: self._standing(entry.instance) for entry in usable}
+        last_standing = Standing.UNREACHABLE if may_wait else Standing.JOINING
+        # Whether a server has a free slot is part of the cost of a place to wait.
+        first_standing = Standing.FULL if may_wait else Standing.OPEN
+        return min(
+            (entry for entry in usable if standings[entry.instance] <= last_standing),
+            key=lambda entry: (
+                max(standings[entry.instance], first_standing),
+                self._cost(entry, needs),
+            ),
+            default=None,
+        )
+
+    def place_costs(self, service: ServiceId, needs: PlacementNeeds) -> PlaceCosts:
+        """Return what the best server costs in the local data centre, and in the others."""
+        remote_seconds, price_seconds = self._best_costs(Reach.REMOTE, service, needs)
+        return PlaceCosts(
+            local_seconds=self._best_costs(Reach.LOCAL, service, needs)[0],
+            remote_seconds=remote_seconds,
+            price_seconds=price_seconds,
+        )
 
     def last_reported_load(self, instance: InstanceId) -> tuple[int, float | None]:
         """Return the last reported number of requests at a server, and its age in seconds."""
-        reported = self._load_by_instance.get(instance)
-        if reported is None:
+        report = self.loads.last_report(instance)
+        if report is None:
             return 0, None
-        return reported.requests, round(self._clock.now() - reported.reported_at, 3)
+        return report.requests, round(self._clock.now() - report.reported_at, 3)
 
-    def start(self, instance: InstanceId) -> None:
+    def start(self, instance: InstanceId, route: RouteId = _ANY_REQUEST.route) -> None:
         """Count an attempt that starts at a server."""
-        self._in_flight_by_instance[instance] += 1
+        self.loads.start(instance, route)
 
-    def end(self, instance: InstanceId) -> None:
+    def end(self, instance: InstanceId, route: RouteId = _ANY_REQUEST.route) -> None:
         """Count an attempt that ended at a server."""
-        self._in_flight_by_instance[instance] -= 1
-        if self._in_flight_by_instance[instance] <= 0:
-            self._in_flight_by_instance.pop(instance)
+        self.loads.end(instance, route)
 
-    def record_answer(self, instance: InstanceId, answer: WorkAnswer) -> None:
-        """Record the load that an answer reports; deprioritise the server if it did not answer.
+    def record_answer(
+        self,
+        instance: InstanceId,
+        answer: WorkAnswer,
+        route: RouteId = _ANY_REQUEST.route,
+    ) -> None:
+        """Record the load that an answer reports, and until when a refusal holds.
 
         The recorded load is 0 if no answer came from the node and this one was built locally. A
         refusal or an unknown outcome counts as no answer of the server.
         """
-        requests = answer.running + answer.waiting
-        self._load_by_instance[instance] = _ReportedLoad(requests, self._clock.now())
-        if answer.answered is not None:
-            self._deprioritised_until_by_instance.pop(instance, None)
-            return
-        self.deprioritise(instance, _deprioritise_seconds(answer.refused))
-
-    def deprioritise(self, instance: InstanceId, seconds: float = _DEPRIORITISE_SECONDS) -> None:
+        self.loads.record_answer(instance, route, answer)
+        if answer.answered:
+            self._refusals.clear(instance)
+        elif answer.refused:
+            self._refusals.record(instance, answer.refused)
+        else:
+            self._refusals.record_failure(instance)
+
+    def deprioritise(self, instance: InstanceId) -> None:
         """Prefer other servers for a limited time."""
-        self._deprioritised_until_by_instance[instance] = self._clock.now() + seconds
-
-    def _is_deprioritised(self, instance: InstanceId) -> bool:
-        return self._deprioritised_until_by_instance.get(instance, 0) > self._clock.now()
-
-    def _cost(self, entry: NodeEntry) -> float:
-        local = self._directory.local
-        requests = float(self._in_flight_by_instance[entry.instance])
-        reported = self._load_by_instance.get(entry.instance)
-        if (
-            reported is not None
-            and self._clock.now() - reported.reported_at < _MAX_LOAD_AGE_SECONDS
-        ):
-            requests = max(requests, reported.requests)
-        remote_penalty = 0 if entry.data_centre == local.data_centre else _REMOTE_PENALTY_REQUESTS
-        # The random part, less than half a request, breaks ties.
-        return requests + remote_penalty + random.random() / 2
-
-
-def _deprioritise_seconds(refusal: NotRun | None) -> float:
-    reason = None if refusal is None else refusal.reason
-    seconds = _DEPRIORITISE_SECONDS_BY_REASON.get(reason, _DEPRIORITISE_SECONDS)
-    # Jitter keeps the nodes from returning to a server at the same time.
-    return seconds * random.uniform(0.7, 1.0)
+        self._refusals.record_failure(instance)
+
+    def _nodes_within(self, reach: Reach, service: ServiceId) -> list[NodeEntry]:
+        serving = self._directory.nodes_serving(service)
+        self._slow_start.observe(service, serving)
+        local = [entry for entry in serving if self._is_local(entry)]
+        if reach is Reach.LOCAL:
+            return local
+        remote = self._remote_choices([entry for entry in serving if not self._is_local(entry)])
+        return remote if reach is Reach.REMOTE else local + remote
+
+    def _remote_choices(self, entries: list[NodeEntry]) -> list[NodeEntry]:
+        """Return the servers of other data centres among which this node chooses.
+
+        The nodes of a data centre choose among different ones.
+        """
+        if len(entries) <= _REMOTE_CHOICES:
+            return entries
+        entries_by_instance = {entry.instance: entry for entry in entries}
+        ranked = rank_instances(f'remote/{self._directory.local.instance}', entries_by_instance)
+        accepting = [one for one in ranked if self._standing(one) <= Standing.JOINING]
+        chosen = (accepting or ranked)[:_REMOTE_CHOICES]
+        return [entries_by_instance[instance] for instance in chosen]
+
+    def _reachable_within(self, reach: Reach, service: ServiceId) -> list[NodeEntry]:
+        return [
+            entry
+            for entry in self._nodes_within(reach, service)
+            if self._standing(entry.instance) <= Standing.FULL
+        ]
+
+    def _standing(self, instance: InstanceId) -> Standing:
+        if self._directory.is_suspected(instance):
+            return Standing.UNREACHABLE
+        standing = self._refusals.standing(instance)
+        if standing is Standing.OPEN and self._slow_start.holds_back(instance):
+            return Standing.JOINING
+        return standing
+
+    def _is_local(self, entry: NodeEntry) -> bool:
+        return entry.data_centre == self._directory.local.data_centre
+
+    def _cost(self, entry: NodeEntry, needs: PlacementNeeds) -> float:
+        run_seconds = self.loads.run_seconds(entry.instance, needs.route)
+        crowding = min(self.loads.requests_at(entry.instance) / max(entry.slots, 1), 1)
+        cost, _ = self._costs(entry, needs, self.loads.expected_wait_seconds(entry))
+        random_runs = _RANDOM_FRACTION * random.random()
+        return cost + (_CROWDING_RUNS * crowding + random_runs) * run_seconds
+
+    def _best_costs(
+        self, reach: Reach, service: ServiceId, needs: PlacementNeeds
+    ) -> tuple[float, float]:
+        """Return the cost of the best server within reach, and the price of leaving in it.
+
+        A server without a recent report is assumed to be as loaded as the others. If nothing is
+        known of any of them, they are assumed to be idle, so that the next request asks.
+        """
+        entries = self._reachable_within(reach, service)
+        waits_by_instance = {
+            entry.instance: self.loads.expected_wait_seconds(entry)
+            for entry in self._directory.nodes_serving(service)
+            if reach.covers(is_local=self._is_local(entry))
+            and self.loads.has_recent_report(entry.instance)
+        }
+        mean_wait = sum(waits_by_instance.values()) / max(len(waits_by_instance), 1)
+        costs = (
+            self._costs(entry, needs, waits_by_instance.get(entry.instance, mean_wait))
+            for entry in entries
+        )
+        return min(costs, default=(math.inf, math.inf))
+
+    def _costs(
+        self, entry: NodeEntry, needs: PlacementNeeds, wait_seconds: float
+    ) -> tuple[float, float]:
+        run_seconds = self.loads.run_seconds(entry.instance, needs.route)
+        price_seconds = self._price_seconds(entry, needs)
+        return needs.cost_seconds(wait_seconds, run_seconds) + price_seconds, price_seconds
+
+    def _price_seconds(self, entry: NodeEntry, needs: PlacementNeeds) -> float:
+        if self._is_local(entry):
+            return 0
+        return needs.price_seconds(self._round_trips.seconds_to(entry.data_centre))
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -7,6 +7,7 @@
     ServerGateDump,
     ConfigurationHolderDump,
     ServerRecordDump,
+    RemotePlacementDump,
     StartupKnowledgeDump,
 )
 from turmericwharf.state.sidecar.fleet_configuration import (
@@ -88,6 +89,7 @@
     'OrganisationRule',
     'ProcessId',
     'ServerRecordDump',
+    'RemotePlacementDump',
     'ResponseLimits',
     'RetryReply',
     'SlotReply',
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Mapping
 
+from turmericwharf.state.identifiers import RouteId
 from turmericwharf.state.sidecar.nodes import AnnouncedServer, NodeEntry
 
 
@@ -62,3 +63,20 @@
 
     knows_fleet: bool
     knows_predecessor: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemotePlacementDump:
+    """Requests that found no free server in the local data centre, by route.
+
+    Parameters
+    ----------
+    leaving_fraction
+        Fraction of these requests that currently leave the data centre.
+    left_total, stayed_total
+        Requests that left, and requests that waited in the local data centre.
+    """
+
+    leaving_fraction: Mapping[RouteId, float]
+    left_total: Mapping[RouteId, int]
+    stayed_total: Mapping[RouteId, int]
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/messages.py
@@ -124,6 +124,10 @@
         Number of requests at the server and in the node's queue when the answer was created.
     version
         Newest version of the configuration that the node knows.
+    wait_seconds
+        Expected wait of one more order of the same route; 0 if it is unknown.
+    run_seconds
+        Mean run time of the route at the server; 0 if it is unknown.
     """
 
     answered: Answered | None
@@ -133,14 +137,16 @@
     running: int
     waiting: int
     version: int
+    wait_seconds: float = 0
+    run_seconds: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotRequest:
     """Ask whether the server beside a node would run an order at once.
 
-    Sent before an order that goes to another data centre and may not wait there. An order carries
-    the whole request, and most of these would be refused.
+    Sent before an order that goes to another data centre, and before one with a long body. An order
+    carries the whole request, and many of these would be refused.
 
     Parameters
     ----------
@@ -160,7 +166,7 @@
     ----------
     refused
         Why the order would be refused; None if a slot is free.
-    running, waiting, version
+    running, waiting, version, wait_seconds, run_seconds
         As in `WorkAnswer`.
     """
 
@@ -168,6 +174,8 @@
     running: int
     waiting: int
     version: int
+    wait_seconds: float = 0
+    run_seconds: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
