--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
@@ -187,7 +187,8 @@
         self._round_trips.record(entry.data_centre, self._clock.now() - asked_at)
         if not isinstance(reply, SlotReply) or reply.refused is None:
             return None
-        if _may_wait_there(order, entry, reply):
+        is_local = entry.data_centre == self._directory.local.data_centre
+        if _may_wait_there(order, entry, reply, is_local=is_local):
             return None
         return WorkAnswer(
             answered=None,
@@ -257,14 +258,17 @@
     return WorkAnswer(None, None, OutcomeUnknown(reason, detail), True, 0, 0, -1)
 
 
-def _may_wait_there(order: WorkOrder, entry: NodeEntry, reply: SlotReply) -> bool:
-    """Return whether an order that may wait would get a slot of a busy server in time."""
+def _may_wait_there(
+    order: WorkOrder, entry: NodeEntry, reply: SlotReply, *, is_local: bool
+) -> bool:
+    """Return whether an order that may wait is sent to a busy server, to wait there."""
     if reply.refused is None or reply.refused.reason is not Reason.SERVER_BUSY:
         return False
     if reply.wait_seconds:
         return reply.wait_seconds < order.max_wait_seconds
-    # Without an estimate, a place in the queue is tried if less than one run per slot is ahead.
-    return order.max_wait_seconds > 0 and reply.waiting < entry.slots
+    # Without an estimate, the node beside the server decides. The body goes to another data centre
+    # only if less than one run per slot is ahead.
+    return order.max_wait_seconds > 0 and (is_local or reply.waiting < entry.slots)
 
 
 def _with_retry_seconds(refusal: NotRun, wait_seconds: float) -> NotRun:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/refusal_times.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/refusal_times.py
@@ -12,8 +12,9 @@
 from types import MappingProxyType
 
 from turmericwharf.coordination.clock import Clock
-from turmericwharf.state import InstanceId, NotRun, Reason
+from turmericwharf.state import InstanceId, NotRun, Reason, RouteId
 
+_ANY_ROUTE = RouteId('')
 _DEFAULT_SECONDS = 0.3
 _SECONDS_BY_REASON: Mapping[Reason | None, float] = MappingProxyType(
     {
@@ -21,11 +22,14 @@
         # asked if the other servers are busy.
         Reason.BREAKER_OPEN: 4.0,
         Reason.QUEUE_FULL: 0.15,
+        Reason.DEADLINE_PASSED: 0.15,
         Reason.SERVER_DRAINING: 1.0,
         Reason.SERVER_BUSY: 0.0,
     },
 )
 _LOAD_REASONS = frozenset((Reason.SERVER_BUSY, Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
+# Refusals of requests that would have waited.
+_QUEUE_REASONS = frozenset((Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
 # The refusing node knows only its own load at that time, and requests may end sooner.
 _MAX_FULL_SECONDS = 1.0
 
@@ -36,12 +40,14 @@
     OPEN = 0
     # Starts slowly: some of the requests ask it only if the others have no free slot.
     JOINING = 1
-    # Refused for load; a request may wait there.
+    # Had no free slot; a request may wait there.
     FULL = 2
+    # Refused a request of the route that would have waited.
+    SATURATED = 3
     # Refused for another reason, or did not answer a request.
-    FAILING = 3
+    FAILING = 4
     # The node beside it does not answer.
-    UNREACHABLE = 4
+    UNREACHABLE = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +55,7 @@
     """Standing of a server that refused, and the time until which it is assumed."""
 
     standing: Standing
+    route: RouteId
     until: float
 
 
@@ -65,11 +72,14 @@
         self._clock = clock
         self._refusals_by_instance: dict[InstanceId, _Refusal] = {}
 
-    def standing(self, instance: InstanceId) -> Standing:
-        """Return the current standing of a server."""
+    def standing(self, instance: InstanceId, route: RouteId) -> Standing:
+        """Return the current standing of a server for the requests of a route."""
         refusal = self._refusals_by_instance.get(instance)
         if refusal is None or refusal.until <= self._clock.now():
             return Standing.OPEN
+        if refusal.standing is Standing.SATURATED and refusal.route != route:
+            # Routes have different ranks in the queue of a server.
+            return Standing.FULL
         return refusal.standing
 
     def clear(self, instance: InstanceId) -> None:
@@ -80,16 +90,31 @@
         """Record that a server did not answer in the usual time, or with an unknown outcome."""
         self._assume(instance, Standing.FAILING, _DEFAULT_SECONDS)
 
-    def record(self, instance: InstanceId, refusal: NotRun) -> None:
-        """Record a refusal, which may carry until when it holds."""
+    def record(
+        self, instance: InstanceId, route: RouteId, refusal: NotRun, wait_seconds: float
+    ) -> None:
+        """Record a refusal, which may carry until when it holds.
+
+        Parameters
+        ----------
+        wait_seconds
+            Expected time until the server would run the request; applies to refusals for load.
+        """
         seconds = _SECONDS_BY_REASON.get(refusal.reason, _DEFAULT_SECONDS)
-        if refusal.reason in _LOAD_REASONS:
-            announced = min(refusal.retry_seconds or 0, _MAX_FULL_SECONDS)
-            self._assume(instance, Standing.FULL, max(seconds, announced))
-        else:
+        if refusal.reason not in _LOAD_REASONS:
             self._assume(instance, Standing.FAILING, max(seconds, refusal.retry_seconds or 0))
-
-    def _assume(self, instance: InstanceId, standing: Standing, seconds: float) -> None:
+            return
+        standing = Standing.SATURATED if refusal.reason in _QUEUE_REASONS else Standing.FULL
+        full_seconds = min(max(seconds, wait_seconds), _MAX_FULL_SECONDS)
+        self._assume(instance, standing, full_seconds, route)
+
+    def _assume(
+        self,
+        instance: InstanceId,
+        standing: Standing,
+        seconds: float,
+        route: RouteId = _ANY_ROUTE,
+    ) -> None:
         # Jitter keeps the nodes from returning to a server at the same time.
         until = self._clock.now() + seconds * random.uniform(0.7, 1.0)
-        self._refusals_by_instance[instance] = _Refusal(standing, until)
+        self._refusals_by_instance[instance] = _Refusal(standing, route, until)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/route_sizes.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/route_sizes.py
@@ -7,9 +7,9 @@
 _UNKNOWN_RESPONSE_BYTES = 1024.0
 _NEWEST_RESPONSE_WEIGHT = 0.1
 _BYTES_PER_KILOBYTE = 1024
-# Separators of a header, and what the connection adds to a message.
 _HEADER_OVERHEAD_BYTES = 4
-_MESSAGE_OVERHEAD_BYTES = 200
+# Question for a slot, its reply, and the fields of the order and of its answer.
+_MESSAGE_OVERHEAD_BYTES = 600
 
 
 class RouteSizes:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_loads.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_loads.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 
 from turmericwharf.coordination.clock import Clock
-from turmericwharf.state import InstanceId, RouteId
+from turmericwharf.state import DataCentreId, InstanceId, RouteId
 from turmericwharf.state.sidecar import NodeEntry, WorkAnswer
 
 # Assumed for a route of which no run time is known yet.
@@ -39,18 +39,45 @@
     ----------
     requests
         Requests at the server and in its node's queue.
-    wait_seconds
-        Expected wait of one more request; 0 if it is unknown.
     in_flight
         Requests from this node that were in flight to the server at the time of the report.
     """
 
     requests: int
-    wait_seconds: float
     in_flight: int
     reported_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Wait:
+    """Expected wait of one more request of a route at one server, as the server reported it."""
+
+    seconds: float
+    in_flight: int
+    reported_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ReportedWait:
+    """What is known of the wait at one server.
+
+    Parameters
+    ----------
+    own_seconds
+        Wait that the requests from this node alone cause.
+    seconds
+        Wait according to the newest report, and the requests sent since.
+    freshness
+        How much the report still tells, between 0 and 1.
+    """
+
+    instance: InstanceId
+    data_centre: DataCentreId
+    own_seconds: float
+    seconds: float
+    freshness: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Speed:
     """Mean run time of a route at one server, and the time of its last update."""
@@ -73,6 +100,7 @@
         self._clock = clock
         self._in_flight_by_instance: dict[InstanceId, collections.Counter[RouteId]] = {}
         self._reports_by_instance: dict[InstanceId, LoadReport] = {}
+        self._waits_by_instance: dict[InstanceId, dict[RouteId, _Wait]] = {}
         self._speeds_by_instance: dict[InstanceId, dict[RouteId, _Speed]] = {}
         self._run_seconds_by_route: dict[RouteId, float] = {}
 
@@ -92,14 +120,17 @@
     def record_answer(self, instance: InstanceId, route: RouteId, answer: WorkAnswer) -> None:
         """Record what an answer reports; an answer that was built at this node reports no load."""
         now = self._clock.now()
+        in_flight = max(self.in_flight(instance) - 1, 0)
         # The answered request has released its slot by now, and this node still counts it.
         ended = int(answer.reached_server and answer.running > 0)
         self._reports_by_instance[instance] = LoadReport(
             requests=answer.running + answer.waiting - ended,
-            wait_seconds=answer.wait_seconds,
-            in_flight=max(self.in_flight(instance) - 1, 0),
+            in_flight=in_flight,
             reported_at=now,
         )
+        if answer.wait_seconds:
+            wait = _Wait(answer.wait_seconds, in_flight, now)
+            self._waits_by_instance.setdefault(instance, {})[route] = wait
         if answer.run_seconds:
             self._record_speed(instance, route, _Speed(answer.run_seconds, _MEAN_RUNS, now))
             self._update_mean(route, answer.run_seconds)
@@ -123,11 +154,6 @@
         """Return the newest report of a server, of any age."""
         return self._reports_by_instance.get(instance)
 
-    def has_recent_report(self, instance: InstanceId) -> bool:
-        """Return whether a report of the server still tells something of its load."""
-        report = self._reports_by_instance.get(instance)
-        return report is not None and self._freshness(instance, report) > 0
-
     def run_seconds(self, instance: InstanceId, route: RouteId) -> float:
         """Return the expected run time of a route at a server."""
         speed = self._speeds_by_instance.get(instance, {}).get(route)
@@ -153,19 +179,44 @@
         others = max(report.requests - report.in_flight, 0)
         return in_flight + others * self._freshness(instance, report)
 
-    def expected_wait_seconds(self, entry: NodeEntry) -> float:
-        """Return the expected time until one more request would get a slot of a server."""
-        instance, slots = entry.instance, max(entry.slots, 1)
+    def estimate_waits(
+        self, entries: Iterable[NodeEntry], route: RouteId
+    ) -> dict[InstanceId, float]:
+        """Return the expected time until one more request of a route gets a slot, by server.
+
+        A report counts less the older it is. What it no longer tells is taken from the newer
+        reports of the other servers of the data centre, which are likely to be as loaded. If
+        nothing is known of a data centre, its servers are assumed to be idle, so that the next
+        request asks.
+        """
+        reported = [self._reported_wait(entry, route) for entry in entries]
+        seconds_by_data_centre = _mean_by_data_centre(reported)
+        return {
+            wait.instance: max(
+                wait.own_seconds,
+                wait.freshness * wait.seconds
+                + (1 - wait.freshness) * seconds_by_data_centre[wait.data_centre],
+            )
+            for wait in reported
+        }
+
+    def _reported_wait(self, entry: NodeEntry, route: RouteId) -> _ReportedWait:
+        instance = entry.instance
+        # Time in which the slots of the server work off one request.
+        turn_seconds = self._hold_seconds(instance) / max(entry.slots, 1)
+        in_flight = self.in_flight(instance)
+        own_seconds = max(in_flight + 1 - entry.slots, 0) * turn_seconds
         report = self._reports_by_instance.get(instance)
-        hold_seconds = self._hold_seconds(instance)
-        if report is not None and report.wait_seconds:
-            age = self._clock.now() - report.reported_at
-            sent_since = max(self.in_flight(instance) - report.in_flight, 0)
-            reported_seconds = report.wait_seconds + sent_since * hold_seconds / slots - age
-            if reported_seconds > 0:
-                return reported_seconds
-        ahead = self.requests_at(instance) + 1 - slots
-        return max(ahead, 0) * hold_seconds / slots
+        if report is None:
+            return _ReportedWait(instance, entry.data_centre, own_seconds, 0, 0)
+        wait = self._waits_by_instance.get(instance, {}).get(route)
+        if wait is None or wait.reported_at < report.reported_at:
+            ahead = report.requests + in_flight - report.in_flight + 1 - entry.slots
+            seconds = ahead * turn_seconds
+        else:
+            seconds = wait.seconds + (in_flight - wait.in_flight) * turn_seconds
+        freshness = self._freshness(instance, report)
+        return _ReportedWait(instance, entry.data_centre, own_seconds, max(seconds, 0), freshness)
 
     def _hold_seconds(self, instance: InstanceId) -> float:
         """Return the mean run time of the requests that hold the slots of a server."""
@@ -192,6 +243,18 @@
         self._run_seconds_by_route[route] = mean + _NEWEST_RUN_WEIGHT * (seconds - mean)
 
 
+def _mean_by_data_centre(
+    reported: Iterable[_ReportedWait],
+) -> dict[DataCentreId, float]:
+    """Return the mean reported wait of each data centre, weighted by freshness; 0 if unknown."""
+    totals = collections.defaultdict[DataCentreId, float](float)
+    weights = collections.defaultdict[DataCentreId, float](float)
+    for wait in reported:
+        totals[wait.data_centre] += wait.freshness * wait.seconds
+        weights[wait.data_centre] += wait.freshness
+    return {name: total / (weights[name] or 1) for name, total in totals.items()}
+
+
 def _mean(seconds: Iterable[float]) -> float:
     known = tuple(seconds)
     return sum(known) / len(known) if known else _UNKNOWN_RUN_SECONDS
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
@@ -1,7 +1,10 @@
 """Selects the node whose backend server receives a request."""
 
+import collections
+import itertools
 import math
 import random
+import statistics
 from collections.abc import Set
 
 from turmericwharf.coordination.clock import Clock
@@ -13,13 +16,14 @@
 from turmericwharf.coordination.sidecar.round_trips import RoundTrips
 from turmericwharf.coordination.sidecar.server_loads import ServerLoads
 from turmericwharf.coordination.sidecar.slow_start import SlowStart
-from turmericwharf.state import InstanceId, RouteId, ServiceId
+from turmericwharf.state import DataCentreId, InstanceId, NotRun, RouteId, ServiceId
 from turmericwharf.state.sidecar import NodeEntry, WorkAnswer
 
 # Servers of other data centres among which a request chooses. Those that refused lately are passed
 # over, so that the others come within reach as soon as the first ones are full. A connection to
 # each of many nodes would cost more, in processor time and in traffic, than their requests.
 _REMOTE_CHOICES = 4
+_MIN_CHOICES_IN_DATA_CENTRE = 2
 # A request slows down the others at its server although slots are free.
 _CROWDING_RUNS = 0.5
 # Estimates are similar at all entry nodes; the random part keeps them from one choice.
@@ -72,24 +76,30 @@
         usable = [
             entry for entry in self._nodes_within(reach, service) if entry.instance not in excluded
         ]
-        standings = {entry.instance: self._standing(entry.instance) for entry in usable}
-        last_standing = Standing.UNREACHABLE if may_wait else Standing.JOINING
+        waits_by_instance = self._estimate_waits(service, needs)
+        standings = {
+            entry.instance: self._standing(entry.instance, needs.route) for entry in usable
+        }
         # Whether a server has a free slot is part of the cost of a place to wait.
-        first_standing = Standing.FULL if may_wait else Standing.OPEN
+        first_standing = Standing.SATURATED if may_wait else Standing.OPEN
         return min(
-            (entry for entry in usable if standings[entry.instance] <= last_standing),
+            (
+                entry
+                for entry in usable
+                if self._is_asked(entry, standings[entry.instance], may_wait=may_wait)
+            ),
             key=lambda entry: (
                 max(standings[entry.instance], first_standing),
-                self._cost(entry, needs),
+                self._cost(entry, needs, waits_by_instance[entry.instance]),
             ),
             default=None,
         )
 
     def place_costs(self, service: ServiceId, needs: PlacementNeeds) -> PlaceCosts:
         """Return what the best server costs in the local data centre, and in the others."""
-        remote_seconds, price_seconds = self._best_costs(Reach.REMOTE, service, needs)
+        remote_seconds, price_seconds = self._mean_costs(Reach.REMOTE, service, needs)
         return PlaceCosts(
-            local_seconds=self._best_costs(Reach.LOCAL, service, needs)[0],
+            local_seconds=self._mean_costs(Reach.LOCAL, service, needs)[0],
             remote_seconds=remote_seconds,
             price_seconds=price_seconds,
         )
@@ -124,7 +134,9 @@
         if answer.answered:
             self._refusals.clear(instance)
         elif answer.refused:
-            self._refusals.record(instance, answer.refused)
+            self._refusals.record(
+                instance, route, answer.refused, self._full_seconds(instance, route, answer.refused)
+            )
         else:
             self._refusals.record_failure(instance)
 
@@ -132,6 +144,23 @@
         """Prefer other servers for a limited time."""
         self._refusals.record_failure(instance)
 
+    def _full_seconds(self, instance: InstanceId, route: RouteId, refusal: NotRun) -> float:
+        """Return for how long a server that refused for load is expected to stay full."""
+        entry = self._directory.find(instance) or self._directory.local
+        wait_seconds = refusal.retry_seconds
+        if wait_seconds is None:
+            wait_seconds = self.loads.estimate_waits((entry,), route)[entry.instance]
+        if self._is_local(entry):
+            return wait_seconds
+        # Others wait for the next free slot too, and a further refusal would cost bytes again.
+        return wait_seconds + self.loads.run_seconds(instance, route)
+
+    def _is_asked(self, entry: NodeEntry, standing: Standing, *, may_wait: bool) -> bool:
+        if not may_wait:
+            return standing <= Standing.JOINING
+        # A request is not sent to another data centre to be refused there.
+        return standing is not Standing.SATURATED or self._is_local(entry)
+
     def _nodes_within(self, reach: Reach, service: ServiceId) -> list[NodeEntry]:
         serving = self._directory.nodes_serving(service)
         self._slow_start.observe(service, serving)
@@ -150,9 +179,16 @@
             return entries
         entries_by_instance = {entry.instance: entry for entry in entries}
         ranked = rank_instances(f'remote/{self._directory.local.instance}', entries_by_instance)
-        accepting = [one for one in ranked if self._standing(one) <= Standing.JOINING]
-        chosen = (accepting or ranked)[:_REMOTE_CHOICES]
-        return [entries_by_instance[instance] for instance in chosen]
+        # A stable sort: the servers that accept requests come first, each group in its ranking.
+        ranked.sort(key=lambda instance: self._standing(instance) > Standing.JOINING)
+        data_centres = {entry.data_centre for entry in entries}
+        choices = max(_REMOTE_CHOICES // len(data_centres), _MIN_CHOICES_IN_DATA_CENTRE)
+        chosen = collections.defaultdict[DataCentreId, list[NodeEntry]](list)
+        for instance in ranked:
+            entry = entries_by_instance[instance]
+            if len(chosen[entry.data_centre]) < choices:
+                chosen[entry.data_centre].append(entry)
+        return list(itertools.chain.from_iterable(chosen.values()))
 
     def _reachable_within(self, reach: Reach, service: ServiceId) -> list[NodeEntry]:
         return [
@@ -161,10 +197,10 @@
             if self._standing(entry.instance) <= Standing.FULL
         ]
 
-    def _standing(self, instance: InstanceId) -> Standing:
+    def _standing(self, instance: InstanceId, route: RouteId = _ANY_REQUEST.route) -> Standing:
         if self._directory.is_suspected(instance):
             return Standing.UNREACHABLE
-        standing = self._refusals.standing(instance)
+        standing = self._refusals.standing(instance, route)
         if standing is Standing.OPEN and self._slow_start.holds_back(instance):
             return Standing.JOINING
         return standing
@@ -172,34 +208,32 @@
     def _is_local(self, entry: NodeEntry) -> bool:
         return entry.data_centre == self._directory.local.data_centre
 
-    def _cost(self, entry: NodeEntry, needs: PlacementNeeds) -> float:
+    def _cost(self, entry: NodeEntry, needs: PlacementNeeds, wait_seconds: float) -> float:
         run_seconds = self.loads.run_seconds(entry.instance, needs.route)
         crowding = min(self.loads.requests_at(entry.instance) / max(entry.slots, 1), 1)
-        cost, _ = self._costs(entry, needs, self.loads.expected_wait_seconds(entry))
+        cost, _ = self._costs(entry, needs, wait_seconds)
         random_runs = _RANDOM_FRACTION * random.random()
         return cost + (_CROWDING_RUNS * crowding + random_runs) * run_seconds
 
-    def _best_costs(
+    def _mean_costs(
         self, reach: Reach, service: ServiceId, needs: PlacementNeeds
     ) -> tuple[float, float]:
-        """Return the cost of the best server within reach, and the price of leaving in it.
+        """Return the mean cost of the servers of the best data centre, and the price in it.
 
-        A server without a recent report is assumed to be as loaded as the others. If nothing is
-        known of any of them, they are assumed to be idle, so that the next request asks.
+        A mean, since single reports are old: a server that had a free slot seldom still has one
+        when others have just refused.
         """
-        entries = self._reachable_within(reach, service)
-        waits_by_instance = {
-            entry.instance: self.loads.expected_wait_seconds(entry)
-            for entry in self._directory.nodes_serving(service)
-            if reach.covers(is_local=self._is_local(entry))
-            and self.loads.has_recent_report(entry.instance)
-        }
-        mean_wait = sum(waits_by_instance.values()) / max(len(waits_by_instance), 1)
-        costs = (
-            self._costs(entry, needs, waits_by_instance.get(entry.instance, mean_wait))
-            for entry in entries
+        waits_by_instance = self._estimate_waits(service, needs)
+        costs_by_data_centre = collections.defaultdict[DataCentreId, list[tuple[float, float]]](
+            list
         )
-        return min(costs, default=(math.inf, math.inf))
+        for entry in self._reachable_within(reach, service):
+            costs = self._costs(entry, needs, waits_by_instance[entry.instance])
+            costs_by_data_centre[entry.data_centre].append(costs)
+        return min(map(_mean_pair, costs_by_data_centre.values()), default=(math.inf, math.inf))
+
+    def _estimate_waits(self, service: ServiceId, needs: PlacementNeeds) -> dict[InstanceId, float]:
+        return self.loads.estimate_waits(self._directory.nodes_serving(service), needs.route)
 
     def _costs(
         self, entry: NodeEntry, needs: PlacementNeeds, wait_seconds: float
@@ -212,3 +246,8 @@
         if self._is_local(entry):
             return 0
         return needs.price_seconds(self._round_trips.seconds_to(entry.data_centre))
+
+
+def _mean_pair(pairs: list[tuple[float, float]]) -> tuple[float, float]:
+    firsts, seconds = zip(*pairs, strict=True)
+    return statistics.fmean(firsts), statistics.fmean(seconds)
