Ask servers of other data centres less often after each refusal

While all data centres were full, each node asked the others again and again. The time until the next question doubles with each refusal of a server, and a request waits elsewhere only at a server that has not refused lately.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/refusal_times.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/refusal_times.py
@@ -5,6 +5,7 @@
 bytes if it goes to another data centre.
 """
 
+import collections
 import dataclasses
 import enum
 import random
@@ -32,6 +33,12 @@
 _QUEUE_REASONS = frozenset((Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
 # The refusing node knows only its own load at that time, and requests may end sooner.
 _MAX_FULL_SECONDS = 1.0
+# Where a refusal costs bytes between data centres, the time starts with this one and doubles with
+# each further refusal, up to a limit at which idle servers are still found within the time that
+# callers wait.
+_MIN_EXPENSIVE_SECONDS = 0.25
+_MAX_EXPENSIVE_SECONDS = 4.0
+_MAX_DOUBLINGS = 4
 
 
 class Standing(enum.IntEnum):
@@ -71,6 +78,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._refusals_by_instance: dict[InstanceId, _Refusal] = {}
+        self._refused_in_a_row: collections.Counter[InstanceId] = collections.Counter()
 
     def standing(self, instance: InstanceId, route: RouteId) -> Standing:
         """Return the current standing of a server for the requests of a route."""
@@ -85,13 +93,20 @@
     def clear(self, instance: InstanceId) -> None:
         """Forget the refusals of a server that has answered a request."""
         self._refusals_by_instance.pop(instance, None)
+        self._refused_in_a_row.pop(instance, None)
 
     def record_failure(self, instance: InstanceId) -> None:
         """Record that a server did not answer in the usual time, or with an unknown outcome."""
         self._assume(instance, Standing.FAILING, _DEFAULT_SECONDS)
 
     def record(
-        self, instance: InstanceId, route: RouteId, refusal: NotRun, wait_seconds: float
+        self,
+        instance: InstanceId,
+        route: RouteId,
+        refusal: NotRun,
+        wait_seconds: float,
+        *,
+        is_expensive: bool,
     ) -> None:
         """Record a refusal, which may carry until when it holds.
 
@@ -99,14 +114,21 @@
         ----------
         wait_seconds
             Expected time until the server would run the request; applies to refusals for load.
+        is_expensive
+            Whether the refusal came from another data centre.
         """
         seconds = _SECONDS_BY_REASON.get(refusal.reason, _DEFAULT_SECONDS)
         if refusal.reason not in _LOAD_REASONS:
             self._assume(instance, Standing.FAILING, max(seconds, refusal.retry_seconds or 0))
             return
+        seconds = min(max(seconds, wait_seconds), _MAX_FULL_SECONDS)
+        if is_expensive:
+            doublings = min(self._refused_in_a_row[instance], _MAX_DOUBLINGS)
+            seconds = max(seconds, _MIN_EXPENSIVE_SECONDS) * 2**doublings
+            seconds = min(seconds, _MAX_EXPENSIVE_SECONDS)
+            self._refused_in_a_row[instance] += 1
         standing = Standing.SATURATED if refusal.reason in _QUEUE_REASONS else Standing.FULL
-        full_seconds = min(max(seconds, wait_seconds), _MAX_FULL_SECONDS)
-        self._assume(instance, standing, full_seconds, route)
+        self._assume(instance, standing, seconds, route)
 
     def _assume(
         self,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/remote_placement.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/remote_placement.py
@@ -25,12 +25,13 @@
 from turmericwharf.state.sidecar import RemotePlacementDump
 
 # A kilobyte between data centres is worth this much waiting. A request with a response of 5 KB is
-# kept for a wait of a quarter of a second, which no caller notices; one with a body of 60 KB for a
-# wait of three seconds.
-SECONDS_PER_REMOTE_KILOBYTE = 0.05
-# A late response is worth as much less as if it had arrived on time after this longer wait.
-LATE_SECONDS = 3.0
-# A request that fails is worth nothing, and its caller sends it again.
+# kept for a wait of half a second; one with a body of 60 KB for five seconds.
+SECONDS_PER_REMOTE_KILOBYTE = 0.08
+# A late response is worth less by as much as this longer wait: enough to let a body of 60 KB leave,
+# but not one of several times that size.
+LATE_SECONDS = 5.0
+# A request that fails is worth nothing, and its caller sends it again, so that it is paid for
+# twice.
 FAILED_SECONDS = 20.0
 # Estimates of a completion are uncertain: the loss grows from this fraction of the time left to its
 # full amount at the inverse.
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
@@ -73,20 +73,25 @@
             Whether the request may wait for a slot; otherwise, servers that refused lately are not
             asked.
         """
-        usable = [
-            entry for entry in self._nodes_within(reach, service) if entry.instance not in excluded
-        ]
+        within = self._nodes_within(reach, service)
+        usable = [entry for entry in within if entry.instance not in excluded]
         waits_by_instance = self._estimate_waits(service, needs)
         standings = {
             entry.instance: self._standing(entry.instance, needs.route) for entry in usable
         }
+        has_local = any(
+            self._is_local(entry) and self._standing(entry.instance) < Standing.FAILING
+            for entry in within
+        )
         # Whether a server has a free slot is part of the cost of a place to wait.
         first_standing = Standing.SATURATED if may_wait else Standing.OPEN
         return min(
             (
                 entry
                 for entry in usable
-                if self._is_asked(entry, standings[entry.instance], may_wait=may_wait)
+                if self._is_asked(
+                    entry, standings[entry.instance], may_wait=may_wait, has_local=has_local
+                )
             ),
             key=lambda entry: (
                 max(standings[entry.instance], first_standing),
@@ -134,9 +139,7 @@
         if answer.answered:
             self._refusals.clear(instance)
         elif answer.refused:
-            self._refusals.record(
-                instance, route, answer.refused, self._full_seconds(instance, route, answer.refused)
-            )
+            self._record_refusal(instance, route, answer.refused)
         else:
             self._refusals.record_failure(instance)
 
@@ -144,22 +147,24 @@
         """Prefer other servers for a limited time."""
         self._refusals.record_failure(instance)
 
-    def _full_seconds(self, instance: InstanceId, route: RouteId, refusal: NotRun) -> float:
-        """Return for how long a server that refused for load is expected to stay full."""
+    def _record_refusal(self, instance: InstanceId, route: RouteId, refusal: NotRun) -> None:
         entry = self._directory.find(instance) or self._directory.local
         wait_seconds = refusal.retry_seconds
         if wait_seconds is None:
             wait_seconds = self.loads.estimate_waits((entry,), route)[entry.instance]
-        if self._is_local(entry):
-            return wait_seconds
-        # Others wait for the next free slot too, and a further refusal would cost bytes again.
-        return wait_seconds + self.loads.run_seconds(instance, route)
-
-    def _is_asked(self, entry: NodeEntry, standing: Standing, *, may_wait: bool) -> bool:
-        if not may_wait:
-            return standing <= Standing.JOINING
-        # A request is not sent to another data centre to be refused there.
-        return standing is not Standing.SATURATED or self._is_local(entry)
+        self._refusals.record(
+            instance, route, refusal, wait_seconds, is_expensive=not self._is_local(entry)
+        )
+
+    def _is_asked(
+        self, entry: NodeEntry, standing: Standing, *, may_wait: bool, has_local: bool
+    ) -> bool:
+        """Return whether a server is worth asking before the time that its refusal named."""
+        if standing <= Standing.JOINING:
+            return True
+        # A refusal in another data centre costs bytes, so while servers are left here, a request
+        # waits for one of them.
+        return may_wait and (self._is_local(entry) or not has_local)
 
     def _nodes_within(self, reach: Reach, service: ServiceId) -> list[NodeEntry]:
         serving = self._directory.nodes_serving(service)
