--- a/tests/coordination/sidecar/test_attempts.py
+++ b/tests/coordination/sidecar/test_attempts.py
@@ -242,3 +242,25 @@
     outcome, seconds = run(sender, **target)
     assert outcome.reason is Reason.QUEUE_FULL
     assert seconds < 0.3
+
+
+def test_servers_that_are_gone_cost_an_idempotent_request_no_attempt():
+    """Guards against a final response after 24 ms, because the first two servers were gone."""
+    refused_connection = dataclasses.replace(
+        refused_answer(Reason.SERVER_UNREACHABLE, 'refused'), reached_server=True
+    )
+    sender = ScriptedSender(refused_connection, UNREACHABLE, refused_connection, SUCCESS)
+    outcome, _ = run(sender, idempotent=True, attempts=2, retries=0)
+    assert outcome.status == 200
+    sender = ScriptedSender(*[UNREACHABLE] * 15, SUCCESS)
+    outcome, _ = run(sender, servers=20, idempotent=True, attempts=2)
+    assert outcome.status == 200
+
+
+def test_a_request_waits_for_a_server_to_return():
+    """Guards against a refusal while most of the time is left and the servers restart."""
+    sender = ScriptedSender(*[UNREACHABLE] * 8, SUCCESS)
+    route = {'target_seconds': 4.0, 'timeout_seconds': 20.0}
+    outcome, seconds = run(sender, servers=3, idempotent=True, **route)
+    assert outcome.status == 200
+    assert seconds > 0.1
--- a/tests/coordination/sidecar/test_order_sender.py
+++ b/tests/coordination/sidecar/test_order_sender.py
@@ -1,6 +1,7 @@
 """Orders to other nodes: what is sent, and what a lost message means."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -19,6 +20,7 @@
     PEER_TIMEOUT,
     PEER_UNREACHABLE,
     SERVER_BUSY,
+    SERVER_DRAINING,
     Answered,
     NotRun,
     Reason,
@@ -47,7 +49,7 @@
         """Ignore cancellations."""
 
 
-def send(links, entry, *, max_wait_seconds=0.0):
+def send(links, entry, *, max_wait_seconds=0.0, body=b''):
     """Send an order of a node in the data centre "east"; return the answer and the directory."""
     clock = ManualClock()
     directory = NodeDirectory(make_entry('own', data_centre='east'), clock)
@@ -63,7 +65,7 @@
         caller_service='bookings',
     )
     admitted = AdmittedFleetRequest(
-        request=make_request(),
+        request=make_request(body=body),
         route=make_route(),
         service='bookings',
         organisation='cafe',
@@ -116,3 +118,30 @@
     answer, directory = send(Links(failure), REMOTE)
     assert isinstance(answer.refused, NotRun)
     assert directory.is_suspected('remote')
+
+
+LONG_BODY = bytes(20_000)
+
+
+@pytest.mark.parametrize(('entry', 'max_wait_seconds'), [(LOCAL, 0.0), (LOCAL, 0.5), (REMOTE, 0.5)])
+def test_a_long_body_is_sent_only_after_a_slot_was_asked_for(entry, max_wait_seconds):
+    """Guards against bodies that are sent several times, because servers refuse them."""
+    links = Links(FREE, ANSWERED)
+    answer, _ = send(links, entry, max_wait_seconds=max_wait_seconds, body=LONG_BODY)
+    assert answer == ANSWERED
+    assert links.sent == [SlotRequest, WorkOrder]
+    links = Links(dataclasses.replace(BUSY, wait_seconds=0.7))
+    answer, _ = send(links, entry, max_wait_seconds=max_wait_seconds, body=LONG_BODY)
+    assert answer.refused == dataclasses.replace(BUSY.refused, retry_seconds=0.7)
+    assert links.sent == [SlotRequest]
+
+
+def test_a_long_body_is_sent_to_a_busy_server_where_it_may_wait_for_long_enough():
+    """Guards against long requests that never queue, and so are served less often than others."""
+    links = Links(dataclasses.replace(BUSY, wait_seconds=0.3), ANSWERED)
+    assert send(links, LOCAL, max_wait_seconds=0.5, body=LONG_BODY)[0] == ANSWERED
+    links = Links(BUSY, ANSWERED)
+    assert send(links, LOCAL, max_wait_seconds=0.5, body=LONG_BODY)[0] == ANSWERED
+    draining = SlotReply(NotRun(SERVER_DRAINING.reason, ''), 0, 0, 5)
+    links = Links(draining)
+    assert send(links, LOCAL, max_wait_seconds=0.5, body=LONG_BODY)[0].refused == draining.refused
