--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -124,7 +124,16 @@
     def _choose_course(self, admitted: AdmittedFleetRequest, needs: PlacementNeeds) -> Course:
         costs = self._selector.place_costs(admitted.service, needs)
         leaves = self.remote_placement.should_leave(admitted.service, needs.route, costs)
-        return Course.LEAVE if leaves else Course.STAY
+        if not leaves:
+            return Course.STAY
+        logger.bind(
+            request=admitted.request.request,
+            local_seconds=round(costs.local_seconds, 3),
+            remote_seconds=round(costs.remote_seconds, 3),
+            price_seconds=round(costs.price_seconds, 3),
+            kilobytes=round(needs.kilobytes, 1),
+        ).info('request_leaves_data_centre')
+        return Course.LEAVE
 
     def _needs(self, admitted: AdmittedFleetRequest) -> PlacementNeeds:
         route = admitted.route.route
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/remote_placement.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/remote_placement.py
@@ -17,8 +17,6 @@
 import math
 import random
 
-from loguru import logger
-
 from turmericwharf.coordination.clock import Clock
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import RouteId, ServiceId
@@ -140,15 +138,6 @@
         leaves = random.random() < fraction
         counts = self.left_by_route if leaves else self.stayed_by_route
         counts[route] += 1
-        if leaves:
-            logger.bind(
-                service=service,
-                route=route,
-                fraction=round(fraction, 3),
-                local_seconds=round(costs.local_seconds, 3),
-                remote_seconds=round(costs.remote_seconds, 3),
-                price_seconds=round(costs.price_seconds, 3),
-            ).info('request_leaves_data_centre')
         return leaves
 
     def _update(self, service: ServiceId, route: RouteId, wanted: float) -> float:
