--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -321,7 +321,8 @@
         """Record what an answer tells of the server and of the route."""
         route = admitted.route.route
         self._selector.record_answer(ended.entry.instance, answer, route)
-        if answer.answered is None:
+        if answer.answered is None or answer.answered.status >= _MIN_SERVER_ERROR_STATUS:
+            # An error is often shorter, and sooner complete, than a response.
             return
         self._route_sizes.record(route, answer.answered)
         if not answer.run_seconds and not ended.may_wait:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/refusal_times.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/refusal_times.py
@@ -28,7 +28,8 @@
         Reason.SERVER_BUSY: 0.0,
     },
 )
-_LOAD_REASONS = frozenset((Reason.SERVER_BUSY, Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
+# Refusals that tell how loaded a server is.
+LOAD_REASONS = frozenset((Reason.SERVER_BUSY, Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
 # Refusals of requests that would have waited.
 _QUEUE_REASONS = frozenset((Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
 # The refusing node knows only its own load at that time, and requests may end sooner.
@@ -118,7 +119,7 @@
             Whether the refusal came from another data centre.
         """
         seconds = _SECONDS_BY_REASON.get(refusal.reason, _DEFAULT_SECONDS)
-        if refusal.reason not in _LOAD_REASONS:
+        if refusal.reason not in LOAD_REASONS:
             self._assume(instance, Standing.FAILING, max(seconds, refusal.retry_seconds or 0))
             return
         seconds = min(max(seconds, wait_seconds), _MAX_FULL_SECONDS)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_loads.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_loads.py
@@ -12,8 +12,9 @@
 from collections.abc import Iterable
 
 from turmericwharf.coordination.clock import Clock
+from turmericwharf.coordination.sidecar.refusal_times import LOAD_REASONS
 from turmericwharf.state import DataCentreId, InstanceId, RouteId
-from turmericwharf.state.sidecar import NodeEntry, WorkAnswer
+from turmericwharf.state.sidecar import NO_FLEET_VERSION, NodeEntry, WorkAnswer
 
 # Assumed for a route of which no run time is known yet.
 _UNKNOWN_RUN_SECONDS = 0.05
@@ -118,7 +119,13 @@
             self._in_flight_by_instance.pop(instance)
 
     def record_answer(self, instance: InstanceId, route: RouteId, answer: WorkAnswer) -> None:
-        """Record what an answer reports; an answer that was built at this node reports no load."""
+        """Record what an answer reports.
+
+        Refusals for other reasons than load, and answers that were built at this node because none
+        came, tell nothing of the load: a broken server has all its slots free.
+        """
+        if not _reports_load(answer):
+            return
         now = self._clock.now()
         in_flight = max(self.in_flight(instance) - 1, 0)
         # The answered request has released its slot by now, and this node still counts it.
@@ -243,6 +250,12 @@
         self._run_seconds_by_route[route] = mean + _NEWEST_RUN_WEIGHT * (seconds - mean)
 
 
+def _reports_load(answer: WorkAnswer) -> bool:
+    if answer.refused is None:
+        return answer.answered is not None or answer.version != NO_FLEET_VERSION
+    return answer.refused.reason in LOAD_REASONS
+
+
 def _mean_by_data_centre(
     reported: Iterable[_ReportedWait],
 ) -> dict[DataCentreId, float]:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
@@ -75,7 +75,7 @@
         """
         within = self._nodes_within(reach, service)
         usable = [entry for entry in within if entry.instance not in excluded]
-        waits_by_instance = self._estimate_waits(service, needs)
+        waits_by_instance = self._estimate_waits(reach, service, needs)
         standings = {
             entry.instance: self._standing(entry.instance, needs.route) for entry in usable
         }
@@ -132,8 +132,7 @@
     ) -> None:
         """Record the load that an answer reports, and until when a refusal holds.
 
-        The recorded load is 0 if no answer came from the node and this one was built locally. A
-        refusal or an unknown outcome counts as no answer of the server.
+        A refusal or an unknown outcome counts as no answer of the server.
         """
         self.loads.record_answer(instance, route, answer)
         if answer.answered:
@@ -228,7 +227,7 @@
         A mean, since single reports are old: a server that had a free slot seldom still has one
         when others have just refused.
         """
-        waits_by_instance = self._estimate_waits(service, needs)
+        waits_by_instance = self._estimate_waits(reach, service, needs)
         costs_by_data_centre = collections.defaultdict[DataCentreId, list[tuple[float, float]]](
             list
         )
@@ -237,8 +236,15 @@
             costs_by_data_centre[entry.data_centre].append(costs)
         return min(map(_mean_pair, costs_by_data_centre.values()), default=(math.inf, math.inf))
 
-    def _estimate_waits(self, service: ServiceId, needs: PlacementNeeds) -> dict[InstanceId, float]:
-        return self.loads.estimate_waits(self._directory.nodes_serving(service), needs.route)
+    def _estimate_waits(
+        self, reach: Reach, service: ServiceId, needs: PlacementNeeds
+    ) -> dict[InstanceId, float]:
+        serving = (
+            entry
+            for entry in self._directory.nodes_serving(service)
+            if reach.covers(is_local=self._is_local(entry))
+        )
+        return self.loads.estimate_waits(serving, needs.route)
 
     def _costs(
         self, entry: NodeEntry, needs: PlacementNeeds, wait_seconds: float
--- a/tests/coordination/sidecar/test_server_loads.py
+++ b/tests/coordination/sidecar/test_server_loads.py
@@ -4,8 +4,9 @@
 
 from tests.coordination.fakes import ManualClock
 from tests.coordination.sidecar.samples import make_entry
+from turmericwharf.coordination.sidecar.order_sender import refused_answer, unknown_answer
 from turmericwharf.coordination.sidecar.server_loads import ServerLoads
-from turmericwharf.state import Answered
+from turmericwharf.state import Answered, Reason
 from turmericwharf.state.sidecar import WorkAnswer
 
 ANSWERED = WorkAnswer(Answered(200, (), b''), None, None, True, 1, 0, 5)
@@ -67,3 +68,14 @@
     for _ in range(30):
         loads.record_run('fast', 'call', 0.1)
     assert loads.run_seconds('fast', 'call') < 0.7 * loads.run_seconds('usual', 'call')
+
+
+def test_a_broken_server_does_not_make_its_data_centre_look_idle():
+    """Guards against requests that stay or leave because refusals report free slots."""
+    loads, _ = make_loads()
+    entries = [make_entry(name, slots=1) for name in ('full', 'broken', 'gone')]
+    record(loads, 'full', 'call', running=2, waiting=3, run_seconds=0.4)
+    wait = loads.estimate_waits(entries, 'call')['full']
+    loads.record_answer('broken', 'call', refused_answer(Reason.BREAKER_OPEN, 'open'))
+    loads.record_answer('gone', 'call', unknown_answer(Reason.PEER_LINK_LOST, 'lost'))
+    assert set(loads.estimate_waits(entries, 'call').values()) == {wait}
