Decide again after a refused wait whether a request leaves

A refused wait tells how long the queue is for the rank of the request; the first decision knows counts of requests only.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/placement.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/placement.py
@@ -56,6 +56,8 @@
     PlacementStep(Reach.LOCAL, wait_fraction=0),
     PlacementStep(Reach.LOCAL, wait_fraction=0),
 )
+# Index beyond all steps.
+_NEVER = 1_000
 PLACEMENT_STEPS_BY_COURSE: Mapping[Course, tuple[PlacementStep, ...]] = MappingProxyType(
     {
         # The last step reaches other data centres only if that costs less than to wait here.
@@ -87,6 +89,7 @@
     def __init__(self) -> None:
         self._index = 0
         self._course: Course | None = None
+        self._decides_at = len(_FIRST_STEPS)
 
     @property
     def step(self) -> PlacementStep:
@@ -95,12 +98,19 @@
 
     @property
     def needs_course(self) -> bool:
-        """Whether the request found no free slot here, and where it goes on is not decided."""
-        return self._course is None and self._index >= len(_FIRST_STEPS)
+        """Whether the request found no free slot here, and where it goes on is to be decided.
+
+        If it stays, this is decided again after its first short wait, since a refused wait tells
+        how long the queues are for its rank.
+        """
+        return self._course is not Course.LEAVE and self._index >= self._decides_at
 
     def follow(self, course: Course) -> None:
         """Continue with the steps of a course."""
         self._course = course
+        if course is Course.LEAVE:
+            self._index = len(_FIRST_STEPS)
+        self._decides_at = len(_FIRST_STEPS) + 1 if self._index == len(_FIRST_STEPS) else _NEVER
 
     def advance(self) -> bool:
         """Move to the next step; return False if the request has been refused at the last one."""
@@ -113,6 +123,7 @@
         """Begin again with the first step, and without a course."""
         self._index = 0
         self._course = None
+        self._decides_at = len(_FIRST_STEPS)
 
     @property
     def _steps(self) -> tuple[PlacementStep, ...]:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_loads.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_loads.py
@@ -135,8 +135,12 @@
             in_flight=in_flight,
             reported_at=now,
         )
-        if answer.wait_seconds:
-            wait = _Wait(answer.wait_seconds, in_flight, now)
+        wait_seconds = answer.wait_seconds
+        if answer.refused is not None:
+            # The time until a refused request would be accepted is its wait.
+            wait_seconds = wait_seconds or answer.refused.retry_seconds or 0
+        if wait_seconds:
+            wait = _Wait(wait_seconds, in_flight, now)
             self._waits_by_instance.setdefault(instance, {})[route] = wait
         if answer.run_seconds:
             self._record_speed(instance, route, _Speed(answer.run_seconds, _MEAN_RUNS, now))
