--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/__init__.py
@@ -11,6 +11,7 @@
     ConfigurationHolderDump,
     ServerRecordDump,
     StartupInquiryDump,
+    RemotePlacementDump,
     StartupKnowledgeDump,
     StoreEraDump,
 )
@@ -115,6 +116,7 @@
     'OrganisationRule',
     'ProcessId',
     'ServerRecordDump',
+    'RemotePlacementDump',
     'ResponseLimits',
     'RetryReply',
     'SlotReply',
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from turmericwharf.state.sidecar.evacuations import Evacuation
+from turmericwharf.state.identifiers import RouteId
 from turmericwharf.state.sidecar.nodes import AnnouncedServer, NodeEntry
 
 
@@ -128,3 +129,20 @@
     holdings: int
     refusals_total: Mapping[str, int]
     releases_total: Mapping[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemotePlacementDump:
+    """Requests that found no free server in the local data centre, by route.
+
+    Parameters
+    ----------
+    leaving_fraction
+        Fraction of these requests that currently leave the data centre.
+    left_total, stayed_total
+        Requests that left, and requests that waited in the local data centre.
+    """
+
+    leaving_fraction: Mapping[RouteId, float]
+    left_total: Mapping[RouteId, int]
+    stayed_total: Mapping[RouteId, int]
--- a/tests/coordination/sidecar/load_replay.py
+++ b/tests/coordination/sidecar/load_replay.py
@@ -92,6 +92,9 @@
     def find_refusal(self, order, entry):
         return None
 
+    def is_evacuated(self, entry):
+        return False
+
 
 class TimedServer:
     """Connection to a server that runs each request for its time, or resets it."""
