Ask the next server for a slot before an idempotent request is repeated

An order to a server that is lost too used up the last attempt: its outcome is unknown. A question that is not answered is a refusal, which costs no attempt.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
@@ -170,6 +170,10 @@
         """Return whether the order is sent only after the server was asked for a slot."""
         if len(order.body) > _LONG_BODY_BYTES:
             return True
+        if order.idempotent and order.is_repeat:
+            # The server before may have been lost with others. An order to a lost one would use up
+            # an attempt, since its outcome is unknown; an unanswered question does not.
+            return True
         return entry.data_centre != self._directory.local.data_centre and not order.max_wait_seconds
 
     async def _ask_for_slot(self, order: WorkOrder, entry: NodeEntry) -> WorkAnswer | None:
--- a/tests/coordination/sidecar/test_order_sender.py
+++ b/tests/coordination/sidecar/test_order_sender.py
@@ -49,7 +49,7 @@
         """Ignore cancellations."""
 
 
-def send(links, entry, *, max_wait_seconds=0.0, body=b''):
+def send(links, entry, *, max_wait_seconds=0.0, body=b'', is_repeat=False):
     """Send an order of a node in the data centre "east"; return the answer and the directory."""
     clock = ManualClock()
     directory = NodeDirectory(make_entry('own', data_centre='east'), clock)
@@ -66,7 +66,7 @@
     )
     admitted = AdmittedFleetRequest(
         request=make_request(body=body),
-        route=make_route(),
+        route=make_route(idempotent=is_repeat),
         service='bookings',
         organisation='cafe',
         queue_priority=0,
@@ -80,7 +80,7 @@
         allowed_seconds=2.0,
         target_seconds=1.0,
         may_be_trial=False,
-        is_repeat=False,
+        is_repeat=is_repeat,
         max_wait_seconds=max_wait_seconds,
     )
     return asyncio.run(sender.send(admitted, entry, terms)), directory
@@ -145,3 +145,16 @@
     draining = SlotReply(NotRun(SERVER_DRAINING.reason, ''), 0, 0, 5)
     links = Links(draining)
     assert send(links, LOCAL, max_wait_seconds=0.5, body=LONG_BODY)[0].refused == draining.refused
+
+
+def test_a_repeated_request_uses_no_attempt_at_a_server_that_is_gone():
+    """Guards against an idempotent request that ends early, because two servers were lost at once.
+
+    An order whose connection is lost may have run, so it counts as an attempt.
+    """
+    answer, directory = send(Links(PEER_TIMEOUT), LOCAL, is_repeat=True)
+    assert isinstance(answer.refused, NotRun)
+    assert directory.is_suspected('local')
+    links = Links(FREE, ANSWERED)
+    assert send(links, LOCAL, is_repeat=True)[0] == ANSWERED
+    assert links.sent == [SlotRequest, WorkOrder]
--- a/tests/coordination/sidecar/test_server_selector.py
+++ b/tests/coordination/sidecar/test_server_selector.py
@@ -150,3 +150,20 @@
     for instance in ('n0', 'n1'):
         selector.record_answer(instance, FULL, 'r')
     assert selector.select('bookings', set(), needs=needs, may_wait=False).instance in {'n2', 'n3'}
+
+
+def test_a_server_that_joins_gets_work_within_four_seconds_but_not_all_of_it_at_once():
+    """Guards against a new server that all nodes rush to, and against one that stays idle."""
+    selector, clock = make_selector(4)
+    needs = PlacementNeeds(route='r')
+    counts_by_second = [collections.Counter() for _ in range(4)]
+    selector.select('bookings', set(), needs=needs)
+    selector._directory.apply(StoredEntry(make_entry('new'), 9), source='test')
+    for counts in counts_by_second:
+        for _ in range(50):
+            clock.at += 0.02
+            instance = selector.select('bookings', set(), needs=needs, may_wait=False).instance
+            counts[instance] += 1
+            selector.record_answer(instance, dataclasses.replace(SUCCESS, running=1), 'r')
+    assert counts_by_second[0]['new'] < 10
+    assert counts_by_second[3]['new'] >= 5
