--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
@@ -269,7 +269,9 @@
     if reply.refused is None or reply.refused.reason is not Reason.SERVER_BUSY:
         return False
     if reply.wait_seconds:
-        return reply.wait_seconds < order.max_wait_seconds
+        is_last_resort = 0 < order.target_seconds <= order.max_wait_seconds
+        longest_wait = order.remaining_seconds if is_last_resort else order.max_wait_seconds
+        return reply.wait_seconds < longest_wait
     # Without an estimate, the node beside the server decides. The body goes to another data centre
     # only if less than one run per slot is ahead.
     return order.max_wait_seconds > 0 and (is_local or reply.waiting < entry.slots)
--- a/tests/coordination/sidecar/test_order_sender.py
+++ b/tests/coordination/sidecar/test_order_sender.py
@@ -142,6 +142,9 @@
     assert send(links, LOCAL, max_wait_seconds=0.5, body=LONG_BODY)[0] == ANSWERED
     links = Links(BUSY, ANSWERED)
     assert send(links, LOCAL, max_wait_seconds=0.5, body=LONG_BODY)[0] == ANSWERED
+    # An order without another choice may wait beyond its target, which is 1 s from now.
+    links = Links(dataclasses.replace(BUSY, wait_seconds=1.5), ANSWERED)
+    assert send(links, LOCAL, max_wait_seconds=1.0, body=LONG_BODY)[0] == ANSWERED
     draining = SlotReply(NotRun(SERVER_DRAINING.reason, ''), 0, 0, 5)
     links = Links(draining)
     assert send(links, LOCAL, max_wait_seconds=0.5, body=LONG_BODY)[0].refused == draining.refused
