--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_sender.py
@@ -170,6 +170,10 @@
         """Return whether the order is sent only after the server was asked for a slot."""
         if len(order.body) > _LONG_BODY_BYTES:
             return True
+        if order.idempotent and order.is_repeat:
+            # The server before may have been lost with others. An order to a lost one would use up
+            # an attempt, since its outcome is unknown; an unanswered question does not.
+            return True
         return entry.data_centre != self._directory.local.data_centre and not order.max_wait_seconds
 
     async def _ask_for_slot(self, order: WorkOrder, entry: NodeEntry) -> WorkAnswer | None:
@@ -265,7 +269,9 @@
     if reply.refused is None or reply.refused.reason is not Reason.SERVER_BUSY:
         return False
     if reply.wait_seconds:
-        return reply.wait_seconds < order.max_wait_seconds
+        is_last_resort = 0 < order.target_seconds <= order.max_wait_seconds
+        longest_wait = order.remaining_seconds if is_last_resort else order.max_wait_seconds
+        return reply.wait_seconds < longest_wait
     # Without an estimate, the node beside the server decides. The body goes to another data centre
     # only if less than one run per slot is ahead.
     return order.max_wait_seconds > 0 and (is_local or reply.waiting < entry.slots)
