Count 32 KiB for a request that is being run

Beside other load (load average 25 to 32 on 7 cores) the node with unread responses took 123, 125 and 121 MB in 3 of 3 runs, bound 120 MB: 1,107 running requests took 29 KB each besides their bodies, and 24 KiB were counted.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/memory_budget.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/memory_budget.py
@@ -39,7 +39,7 @@
 CONNECTION_BYTES = 16_384
 _MAX_BUFFERS_BYTES = 65_536
 # What a request takes while it is run, without its body: tasks, headers and orders.
-REQUEST_BYTES = 24_576
+REQUEST_BYTES = 32_768
 # At most this part of the memory is for the buffers of connections.
 _BUFFERS_SHARE = 0.5
 # Descriptors that are kept for files, and the part of the others that is for clients. The rest is
