Check in the soak that each node has written its entry in the last era

Without it, the soak passed on code that never writes an entry again, since the operators and the health checks of the servers made up for that.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,6 +21,7 @@
 from tests.sidecar_fleet import KEY, SidecarFleet, make_configuration
 from tests.soak_faults import FAULTS
 from tests.soak_records import LeaveRecord, RequestRecord
+from turmericwharf.protocol import decode_node_entry
 
 NODES = 4
 SOAK_SECONDS = 12.0
@@ -90,6 +91,7 @@
             *self.find_violations(injection_ends_at + SETTLE_SECONDS / 2),
             *self.find_runs_after_withdrawal(ended_at),
             *self.find_runs_after_leave(),
+            *self.find_lost_entries(),
         ]
 
     def configure(self) -> None:
@@ -182,6 +184,16 @@
                     f'the first {runs[0]:.2f} s after it'
                 )
 
+    def find_lost_entries(self):
+        """Yield a message for each node that has not written its entry in the last era."""
+        newest = self.fleet.store.newest_by_topic['keyed.nodes']
+        for node in self.fleet.nodes:
+            _, encoded = newest.get(node.name, (0, b''))
+            entry = decode_node_entry(encoded) if encoded else None
+            era = None if entry is None else entry.era
+            if era != self.fleet.store.era:
+                yield f'{node.name} has written its entry in era {era}, not {self.fleet.store.era}'
+
     def find_rate_violations(self):
         """Yield a message if the small organisation exceeded its rate in any window."""
         allowed = (SMALL_RATE * WINDOW_SECONDS + SMALL_BURST) * (
