Guarantee each route a share of the slots of its server

A route that used less than a quarter of an equal share of the slot time of the last seconds now goes first.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/backlog.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/backlog.py
@@ -33,11 +33,14 @@
         remaining_seconds = self._running_seconds * _REMAINING_RUN_FRACTION / slots
         return (ahead_seconds + remaining_seconds) / slots
 
-    def add_waiting(self, rank: int, seconds: float) -> None:
-        """Add the mean run time of a waiting request; negative seconds subtract it again."""
-        waiting = self._waiting_by_rank.pop(rank, 0) + seconds
-        if waiting > _MIN_WAITING_SECONDS:
-            self._waiting_by_rank[rank] = waiting
+    @contextlib.contextmanager
+    def waiting(self, rank: int, seconds: float) -> Iterator[None]:
+        """Count the mean run time of a request while it waits."""
+        self._add_waiting(rank, seconds)
+        try:
+            yield
+        finally:
+            self._add_waiting(rank, -seconds)
 
     @contextlib.contextmanager
     def running(self, seconds: float) -> Iterator[None]:
@@ -47,3 +50,8 @@
             yield
         finally:
             self._running_seconds -= seconds
+
+    def _add_waiting(self, rank: int, seconds: float) -> None:
+        waiting = self._waiting_by_rank.pop(rank, 0) + seconds
+        if waiting > _MIN_WAITING_SECONDS:
+            self._waiting_by_rank[rank] = waiting
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/order_executor.py
@@ -17,6 +17,7 @@
 from turmericwharf.coordination.sidecar.order_deduplicator import OrderDeduplicator, OrderKey
 from turmericwharf.coordination.sidecar.overdue_runs import OVERDUE_FACTOR, OverdueRuns
 from turmericwharf.coordination.sidecar.ports import ServerConnection
+from turmericwharf.coordination.sidecar.route_shares import RouteShares
 from turmericwharf.coordination.sidecar.run_times import RunTimes
 from turmericwharf.coordination.state_dump import describe
 from turmericwharf.state import (
@@ -104,6 +105,7 @@
         self.breaker = CircuitBreaker(clock)
         self.queue = FairQueue(1, _QUEUE_LENGTH, clock)
         self.backlog = Backlog()
+        self.route_shares = RouteShares(clock)
         self._running_by_is_repeat: collections.Counter[bool] = collections.Counter()
 
     async def serve(self, order: WorkOrder, version: int, *, is_local: bool = False) -> WorkAnswer:
@@ -207,14 +209,15 @@
         wait_seconds = min(
             order.remaining_seconds - run_seconds, useful_seconds, order.max_wait_seconds
         )
-        if self.backlog.expected_wait_seconds(order.rank, self.queue) > wait_seconds:
+        rank = self.route_shares.queue_rank(order.route, order.rank)
+        if self.backlog.expected_wait_seconds(rank, self.queue) > wait_seconds:
             # Reported as a full queue also if few requests wait: the expected wait is too long.
             return QUEUE_FULL
-        self.backlog.add_waiting(order.rank, run_seconds)
-        try:
-            return await self.queue.acquire(order.organisation, order.rank, max(wait_seconds, 0))
-        finally:
-            self.backlog.add_waiting(order.rank, -run_seconds)
+        with (
+            self.backlog.waiting(rank, run_seconds),
+            self.route_shares.reserved(order.route, run_seconds),
+        ):
+            return await self.queue.acquire(order.organisation, rank, max(wait_seconds, 0))
 
     async def _run_in_slot(
         self,
@@ -244,6 +247,7 @@
         ):
             outcome = await self._run_on_server(order, remaining)
         ran_seconds = self._clock.now() - started_at
+        self.route_shares.charge(order.route, ran_seconds)
         is_overdue = ran_seconds > OVERDUE_FACTOR * self._run_times.mean_seconds(order.route)
         self.breaker.record(outcome, is_overdue=is_overdue)
         self.cold_start.record_outcome(outcome)
@@ -327,4 +331,5 @@
         waiting=executor.queue.waiting,
         orders_in_progress=executor.orders.in_progress,
         breaker_open=executor.breaker.is_open,
+        share_by_route=executor.route_shares.share_by_route,
     )
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
@@ -28,12 +28,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerGateDump:
-    """Requests at the server beside the node, and whether its circuit breaker is open."""
+    """Requests at the server beside the node, and whether its circuit breaker is open.
+
+    Parameters
+    ----------
+    share_by_route
+        Share of the slot time of the last seconds that each route used.
+    """
 
     running: int
     waiting: int
     orders_in_progress: int
     breaker_open: bool
+    share_by_route: Mapping[RouteId, float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
