--- a/Makefile
+++ b/Makefile
@@ -25,10 +25,12 @@
 	$(BIN)/mypy
 	$(BIN)/lint-imports --no-cache
 
-# Fleet tests spend most of their time waiting, so several of them run in parallel.
+# Fleet tests spend most of their time waiting, so several of them run in parallel. Tests that measure
+# the memory of a node run alone, after the others.
 test: lint
 	$(BIN)/python -m tests.fault_matrix --check
-	$(BIN)/pytest --numprocesses 5 --dist worksteal
+	$(BIN)/pytest --numprocesses 5 --dist worksteal -m 'not exclusive'
+	$(BIN)/pytest -m exclusive
 
 fault-matrix: setup
 	$(BIN)/python -m tests.fault_matrix
--- a/tests/fleet/test_edge_memory.py
+++ b/tests/fleet/test_edge_memory.py
@@ -25,6 +25,7 @@
 RESPONSE_BYTES = 1_000_000
 CHUNK = bytes(65_536)
 SEND_TIMEOUT_SECONDS = 3.0
+pytestmark = pytest.mark.exclusive
 LOCK_PATH = Path(tempfile.gettempdir()) / f'turmericwharf-edge-memory-{os.getuid()}.lock'
 
 
