--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/placement.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/placement.py
@@ -115,8 +115,7 @@
     def leave(self) -> None:
         """Continue in other data centres, unless the request has left already."""
         if self._course is not Course.LEAVE:
-            self._course = Course.LEAVE
-            self._index = len(_FIRST_STEPS)
+            self.follow(Course.LEAVE)
 
     def advance(self) -> bool:
         """Move to the next step; return False if the request has been refused at the last one."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/refusal_times.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/refusal_times.py
@@ -28,10 +28,18 @@
         # This node learns of the evacuation within that time too.
         Reason.DATA_CENTRE_EVACUATED: 2.0,
         Reason.SERVER_BUSY: 0.0,
+        Reason.SERVER_COLD: 0.0,
     },
 )
 # Refusals that tell how loaded a server is.
-LOAD_REASONS = frozenset((Reason.SERVER_BUSY, Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
+LOAD_REASONS = frozenset(
+    (
+        Reason.SERVER_BUSY,
+        Reason.SERVER_COLD,
+        Reason.QUEUE_FULL,
+        Reason.DEADLINE_PASSED,
+    )
+)
 # Refusals of requests that would have waited.
 _QUEUE_REASONS = frozenset((Reason.QUEUE_FULL, Reason.DEADLINE_PASSED))
 # The refusing node knows only its own load at that time, and requests may end sooner.
@@ -44,7 +52,7 @@
 _MAX_DOUBLINGS = 4
 
 
-class Standing(enum.IntEnum):
+class Availability(enum.IntEnum):
     """How likely a server accepts a request; servers with lower values are asked first."""
 
     OPEN = 0
@@ -62,15 +70,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Refusal:
-    """Standing of a server that refused, and the time until which it is assumed."""
+    """Availability of a server that refused, and the time until which it is assumed."""
 
-    standing: Standing
+    availability: Availability
     route: RouteId
     until: float
 
 
 class RefusalTimes:
-    """Standing of the servers that refused or did not answer.
+    """Availability of the servers that refused or did not answer.
 
     Parameters
     ----------
@@ -83,15 +91,15 @@
         self._refusals_by_instance: dict[InstanceId, _Refusal] = {}
         self._refused_in_a_row: collections.Counter[InstanceId] = collections.Counter()
 
-    def standing(self, instance: InstanceId, route: RouteId) -> Standing:
-        """Return the current standing of a server for the requests of a route."""
+    def availability(self, instance: InstanceId, route: RouteId) -> Availability:
+        """Return the current availability of a server for the requests of a route."""
         refusal = self._refusals_by_instance.get(instance)
         if refusal is None or refusal.until <= self._clock.now():
-            return Standing.OPEN
-        if refusal.standing is Standing.SATURATED and refusal.route != route:
+            return Availability.OPEN
+        if refusal.availability is Availability.SATURATED and refusal.route != route:
             # Routes have different ranks in the queue of a server.
-            return Standing.FULL
-        return refusal.standing
+            return Availability.FULL
+        return refusal.availability
 
     def clear(self, instance: InstanceId) -> None:
         """Forget the refusals of a server that has answered a request."""
@@ -100,7 +108,7 @@
 
     def record_failure(self, instance: InstanceId) -> None:
         """Record that a server did not answer in the usual time, or with an unknown outcome."""
-        self._assume(instance, Standing.FAILING, _DEFAULT_SECONDS)
+        self._assume(instance, Availability.FAILING, _DEFAULT_SECONDS)
 
     def record(
         self,
@@ -122,7 +130,7 @@
         """
         seconds = _SECONDS_BY_REASON.get(refusal.reason, _DEFAULT_SECONDS)
         if refusal.reason not in LOAD_REASONS:
-            self._assume(instance, Standing.FAILING, max(seconds, refusal.retry_seconds or 0))
+            self._assume(instance, Availability.FAILING, max(seconds, refusal.retry_seconds or 0))
             return
         seconds = min(max(seconds, wait_seconds), _MAX_FULL_SECONDS)
         if is_expensive:
@@ -130,16 +138,18 @@
             seconds = max(seconds, _MIN_EXPENSIVE_SECONDS) * 2**doublings
             seconds = min(seconds, _MAX_EXPENSIVE_SECONDS)
             self._refused_in_a_row[instance] += 1
-        standing = Standing.SATURATED if refusal.reason in _QUEUE_REASONS else Standing.FULL
-        self._assume(instance, standing, seconds, route)
+        availability = (
+            Availability.SATURATED if refusal.reason in _QUEUE_REASONS else Availability.FULL
+        )
+        self._assume(instance, availability, seconds, route)
 
     def _assume(
         self,
         instance: InstanceId,
-        standing: Standing,
+        availability: Availability,
         seconds: float,
         route: RouteId = _ANY_ROUTE,
     ) -> None:
         # Jitter keeps the nodes from returning to a server at the same time.
         until = self._clock.now() + seconds * random.uniform(0.7, 1.0)
-        self._refusals_by_instance[instance] = _Refusal(standing, route, until)
+        self._refusals_by_instance[instance] = _Refusal(availability, route, until)
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/server_selector.py
@@ -12,7 +12,7 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.evacuations import Evacuations
 from turmericwharf.coordination.sidecar.placement import Reach
-from turmericwharf.coordination.sidecar.refusal_times import RefusalTimes, Standing
+from turmericwharf.coordination.sidecar.refusal_times import RefusalTimes, Availability
 from turmericwharf.coordination.sidecar.remote_placement import PlaceCosts, PlacementNeeds
 from turmericwharf.coordination.sidecar.round_trips import RoundTrips
 from turmericwharf.coordination.sidecar.server_loads import ServerLoads
@@ -84,25 +84,28 @@
         within = self._nodes_within(reach, service)
         usable = [entry for entry in within if entry.instance not in excluded]
         waits_by_instance = self._estimate_waits(reach, service, needs)
-        standings = {
-            entry.instance: self._standing(entry.instance, needs.route) for entry in usable
+        availability_by_instance = {
+            entry.instance: self._availability(entry.instance, needs.route) for entry in usable
         }
         has_local = any(
-            self._is_local(entry) and self._standing(entry.instance) < Standing.FAILING
+            self._is_local(entry) and self._availability(entry.instance) < Availability.FAILING
             for entry in within
         )
         # Whether a server has a free slot is part of the cost of a place to wait.
-        first_standing = Standing.SATURATED if may_wait else Standing.OPEN
+        first_availability = Availability.SATURATED if may_wait else Availability.OPEN
         return min(
             (
                 entry
                 for entry in usable
                 if self._is_asked(
-                    entry, standings[entry.instance], may_wait=may_wait, has_local=has_local
+                    entry,
+                    availability_by_instance[entry.instance],
+                    may_wait=may_wait,
+                    has_local=has_local,
                 )
             ),
             key=lambda entry: (
-                max(standings[entry.instance], first_standing),
+                max(availability_by_instance[entry.instance], first_availability),
                 self._cost(entry, needs, waits_by_instance[entry.instance]),
             ),
             default=None,
@@ -164,10 +167,10 @@
         )
 
     def _is_asked(
-        self, entry: NodeEntry, standing: Standing, *, may_wait: bool, has_local: bool
+        self, entry: NodeEntry, availability: Availability, *, may_wait: bool, has_local: bool
     ) -> bool:
         """Return whether a server is worth asking before the time that its refusal named."""
-        if standing <= Standing.JOINING:
+        if availability <= Availability.JOINING:
             return True
         # A refusal in another data centre costs bytes, so while servers are left here, a request
         # waits for one of them.
@@ -192,7 +195,7 @@
         entries_by_instance = {entry.instance: entry for entry in entries}
         ranked = rank_instances(f'remote/{self._directory.local.instance}', entries_by_instance)
         # A stable sort: the servers that accept requests come first, each group in its ranking.
-        ranked.sort(key=lambda instance: self._standing(instance) > Standing.JOINING)
+        ranked.sort(key=lambda instance: self._availability(instance) > Availability.JOINING)
         data_centres = {entry.data_centre for entry in entries}
         choices = max(_REMOTE_CHOICES // len(data_centres), _MIN_CHOICES_IN_DATA_CENTRE)
         chosen = collections.defaultdict[DataCentreId, list[NodeEntry]](list)
@@ -206,16 +209,18 @@
         return [
             entry
             for entry in self._nodes_within(reach, service)
-            if self._standing(entry.instance) <= Standing.FULL
+            if self._availability(entry.instance) <= Availability.FULL
         ]
 
-    def _standing(self, instance: InstanceId, route: RouteId = _ANY_REQUEST.route) -> Standing:
+    def _availability(
+        self, instance: InstanceId, route: RouteId = _ANY_REQUEST.route
+    ) -> Availability:
         if self._directory.is_suspected(instance):
-            return Standing.UNREACHABLE
-        standing = self._refusals.standing(instance, route)
-        if standing is Standing.OPEN and self._slow_start.holds_back(instance):
-            return Standing.JOINING
-        return standing
+            return Availability.UNREACHABLE
+        availability = self._refusals.availability(instance, route)
+        if availability is Availability.OPEN and self._slow_start.holds_back(instance):
+            return Availability.JOINING
+        return availability
 
     def _is_local(self, entry: NodeEntry) -> bool:
         return entry.data_centre == self._directory.local.data_centre
