Limit the price of bytes by the latency target of the route

A kilobyte counted as 0.08 s of waiting whatever the target, so requests with targets below a second waited in a full data centre while others were idle.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/attempts.py
@@ -142,6 +142,7 @@
             kilobytes=self._route_sizes.kilobytes(route, admitted.request),
             target_seconds=self._remaining_target_seconds(admitted),
             deadline_seconds=self._remaining_seconds(admitted),
+            route_target_seconds=admitted.route.target_seconds,
         )
 
     def _remaining_seconds(self, admitted: AdmittedFleetRequest) -> float:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/remote_placement.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/remote_placement.py
@@ -22,9 +22,12 @@
 from turmericwharf.state import RouteId, ServiceId
 from turmericwharf.state.sidecar import RemotePlacementDump
 
-# A kilobyte between data centres is worth this much waiting. A request with a response of 5 KB is
-# kept for a wait of half a second; one with a body of 60 KB for five seconds.
+# A kilobyte between data centres is worth this much waiting, at most. A request with a response of
+# 5 KB is kept for a wait of half a second; one with a body of 60 KB for five seconds.
 SECONDS_PER_REMOTE_KILOBYTE = 0.08
+# Where the target of the route is short, a wait of that length would make the response late, so a
+# kilobyte is worth no more than this fraction of the target.
+TARGET_FRACTION_PER_REMOTE_KILOBYTE = 0.04
 # A late response is worth less by as much as this longer wait: enough to let a body of 60 KB leave,
 # but not one of several times that size.
 LATE_SECONDS = 5.0
@@ -53,16 +56,23 @@
         Time until a response is worth less.
     deadline_seconds
         Time until the request fails.
+    route_target_seconds
+        Latency target of the route, from the arrival of the request.
     """
 
     route: RouteId = RouteId('')
     kilobytes: float = 1.0
     target_seconds: float = math.inf
     deadline_seconds: float = math.inf
+    route_target_seconds: float = math.inf
 
     def price_seconds(self, round_trip_seconds: float) -> float:
         """Return the price of leaving: bytes and round trip, in seconds of waiting."""
-        return self.kilobytes * SECONDS_PER_REMOTE_KILOBYTE + round_trip_seconds
+        seconds_per_kilobyte = min(
+            SECONDS_PER_REMOTE_KILOBYTE,
+            TARGET_FRACTION_PER_REMOTE_KILOBYTE * self.route_target_seconds,
+        )
+        return self.kilobytes * seconds_per_kilobyte + round_trip_seconds
 
     def cost_seconds(self, wait_seconds: float, run_seconds: float) -> float:
         """Return the cost of a place: its time, and what a late or failed response loses."""
