--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/breaker.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/breaker.py
@@ -20,7 +20,9 @@
 _MAX_REJECTED_FRACTION = 0.9
 _CAUSE_REJECTED = 'requests_rejected'
 # Reasons of an unknown outcome that do not indicate a broken connection to the server.
-_NOT_CONNECTION_FAILURES = frozenset((Reason.ANSWER_TIMEOUT, Reason.CALLER_LEFT))
+_NOT_CONNECTION_FAILURES = frozenset(
+    (Reason.ANSWER_TIMEOUT, Reason.CALLER_LEFT, Reason.MEMORY_EXHAUSTED)
+)
 
 
 class CircuitBreaker:
--- a/packages/turmericwharf/src/turmericwharf/platform/dialect.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/dialect.py
@@ -63,8 +63,8 @@
             ),
             body=request.body,
             key_digest=None if key is None else digest_key(key),
-            remaining_seconds=_read_seconds(
-                headers_by_name.get(names.DEADLINE_MILLISECONDS.lower())
+            remaining_seconds=_remaining_seconds(
+                headers_by_name.get(names.DEADLINE_MILLISECONDS.lower()), request.waited_seconds
             ),
         )
 
@@ -142,6 +142,11 @@
     return _OUTCOME_UNKNOWN_STATUS_BY_REASON.get(outcome.reason, status)
 
 
+def _remaining_seconds(text: str | None, waited_seconds: float) -> float | None:
+    seconds = _read_seconds(text)
+    return None if seconds is None else max(seconds - waited_seconds, 0)
+
+
 def _read_seconds(text: str | None) -> float | None:
     if text is None:
         return None
--- a/packages/turmericwharf/src/turmericwharf/protocol/http1.py
+++ b/packages/turmericwharf/src/turmericwharf/protocol/http1.py
@@ -30,6 +30,8 @@
     ----------
     exchange
         Protocol state of the connection, needed to encode the response.
+    waited_seconds
+        Time for which the request waited behind others of its connection.
     """
 
     method: str
@@ -38,6 +40,7 @@
     headers: Headers
     body: bytes
     exchange: h11.Connection
+    waited_seconds: float = 0
 
 
 class RequestReader:
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_connection.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/http_connection.py
@@ -32,6 +32,7 @@
 from turmericwharf.state.sidecar import HeldBytes
 from turmericwharf.transport.sidecar.read_size import limit_reads
 from turmericwharf.transport.sidecar.request_receiver import READ_BYTES, RequestReceiver
+from turmericwharf.transport.sidecar.request_turns import RequestTurns
 
 if TYPE_CHECKING:
     from turmericwharf.transport.sidecar.http_listener import HttpListener
@@ -39,7 +40,7 @@
 _WRITE_BYTES = 65_536
 # Maximum number of unanswered requests of one connection; further requests are not read.
 _MAX_PENDING_REQUESTS = 64
-# No further requests are read while the client has more than this to read.
+# No further requests are read or handled while the client has more than this to read.
 _MAX_UNREAD_BYTES = 1_048_576
 # Time for which a connection is read after the last response. A byte that arrives after the close
 # resets the connection, and the client would lose the response.
@@ -68,7 +69,7 @@
         # Responses that are not being written yet, by the number of their request.
         self._responses_by_request: dict[int, HttpResponse] = {}
         self._request_numbers = itertools.count(1)
-        self._response_written = asyncio.Event()
+        self._turns = RequestTurns(lambda: self._holding.held.unread > _MAX_UNREAD_BYTES)
         self._last_write: asyncio.Task[None] | None = None
         self._holding = listener.resources.memory.open(HolderKind.CLIENT, self._give_way)
         self._receiver = RequestReceiver(
@@ -84,8 +85,7 @@
         try:
             while await self._read_request():
                 while self._has_backlog():
-                    self._response_written.clear()
-                    await self._response_written.wait()
+                    await self._turns.wait_for_written()
         finally:
             for task in self._tasks:
                 task.cancel()
@@ -217,14 +217,17 @@
         )
 
     async def _answer(self, request: HttpRequest, number: int) -> None:
-        response = await self._call_handler(request)
+        response = await self._call_handler(request, number)
         if not self._writer.is_closing():
             self._responses_by_request[number] = response
             self._hold_response(len(request.body), len(response.body))
 
-    async def _call_handler(self, request: HttpRequest) -> HttpResponse:
+    async def _call_handler(self, request: HttpRequest, number: int) -> HttpResponse:
         try:
-            return await self._listener.handler(request)
+            async with self._turns.turn(number) as waited_seconds:
+                return await self._listener.handler(
+                    dataclasses.replace(request, waited_seconds=waited_seconds)
+                )
         except asyncio.CancelledError:
             if not self._is_aborting:
                 raise
@@ -253,7 +256,7 @@
                 self._drop_response(len(response.body))
         finally:
             self._unwritten -= 1
-            self._response_written.set()
+            self._turns.record_written(number)
 
     async def _write_response(self, request: HttpRequest, response: HttpResponse) -> None:
         # The connection stays open while requests are pending: a server may have run the ones after
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/response_memory.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/response_memory.py
@@ -32,6 +32,8 @@
         self._memory = memory
         self._bytes = 0
         self._holding = None if memory.budget is None else memory.budget.open(HolderKind.SERVER)
+        # Whether the response was cut for what others hold, which says nothing of the server.
+        self.lacked_memory = False
 
     def __enter__(self) -> 'ResponseReservation':
         return self
@@ -51,6 +53,7 @@
         )
         if is_within_limits and self._holding is not None:
             is_within_limits = self._holding.request(HeldBytes(running=self._bytes + size))
+            self.lacked_memory = not is_within_limits
         if is_within_limits:
             self._bytes += size
             self._memory.reserved_bytes += size
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/server_client.py
@@ -89,6 +89,8 @@
             reader = ResponseReader(reservation.grow)
             head = reader.encode_head(order.method, order.target, headers, order.body)
             response = await self._exchange_in_time(reader, (head, order.body), remaining_seconds)
+            if reservation.lacked_memory and isinstance(response, OutcomeUnknown):
+                return OutcomeUnknown(Reason.MEMORY_EXHAUSTED, response.detail)
         if isinstance(response, NotRun | OutcomeUnknown):
             return response
         return classify_response(order.request, self._dialect.read_response(response))
--- a/tests/coordination/sidecar/test_breaker.py
+++ b/tests/coordination/sidecar/test_breaker.py
@@ -170,3 +170,11 @@
     for _ in range(4):
         breaker.record(foreign, is_overdue=False)
     assert breaker.is_open
+
+
+def test_responses_that_the_node_cut_for_want_of_memory_do_not_open_it():
+    """Guards against a sound server that gets no requests because other clients hold the memory."""
+    breaker = CircuitBreaker(ManualClock())
+    for _ in range(20):
+        breaker.record(OutcomeUnknown(Reason.MEMORY_EXHAUSTED), is_overdue=False)
+    assert not breaker.is_open
--- a/tests/transport/sidecar/test_server_client.py
+++ b/tests/transport/sidecar/test_server_client.py
@@ -7,10 +7,12 @@
 
 import pytest
 
+from tests.coordination.fakes import ManualClock
 from tests.coordination.sidecar.samples import make_order
+from turmericwharf.coordination.sidecar import MemoryBudget
 from turmericwharf.platform.dialect import PlatformDialect
 from turmericwharf.state import Answered, NotRun, OutcomeUnknown, Reason
-from turmericwharf.state.sidecar import Address, ResponseLimits
+from turmericwharf.state.sidecar import Address, MemoryLimits, ResponseLimits
 from turmericwharf.transport.sidecar import ServerClient
 
 LOOPBACK = '127.0.0.1'
@@ -32,7 +34,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running_server(first: bytes, repeated: bytes = b''):
+async def running_server(first: bytes, repeated: bytes = b'', memory=None):
     """Yield a client of a server that sends `first` and then `repeated` without end."""
 
     async def answer(reader, writer):
@@ -47,7 +49,7 @@
 
     server = await asyncio.start_server(answer, LOOPBACK, 0)
     port = server.sockets[0].getsockname()[1]
-    yield ServerClient(Address(LOOPBACK, port), PlatformDialect(), LIMITS)
+    yield ServerClient(Address(LOOPBACK, port), PlatformDialect(), LIMITS, memory)
     server.close()
 
 
@@ -95,6 +97,18 @@
     assert outcome.body == body
 
 
+async def test_an_answer_that_is_cut_for_want_of_memory_says_so():
+    """Guards against a breaker that opens for what clients hold in the memory of the node."""
+    budget = MemoryBudget(MemoryLimits(capacity_bytes=100_000), ManualClock())
+    body = b'y' * 200_000
+    async with running_server(
+        HEAD + b'Content-Length: %d\r\n\r\n' % len(body) + body, memory=budget
+    ) as client:
+        outcome = await client.run(make_order(), remaining_seconds=5.0)
+    assert isinstance(outcome, OutcomeUnknown)
+    assert outcome.reason is Reason.MEMORY_EXHAUSTED
+
+
 async def test_a_health_check_is_cut_at_its_limit():
     """Guards against an endless answer to a health check."""
     first, repeated = ENDLESS_BY_NAME['chunked_body']
