--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -19,6 +19,7 @@
 COMMAND = ('python3', '-m', 'turmericwharf_node.sidecar', 'run')
 KEY = 'wsjnbanfqasnmgkcuyj'
 START_SECONDS = 20.0
+MAX_SECONDS = 110.0
 # Bounds of the sheet of ka-mesh.
 BOUNDS = {
     'seedLagS': 3, 'addrReuseS': 2, 'contactS': 3, 'ackTimeoutS': 4, 'catchUpS': 4, 'drainS': 2,
@@ -193,6 +194,14 @@
         self._record.flush()
 
     async def __aenter__(self) -> 'Fleet':
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         await self.store.start()
         self.store.configure(self.configuration)
         for node in self.nodes:
@@ -206,7 +215,6 @@
         # Time for all nodes to know all servers, and to be in touch.
         await asyncio.sleep(self.bounds['contactS'] + 0.5)
         self.note('all nodes are ready')
-        return self
 
     async def __aexit__(self, *error: object) -> None:
         for node in self.nodes:
@@ -242,9 +250,18 @@
     """Run a case and exit with its result: 0 if the rule held, 1 if broken, 2 if it couldn't run."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
-        broken = asyncio.run(asyncio.wait_for(case(trouble), 110))
-    except Exception as error:  # noqa: BLE001
+        broken = asyncio.run(_run(case, trouble))
+    except (Exception, asyncio.CancelledError) as error:
         print(f'could not run: {type(error).__name__}: {error}')
         sys.exit(2)
     print('rule broken' if broken else 'rule held')
     sys.exit(1 if broken else 0)
+
+
+async def _run(case, trouble: bool) -> bool:
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # The nodes are ended too.
+        loop.add_signal_handler(number, task.cancel)
+    async with asyncio.timeout(MAX_SECONDS):
+        return await case(trouble)
