Log which reader of the store a node follows

So a late search for a reader could not be told from a late change of the followed one.

Change: store_source_changed, once for each change, with both instances.

Nodes behind the readers suspect the first silent reader 0.2 s after peer_silent, the second one 0.5 to 1.4 s later, and suspect the first one again before that; those that then wait at the next node in rank log no change of the followed reader before its poll returns, and hold the old version until then.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from loguru import logger
+
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.state import InstanceId
@@ -39,6 +41,10 @@
 
         There is none while this node reads the store itself.
         """
+        if entry != self._source:
+            logger.bind(instance=_name(entry), previous=_name(self._source)).info(
+                'store_source_changed'
+            )
         self._source = entry
         if entry is None:
             self._has_source.clear()
@@ -80,3 +86,7 @@
     def _find_entries(self, instances: list[InstanceId]) -> list[NodeEntry]:
         entries = (self._directory.find(instance) for instance in instances)
         return [entry for entry in entries if entry is not None]
+
+
+def _name(entry: NodeEntry | None) -> InstanceId | None:
+    return None if entry is None else entry.instance
