Replace silent readers of the store within a second

Cause: a chain of waits. A silent reader was noticed through the pings of a link, 0.9 to 1.7 s later; its suspicion ended after 0.25 to 0.5 s, so it was polled again; the first poll of the next node was a long one, and the configuration went on following the silent reader until it returned. A node that had read the store before and took a reader's place waited up to 5 s for a change before it counted as current, so its followers left it again.

Change: which source a node follows is one selection (source_selection, store_source), used for entries, configurations, evacuations and eras. A followed node is pinged; if it is silent, all candidates are polled at once, and the first two in rank that answer read the store. Silent nodes are left out until they answer again (silent_nodes). The first read after a pause doesn't wait. The times of the steps are shares of half of the bound (source_times): for 2 s, 0.5 s to notice, 0.2 s to choose, 0.2 s to read, 0.1 s to pass on.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/configuration_sync.py
@@ -14,7 +14,7 @@
 from turmericwharf.coordination.sidecar.ports import FleetLinks
 from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
-from turmericwharf.coordination.sidecar.store_readers import StoreReaders
+from turmericwharf.coordination.sidecar.store_source import StoreSource
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.state import InstanceId
 from turmericwharf.state.sidecar import (
@@ -46,8 +46,8 @@
         Configuration and evacuations, which other nodes learn in the same way.
     directory
         Known nodes.
-    readers
-        Selects the nodes to follow and to poll.
+    source
+        Names the node to follow, and the second reader.
     links
         Connections to other nodes.
     follower
@@ -63,7 +63,7 @@
         *,
         records: OperatorRecords,
         directory: NodeDirectory,
-        readers: StoreReaders,
+        source: StoreSource,
         links: FleetLinks,
         follower: TopicFollower,
         freshness: StoreFreshness,
@@ -71,7 +71,8 @@
     ) -> None:
         self._configuration = records.configuration
         self._directory = directory
-        self._readers = readers
+        self._source = source
+        self._silent_nodes = source.readers.silent_nodes
         self._links = links
         self._follower = follower
         self._freshness = freshness
@@ -111,6 +112,10 @@
 
     async def fetch(self, peer: NodeEntry, wait_seconds: float = 0) -> bool:
         """Fetch what is newer from a node; return whether a configuration was applied."""
+        reply = await self._request(peer, wait_seconds)
+        return reply is not None and self._apply(reply, source=peer.instance)
+
+    async def _request(self, peer: NodeEntry, wait_seconds: float) -> ConfigurationReply | None:
         # The reply also says whether the node knows the evacuations, which must not wait for news.
         wait_seconds = wait_seconds if self._evacuations.is_known else 0
         reply = await self._links.request(
@@ -118,15 +123,18 @@
             ConfigurationRequest(self._configuration.version, wait_seconds, self._evacuations.all),
             timeout_seconds=wait_seconds + _REQUEST_TIMEOUT_SECONDS,
         )
-        if not isinstance(reply, ConfigurationReply):
-            logger.bind(instance=peer.instance).debug('configuration_not_fetched')
-            return False
-        self._era.record(reply.era, source=peer.instance)
-        self._evacuations.apply_reply(reply, source=peer.instance)
+        if isinstance(reply, ConfigurationReply):
+            return reply
+        logger.bind(instance=peer.instance).debug('configuration_not_fetched')
+        return None
+
+    def _apply(self, reply: ConfigurationReply, *, source: InstanceId) -> bool:
+        self._era.record(reply.era, source=source)
+        self._evacuations.apply_reply(reply, source=source)
         # Both readers may send the same version.
         if reply.encoded in {b'', self._configuration.encoded}:
             return False
-        return self._configuration.apply_if_newer(reply.encoded, source=peer.instance)
+        return self._configuration.apply_if_newer(reply.encoded, source=source)
 
     async def _wait_for_news(self, request: ConfigurationRequest, seconds: float) -> bool:
         waiting = (
@@ -143,9 +151,12 @@
 
     async def _follow_reader(self) -> None:
         while True:
-            source = await self._readers.wait_for_source()
-            await self.fetch(source, _LONG_POLL_SECONDS)
-            await asyncio.sleep(_REPEAT_DELAY_SECONDS)
+            followed = await self._source.wait_for_source()
+            await self._source.run_while_followed(
+                followed, self.fetch(followed, _LONG_POLL_SECONDS)
+            )
+            if self._source.followed is followed:
+                await asyncio.sleep(_REPEAT_DELAY_SECONDS)
 
     async def _poll_nodes(self) -> None:
         while True:
@@ -153,14 +164,21 @@
             await _sleep_with_jitter(
                 _OFFLINE_POLL_INTERVAL_SECONDS if is_offline else _POLL_INTERVAL_SECONDS
             )
-            await asyncio.gather(
-                *(self.fetch(peer) for peer in self._choose_peers(is_offline=is_offline))
-            )
-
-    def _choose_peers(self, *, is_offline: bool) -> list[NodeEntry]:
-        second_reader = self._readers.second_reader()
-        if second_reader is not None and not is_offline:
-            return [second_reader]
+            second_reader = self._source.second_reader
+            if second_reader is not None and not is_offline:
+                await self._poll_second_reader(second_reader)
+            else:
+                await asyncio.gather(*map(self.fetch, self._choose_peers()))
+
+    async def _poll_second_reader(self, reader: NodeEntry) -> None:
+        reply = await self._request(reader, 0)
+        if reply is None:
+            # Another node has to replace it, although this one does not follow it.
+            self._silent_nodes.record_silence(reader)
+        else:
+            self._apply(reply, source=reader.instance)
+
+    def _choose_peers(self) -> list[NodeEntry]:
         local = self._directory.local
         peers = [
             peer
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/node.py
@@ -10,6 +10,7 @@
 from turmericwharf.coordination.sidecar.reloadable_bounds import ReloadableBounds
 from turmericwharf.coordination.sidecar.active_configuration import ActiveConfiguration
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.directory_polls import DirectoryPolls
 from turmericwharf.coordination.sidecar.directory_relay import DirectoryRelay
 from turmericwharf.coordination.sidecar.entry_point import RequestEntryPoint
 from turmericwharf.coordination.sidecar.evacuations import Evacuations
@@ -38,11 +39,15 @@
 from turmericwharf.coordination.sidecar.server_record import ServerRecord
 from turmericwharf.coordination.sidecar.share_holders import FixedShareHolders
 from turmericwharf.coordination.sidecar.server_confirmation import ServerConfirmation
+from turmericwharf.coordination.sidecar.silent_nodes import SilentNodes
+from turmericwharf.coordination.sidecar.source_follower import SourceFollower
+from turmericwharf.coordination.sidecar.source_times import derive_source_times
 from turmericwharf.coordination.sidecar.startup_inquiry import StartupInquiry
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
+from turmericwharf.coordination.sidecar.store_source import StoreSource
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 from turmericwharf.coordination.sidecar.cold_start import ColdStartGate
 from turmericwharf.coordination.sidecar.configuration_sync import ConfigurationSync
@@ -101,6 +106,9 @@
     publisher: LocalNodePublisher
     spread: ConfigurationSync
     relay: DirectoryRelay
+    source: StoreSource
+    source_follower: SourceFollower
+    silent_nodes: SilentNodes
     configuration_follower: TopicFollower
     membership_follower: TopicFollower
     recovery: ServerRecovery
@@ -161,8 +169,9 @@
         directory, announcements, publisher, ports.decode_entry, holders, knowledge, era
     )
     ranking = DataCentreRanking(directory)
-    readers = StoreReaders(directory, ranking)
+    silent_nodes = SilentNodes(directory, clock)
     reads_store = asyncio.Event()
+    source = StoreSource(reads_store, StoreReaders(directory, ranking, silent_nodes))
     configuration_follower = TopicFollower(
         ports.log,
         StoreTopic.CONFIGURATION,
@@ -182,20 +191,18 @@
         reads_store=reads_store,
     )
     freshness = StoreFreshness(reads_store, (membership_follower, configuration_follower), era)
-    relay = DirectoryRelay(
-        directory=directory,
-        readers=readers,
-        links=ports.links,
-        reads_store=reads_store,
-        freshness=freshness,
-        updates=node_entry_updates,
-        knowledge=knowledge,
+    source_follower = SourceFollower(
+        directory,
+        source,
+        DirectoryPolls(directory, ports.links, node_entry_updates),
+        freshness,
+        derive_source_times(settings.bounds),
     )
     records = OperatorRecords(configuration, evacuations)
     sync = ConfigurationSync(
         records=records,
         directory=directory,
-        readers=readers,
+        source=source,
         links=ports.links,
         follower=configuration_follower,
         freshness=freshness,
@@ -248,7 +255,10 @@
         announcements=announcements,
         publisher=publisher,
         spread=sync,
-        relay=relay,
+        relay=DirectoryRelay(directory, freshness, knowledge),
+        source=source,
+        source_follower=source_follower,
+        silent_nodes=silent_nodes,
         configuration_follower=configuration_follower,
         membership_follower=membership_follower,
         recovery=ServerRecovery(
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
@@ -43,6 +43,9 @@
             Only if no byte of the message was sent.
         """
 
+    async def is_responding(self, peer: NodeEntry, *, timeout_seconds: float) -> bool:
+        """Whether a node answers a ping within the timeout; its connection stays as it is."""
+
     def notify(self, peer: NodeEntry, message: FleetMessage) -> None:
         """Send a message without waiting for an answer."""
 
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_freshness.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_freshness.py
@@ -6,6 +6,9 @@
 from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.topic_follower import TopicFollower
 
+# Timers may run early by the resolution of their clock, so the rest of a wait may be this short.
+_MIN_WAIT_SECONDS = 0.001
+
 
 class StoreFreshness:
     """Limits how long a node may tell others that nothing has changed.
@@ -63,5 +66,5 @@
         deadline = loop.time() + timeout_seconds
         while True:
             wait_seconds = min(deadline - loop.time(), self.remaining_seconds)
-            if wait_seconds <= 0 or await wait(wait_seconds):
+            if wait_seconds < _MIN_WAIT_SECONDS or await wait(wait_seconds):
                 return
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/store_readers.py
@@ -1,26 +1,19 @@
-"""Selects the nodes that read the store for their data centre, and keeps the one in use."""
+"""Selects the nodes that read the store for their data centre."""
 
-import asyncio
-
-from loguru import logger
-
-from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
+from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.silent_nodes import SilentNodes
+from turmericwharf.coordination.sidecar.source_selection import READER_COUNT, find_upstream
 from turmericwharf.state import InstanceId
 from turmericwharf.state.sidecar import NodeEntry
 
-# A reader may lose the store or stop at any time.
-_READER_COUNT = 2
-# Nodes that are asked, the readers included, before a node reads the store itself.
-CANDIDATE_COUNT = 4
 _ROLE = 'store-readers'
 
 
 class StoreReaders:
     """Selects the highest-ranked nodes of the local data centre as its readers.
 
-    The views of two nodes may differ temporarily. A node that is not a reader polls only nodes
-    ranked above it, so that no two nodes wait for each other.
+    The views of two nodes may differ temporarily.
 
     Parameters
     ----------
@@ -28,65 +21,49 @@
         Known nodes.
     ranking
         Ranking of the nodes of the local data centre.
+    silent_nodes
+        Nodes that do not answer, which are left out.
     """
 
-    def __init__(self, directory: NodeDirectory, ranking: DataCentreRanking) -> None:
+    def __init__(
+        self,
+        directory: NodeDirectory,
+        ranking: DataCentreRanking,
+        silent_nodes: SilentNodes,
+    ) -> None:
         self._directory = directory
         self._ranking = ranking
-        self._source: NodeEntry | None = None
-        self._has_source = asyncio.Event()
-
-    def use_source(self, entry: NodeEntry | None) -> None:
-        """Record the node that last reported that it is current, or None.
-
-        There is none while this node reads the store itself.
+        self.silent_nodes = silent_nodes
+
+    def ranked_nodes(self) -> list[InstanceId]:
+        """Return the nodes of the data centre by rank; the first ones are its readers."""
+        return [
+            instance
+            for instance in self._ranking.ranked_nodes(_ROLE)
+            if not self.silent_nodes.contains(instance)
+        ]
+
+    def upstream_candidates(self, ranked: list[InstanceId] | None = None) -> list[NodeEntry]:
+        """Return the nodes that this one may follow, in this order; empty if it is a reader.
+
+        Parameters
+        ----------
+        ranked
+            Ranking to use in place of the one of all nodes.
         """
-        if entry != self._source:
-            logger.bind(instance=_name(entry), previous=_name(self._source)).info(
-                'store_source_changed'
-            )
-        self._source = entry
-        if entry is None:
-            self._has_source.clear()
-        else:
-            self._has_source.set()
-
-    async def wait_for_source(self) -> NodeEntry:
-        """Wait until there is a source, and return it."""
-        while self._source is None:
-            await self._has_source.wait()
-        return self._source
-
-    def upstream_candidates(self) -> list[NodeEntry]:
-        """Return the nodes to poll, in this order; empty if this node is a reader itself.
-
-        The nodes behind the readers read the store while no node above them is connected to it, so
-        that the rest of the data centre does not have to.
-        """
-        ranked = self._ranking.ranked_nodes(_ROLE)
-        local = self._directory.local.instance
-        position = ranked.index(local) if local in ranked else len(ranked)
-        if position < _READER_COUNT:
-            return []
-        readers, substitutes = ranked[:_READER_COUNT], ranked[_READER_COUNT:position]
-        # The nodes are spread over the readers.
-        first = position % _READER_COUNT
-        readers = readers[first:] + readers[:first]
-        return self._find_entries((readers + substitutes)[:CANDIDATE_COUNT])
-
-    def second_reader(self) -> NodeEntry | None:
-        """Return the reader that this node does not follow; for a reader, the other one."""
-        candidates = self.upstream_candidates()[:_READER_COUNT]
-        if not candidates:
-            local = self._directory.local.instance
-            readers = self._ranking.ranked_nodes(_ROLE)[:_READER_COUNT]
-            candidates = self._find_entries([name for name in readers if name != local])
-        return candidates[-1] if candidates else None
+        if ranked is None:
+            ranked = self.ranked_nodes()
+        return self._find_entries(find_upstream(ranked, self._directory.local.instance))
+
+    def second_reader(self, followed: NodeEntry | None) -> NodeEntry | None:
+        """Return a reader that is not the followed node; for a reader, the other one."""
+        others = {self._directory.local.instance}
+        if followed is not None:
+            others.add(followed.instance)
+        readers = self.ranked_nodes()[:READER_COUNT]
+        entries = self._find_entries([name for name in readers if name not in others])
+        return entries[-1] if entries else None
 
     def _find_entries(self, instances: list[InstanceId]) -> list[NodeEntry]:
         entries = (self._directory.find(instance) for instance in instances)
         return [entry for entry in entries if entry is not None]
-
-
-def _name(entry: NodeEntry | None) -> InstanceId | None:
-    return None if entry is None else entry.instance
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/topic_follower.py
@@ -60,6 +60,7 @@
         self._reads_store = reads_store
         self._next_offset: int | None = None
         self._is_history_gone = False
+        self._is_resuming = False
         self._era = 0
         self._answered_at = 0.0
         self._has_answer = False
@@ -93,8 +94,9 @@
         """Follow the topic until cancelled."""
         backoff_seconds = _MIN_BACKOFF_SECONDS
         while True:
-            if self._reads_store is not None:
+            if self._reads_store is not None and not self._reads_store.is_set():
                 await self._reads_store.wait()
+                self._is_resuming = True
             if await self._read_once():
                 backoff_seconds = _MIN_BACKOFF_SECONDS
                 await asyncio.sleep(self._batch_seconds)
@@ -123,12 +125,15 @@
         return True
 
     async def _read_page(self) -> KeyedPage | LogFailure:
+        # After a pause, the node answers for the store once it knows that it missed nothing.
+        wait_seconds = 0 if self._is_resuming else self._wait_seconds
+        self._is_resuming = False
         if self._next_offset is None:
             return await self._log.read_newest(self._topic)
         page = await self._log.read_changes(
             self._topic,
             offset=self._next_offset,
-            wait_seconds=self._wait_seconds,
+            wait_seconds=wait_seconds,
         )
         if isinstance(page, LogFailure) or page.era == self._era:
             return page
--- a/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
+++ b/packages/turmericwharf/src/turmericwharf/state/sidecar/dumps.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 
 from turmericwharf.state.sidecar.evacuations import Evacuation
-from turmericwharf.state.identifiers import RouteId
+from turmericwharf.state.identifiers import InstanceId, RouteId
 from turmericwharf.state.sidecar.nodes import AnnouncedServer, NodeEntry
 
 
@@ -136,3 +136,20 @@
     leaving_fraction: Mapping[RouteId, float]
     left_total: Mapping[RouteId, int]
     stayed_total: Mapping[RouteId, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreSourceDump:
+    """Where the node gets the contents of the store from."""
+
+    state: str
+    followed: InstanceId | None
+    changes_total: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilentNodesDump:
+    """Nodes that are not followed since they did not answer."""
+
+    silent: tuple[InstanceId, ...]
+    silences_total: int
--- a/packages/turmericwharf/src/turmericwharf/transport/connection.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/connection.py
@@ -174,10 +174,12 @@
         """Whether the peer answers a ping within the timeout."""
         try:
             async with asyncio.timeout(timeout_seconds):
-                await (await self._socket.ping())
+                pong = asyncio.ensure_future(await self._socket.ping())
         except (TimeoutError, WebSocketException):
             return False
-        return True
+        # A pong that arrives together with the timeout counts: this process was late, not the peer.
+        await asyncio.wait((pong,), timeout=timeout_seconds)
+        return pong.done() and not pong.cancelled() and pong.exception() is None
 
     async def _send_parts(
         self,
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
@@ -104,6 +104,16 @@
             self._watch_task = asyncio.create_task(self._close_if_silent(channel))
         return await self._requests.exchange(channel, message, deadline)
 
+    async def is_responding(self, timeout_seconds: float) -> bool:
+        """Whether the peer answers a ping within the timeout."""
+        self._last_used_at = self._loop.time()
+        deadline = self._last_used_at + timeout_seconds
+        channel = await self._connected_channel(deadline)
+        if channel is None or not await channel.is_responding(deadline - self._loop.time()):
+            return False
+        self._received_at = self._loop.time()
+        return True
+
     async def notify(self, message: FleetMessage) -> None:
         """Send a message without an answer; it is dropped if the link is not connected."""
         if not self._connection_attempt.done() or self._connection_attempt.result() is None:
@@ -233,6 +243,11 @@
             return PEER_UNREACHABLE
         return await link.request(message, timeout_seconds)
 
+    async def is_responding(self, peer: NodeEntry, *, timeout_seconds: float) -> bool:
+        """Whether a node answers a ping within the timeout."""
+        link = self._get_link(peer)
+        return link is not None and await link.is_responding(timeout_seconds)
+
     def notify(self, peer: NodeEntry, message: FleetMessage) -> None:
         """Send a message without an answer; it is dropped if there is no link to the peer."""
         link = self._links_by_id.get(peer.instance)
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/process.py
@@ -93,7 +93,7 @@
                 node.membership_follower,
                 node.publisher,
                 node.spread,
-                node.relay,
+                node.source_follower,
                 node.recovery,
                 node.inquiry,
             )
--- a/tests/coordination/sidecar/test_configuration_sync.py
+++ b/tests/coordination/sidecar/test_configuration_sync.py
@@ -13,14 +13,17 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.evacuations import Evacuations
 from turmericwharf.coordination.sidecar.operator_records import OperatorRecords
+from turmericwharf.coordination.sidecar.silent_nodes import SilentNodes
 from turmericwharf.coordination.sidecar.startup_inquiry import StartupInquiry
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
+from turmericwharf.coordination.sidecar.store_source import StoreSource
 from turmericwharf.state import PEER_UNREACHABLE
 from turmericwharf.state.sidecar import (
     ConfigurationRequest,
+    CurrentNodeFound,
     DirectoryReply,
     DirectoryRequest,
     Evacuation,
@@ -37,6 +40,11 @@
     return make_configuration(version=int(encoded))
 
 
+def make_readers(directory):
+    silent_nodes = SilentNodes(directory, LoopClock())
+    return StoreReaders(directory, DataCentreRanking(directory), silent_nodes)
+
+
 class Fleet:
     """Configuration syncs of nodes connected in memory; nodes in `down` do not answer."""
 
@@ -55,24 +63,24 @@
             directory.apply(StoredEntry(other, position), source='store')
         configuration = ActiveConfiguration(decode)
         configuration.apply_if_newer(b'1', source='store')
-        readers = StoreReaders(directory, DataCentreRanking(directory))
+        readers = make_readers(directory)
+        reads_store = asyncio.Event()
+        source = StoreSource(reads_store, readers)
         candidates = readers.upstream_candidates()
-        readers.use_source(candidates[0] if candidates else None)
+        if candidates:
+            source.apply(CurrentNodeFound(candidates[0]))
         follower = SimpleNamespace(
             is_enabled=not candidates, is_connected=True, fresh_seconds=math.inf, era=0
         )
-        reads_store = asyncio.Event()
         knowledge = StartupKnowledge()
         knowledge.record_fleet(source='test')
         evacuations = Evacuations()
-        if follower.is_enabled:
-            reads_store.set()
         era = StoreEra(directory)
         records = OperatorRecords(configuration, evacuations)
         sync = ConfigurationSync(
             records=records,
             directory=directory,
-            readers=readers,
+            source=source,
             links=self,
             follower=follower,
             freshness=StoreFreshness(reads_store, (follower,), era),
@@ -274,7 +282,7 @@
         directory = NodeDirectory(local, SimpleNamespace(now=lambda: 0.0))
         for position, entry in enumerate(entries):
             directory.apply(StoredEntry(entry, position), source='store')
-        readers = StoreReaders(directory, DataCentreRanking(directory))
+        readers = make_readers(directory)
         polled = {entry.instance for entry in readers.upstream_candidates()[:2]}
         assert polled == (set() if local.instance in fast else fast)
         stopped = dataclasses.replace(entries[3], phase=ServerPhase.STOPPING, revision=1)
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -6,15 +6,22 @@
 from tests.coordination.sidecar.samples import make_entry
 from tests.virtual_time import LoopClock, run_in_virtual_time
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
+from turmericwharf.coordination.sidecar.directory_polls import DirectoryPolls
 from turmericwharf.coordination.sidecar.directory_relay import DirectoryRelay
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
 from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
+from turmericwharf.coordination.sidecar.silent_nodes import SilentNodes
+from turmericwharf.coordination.sidecar.source_follower import SourceFollower
+from turmericwharf.coordination.sidecar.source_times import derive_source_times
 from turmericwharf.coordination.sidecar.startup_knowledge import StartupKnowledge
 from turmericwharf.coordination.sidecar.store_era import StoreEra
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
+from turmericwharf.coordination.sidecar.store_source import StoreSource
 from turmericwharf.state import PEER_UNREACHABLE
-from turmericwharf.state.sidecar import DirectoryRequest, ServerPhase, StoredEntry
+from turmericwharf.state.sidecar import DirectoryRequest, ServerPhase, SidecarBounds, StoredEntry
+
+BOUNDS = SidecarBounds(0.2, 10, 10, 10, 5, 0.1, 10)
 
 
 class Follower:
@@ -37,7 +44,9 @@
         self.notified = []
         self.entries = [make_entry(f'n{n}') for n in range(count)]
         self.nodes_by_id = {entry.instance: self._make_node(entry) for entry in self.entries}
-        self.tasks = [asyncio.create_task(node.relay.run()) for node in self.nodes_by_id.values()]
+        self.tasks = [
+            asyncio.create_task(node.source_follower.run()) for node in self.nodes_by_id.values()
+        ]
 
     def _make_node(self, local):
         directory = NodeDirectory(local, LoopClock())
@@ -48,24 +57,32 @@
         knowledge = StartupKnowledge()
         era = StoreEra(directory)
         holders = SimpleNamespace(refresh=lambda: self.notified.append(local.instance))
-        relay = DirectoryRelay(
-            directory=directory,
-            readers=StoreReaders(directory, DataCentreRanking(directory)),
-            links=self,
-            reads_store=reads_store,
-            freshness=StoreFreshness(reads_store, (follower,), era),
-            updates=NodeEntryUpdates(directory, None, None, None, holders, knowledge, era),
-            knowledge=knowledge,
+        freshness = StoreFreshness(reads_store, (follower,), era)
+        updates = NodeEntryUpdates(directory, None, None, None, holders, knowledge, era)
+        silent_nodes = SilentNodes(directory, LoopClock())
+        readers = StoreReaders(directory, DataCentreRanking(directory), silent_nodes)
+        source_follower = SourceFollower(
+            directory,
+            StoreSource(reads_store, readers),
+            DirectoryPolls(directory, self, updates),
+            freshness,
+            derive_source_times(BOUNDS),
         )
         return SimpleNamespace(
             era=era,
             directory=directory,
             reads_store=reads_store,
             follower=follower,
-            relay=relay,
+            relay=DirectoryRelay(directory, freshness, knowledge),
+            source_follower=source_follower,
             knowledge=knowledge,
         )
 
+    async def is_responding(self, peer, *, timeout_seconds):
+        if peer.instance in self.down:
+            await asyncio.sleep(timeout_seconds)
+        return peer.instance not in self.down
+
     async def request(self, peer, message, *, timeout_seconds):
         if peer.instance in self.down:
             await asyncio.sleep(min(timeout_seconds, 0.5))
@@ -206,7 +223,7 @@
         for entry in fleet.entries:
             started.directory.remove(entry.instance)
         started.directory.change_number = 0
-        task = asyncio.create_task(started.relay.run())
+        task = asyncio.create_task(started.source_follower.run())
         await asyncio.sleep(0.05)
         assert started.reads_store.is_set()
         for position, entry in enumerate(fleet.entries):
--- a/tests/coordination/sidecar/test_store_readers.py
+++ b/tests/coordination/sidecar/test_store_readers.py
@@ -4,6 +4,7 @@
 from tests.coordination.sidecar.samples import make_entry
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.data_centre_ranking import DataCentreRanking
+from turmericwharf.coordination.sidecar.silent_nodes import SilentNodes
 from turmericwharf.coordination.sidecar.store_readers import StoreReaders
 from turmericwharf.state.sidecar import ServerPhase, StoredEntry
 
@@ -20,7 +21,8 @@
 
 
 def make_readers(directory):
-    return StoreReaders(directory, DataCentreRanking(directory))
+    silent_nodes = SilentNodes(directory, ManualClock())
+    return StoreReaders(directory, DataCentreRanking(directory), silent_nodes)
 
 
 def reader_names(readers):
