Ping a followed node only after it has been quiet for a while

Change: the link sends a ping once nothing has come from the peer for 0.4 s. The steps of a replacement still add up to half of the bound: 0.4 + 0.2 s to notice, 0.2 s to choose, 0.15 s to read, 0.05 s to pass on.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_polls.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/directory_polls.py
@@ -5,6 +5,7 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.node_entry_updates import NodeEntryUpdates
 from turmericwharf.coordination.sidecar.ports import FleetLinks
+from turmericwharf.coordination.sidecar.source_times import SourceTimes
 from turmericwharf.state import InstanceId
 from turmericwharf.state.sidecar import (
     DirectoryReply,
@@ -47,9 +48,13 @@
         self._updates = updates
         self._cursors_by_instance: dict[InstanceId, _ChangeCursor] = {}
 
-    async def is_responding(self, peer: NodeEntry, timeout_seconds: float) -> bool:
-        """Whether a node answers a ping within the timeout."""
-        return await self._links.is_responding(peer, timeout_seconds=timeout_seconds)
+    async def wait_until_silent(self, peer: NodeEntry, times: SourceTimes) -> None:
+        """Wait until a node does not answer a ping."""
+        await self._links.wait_until_silent(
+            peer,
+            interval_seconds=times.ping_interval_seconds,
+            timeout_seconds=times.answer_seconds,
+        )
 
     async def poll(
         self,
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/ports.py
@@ -43,8 +43,22 @@
             Only if no byte of the message was sent.
         """
 
-    async def is_responding(self, peer: NodeEntry, *, timeout_seconds: float) -> bool:
-        """Whether a node answers a ping within the timeout; its connection stays as it is."""
+    async def wait_until_silent(
+        self,
+        peer: NodeEntry,
+        *,
+        interval_seconds: float,
+        timeout_seconds: float,
+    ) -> None:
+        """Wait until a node does not answer a ping; its connection stays as it is.
+
+        Parameters
+        ----------
+        interval_seconds
+            Time after the last message from the node at which a ping is sent.
+        timeout_seconds
+            Time for the answer to a ping.
+        """
 
     def notify(self, peer: NodeEntry, message: FleetMessage) -> None:
         """Send a message without waiting for an answer."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/silent_nodes.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/silent_nodes.py
@@ -33,7 +33,7 @@
         self._directory = directory
         self._clock = clock
         self._silences_by_instance: dict[InstanceId, Silence] = {}
-        self._has_silences = asyncio.Event()
+        self._changed = asyncio.Event()
         self._silences_total = 0
 
     @property
@@ -63,7 +63,7 @@
         self._silences_by_instance[entry.instance] = Silence(
             entry.process, self._clock.now() + seconds, seconds
         )
-        self._has_silences.set()
+        self._record_change()
         self._directory.suspect(entry.instance)
 
     def record_answer(self, instance: InstanceId) -> None:
@@ -71,12 +71,16 @@
         if self._silences_by_instance.pop(instance, None) is not None:
             logger.bind(instance=instance).info('source_answers_again')
             self._directory.clear_suspicion(instance)
+            self._record_change()
 
     async def wait_for_any(self) -> None:
         """Wait until a node is silent."""
         while not self._silences_by_instance:
-            self._has_silences.clear()
-            await self._has_silences.wait()
+            await self._changed.wait()
+
+    async def wait_for_change(self) -> None:
+        """Wait until a node falls silent or answers again."""
+        await self._changed.wait()
 
     def take_due(self) -> list[NodeEntry]:
         """Return the silent nodes to poll now, and forget those that were replaced or removed."""
@@ -93,6 +97,10 @@
         )
         return [entry for entry in entries if entry is not None]
 
+    def _record_change(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
 
 @describe.register
 def _(part: SilentNodes) -> SilentNodesDump:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/source_follower.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/source_follower.py
@@ -91,6 +91,7 @@
         waiting = (
             asyncio.create_task(self._poll_until_lost(source)),
             asyncio.create_task(self._ping_until_lost(source)),
+            asyncio.create_task(self._wait_until_reader()),
         )
         try:
             done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
@@ -117,12 +118,14 @@
                     return CurrentNodeFound(preferred[0])
 
     async def _ping_until_lost(self, source: NodeEntry) -> SourceEvent:
-        while True:
-            await asyncio.sleep(self._times.ping_interval_seconds)
-            if not self._readers.upstream_candidates():
-                return NoSourceLeft()
-            if not await self._polls.is_responding(source, self._times.answer_seconds):
-                return SourceLost(PollResult.SILENT)
+        await self._polls.wait_until_silent(source, self._times)
+        return SourceLost(PollResult.SILENT)
+
+    async def _wait_until_reader(self) -> SourceEvent:
+        """Wait until silent nodes above this one make it a reader."""
+        while self._readers.upstream_candidates():
+            await self._silent_nodes.wait_for_change()
+        return NoSourceLeft()
 
     async def _search(self) -> SourceEvent:
         """Poll all candidates at once, then wait for those that replace the readers."""
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/source_times.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/source_times.py
@@ -12,10 +12,10 @@
 # With shorter times, a loaded process would count as silent.
 _MIN_REPLACEMENT_SECONDS = 0.75
 # Shares of the replacement, which make up all of it.
-_PING_INTERVAL_SHARE = 0.3
+_PING_INTERVAL_SHARE = 0.4
 _ANSWER_SHARE = 0.2
-_STORE_READ_SHARE = 0.2
-_RELAY_SHARE = 0.1
+_STORE_READ_SHARE = 0.15
+_RELAY_SHARE = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,7 +25,7 @@
     Parameters
     ----------
     ping_interval_seconds
-        Time between an answer of the followed node and the next ping to it.
+        Time between the last message of the followed node and the next ping to it.
     answer_seconds
         Time for the answer to a ping or a poll, after which a node counts as silent.
     store_read_seconds
--- a/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/sidecar/links.py
@@ -104,8 +104,17 @@
             self._watch_task = asyncio.create_task(self._close_if_silent(channel))
         return await self._requests.exchange(channel, message, deadline)
 
-    async def is_responding(self, timeout_seconds: float) -> bool:
-        """Whether the peer answers a ping within the timeout."""
+    async def wait_until_silent(self, interval_seconds: float, timeout_seconds: float) -> None:
+        """Ping the peer whenever it has sent nothing for a time; return if it does not answer."""
+        is_silent = False
+        while not is_silent:
+            quiet_seconds = self._loop.time() - self._received_at
+            if quiet_seconds < interval_seconds:
+                await asyncio.sleep(interval_seconds - quiet_seconds)
+            else:
+                is_silent = not await self._is_responding(timeout_seconds)
+
+    async def _is_responding(self, timeout_seconds: float) -> bool:
         self._last_used_at = self._loop.time()
         deadline = self._last_used_at + timeout_seconds
         channel = await self._connected_channel(deadline)
@@ -243,10 +252,17 @@
             return PEER_UNREACHABLE
         return await link.request(message, timeout_seconds)
 
-    async def is_responding(self, peer: NodeEntry, *, timeout_seconds: float) -> bool:
-        """Whether a node answers a ping within the timeout."""
+    async def wait_until_silent(
+        self,
+        peer: NodeEntry,
+        *,
+        interval_seconds: float,
+        timeout_seconds: float,
+    ) -> None:
+        """Wait until a node does not answer a ping."""
         link = self._get_link(peer)
-        return link is not None and await link.is_responding(timeout_seconds)
+        if link is not None:
+            await link.wait_until_silent(interval_seconds, timeout_seconds)
 
     def notify(self, peer: NodeEntry, message: FleetMessage) -> None:
         """Send a message without an answer; it is dropped if there is no link to the peer."""
--- a/tests/coordination/sidecar/node_replay.py
+++ b/tests/coordination/sidecar/node_replay.py
@@ -146,9 +146,9 @@
             if machine.node is not None:
                 machine.node.directory.record_disconnection(self.name)
 
-    async def is_responding(self, peer, *, timeout_seconds):
-        await asyncio.sleep(MESSAGE_SECONDS)
-        return self.fleet.machines_by_name[peer.instance].node is not None
+    async def wait_until_silent(self, peer, *, interval_seconds, timeout_seconds):
+        while self.fleet.machines_by_name[peer.instance].node is not None:
+            await asyncio.sleep(interval_seconds)
 
     async def identify(self, path, *, timeout_seconds):
         return None if self.has_left else ServerHealth(self.server.server, None)
--- a/tests/coordination/sidecar/test_directory_relay.py
+++ b/tests/coordination/sidecar/test_directory_relay.py
@@ -78,10 +78,10 @@
             knowledge=knowledge,
         )
 
-    async def is_responding(self, peer, *, timeout_seconds):
-        if peer.instance in self.down:
-            await asyncio.sleep(timeout_seconds)
-        return peer.instance not in self.down
+    async def wait_until_silent(self, peer, *, interval_seconds, timeout_seconds):
+        while peer.instance not in self.down:
+            await asyncio.sleep(interval_seconds)
+        await asyncio.sleep(timeout_seconds)
 
     async def request(self, peer, message, *, timeout_seconds):
         if peer.instance in self.down:
--- a/tests/coordination/sidecar/test_silent_readers_replay.py
+++ b/tests/coordination/sidecar/test_silent_readers_replay.py
@@ -46,13 +46,15 @@
     async def publish(self, entry):
         return await self._call(self.fleet.store.publish(entry))
 
-    async def is_responding(self, peer, *, timeout_seconds):
+    async def wait_until_silent(self, peer, *, interval_seconds, timeout_seconds):
         other = self.fleet.machines_by_name[peer.instance]
-        ends_at = LoopClock().now() + timeout_seconds
-        while self._silence_between(other) is not None and LoopClock().now() < ends_at:
-            await asyncio.sleep(STEP_SECONDS)
-        is_silent = self._silence_between(other) is not None
-        return not is_silent and await super().is_responding(peer, timeout_seconds=0)
+        has_answered = other.node is not None
+        while has_answered:
+            await asyncio.sleep(interval_seconds)
+            ends_at = LoopClock().now() + timeout_seconds
+            while self._silence_between(other) is not None and LoopClock().now() < ends_at:
+                await asyncio.sleep(STEP_SECONDS)
+            has_answered = self._silence_between(other) is None and other.node is not None
 
     async def request(self, peer, message, *, timeout_seconds):
         other = self.fleet.machines_by_name[peer.instance]
