Reject answers whose head ends with the connection

Seen: at the product's own interface a server that closed within the head of its answer gave the caller a 200 with an empty body, framed as whole. An entry written to the store, and a read of its changes, counted as done likewise.

Cause: curl takes a head that ends with the connection for a whole one and reports no error, unless what came of it states a length.

Change: a response counts only if the empty line after its last head has come; the outcome is unknown otherwise (502, or another server for a request that may be repeated). One place serves the backend client, the store, the log and the operators' client.

--- a/packages/turmericwharf/src/turmericwharf/transport/http_client.py
+++ b/packages/turmericwharf/src/turmericwharf/transport/http_client.py
@@ -10,6 +10,8 @@
 _DEFAULT_MAX_BODY_BYTES = 104_857_600
 # Raised before a request is passed to curl, for instance for characters that are invalid in HTTP.
 _SETUP_ERRORS = (ValueError, TypeError, KeyError, pycurl.error)
+_STATUS_LINE_START = 'HTTP/'
+_HEAD_ENDS = frozenset(('\r\n', '\n'))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,10 +45,34 @@
 
 
 async def fetch(client: CurlAsyncHTTPClient, request: HTTPRequest) -> HTTPResponse | FetchFailure:
-    """Return the response, whatever its status, or a failure if there is no complete response."""
+    """Return the response, whatever its status, or a failure if there is no complete response.
+
+    curl takes a head that ends with the connection for a complete one, and reports no error.
+    """
+    head = _HeadWatch()
+    request.header_callback = head.add_line
     try:
-        return await client.fetch(request, raise_error=False)
+        response = await client.fetch(request, raise_error=False)
     except CurlError as error:
         return FetchFailure(error.errno, str(error))
     except _SETUP_ERRORS as error:
         return FetchFailure(None, str(error))
+    if head.is_complete:
+        return response
+    return FetchFailure(
+        pycurl.E_PARTIAL_FILE, 'the connection was closed before the head was complete'
+    )
+
+
+class _HeadWatch:
+    """Whether the head of the final response has ended with an empty line."""
+
+    def __init__(self) -> None:
+        self.is_complete = False
+
+    def add_line(self, line: str) -> None:
+        """Add a line of the head; that of an interim response comes first."""
+        if line.startswith(_STATUS_LINE_START):
+            self.is_complete = False
+        elif line in _HEAD_ENDS:
+            self.is_complete = True
--- a/tests/stand_ins/backend_server.py
+++ b/tests/stand_ins/backend_server.py
@@ -38,6 +38,7 @@
             'shed_share': 0.0,
             'report_load': None,
             'close_unanswered': False,
+            'cut_head': '',
             'answer_bytes': 0,
         }
 
@@ -152,6 +153,11 @@
         if faults['close_unanswered']:
             self.request.connection.stream.close()
             return
+        if faults['cut_head']:
+            stream = self.request.connection.detach()
+            await stream.write(faults['cut_head'].encode())
+            stream.close()
+            return
         if self.server.random.random() < faults['error_share']:
             self.set_status(500)
         body = json.dumps({'port': self.server.port, 'target': self.request.uri}).encode()
--- a/tests/stand_ins/platform_server.py
+++ b/tests/stand_ins/platform_server.py
@@ -17,8 +17,8 @@
     """Counts the runs of each request, sends heartbeats, and injects faults.
 
     `behaviour` is one of `'answer'`, `'reset'` (closes the connection after the run has started),
-    `'hang'`, `'error'`, `'endless'` (sends a body without end) and `'reject'` (answers that it did
-    not run the request).
+    `'hang'`, `'error'`, `'endless'` (sends a body without end), `'cut_head'` (sends `cut_head`
+    and closes the connection) and `'reject'` (answers that it did not run the request).
     """
 
     def __init__(self, host: str, ports, service: str, name: str) -> None:
@@ -27,6 +27,7 @@
         self.service = service
         self.name = name
         self.behaviour = 'answer'
+        self.cut_head = b''
         self.work_seconds = 0.01
         # Size of the response bodies in bytes; None: the name of the server and the request body.
         self.response_bytes: int | None = None
@@ -166,6 +167,11 @@
         if server.behaviour == 'reset':
             self.request.connection.stream.close()
             return
+        if server.behaviour == 'cut_head':
+            stream = self.request.connection.detach()
+            await stream.write(server.cut_head)
+            stream.close()
+            return
         if server.behaviour == 'endless':
             await self.send_without_end()
             return
