Count a page of the store without its offsets as a failure

Cause: an answer of the store without a length that broke off between its head and its body was read as a page without changes. The node then counted as current, and told those that follow it that nothing had changed.

Change: a page shorter than its offsets is a failed read.

Result: test_an_empty_page_of_the_store_is_a_failure failed before.

--- a/packages/turmericwharf/src/turmericwharf/platform/store.py
+++ b/packages/turmericwharf/src/turmericwharf/platform/store.py
@@ -129,7 +129,10 @@
         )
         if isinstance(response, LogFailure):
             return response
-        if _read_end(response.body, offset) < offset:
+        if len(response.body) < _OFFSETS_HEADER.size:
+            # An answer without a length may have been broken off after its head.
+            return LogFailure(Reason.LOG_UNAVAILABLE, '/log-read: the page has no offsets')
+        if _read_end(response.body) < offset:
             # The store came back from a copy that does not reach as far as this node has read.
             return HISTORY_GONE
         records_by_key, next_offset = read_records(response.body, offset)
@@ -200,10 +203,8 @@
     return 0
 
 
-def _read_end(encoded: bytes, default: int) -> int:
-    """Return the end offset at the start of a page; `default` if the page is too short."""
-    if len(encoded) < _OFFSETS_HEADER.size:
-        return default
+def _read_end(encoded: bytes) -> int:
+    """Return the end offset at the start of a page."""
     end: int = _OFFSETS_HEADER.unpack_from(encoded)[0]
     return end
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,9 +3,11 @@
 
 from tests.coordination.sidecar.samples import make_entry
 from tests.fleet_processes import free_port
+from tests.stand_ins.cut_answers import running_server
 from tests.stand_ins.platform_store import CONFIGURATION_TOPIC
 from tests.stand_ins.platform_store import PlatformStore as StandIn
 from turmericwharf.platform.store import PlatformStore
+from turmericwharf.state import LogFailure
 from turmericwharf.state.sidecar import (
     HISTORY_GONE,
     Address,
@@ -81,3 +83,15 @@
         for malformed in ('-1', 'x', '²', '9' * 40):
             stand_in.era = malformed
             assert (await client.read_newest(StoreTopic.CONFIGURATION)).era == 0
+
+
+async def test_an_empty_page_of_the_store_is_a_failure():
+    """Guards against changes that count as read although the answer broke off before its body.
+
+    The head is whole and states no length, so that the connection ends the answer.
+    """
+    async with running_server(b'HTTP/1.1 200 OK\r\n\r\n') as server:
+        store = PlatformStore(StoreSettings(Address(HOST, server.port)))
+        read = await store.read_changes(StoreTopic.NODES, offset=3, wait_seconds=0)
+        assert isinstance(read, LogFailure)
+        store.close()
