Log why a node leaves its source, and test the pings of a followed node

Cause: store_source_left carried the whole event, with all fields of a node's entry; the time in which a link notices a silent followed node had a test in virtual time only.

Change: the field reason (silent, behind, preferred_source_current or became_reader). Two tests of links on real sockets.

--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/source_follower.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/source_follower.py
@@ -9,7 +9,7 @@
 from turmericwharf.coordination.sidecar.directory import NodeDirectory
 from turmericwharf.coordination.sidecar.directory_polls import DirectoryPolls
 from turmericwharf.coordination.sidecar.directory_relay import MAX_WAIT_SECONDS
-from turmericwharf.coordination.sidecar.source_selection import exclude_failed
+from turmericwharf.coordination.sidecar.source_selection import exclude_failed, name_reason
 from turmericwharf.coordination.sidecar.source_times import SourceTimes
 from turmericwharf.coordination.sidecar.store_freshness import StoreFreshness
 from turmericwharf.coordination.sidecar.store_source import StoreSource
@@ -99,7 +99,7 @@
             for task in waiting:
                 task.cancel()
         event = done.pop().result()
-        logger.bind(instance=source.instance, event=str(event)).info('store_source_left')
+        logger.bind(instance=source.instance, reason=name_reason(event)).info('store_source_left')
         return event
 
     async def _poll_until_lost(self, source: NodeEntry) -> SourceEvent:
--- a/packages/turmericwharf/src/turmericwharf/coordination/sidecar/source_selection.py
+++ b/packages/turmericwharf/src/turmericwharf/coordination/sidecar/source_selection.py
@@ -43,6 +43,27 @@
     return SourceSelection(SourceState.READS_STORE)
 
 
+@singledispatch
+def name_reason(event: SourceEvent) -> str:
+    """Return why a node leaves its source, for the logs."""
+    raise NotImplementedError(f'no reason for {event!r}')
+
+
+@name_reason.register
+def _(event: SourceLost) -> str:
+    return event.result.value
+
+
+@name_reason.register
+def _(event: CurrentNodeFound) -> str:
+    return 'preferred_source_current'
+
+
+@name_reason.register
+def _(event: NoSourceLeft) -> str:
+    return 'became_reader'
+
+
 def find_upstream(ranked: Sequence[InstanceId], local: InstanceId) -> list[InstanceId]:
     """Return the nodes that a node may follow, in this order; empty if it is a reader.
 
--- a/tests/coordination/sidecar/test_source_selection.py
+++ b/tests/coordination/sidecar/test_source_selection.py
@@ -4,6 +4,7 @@
 from turmericwharf.coordination.sidecar.source_selection import (
     exclude_failed,
     find_upstream,
+    name_reason,
     next_selection,
 )
 from turmericwharf.state.sidecar import (
@@ -43,6 +44,20 @@
     assert next_selection(event, before) == after
 
 
+@pytest.mark.parametrize(
+    ('event', 'reason'),
+    [
+        (SourceLost(PollResult.SILENT), 'silent'),
+        (SourceLost(PollResult.BEHIND), 'behind'),
+        (CurrentNodeFound(OTHER), 'preferred_source_current'),
+        (NoSourceLeft(), 'became_reader'),
+    ],
+)
+def test_each_event_names_its_reason(event, reason):
+    """Guards against logs that don't tell a silent reader from one that is cut off."""
+    assert name_reason(event) == reason
+
+
 def test_a_node_follows_only_nodes_above_it():
     """Guards against two nodes that wait for each other, and against readers that all share."""
     assert find_upstream(RANKED, 'n0') == find_upstream(RANKED, 'n1') == []
--- a/tests/transport/sidecar/test_links.py
+++ b/tests/transport/sidecar/test_links.py
@@ -22,6 +22,7 @@
     WorkAnswer,
 )
 from turmericwharf.transport import BootClock
+from turmericwharf.transport.connection import FrameChannel
 from turmericwharf.transport.sidecar import links as links_module
 from turmericwharf.transport.sidecar import peer_listener
 from turmericwharf.transport.sidecar.links import FleetLinkTable
@@ -100,6 +101,51 @@
         assert await request(links, peer) == ConfigurationReply(b'')
 
 
+@pytest.mark.parametrize('blocked', ['answers', 'requests'])
+async def test_a_followed_peer_that_falls_silent_is_noticed_within_its_times(monkeypatch, blocked):
+    """Guards against nodes that follow a silent reader until a link of requests notices it.
+
+    The connection stays, since orders on it have longer limits.
+    """
+    network = Network()
+    async with running_pair(monkeypatch, network) as (links, peer):
+        assert await request(links, peer) == ConfigurationReply(b'')
+        watching = asyncio.create_task(
+            links.wait_until_silent(peer, interval_seconds=0.4, timeout_seconds=0.2)
+        )
+        await asyncio.sleep(1.5)
+        assert not watching.done()
+        ends = (PEER_HOST, '127.0.0.1')
+        network.cut(*(ends if blocked == 'answers' else reversed(ends)))
+        async with asyncio.timeout(0.4 + 0.2 + 0.2):
+            await watching
+        network.heal()
+        assert await request(links, peer) == ConfigurationReply(b'')
+
+
+async def test_a_peer_that_sends_is_not_pinged(monkeypatch):
+    """Guards against the cost of a ping for each interval in which the peer answered anyway."""
+    pings = []
+    is_responding = FrameChannel.is_responding
+    monkeypatch.setattr(
+        FrameChannel,
+        'is_responding',
+        lambda *arguments: pings.append(1) or is_responding(*arguments),
+    )
+    async with running_pair(monkeypatch) as (links, peer):
+        assert await request(links, peer) == ConfigurationReply(b'')
+        watching = asyncio.create_task(
+            links.wait_until_silent(peer, interval_seconds=0.4, timeout_seconds=0.2)
+        )
+        for _ in range(15):
+            await request(links, peer)
+            await asyncio.sleep(0.1)
+        assert not pings
+        await asyncio.sleep(1.0)
+        assert 1 <= len(pings) <= 3
+        watching.cancel()
+
+
 async def test_an_unused_link_costs_no_wake_ups(monkeypatch):
     """Guards against a timer for each peer, whose cost grows with the size of the fleet."""
     async with running_pair(monkeypatch) as (links, peer):
