--- a/tests/coordination/sidecar/test_configuration_sync.py
+++ b/tests/coordination/sidecar/test_configuration_sync.py
@@ -102,6 +102,7 @@
             follower=follower,
             sync=sync,
             evacuations=evacuations,
+            silent_nodes=readers.silent_nodes,
         )
 
     async def request(self, peer, message, *, timeout_seconds):
@@ -227,6 +228,21 @@
     run_scenario(scenario)
 
 
+def test_a_second_reader_that_does_not_answer_counts_as_silent():
+    """Guards against a reader that nobody replaces since only those that follow it notice."""
+
+    async def scenario(fleet):
+        first, second = fleet.readers
+        fleet.down = {second}
+        await asyncio.sleep(2)
+        for name, node in fleet.nodes_by_id.items():
+            followed = node.sync._source.followed
+            if followed is not None and followed.instance == first:
+                assert node.silent_nodes.contains(second), name
+
+    run_scenario(scenario)
+
+
 def test_nodes_without_the_store_get_a_version_from_any_node():
     """Guards against withdrawn keys in use while no reader of the data centre has the store."""
 
--- a/tests/coordination/sidecar/test_topic_follower.py
+++ b/tests/coordination/sidecar/test_topic_follower.py
@@ -14,11 +14,13 @@
     def __init__(self, *pages) -> None:
         self.pages = list(pages)
         self.calls = []
+        self.waits = []
 
     async def read_newest(self, topic):
         return await self._next('newest')
 
     async def read_changes(self, topic, *, offset, wait_seconds):
+        self.waits.append(wait_seconds)
         return await self._next(offset)
 
     async def _next(self, call):
@@ -105,3 +107,33 @@
     _, pages = follow(log, 1)
     assert log.calls == ['newest', 5, 'newest', 7]
     assert pages == [PAGE, newest]
+
+
+def test_the_first_read_after_a_pause_does_not_wait_for_a_change():
+    """Guards against a node that takes a reader's place, and is not current for a long poll."""
+    log = Log(PAGE, KeyedPage({}, 5), KeyedPage({}, 5))
+
+    async def main():
+        reads_store = asyncio.Event()
+        follower = TopicFollower(
+            log,
+            StoreTopic.NODES,
+            lambda page: reads_store.clear(),
+            clock=LoopClock(),
+            wait_seconds=5,
+            reads_store=reads_store,
+        )
+        task = asyncio.create_task(follower.run())
+        reads_store.set()
+        await asyncio.sleep(100)
+        assert not follower.is_connected
+        reads_store.set()
+        await asyncio.sleep(0.1)
+        assert follower.is_connected
+        reads_store.set()
+        await asyncio.sleep(0.1)
+        task.cancel()
+
+    run_in_virtual_time(main())
+    assert log.calls == ['newest', 5, 5]
+    assert log.waits == [0, 0]
